--- /dev/null
+++ b/include/common/clock.h
@@ -0,0 +1,12 @@
+#ifndef COMMON_CLOCK_H
+#define COMMON_CLOCK_H
+
+#include "core/types.h"
+
+/* Returns CLOCK_BOOTTIME in microseconds. */
+time_us_t clock_now(void);
+
+/* Returns the wall clock in whole seconds since 1970, for ticket expiry. */
+int64_t clock_wall_s(void);
+
+#endif
--- /dev/null
+++ b/include/core/heartbeat.h
@@ -0,0 +1,66 @@
+#ifndef CORE_HEARTBEAT_H
+#define CORE_HEARTBEAT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "core/snapshot.h"
+
+#define HEARTBEAT_FORMER_LIMIT 32
+#define HEARTBEAT_POISON_LIMIT 16
+#define HEARTBEAT_LOAD_LIMIT 32
+
+/* Version and content of a list that an instance has adopted; version 0: none.
+ */
+typedef struct {
+	uint64_t version;
+	uint8_t digest[DIGEST_BYTES];
+} list_stamp_t;
+
+/* Keyed digest of a request body that stopped targets, and how many it stopped.
+ */
+typedef struct {
+	uint8_t digest[DIGEST_BYTES];
+	uint32_t targets_lost;
+} poison_stamp_t;
+
+/* Load of a service's targets in the sender's zone, as the sender sees it. */
+typedef struct {
+	char service[NAME_LIMIT + 1];
+	uint32_t in_flight; /* requests of the sender on these targets */
+	uint32_t slots;	    /* the sender's part of the targets' slots */
+	uint32_t queued;
+} service_load_t;
+
+/* An instance that an earlier fleet list named and whose share is not released.
+ */
+typedef struct {
+	char name[NAME_LIMIT + 1];
+	char zone[NAME_LIMIT + 1];
+} former_member_t;
+
+/*
+ * State that instances tell each other, in requests and replies. It carries no
+ * request content, no key and no key hash.
+ */
+typedef struct {
+	char sender[NAME_LIMIT + 1];
+	char zone[NAME_LIMIT + 1];
+	incarnation_t incarnation;
+	time_us_t sent_at; /* request: sender's clock; reply: echo of it */
+	list_stamp_t adopted[LIST_COUNT];
+	/* Newest version of each list that the sender's holdings obey. */
+	uint64_t acked[LIST_COUNT];
+	bool ready;
+	bool draining;
+	bool wants_lease;   /* request only */
+	bool lease_granted; /* reply only */
+	former_member_t former[HEARTBEAT_FORMER_LIMIT];
+	size_t n_former;
+	poison_stamp_t poison[HEARTBEAT_POISON_LIMIT]; /* same region only */
+	size_t n_poison;
+	service_load_t load[HEARTBEAT_LOAD_LIMIT];
+	size_t n_load;
+} heartbeat_t;
+
+#endif
--- /dev/null
+++ b/include/core/snapshot.h
@@ -0,0 +1,158 @@
+#ifndef CORE_SNAPSHOT_H
+#define CORE_SNAPSHOT_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "core/types.h"
+
+/*
+ * The three published lists as immutable, reference-counted tables. The config
+ * package builds them from text; the core only reads them. Handles are indexes
+ * into the tables of one list and mean nothing in another version of it.
+ */
+
+typedef enum {
+	LIST_PLANS,
+	LIST_ALLOWANCES,
+	LIST_FLEET,
+	LIST_COUNT
+} list_kind_t;
+
+/* What all lists have in common. text is the published text, as received. */
+typedef struct {
+	gint refs;
+	uint64_t version;
+	uint8_t digest[DIGEST_BYTES]; /* of text */
+	char *text;
+	size_t text_len;
+} list_head_t;
+
+typedef struct {
+	char *id;
+	uint8_t hash[KEY_HASH_BYTES]; /* SHA-256 of the key */
+} team_key_t;
+
+typedef struct {
+	char *name;
+	char *plan;
+	char *home; /* region, or NULL */
+	team_key_t *keys;
+	size_t n_keys;
+} team_t;
+
+typedef struct {
+	list_head_t head;
+	team_t *teams;
+	size_t n_teams;
+	GHashTable *by_name; /* name -> team_t */
+	GHashTable *by_hash; /* hash bytes -> key_owner_t */
+} plans_t;
+
+/* The team and the key that a key hash belongs to. */
+typedef struct {
+	const team_t *team;
+	const team_key_t *key;
+} key_owner_t;
+
+typedef enum { SERVICE_ENGINE, SERVICE_PLAIN } service_kind_t;
+
+typedef struct {
+	char *name;
+	service_kind_t kind;
+	char **orders; /* NULL-terminated paths whose POST is an order */
+	bool open;     /* no key asked */
+} service_t;
+
+typedef struct {
+	char *name;
+	char *region;
+	uint32_t weight;
+} zone_t;
+
+typedef struct {
+	char *service;
+	char **regions; /* NULL-terminated */
+} plan_use_t;
+
+typedef struct {
+	char *name;
+	int64_t rate;  /* tokens a second for each team of the plan */
+	int64_t burst; /* tokens */
+	int priority;  /* 0 most urgent .. 3 */
+	plan_use_t *use;
+	size_t n_use;
+} plan_t;
+
+typedef struct {
+	list_head_t head;
+	zone_t *zones;
+	size_t n_zones;
+	service_t *services;
+	size_t n_services;
+	plan_t *plans;
+	size_t n_plans;
+	char **retired; /* NULL-terminated names of instances that are gone */
+} allowances_t;
+
+typedef enum { MEMBER_LIVE, MEMBER_LEAVING } member_state_t;
+
+typedef struct {
+	char *name;
+	char *zone;
+	char *http; /* address:port towards callers */
+	char *peer; /* address:port for ONC RPC */
+	member_state_t state;
+} instance_t;
+
+typedef struct {
+	char *name;
+	char *zone;
+	char *service;
+	char *url;
+	uint32_t slots; /* requests that it can hold at a time */
+	member_state_t state;
+} target_t;
+
+typedef struct {
+	list_head_t head;
+	instance_t *instances;
+	size_t n_instances;
+	target_t *targets;
+	size_t n_targets;
+} fleet_t;
+
+plans_t *plans_ref(plans_t *plans);
+void plans_unref(plans_t *plans);
+allowances_t *allowances_ref(allowances_t *allowances);
+void allowances_unref(allowances_t *allowances);
+fleet_t *fleet_ref(fleet_t *fleet);
+void fleet_unref(fleet_t *fleet);
+
+/* Returns "plans", "allowances" or "fleet". */
+const char *list_kind_name(list_kind_t kind);
+
+/* Lookups by name; NULL when there is none. */
+const team_t *plans_find_team(const plans_t *plans, const char *name);
+const key_owner_t *plans_find_key(
+    const plans_t *plans, const uint8_t hash[KEY_HASH_BYTES]);
+const plan_t *allowances_find_plan(
+    const allowances_t *allowances, const char *name);
+const service_t *allowances_find_service(
+    const allowances_t *allowances, const char *name);
+const zone_t *allowances_find_zone(
+    const allowances_t *allowances, const char *name);
+const plan_use_t *plan_find_use(const plan_t *plan, const char *service);
+const instance_t *fleet_find_instance(const fleet_t *fleet, const char *name);
+
+/* Fills by_name and by_hash of a list whose teams are complete. */
+void plans_index(plans_t *plans);
+
+/*
+ * Sets text (copied), its length and its digest (BLAKE2b of the text) in a list
+ * that is being built.
+ */
+void list_head_set_text(list_head_t *head, const char *text, size_t len);
+
+#endif
