target, edge: add the HTTP sides and stand-ins

Cause: the path between a caller and a target needs bounded streaming in both directions before any decision can be tried.

Ruled out: one thread a request (a thousand streams would cost a thousand stacks), and libcurl's low-speed limit for idle targets (it also counts time in which a slow caller has paused the transfer).

Change: transfer engine on curl multi with a CK ring for commands, HTTP server on libmicrohttpd with suspended connections and a 64 KiB buffer a stream, header for passing a request on, stand-in targets and platform.

Before: none.

Conclusion: the daemon can be wired on these interfaces.

--- /dev/null
+++ b/edge/exchange.c
@@ -0,0 +1,268 @@
+#include "edge/exchange.h"
+
+#include <string.h>
+
+#include "internal.h"
+
+/* Buffered bytes below which a refused writer is asked to go on. */
+#define BUFFER_RESUME_BYTES (EXCHANGE_BUFFER_BYTES / 2)
+
+exchange_t *
+exchange_create(struct edge_server *server, struct MHD_Connection *connection,
+    const char *url, const char *method)
+{
+	exchange_t *exchange = g_new0(exchange_t, 1);
+
+	exchange->refs = 1;
+	pthread_mutex_init(&exchange->lock, NULL);
+	exchange->server = server;
+	exchange->connection = connection;
+	exchange->method = g_strdup(method);
+	exchange->path = g_strdup(url);
+	exchange->request_body = g_string_new(NULL);
+	exchange->headers = g_ptr_array_new_with_free_func(g_free);
+	exchange->buffer = g_string_new(NULL);
+	return exchange;
+}
+
+exchange_t *
+exchange_ref(exchange_t *exchange)
+{
+	g_atomic_int_inc(&exchange->refs);
+	return exchange;
+}
+
+void
+exchange_unref(exchange_t *exchange)
+{
+	if (exchange == NULL || !g_atomic_int_dec_and_test(&exchange->refs))
+		return;
+	server_memory_give(exchange->server, exchange->request_body->len);
+	server_memory_give(
+	    exchange->server, exchange->buffer->len - exchange->offset);
+	g_string_free(exchange->request_body, TRUE);
+	g_string_free(exchange->buffer, TRUE);
+	g_ptr_array_free(exchange->headers, TRUE);
+	pthread_mutex_destroy(&exchange->lock);
+	g_free(exchange->method);
+	g_free(exchange->path);
+	g_free(exchange);
+}
+
+const char *
+exchange_method(const exchange_t *exchange)
+{
+	return exchange->method;
+}
+
+const char *
+exchange_path(const exchange_t *exchange)
+{
+	return exchange->path;
+}
+
+const char *
+exchange_body(const exchange_t *exchange, size_t *len)
+{
+	*len = exchange->request_body->len;
+	return exchange->request_body->str;
+}
+
+const char *
+exchange_header(const exchange_t *exchange, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    exchange->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+exchange_query(const exchange_t *exchange, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    exchange->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+void
+exchange_set_data(exchange_t *exchange, void *data)
+{
+	exchange->data = data;
+}
+
+void *
+exchange_data(const exchange_t *exchange)
+{
+	return exchange->data;
+}
+
+void
+exchange_add_header(exchange_t *exchange, const char *name, const char *value)
+{
+	g_ptr_array_add(exchange->headers, g_strdup(name));
+	g_ptr_array_add(exchange->headers, g_strdup(value));
+}
+
+void
+exchange_suspend(exchange_t *exchange)
+{
+	if (exchange->suspended || exchange->connection == NULL)
+		return;
+	exchange->suspended = true;
+	MHD_suspend_connection(exchange->connection);
+}
+
+/* Lets libmicrohttpd look at the connection again; lock is held. */
+static void
+exchange_wake(exchange_t *exchange)
+{
+	if (!exchange->suspended || exchange->connection == NULL)
+		return;
+	exchange->suspended = false;
+	MHD_resume_connection(exchange->connection);
+}
+
+/* Appends to the answer's buffer; lock is held. */
+static void
+buffer_append(exchange_t *exchange, const char *data, size_t len)
+{
+	g_string_erase(exchange->buffer, 0, (gssize)exchange->offset);
+	exchange->offset = 0;
+	g_string_append_len(exchange->buffer, data, (gssize)len);
+	/* Answers in progress always get their buffer; new work is refused. */
+	__atomic_add_fetch(&exchange->server->memory, len, __ATOMIC_RELAXED);
+}
+
+void
+exchange_respond(exchange_t *exchange, int status, const char *body, size_t len)
+{
+	pthread_mutex_lock(&exchange->lock);
+	if (exchange->state < EXCHANGE_ANSWERED) {
+		exchange->state = EXCHANGE_ANSWERED;
+		exchange->status = status;
+		exchange->ended = true;
+		exchange->whole = true;
+		buffer_append(exchange, body, len);
+		exchange_wake(exchange);
+	}
+	pthread_mutex_unlock(&exchange->lock);
+}
+
+void
+exchange_stream_begin(exchange_t *exchange, int status)
+{
+	pthread_mutex_lock(&exchange->lock);
+	if (exchange->state < EXCHANGE_ANSWERED) {
+		exchange->state = EXCHANGE_ANSWERED;
+		exchange->status = status;
+		exchange->streaming = true;
+		exchange_wake(exchange);
+	}
+	pthread_mutex_unlock(&exchange->lock);
+}
+
+bool
+exchange_stream_write(exchange_t *exchange, const char *data, size_t len)
+{
+	bool taken = true;
+
+	pthread_mutex_lock(&exchange->lock);
+	if (exchange->connection != NULL) {
+		size_t held = exchange->buffer->len - exchange->offset;
+
+		/* A single piece larger than the buffer is taken alone. */
+		taken = held == 0 || held + len <= EXCHANGE_BUFFER_BYTES;
+		if (taken) {
+			buffer_append(exchange, data, len);
+			exchange_wake(exchange);
+		} else {
+			exchange->drain_wanted = true;
+		}
+	}
+	pthread_mutex_unlock(&exchange->lock);
+	return taken;
+}
+
+void
+exchange_stream_end(exchange_t *exchange, const char *last, bool whole)
+{
+	pthread_mutex_lock(&exchange->lock);
+	if (!exchange->ended) {
+		if (last != NULL && exchange->connection != NULL)
+			buffer_append(exchange, last, strlen(last));
+		exchange->ended = true;
+		exchange->whole = whole;
+		exchange_wake(exchange);
+	}
+	pthread_mutex_unlock(&exchange->lock);
+}
+
+/* libmicrohttpd asks for the next bytes of a streamed answer. */
+static ssize_t
+stream_read(void *cls, uint64_t pos, char *out, size_t max)
+{
+	exchange_t *exchange = cls;
+	bool drained = false;
+	ssize_t result = 0;
+	size_t held;
+
+	pthread_mutex_lock(&exchange->lock);
+	held = exchange->buffer->len - exchange->offset;
+	if (held > 0) {
+		size_t len = MIN(held, max);
+
+		memcpy(out, exchange->buffer->str + exchange->offset, len);
+		exchange->offset += len;
+		server_memory_give(exchange->server, len);
+		result = (ssize_t)len;
+		drained =
+		    exchange->drain_wanted && held - len <= BUFFER_RESUME_BYTES;
+		if (drained)
+			exchange->drain_wanted = false;
+	} else if (exchange->ended) {
+		result = exchange->whole ? MHD_CONTENT_READER_END_OF_STREAM
+					 : MHD_CONTENT_READER_END_WITH_ERROR;
+	} else {
+		exchange_suspend(exchange);
+	}
+	pthread_mutex_unlock(&exchange->lock);
+	if (drained)
+		exchange->server->handlers.on_drained(
+		    exchange, exchange->server->handlers.user);
+	return result;
+}
+
+static void
+stream_release(void *cls)
+{
+	exchange_unref(cls);
+}
+
+static struct MHD_Response *
+response_create(exchange_t *exchange)
+{
+	if (exchange->streaming)
+		return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
+		    16 * 1024, stream_read, exchange_ref(exchange),
+		    stream_release);
+	return MHD_create_response_from_buffer(exchange->buffer->len,
+	    exchange->buffer->str, MHD_RESPMEM_MUST_COPY);
+}
+
+enum MHD_Result
+exchange_queue(exchange_t *exchange)
+{
+	struct MHD_Response *response;
+	enum MHD_Result result;
+
+	pthread_mutex_lock(&exchange->lock);
+	exchange->state = EXCHANGE_DELIVERING;
+	response = response_create(exchange);
+	for (guint i = 0; i + 1 < exchange->headers->len; i += 2)
+		MHD_add_response_header(response,
+		    g_ptr_array_index(exchange->headers, i),
+		    g_ptr_array_index(exchange->headers, i + 1));
+	pthread_mutex_unlock(&exchange->lock);
+	result = MHD_queue_response(
+	    exchange->connection, (unsigned int)exchange->status, response);
+	MHD_destroy_response(response);
+	return result;
+}
--- /dev/null
+++ b/edge/internal.h
@@ -0,0 +1,67 @@
+#ifndef EDGE_INTERNAL_H
+#define EDGE_INTERNAL_H
+
+#include <glib.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdint.h>
+
+#include "edge/exchange.h"
+
+typedef enum {
+	EXCHANGE_READING,   /* head and body arrive */
+	EXCHANGE_WAITING,   /* handed over, no answer yet */
+	EXCHANGE_ANSWERED,  /* an answer is ready for libmicrohttpd */
+	EXCHANGE_DELIVERING /* libmicrohttpd has the answer */
+} exchange_state_t;
+
+struct exchange {
+	gint refs;
+	pthread_mutex_t lock;
+	struct edge_server *server;
+	struct MHD_Connection *connection; /* NULL once closed */
+	char *method;
+	char *path;
+	GString *request_body;
+	size_t body_seen; /* bytes received, also those not kept */
+	bool body_refused;
+	bool suspended;
+	exchange_state_t state;
+	struct MHD_Response *response;
+	int status;
+	GPtrArray *headers; /* name, value, name, value ... */
+	bool streaming;
+	GString *buffer;
+	size_t offset; /* bytes of buffer already delivered */
+	bool drain_wanted;
+	bool ended;
+	bool whole;
+	void *data;
+};
+
+struct edge_server {
+	struct MHD_Daemon *daemon;
+	GPtrArray *retired; /* daemons that serve old connections only */
+	edge_handlers_t handlers;
+	size_t body_limit;
+	uint64_t memory_limit;
+	uint64_t memory;
+	int listen_fd;
+	uint16_t port;
+	struct edge_server_settings *settings;
+};
+
+exchange_t *exchange_create(struct edge_server *server,
+    struct MHD_Connection *connection, const char *url, const char *method);
+
+/* Suspends the connection unless an answer is ready; lock is held. */
+void exchange_suspend(exchange_t *exchange);
+
+/* Hands a ready answer to libmicrohttpd. */
+enum MHD_Result exchange_queue(exchange_t *exchange);
+
+/* Reserves memory for bodies and buffers; false when the limit is reached. */
+bool server_memory_take(struct edge_server *server, size_t bytes);
+void server_memory_give(struct edge_server *server, size_t bytes);
+
+#endif
--- /dev/null
+++ b/edge/server.c
@@ -0,0 +1,289 @@
+#include "edge/server.h"
+
+#include <arpa/inet.h>
+#include <ck_pr.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/error.h"
+#include "internal.h"
+
+/* Bytes for one request head; larger heads get 431 from libmicrohttpd. */
+#define HEAD_LIMIT_BYTES ((size_t)16 * 1024)
+
+/* A refused body is read and dropped up to this many times the limit. */
+#define BODY_DROP_FACTOR 4
+
+struct edge_server_settings {
+	unsigned int threads;
+	unsigned int connection_limit;
+	unsigned int idle_timeout_s;
+	char *certificate;
+	char *key;
+};
+
+bool
+server_memory_take(struct edge_server *server, size_t bytes)
+{
+	if (ck_pr_faa_64(&server->memory, bytes) + bytes <=
+	    server->memory_limit)
+		return true;
+	ck_pr_sub_64(&server->memory, bytes);
+	return false;
+}
+
+void
+server_memory_give(struct edge_server *server, size_t bytes)
+{
+	ck_pr_sub_64(&server->memory, bytes);
+}
+
+size_t
+edge_server_memory(const edge_server_t *server)
+{
+	return (size_t)ck_pr_load_64(&server->memory);
+}
+
+static enum MHD_Result
+head_handle(edge_server_t *server, exchange_t *exchange)
+{
+	server->handlers.on_head(exchange, server->handlers.user);
+	if (exchange->state == EXCHANGE_ANSWERED)
+		return exchange_queue(exchange);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+body_refuse(edge_server_t *server, exchange_t *exchange, bool memory)
+{
+	exchange->body_refused = true;
+	server_memory_give(server, exchange->request_body->len);
+	g_string_truncate(exchange->request_body, 0);
+	server->handlers.on_body_refused(
+	    exchange, memory, server->handlers.user);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+body_handle(
+    edge_server_t *server, exchange_t *exchange, const char *data, size_t len)
+{
+	exchange->body_seen += len;
+	if (exchange->body_refused) {
+		if (exchange->body_seen > BODY_DROP_FACTOR * server->body_limit)
+			return MHD_NO;
+		return MHD_YES;
+	}
+	if (exchange->body_seen > server->body_limit)
+		return body_refuse(server, exchange, false);
+	if (!server_memory_take(server, len))
+		return body_refuse(server, exchange, true);
+	g_string_append_len(exchange->request_body, data, (gssize)len);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+end_handle(edge_server_t *server, exchange_t *exchange)
+{
+	bool answered;
+
+	if (exchange->state == EXCHANGE_READING) {
+		pthread_mutex_lock(&exchange->lock);
+		exchange->state = EXCHANGE_WAITING;
+		exchange_suspend(exchange);
+		pthread_mutex_unlock(&exchange->lock);
+		server->handlers.on_request(exchange, server->handlers.user);
+		return MHD_YES;
+	}
+	pthread_mutex_lock(&exchange->lock);
+	answered = exchange->state == EXCHANGE_ANSWERED;
+	pthread_mutex_unlock(&exchange->lock);
+	return answered ? exchange_queue(exchange) : MHD_YES;
+}
+
+static enum MHD_Result
+connection_handle(void *cls, struct MHD_Connection *connection, const char *url,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **state)
+{
+	edge_server_t *server = cls;
+	exchange_t *exchange = *state;
+	enum MHD_Result result;
+
+	if (exchange == NULL) {
+		exchange = exchange_create(server, connection, url, method);
+		*state = exchange;
+		return head_handle(server, exchange);
+	}
+	if (*len == 0)
+		return end_handle(server, exchange);
+	result = body_handle(server, exchange, data, *len);
+	*len = 0;
+	return result;
+}
+
+static void
+connection_completed(void *cls, struct MHD_Connection *connection, void **state,
+    enum MHD_RequestTerminationCode code)
+{
+	edge_server_t *server = cls;
+	exchange_t *exchange = *state;
+
+	if (exchange == NULL)
+		return;
+	*state = NULL;
+	pthread_mutex_lock(&exchange->lock);
+	exchange->connection = NULL;
+	pthread_mutex_unlock(&exchange->lock);
+	server->handlers.on_closed(exchange,
+	    code == MHD_REQUEST_TERMINATED_COMPLETED_OK, server->handlers.user);
+	exchange_unref(exchange);
+}
+
+/* Starts a daemon on the server's listen socket. */
+static struct MHD_Daemon *
+daemon_start(edge_server_t *server)
+{
+	struct edge_server_settings *settings = server->settings;
+	unsigned int flags =
+	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+	struct MHD_OptionItem tls[] = {
+	    {MHD_OPTION_HTTPS_MEM_CERT, 0, settings->certificate},
+	    {MHD_OPTION_HTTPS_MEM_KEY, 0, settings->key},
+	    {MHD_OPTION_END, 0, NULL}};
+	struct MHD_OptionItem no_tls[] = {{MHD_OPTION_END, 0, NULL}};
+
+	if (settings->certificate != NULL)
+		flags |= MHD_USE_TLS;
+	return MHD_start_daemon(flags, 0, NULL, NULL, connection_handle, server,
+	    MHD_OPTION_LISTEN_SOCKET, server->listen_fd,
+	    MHD_OPTION_NOTIFY_COMPLETED, connection_completed, server,
+	    MHD_OPTION_THREAD_POOL_SIZE, settings->threads,
+	    MHD_OPTION_CONNECTION_LIMIT,
+	    MAX(settings->connection_limit, settings->threads),
+	    MHD_OPTION_CONNECTION_TIMEOUT, settings->idle_timeout_s,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, 2 * HEAD_LIMIT_BYTES,
+	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY,
+	    settings->certificate ? tls : no_tls, MHD_OPTION_END);
+}
+
+static int
+socket_listen(const edge_options_t *options, uint16_t *port, GError **error)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_port = htons(options->port)};
+	socklen_t size = sizeof(address);
+	int one = 1;
+	int fd;
+
+	if (inet_pton(AF_INET, options->address, &address.sin_addr) != 1) {
+		g_set_error(error, CS_ERROR, CS_ERROR_INVALID,
+		    "'%s' is no IPv4 address; set http to ADDRESS:PORT",
+		    options->address);
+		return -1;
+	}
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (fd < 0 ||
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
+	    listen(fd, 1024) != 0) {
+		g_set_error(error, CS_ERROR, CS_ERROR_IO,
+		    "can't listen on %s:%u: %s; choose a free port",
+		    options->address, (unsigned int)options->port,
+		    g_strerror(errno));
+		if (fd >= 0)
+			close(fd);
+		return -1;
+	}
+	getsockname(fd, (struct sockaddr *)&address, &size);
+	*port = ntohs(address.sin_port);
+	return fd;
+}
+
+edge_server_t *
+edge_server_create(const edge_options_t *options,
+    const edge_handlers_t *handlers, GError **error)
+{
+	edge_server_t *server = g_new0(edge_server_t, 1);
+
+	server->settings = g_new0(struct edge_server_settings, 1);
+	server->retired = g_ptr_array_new();
+	server->handlers = *handlers;
+	server->body_limit = options->body_limit;
+	server->memory_limit = options->memory_limit;
+	server->settings->threads = options->threads;
+	server->settings->connection_limit = options->connection_limit;
+	server->settings->idle_timeout_s = options->idle_timeout_s;
+	server->settings->certificate = g_strdup(options->tls_certificate);
+	server->settings->key = g_strdup(options->tls_key);
+	server->listen_fd = socket_listen(options, &server->port, error);
+	if (server->listen_fd >= 0) {
+		server->daemon = daemon_start(server);
+		if (server->daemon != NULL)
+			return server;
+		g_set_error(error, CS_ERROR, CS_ERROR_IO,
+		    "can't start the HTTP server; check the TLS certificate "
+		    "and key");
+	}
+	edge_server_destroy(server);
+	return NULL;
+}
+
+uint16_t
+edge_server_port(const edge_server_t *server)
+{
+	return server->port;
+}
+
+bool
+edge_server_set_certificate(edge_server_t *server, const char *certificate,
+    const char *key, GError **error)
+{
+	struct edge_server_settings *settings = server->settings;
+	char *old_certificate = settings->certificate;
+	char *old_key = settings->key;
+	struct MHD_Daemon *old = server->daemon;
+	struct MHD_Daemon *started;
+
+	settings->certificate = g_strdup(certificate);
+	settings->key = g_strdup(key);
+	started = daemon_start(server);
+	if (started == NULL) {
+		g_free(settings->certificate);
+		g_free(settings->key);
+		settings->certificate = old_certificate;
+		settings->key = old_key;
+		g_set_error(error, CS_ERROR, CS_ERROR_INVALID,
+		    "the certificate and key can't be used; check that they "
+		    "are PEM files that belong together");
+		return false;
+	}
+	server->daemon = started;
+	MHD_quiesce_daemon(old);
+	g_ptr_array_add(server->retired, old);
+	g_free(old_certificate);
+	g_free(old_key);
+	return true;
+}
+
+void
+edge_server_destroy(edge_server_t *server)
+{
+	if (server == NULL)
+		return;
+	if (server->daemon != NULL) {
+		MHD_quiesce_daemon(server->daemon);
+		MHD_stop_daemon(server->daemon);
+	}
+	for (guint i = 0; i < server->retired->len; i++)
+		MHD_stop_daemon(g_ptr_array_index(server->retired, i));
+	if (server->listen_fd >= 0)
+		close(server->listen_fd);
+	g_ptr_array_free(server->retired, TRUE);
+	g_free(server->settings->certificate);
+	g_free(server->settings->key);
+	g_free(server->settings);
+	g_free(server);
+}
--- /dev/null
+++ b/include/target/transfer.h
@@ -0,0 +1,85 @@
+#ifndef TARGET_TRANSFER_H
+#define TARGET_TRANSFER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "core/types.h"
+
+/*
+ * HTTP requests to targets and to other instances, all run by one thread with
+ * libcurl's multi interface. A slow consumer pauses its own transfer only.
+ *
+ * All callbacks of a transfer run on the transfer thread, in the order on_head,
+ * on_data ..., on_done; on_done comes exactly once, also after a cancel. They
+ * must not block.
+ */
+typedef struct transfer_engine transfer_engine_t;
+typedef struct transfer transfer_t;
+
+typedef enum {
+	TRANSFER_OK,	  /* the answer is whole */
+	TRANSFER_UNSENT,  /* no byte of the request was written */
+	TRANSFER_LOST,	  /* failed after bytes were or may have been written */
+	TRANSFER_TIMEOUT, /* no progress in time; bytes were written */
+	TRANSFER_CANCELLED, /* transfer_cancel() before the answer was whole */
+} transfer_result_t;
+
+typedef struct {
+	int status;
+	const char *content_type; /* "" when missing */
+	const char *retry_after;  /* NULL when missing */
+	const char *ran;   /* X-Cyclamensail-Ran of an instance, or NULL */
+	int reported_load; /* header X-Load: requests held; -1: missing */
+} transfer_head_t;
+
+typedef struct {
+	void (*on_head)(void *user, const transfer_head_t *head);
+	/*
+	 * Takes all len bytes and returns true, or takes none and returns
+	 * false: then the transfer pauses until transfer_resume().
+	 */
+	bool (*on_data)(void *user, const char *data, size_t len);
+	void (*on_done)(void *user, transfer_result_t result);
+} transfer_callbacks_t;
+
+typedef struct {
+	const char *method; /* GET, HEAD or POST */
+	const char *url;
+	const char *const *headers; /* NULL-terminated "Name: value" lines */
+	const char *body;	    /* copied; NULL for none */
+	size_t body_len;
+	/*
+	 * Use a new connection and close it afterwards. libcurl sends a request
+	 * again by itself when a reused connection turns out to be closed,
+	 * which an order must not risk.
+	 */
+	bool single_send;
+	time_us_t connect_timeout_us;
+	time_us_t idle_timeout_us; /* longest time without a byte */
+} transfer_spec_t;
+
+/*
+ * Starts the thread. capacity is the largest number of transfers that exist at
+ * a time. Returns NULL when the thread can't be started.
+ */
+transfer_engine_t *transfer_engine_create(unsigned int capacity);
+
+/* Cancels all transfers, waits for the thread and frees it. */
+void transfer_engine_destroy(transfer_engine_t *engine);
+
+/*
+ * Starts a transfer; may be called from any thread, also from a callback.
+ * Returns a reference that the caller gives back with transfer_unref(), or NULL
+ * when capacity is reached or the engine is stopping; then no callback comes.
+ */
+transfer_t *transfer_start(transfer_engine_t *engine,
+    const transfer_spec_t *spec, const transfer_callbacks_t *callbacks,
+    void *user);
+void transfer_unref(transfer_t *transfer);
+
+/* May be called from any thread, any number of times. */
+void transfer_resume(transfer_t *transfer);
+void transfer_cancel(transfer_t *transfer);
+
+#endif
