config: parse and compare settings and the published lists

Cause: the daemon and the operator program need the plans, allowances and fleet lists and an instance's settings as checked tables, refused whole with file, line, key, fault and remedy when anything is wrong.

Ruled out: libyaml's document API, because it resolves aliases before they can be refused and drops anchors, so that events build a small tree instead; nested loops for duplicates, which are found with hash tables; repeating a faulty value in messages, because it may be a secret or a key and messages reach logs.

Change: config/ with a YAML reader (config/yaml_reader.h), settings, one parser a list, the check of plans against allowances, detection of the kind of file and the diff of two lists. The tests hold tables of refused changes, a damaged text run with a fixed seed, and the largest list.

Conclusion: lists and settings can be loaded and refused; the signatures in include/config/ are what the daemon will call.

--- /dev/null
+++ b/tests/test_lists_parse.c
@@ -0,0 +1,490 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <time.h>
+
+#include "config/file.h"
+#include "config/lists.h"
+#include "config_case.h"
+
+#define HASH_A \
+	"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define HASH_B \
+	"ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+static const char plans_text[] =
+    "version: 3\n"
+    "teams:\n"
+    "  - name: alfa\n"
+    "    plan: basic\n"
+    "    home: north\n"
+    "    keys:\n"
+    "      - id: one\n"
+    "        sha256: " HASH_A "\n"
+    "  - name: beta\n"
+    "    plan: basic\n"
+    "    keys: [{ id: one, sha256: " HASH_B " }]\n";
+
+static const char allowances_text[] =
+    "version: 5\n"
+    "zones:\n"
+    "  - { name: n1, region: north, weight: 2 }\n"
+    "  - { name: s1, region: south, weight: 1 }\n"
+    "services:\n"
+    "  - { name: draft, kind: engine }\n"
+    "  - { name: book, kind: plain, orders: [/orders], open: false }\n"
+    "plans:\n"
+    "  - name: basic\n"
+    "    rate: 500\n"
+    "    burst: 5000\n"
+    "    priority: 1\n"
+    "    use:\n"
+    "      - { service: draft, regions: [north, south] }\n"
+    "      - { service: book, regions: [north] }\n"
+    "retired: [i9]\n";
+
+static const char fleet_text[] =
+    "version: 88\n"
+    "instances:\n"
+    "  - { name: i1, zone: n1, http: 10.0.0.1:80, peer: 10.0.0.1:81, "
+    "state: live }\n"
+    "  - { name: i2, zone: n1, http: \"[fd00::1]:80\", peer: 10.0.0.2:81, "
+    "state: leaving }\n"
+    "targets:\n"
+    "  - { name: w1, zone: n1, service: draft, url: \"https://10.0.0.3/\", "
+    "slots: 8, state: live }\n"
+    "  - { name: w2, zone: n1, service: draft, url: \"http://10.0.0.3:82\", "
+    "slots: 8, state: live }\n";
+
+/* Parses one list and frees it. Returns whether it was accepted. */
+static bool
+list_try(list_kind_t kind, const char *text, size_t len, GError **error)
+{
+	plans_t *plans = NULL;
+	allowances_t *allowances = NULL;
+	fleet_t *fleet = NULL;
+	bool accepted;
+
+	if (kind == LIST_PLANS)
+		plans = plans_parse("f", text, len, error);
+	else if (kind == LIST_ALLOWANCES)
+		allowances = allowances_parse("f", text, len, error);
+	else
+		fleet = fleet_parse("f", text, len, error);
+	accepted = plans != NULL || allowances != NULL || fleet != NULL;
+	plans_unref(plans);
+	allowances_unref(allowances);
+	fleet_unref(fleet);
+	return accepted;
+}
+
+static void
+cases_run(list_kind_t kind, const char *base, const refusal_case_t *rows,
+    size_t n_rows)
+{
+	for (size_t i = 0; i < n_rows; i++) {
+		g_autofree char *text =
+		    text_change(base, rows[i].find, rows[i].replace);
+		GError *error = NULL;
+
+		ck_assert_msg(!list_try(kind, text, strlen(text), &error),
+		    "%s: accepted", rows[i].guards);
+		refusal_check(&rows[i], &error);
+	}
+}
+
+/* Guards against faults in any list that YAML itself lets pass. */
+START_TEST(plans_faults_are_refused)
+{
+	static const refusal_case_t rows[] = {
+	    {"version 0", "3", "0", CS_ERROR_INVALID, "f:1: version: "},
+	    {"version that wraps to negative", "3", "9223372036854775808",
+		CS_ERROR_INVALID, "f:1: version: "},
+	    {"octal number", "3", "010", CS_ERROR_INVALID, "f:1: version: "},
+	    {"quoted number", "3", "\"3\"", CS_ERROR_INVALID, "f:1: version: "},
+	    {"number with a sign", "3", "+3", CS_ERROR_INVALID,
+		"f:1: version: "},
+	    {"version left out", "version: 3\n", "", CS_ERROR_INVALID,
+		"f:1: document: key version is missing"},
+	    {"list in place of a number", "3", "[3]", CS_ERROR_INVALID,
+		"f:1: version: "},
+	    {"misspelt key", "home:", "hom:", CS_ERROR_INVALID,
+		"f:5: teams[0].hom: unknown key; remove it or write one of "
+		"name, plan, home, keys"},
+	    {"key given twice", "plan: basic", "name: x", CS_ERROR_CONFLICT,
+		"f:4: teams[0].name: is already given in line 3"},
+	    {"merge key", "home: north", "<<: {}", CS_ERROR_INVALID,
+		"f:5: teams[0].<<: "},
+	    {"team name given twice", "beta", "alfa", CS_ERROR_CONFLICT,
+		"f:9: teams[1].name: has the same value as line 3"},
+	    {"key of two teams", HASH_B, HASH_A, CS_ERROR_CONFLICT,
+		"f:11: teams[1].keys[0].sha256: has the same value as line 8"},
+	    {"key of two teams in other letters", HASH_B,
+		"00112233445566778899AABBCCDDEEFF"
+		"00112233445566778899AABBCCDDEEFF",
+		CS_ERROR_CONFLICT, "f:11: teams[1].keys[0].sha256: "},
+	    {"short hash", HASH_A, "abcd", CS_ERROR_INVALID,
+		"f:8: teams[0].keys[0].sha256: "},
+	    {"hash with another letter", "0011", "g011", CS_ERROR_INVALID,
+		"f:8: teams[0].keys[0].sha256: "},
+	    {"upper case name", "alfa", "Alfa", CS_ERROR_INVALID,
+		"f:3: teams[0].name: "},
+	    {"name with a dash first", "alfa", "-alfa", CS_ERROR_INVALID,
+		"f:3: teams[0].name: "},
+	    {"name of 64 bytes", "alfa", HASH_A, CS_ERROR_INVALID,
+		"f:3: teams[0].name: has 64 bytes"},
+	    {"name that YAML reads as a boolean", "north", "no",
+		CS_ERROR_INVALID, "f:5: teams[0].home: is a boolean or null"},
+	    {"name left empty", "north", "", CS_ERROR_INVALID,
+		"f:5: teams[0].home: has no value"},
+	    {"map in place of a list", "keys: [{", "keys: {a: {",
+		CS_ERROR_SYNTAX, "f:11: document: "},
+	    {"text in place of a list", "[{ id: one, sha256: " HASH_B " }]",
+		"one", CS_ERROR_INVALID, "f:11: teams[1].keys: is not a list"},
+	    {"NUL byte by escape", "alfa", "\"al\\0fa\"", CS_ERROR_INVALID,
+		"f:3: name: has a control character"},
+	    {"line break in a value", "alfa", "\"al\\nfa\"", CS_ERROR_INVALID,
+		"f:3: name: has a control character"},
+	    {"terminal escape in the text", "alfa", "al\033fa", CS_ERROR_SYNTAX,
+		"f:3: document: "},
+	    {"invalid UTF-8", "alfa", "al\xff", CS_ERROR_SYNTAX,
+		"f:3: document: is not valid UTF-8"},
+	    {"alias", "north", "*a", CS_ERROR_INVALID,
+		"f:5: home: has an alias"},
+	    {"anchor", "north", "&a north", CS_ERROR_INVALID,
+		"f:5: home: has an anchor"},
+	    {"tag", "3", "!!int 3", CS_ERROR_INVALID,
+		"f:1: version: has a YAML tag"},
+	    {"second document", "teams:\n", "teams: []\n---\nteams:\n",
+		CS_ERROR_INVALID,
+		"f:3: document: a second YAML document starts here"},
+	    {"list as a key", "version", "[version]", CS_ERROR_INVALID,
+		"f:1: document: a list or map is used as a key"},
+	    {"unbounded nesting", "3", "[[[[[[[[[[3]]]]]]]]]]",
+		CS_ERROR_INVALID, "f:1: version: is nested too deeply"},
+	};
+
+	cases_run(LIST_PLANS, plans_text, rows, G_N_ELEMENTS(rows));
+}
+END_TEST
+
+/* Guards against allowances that would divide by zero or mean nothing. */
+START_TEST(allowances_faults_are_refused)
+{
+	static const refusal_case_t rows[] = {
+	    {"weight 0", "weight: 2", "weight: 0", CS_ERROR_INVALID,
+		"f:3: zones[0].weight: "},
+	    {"weight over 1000", "weight: 2", "weight: 1001", CS_ERROR_INVALID,
+		"f:3: zones[0].weight: "},
+	    {"zone name given twice", "name: s1", "name: n1", CS_ERROR_CONFLICT,
+		"f:4: zones[1].name: "},
+	    {"kind that does not exist", "engine", "motor", CS_ERROR_INVALID,
+		"f:6: services[0].kind: is not a known value; write one of "
+		"engine, plain"},
+	    {"service given twice", "name: book", "name: draft",
+		CS_ERROR_CONFLICT, "f:7: services[1].name: "},
+	    {"orders of an engine", "plain", "engine", CS_ERROR_CONFLICT,
+		"f:7: services[1].orders: "},
+	    {"orders without a team", "open: false", "open: true",
+		CS_ERROR_CONFLICT, "f:7: services[1].open: "},
+	    {"boolean that is a word", "open: false", "open: no",
+		CS_ERROR_INVALID, "f:7: services[1].open: "},
+	    {"order path that never matches", "/orders", "orders",
+		CS_ERROR_INVALID, "f:7: services[1].orders[0]: "},
+	    {"order path with a parent", "/orders", "/a/../b", CS_ERROR_INVALID,
+		"f:7: services[1].orders[0]: "},
+	    {"order path with an escape", "/orders", "/a%2fb", CS_ERROR_INVALID,
+		"f:7: services[1].orders[0]: "},
+	    {"order path given twice", "/orders", "/a, /a", CS_ERROR_CONFLICT,
+		"f:7: services[1].orders[1]: "},
+	    {"rate 0", "500", "0", CS_ERROR_INVALID, "f:10: plans[0].rate: "},
+	    {"rate that overflows", "500", "1000000001", CS_ERROR_INVALID,
+		"f:10: plans[0].rate: "},
+	    {"burst 0", "5000", "0", CS_ERROR_INVALID,
+		"f:11: plans[0].burst: "},
+	    {"burst that overflows", "5000", "1000000000001", CS_ERROR_INVALID,
+		"f:11: plans[0].burst: "},
+	    {"priority 4", "priority: 1", "priority: 4", CS_ERROR_INVALID,
+		"f:12: plans[0].priority: "},
+	    {"service that does not exist", "service: draft", "service: drafts",
+		CS_ERROR_CONFLICT,
+		"f:14: plans[0].use[0].service: drafts is not"},
+	    {"service used twice", "service: book", "service: draft",
+		CS_ERROR_CONFLICT, "f:15: plans[0].use[1].service: "},
+	    {"region without a zone", "[north]", "[east]", CS_ERROR_CONFLICT,
+		"f:15: plans[0].use[1].regions[0]: no zone is in region east"},
+	    {"region given twice", "south]", "north]", CS_ERROR_CONFLICT,
+		"f:14: plans[0].use[0].regions[1]: "},
+	    {"zone parts of 0/0", "[north]", "[]", CS_ERROR_INVALID,
+		"f:15: plans[0].use[1].regions: has 0 items"},
+	    {"retired that is no list", "[i9]", "i9", CS_ERROR_INVALID,
+		"f:16: retired: "},
+	};
+
+	cases_run(LIST_ALLOWANCES, allowances_text, rows, G_N_ELEMENTS(rows));
+}
+END_TEST
+
+/* Guards against members that can't be reached or are counted twice. */
+START_TEST(fleet_faults_are_refused)
+{
+	static const refusal_case_t rows[] = {
+	    {"port 0", "10.0.0.1:80", "10.0.0.1:0", CS_ERROR_INVALID,
+		"f:3: instances[0].http: "},
+	    {"port over 65535", "10.0.0.1:80", "10.0.0.1:65536",
+		CS_ERROR_INVALID, "f:3: instances[0].http: "},
+	    {"no port", "10.0.0.1:80", "10.0.0.1", CS_ERROR_INVALID,
+		"f:3: instances[0].http: "},
+	    {"host name, which would need DNS", "10.0.0.1:80", "host:80",
+		CS_ERROR_INVALID, "f:3: instances[0].http: "},
+	    {"two spellings of an address", "fd00::1", "fd00:0::1",
+		CS_ERROR_INVALID,
+		"f:4: instances[1].http: is not in the usual form; write "
+		"[fd00::1]:80"},
+	    {"user name in an address", "10.0.0.1:80", "a@10.0.0.1:80",
+		CS_ERROR_INVALID, "f:3: instances[0].http: "},
+	    {"address of every interface", "10.0.0.1:80", "0.0.0.0:80",
+		CS_ERROR_INVALID, "f:3: instances[0].http: can't be"},
+	    {"address given twice", "10.0.0.1:81", "10.0.0.1:80",
+		CS_ERROR_CONFLICT,
+		"f:3: instances[0].peer: has the same value as line 3"},
+	    {"target with an instance's address", "https://10.0.0.3/",
+		"http://10.0.0.1", CS_ERROR_CONFLICT, "f:6: targets[0].url: "},
+	    {"same target by its default port", "http://10.0.0.3:82",
+		"http://10.0.0.3:443", CS_ERROR_CONFLICT,
+		"f:7: targets[1].url: "},
+	    {"scheme that is not HTTP", "https://", "ftp://", CS_ERROR_INVALID,
+		"f:6: targets[0].url: "},
+	    {"URL with a path", "0.3/", "0.3/a", CS_ERROR_INVALID,
+		"f:6: targets[0].url: "},
+	    {"URL with a query", "0.3/", "0.3/?a", CS_ERROR_INVALID,
+		"f:6: targets[0].url: "},
+	    {"URL with a host name", "10.0.0.3/", "host/", CS_ERROR_INVALID,
+		"f:6: targets[0].url: "},
+	    {"slots 0", "slots: 8", "slots: 0", CS_ERROR_INVALID,
+		"f:6: targets[0].slots: "},
+	    {"slots over 4096", "slots: 8", "slots: 4097", CS_ERROR_INVALID,
+		"f:6: targets[0].slots: "},
+	    {"state that does not exist", "leaving", "gone", CS_ERROR_INVALID,
+		"f:4: instances[1].state: "},
+	    {"instance given twice", "name: i2", "name: i1", CS_ERROR_CONFLICT,
+		"f:4: instances[1].name: "},
+	    {"target given twice", "name: w2", "name: w1", CS_ERROR_CONFLICT,
+		"f:7: targets[1].name: "},
+	};
+
+	cases_run(LIST_FLEET, fleet_text, rows, G_N_ELEMENTS(rows));
+}
+END_TEST
+
+/* Guards against values that are lost or land in another field. */
+START_TEST(values_arrive_in_their_fields)
+{
+	plans_t *plans = plans_parse("f", plans_text, strlen(plans_text), NULL);
+	allowances_t *allowances = allowances_parse(
+	    "f", allowances_text, strlen(allowances_text), NULL);
+	fleet_t *fleet = fleet_parse("f", fleet_text, strlen(fleet_text), NULL);
+	const plan_t *plan;
+
+	ck_assert_ptr_nonnull(plans);
+	ck_assert_uint_eq(plans->head.version, 3);
+	ck_assert_int_eq(plans->head.refs, 1);
+	ck_assert_str_eq(plans->head.text, plans_text);
+	ck_assert_str_eq(plans_find_team(plans, "alfa")->home, "north");
+	ck_assert_ptr_null(plans_find_team(plans, "beta")->home);
+	ck_assert_uint_eq(plans->teams[1].keys[0].hash[0], 0xff);
+	ck_assert_ptr_nonnull(allowances);
+	plan = allowances_find_plan(allowances, "basic");
+	ck_assert_int_eq(plan->rate, 500);
+	ck_assert_int_eq(plan->burst, 5000);
+	ck_assert_int_eq(plan->priority, 1);
+	ck_assert_str_eq(plan_find_use(plan, "draft")->regions[1], "south");
+	ck_assert_uint_eq(allowances->zones[0].weight, 2);
+	ck_assert_str_eq(allowances->services[1].orders[0], "/orders");
+	ck_assert_ptr_null(allowances->services[0].orders[0]);
+	ck_assert_str_eq(allowances->retired[0], "i9");
+	ck_assert_ptr_nonnull(fleet);
+	ck_assert_str_eq(fleet->instances[1].http, "[fd00::1]:80");
+	ck_assert_int_eq(fleet->instances[1].state, MEMBER_LEAVING);
+	ck_assert_str_eq(fleet->targets[0].url, "https://10.0.0.3");
+	ck_assert_uint_eq(fleet->targets[1].slots, 8);
+	plans_unref(plans);
+	allowances_unref(allowances);
+	fleet_unref(fleet);
+}
+END_TEST
+
+/* Guards against a pair in force in which a team has no plan or no zone. */
+START_TEST(pair_faults_are_refused)
+{
+	static const struct {
+		const char *find;
+		const char *replace;
+		const char *message; /* NULL: accepted */
+	} rows[] = {
+	    {"basic", "basic", NULL},
+	    {"basic", "gold", "plans:4: teams[0].plan: plan gold of team alfa"},
+	    {"north", "east", "plans:5: teams[0].home: no zone"},
+	    {"north", "west", "plans:5: teams[0].home: plan basic allows no"},
+	};
+	g_autofree char *wider = text_change(allowances_text, "services:",
+	    "  - { name: w1, region: west, "
+	    "weight: 1 }\nservices:");
+	allowances_t *allowances =
+	    allowances_parse("f", wider, strlen(wider), NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_autofree char *text =
+		    text_change(plans_text, rows[i].find, rows[i].replace);
+		plans_t *plans = plans_parse("f", text, strlen(text), NULL);
+		GError *error = NULL;
+		bool matches = lists_check_pair(plans, allowances, &error);
+
+		ck_assert_int_eq(matches, rows[i].message == NULL);
+		if (!matches) {
+			ck_assert_int_eq(error->code, CS_ERROR_CONFLICT);
+			ck_assert_msg(
+			    g_str_has_prefix(error->message, rows[i].message),
+			    "%s", error->message);
+		}
+		g_clear_error(&error);
+		plans_unref(plans);
+	}
+	allowances_unref(allowances);
+}
+END_TEST
+
+/* Returns a plans list of at most limit bytes with as many teams as fit. */
+static GString *
+plans_fill(size_t limit)
+{
+	GString *text = g_string_new("version: 1\nteams:\n");
+
+	for (unsigned i = 0; text->len + 128 <= limit; i++) {
+		g_autofree char *hash = g_compute_checksum_for_data(
+		    G_CHECKSUM_SHA256, (const guchar *)&i, sizeof(i));
+
+		g_string_append_printf(text,
+		    "- {name: t%u, plan: p, keys: [{id: a, sha256: %s}]}\n", i,
+		    hash);
+	}
+	return text;
+}
+
+/*
+ * Guards against quadratic checks: a list of the largest size has to be in
+ * force within seconds, and the bound leaves room for sanitizers.
+ */
+START_TEST(largest_list_is_parsed_quickly)
+{
+	GString *text = plans_fill(FILE_LIMIT);
+	GError *error = NULL;
+	clock_t start = clock();
+	plans_t *plans = plans_parse("f", text->str, text->len, &error);
+	double seconds = (double)(clock() - start) / CLOCKS_PER_SEC;
+
+	ck_assert_ptr_nonnull(plans);
+	printf("%zu bytes, %zu teams: %.3f s\n", text->len, plans->n_teams,
+	    seconds);
+	ck_assert_double_lt(seconds, 5.0);
+	plans_unref(plans);
+	while (text->len <= FILE_LIMIT)
+		g_string_append_c(text, '#');
+	ck_assert(!list_try(LIST_PLANS, text->str, text->len, &error));
+	refusal_check(&(const refusal_case_t){"over 1 MB", NULL, NULL,
+			  CS_ERROR_INVALID, "f:0: file: has 1048577 bytes"},
+	    &error);
+	g_string_free(text, TRUE);
+}
+END_TEST
+
+/* Guards against a NUL byte that hides the rest of the text. */
+START_TEST(nul_byte_is_refused)
+{
+	static const char text[] = "version: 1\nteams: []\n\0teams";
+	GError *error = NULL;
+
+	ck_assert(!list_try(LIST_PLANS, text, sizeof(text) - 1, &error));
+	refusal_check(&(const refusal_case_t){"NUL byte", NULL, NULL,
+			  CS_ERROR_SYNTAX, "f:3: document: has a NUL byte"},
+	    &error);
+	ck_assert(!list_try(LIST_PLANS, "", 0, &error));
+	refusal_check(&(const refusal_case_t){"empty text", NULL, NULL,
+			  CS_ERROR_INVALID, "f:1: document: is not a map"},
+	    &error);
+}
+END_TEST
+
+/*
+ * Guards against damaged texts that crash, leak or are refused without a
+ * reason. The seed is fixed, so that a failure can be repeated.
+ */
+START_TEST(damaged_texts_are_handled)
+{
+	static const char *const bases[LIST_COUNT] = {
+	    plans_text, allowances_text, fleet_text};
+	static const char bytes[] = "{}[]:,-&*!|>'\"%@#?\n \t~0a\\\xc3\xff";
+	g_autoptr(GRand) random = g_rand_new_with_seed(20260131);
+
+	for (int round = 0; round < 6000; round++) {
+		list_kind_t kind = (list_kind_t)(round % LIST_COUNT);
+		g_autofree char *text = g_strdup(bases[kind]);
+		gint32 len = (gint32)strlen(text);
+		int n_changes = g_rand_int_range(random, 1, 4);
+		g_autofree char *label = g_strdup_printf("round %d", round);
+		GError *error = NULL;
+
+		for (int i = 0; i < n_changes; i++)
+			text[g_rand_int_range(random, 0, len)] =
+			    bytes[g_rand_int_range(
+				random, 0, sizeof(bytes) - 1)];
+		if (!list_try(kind, text, (size_t)len, &error))
+			message_check(error, label);
+		g_clear_error(&error);
+	}
+}
+END_TEST
+
+/* Guards against demo lists that no longer match the demo's keys. */
+START_TEST(example_keys_belong_to_their_teams)
+{
+	static const char *const keys[][2] = {
+	    {"demo-parish-key", "parish-nitra"},
+	    {"demo-desk-key", "tag-desk"},
+	    {"demo-guest-key", "guest-house"},
+	};
+	g_autofree char *text = NULL;
+	size_t len;
+	plans_t *plans;
+
+	ck_assert(file_read(EXAMPLES "/plans.yaml", &text, &len, NULL));
+	plans = plans_parse("f", text, len, NULL);
+	ck_assert_ptr_nonnull(plans);
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		uint8_t hash[KEY_HASH_BYTES];
+		const key_owner_t *owner;
+
+		crypto_hash_sha256(hash, (const unsigned char *)keys[i][0],
+		    strlen(keys[i][0]));
+		owner = plans_find_key(plans, hash);
+		ck_assert_ptr_nonnull(owner);
+		ck_assert_str_eq(owner->team->name, keys[i][1]);
+	}
+	plans_unref(plans);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, plans_faults_are_refused);
+	TEST_ADD(suite, allowances_faults_are_refused);
+	TEST_ADD(suite, fleet_faults_are_refused);
+	TEST_ADD(suite, values_arrive_in_their_fields);
+	TEST_ADD(suite, pair_faults_are_refused);
+	TEST_ADD(suite, largest_list_is_parsed_quickly);
+	TEST_ADD(suite, nul_byte_is_refused);
+	TEST_ADD(suite, damaged_texts_are_handled);
+	TEST_ADD(suite, example_keys_belong_to_their_teams);
+}
+
+TEST_MAIN("lists_parse", fill)
