--- /dev/null
+++ b/tests/process_ctl.c
@@ -0,0 +1,206 @@
+#include <arpa/inet.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "test.h"
+
+/*
+ * Drives the operator program as a separate process, the HTTP commands against
+ * a stand-in that answers one request.
+ */
+
+#define DESK_HASH \
+	"9f69359575697afee30f4d4a1c8f3fc28fdb2b6ef05f30ba85e719b15663b107"
+
+static const char *program;
+
+typedef struct {
+	const char *guards; /* the failure that the case guards against */
+	const char *args;   /* separated by spaces */
+	const char *input;  /* standard input */
+	int status;
+	const char *output; /* part of standard output */
+	const char *errors; /* part of standard error */
+} run_case_t;
+
+/* Makes text the standard input that a child process inherits. */
+static void
+input_set(const char *text)
+{
+	int fds[2];
+
+	ck_assert_int_eq(pipe(fds), 0);
+	ck_assert_int_eq(
+	    write(fds[1], text, strlen(text)), (ssize_t)strlen(text));
+	close(fds[1]);
+	dup2(fds[0], STDIN_FILENO);
+	close(fds[0]);
+}
+
+static void
+case_run(const run_case_t *row)
+{
+	g_auto(GStrv) args = g_strsplit(row->args, " ", -1);
+	g_autoptr(GPtrArray) argv = g_ptr_array_new();
+	g_autofree char *output = NULL;
+	g_autofree char *errors = NULL;
+	int status = -1;
+
+	g_ptr_array_add(argv, (char *)program);
+	for (char **arg = args; *arg != NULL; arg++)
+		g_ptr_array_add(argv, *arg);
+	g_ptr_array_add(argv, NULL);
+	input_set(row->input);
+	ck_assert(g_spawn_sync(NULL, (char **)argv->pdata, NULL,
+	    G_SPAWN_CHILD_INHERITS_STDIN, NULL, NULL, &output, &errors, &status,
+	    NULL));
+	ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == row->status,
+	    "%s: wait status %d, %s", row->guards, status, errors);
+	ck_assert_msg(strstr(output, row->output) != NULL, "%s: printed %s",
+	    row->guards, output);
+	ck_assert_msg(strstr(errors, row->errors) != NULL, "%s: reported %s",
+	    row->guards, errors);
+}
+
+START_TEST(exit_status_and_streams)
+{
+	static const run_case_t rows[] = {
+	    {"no command", "", "", 2, "", "usage: cyclamensailctl COMMAND"},
+	    {"unknown command", "chek", "", 2, "", "unknown command chek"},
+	    {"help that fails", "diff --help", "", 0, "OLD NEW", ""},
+	    {"unknown option", "check --all", "", 2, "", "--all"},
+	    {"check of nothing", "check", "", 2, "", "no file"},
+	    {"pair that is not checked",
+		"check " EXAMPLES "/plans.yaml " EXAMPLES "/allowances.yaml",
+		"", 0, "plans and allowances match\n", ""},
+	    {"fault without an exit status", "check " EXAMPLES, "", 1, "",
+		"examples:0: file: is a directory; "},
+	    {"two lists of a kind, of which one wins",
+		"check " EXAMPLES "/plans.yaml " EXAMPLES "/plans.yaml", "", 1,
+		"", "second plans list; "},
+	    {"folders that are not read", "diff " EXAMPLES " " EXAMPLES, "", 0,
+		"no change\n", ""},
+	    {"lists of two kinds",
+		"diff " EXAMPLES "/plans.yaml " EXAMPLES "/allowances.yaml", "",
+		1, "", "different kinds"},
+	    {"hash of the line break", "hash-key", "demo-desk-key\n", 0,
+		DESK_HASH "\n", ""},
+	    {"hash of another text", "hash-key", "demo-desk-key", 0,
+		DESK_HASH "\n", ""},
+	    {"key in the list of processes", "hash-key k", "", 2, "",
+		"standard input"},
+	    {"hash of nothing", "hash-key", "\n", 1, "", "empty"},
+	    {"key that no header can carry", "hash-key", "a\nb\n", 1, "",
+		"line break"},
+	    {"URL with a path", "counters 127.0.0.1:1/x", "", 2, "",
+		"is not the URL"},
+	    {"explain without a team", "explain 127.0.0.1:1 -s x", "", 2, "",
+		"--team is missing"},
+	    {"instance that is down", "drain 127.0.0.1:1", "", 1, "",
+		"check that the instance runs"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		case_run(&rows[i]);
+}
+END_TEST
+
+/* A server that takes one connection, keeps the request and answers. */
+typedef struct {
+	int fd;
+	const char *answer;
+	char request[2048];
+} stand_in_t;
+
+static void *
+stand_in_run(void *context)
+{
+	stand_in_t *server = context;
+	int fd = accept(server->fd, NULL, NULL);
+	size_t len = 0;
+
+	while (strstr(server->request, "\r\n\r\n") == NULL) {
+		ssize_t n = read(fd, server->request + len,
+		    sizeof(server->request) - 1 - len);
+
+		if (n <= 0)
+			break;
+		len += (size_t)n;
+	}
+	if (write(fd, server->answer, strlen(server->answer)) < 0)
+		perror("stand-in");
+	close(fd);
+	return NULL;
+}
+
+/* Runs one command, whose URL is added, against the stand-in. */
+static void
+call_run(const run_case_t *row, const char *answer, const char *request_line)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(address);
+	stand_in_t server = {.answer = answer};
+	g_autofree char *args = NULL;
+	run_case_t full = *row;
+	pthread_t thread;
+
+	server.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	ck_assert_int_eq(bind(server.fd, (struct sockaddr *)&address, len), 0);
+	ck_assert_int_eq(listen(server.fd, 1), 0);
+	getsockname(server.fd, (struct sockaddr *)&address, &len);
+	pthread_create(&thread, NULL, stand_in_run, &server);
+	args = g_strdup_printf(
+	    "%s http://127.0.0.1:%d", row->args, ntohs(address.sin_port));
+	full.args = args;
+	case_run(&full);
+	pthread_join(thread, NULL);
+	close(server.fd);
+	ck_assert_msg(g_str_has_prefix(server.request, request_line),
+	    "%s: sent %s", row->guards, server.request);
+}
+
+START_TEST(answers_of_an_instance)
+{
+	call_run(
+	    &(const run_case_t){"wrong path", "counters", "", 0, "a 1\n", ""},
+	    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\na 1\n",
+	    "GET /metrics HTTP/1.1\r\n");
+	call_run(&(const run_case_t){"value that adds a parameter",
+		     "explain -t a&b -s c", "", 0, "{}\n", ""},
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	    "GET /v1/explain?team=a%26b&service=c HTTP/1.1\r\n");
+	call_run(&(const run_case_t){"refusal taken as success", "drain", "", 1,
+		     "", "HTTP status 503\nbusy\n"},
+	    "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy",
+	    "POST /v1/drain HTTP/1.1\r\n");
+	call_run(&(const run_case_t){"redirect to another server", "drain", "",
+		     1, "", "HTTP status 302"},
+	    "HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    "POST /v1/drain HTTP/1.1\r\n");
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+	Suite *suite = suite_create("ctl");
+	SRunner *runner;
+	int failed;
+
+	if (argc != 2)
+		return EXIT_FAILURE;
+	program = argv[1];
+	TEST_ADD(suite, exit_status_and_streams);
+	TEST_ADD(suite, answers_of_an_instance);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
