peer: add authenticated ONC RPC messages, server and client

Ruled out: - Wall clock with a tolerance of 60 s against old recorded messages: an instance whose clock is off would lose its lease, and one whose clock is set back would accept recorded messages. A receiver hands out a session instead. - libtirpc's server transport (svc_vc).

Change: peer.x and its generated types; envelope (MAC, session, window); message codecs with checks on both sides; a poll server with bounded connections, records and unread replies that decodes with xdr_callmsg and xdr_replymsg; one client thread a peer over clnt_vc with back-off; a libFuzzer target with seeds written by the target itself.

Before: no peer package.

--- /dev/null
+++ b/peer/address.h
@@ -0,0 +1,19 @@
+#ifndef PEER_ADDRESS_H
+#define PEER_ADDRESS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <sys/socket.h>
+
+/*
+ * Parses "address:port" or "[address]:port". The address is numeric, since a
+ * name look-up can block a thread for many seconds.
+ */
+bool address_parse(const char *text, struct sockaddr_storage *address,
+    socklen_t *len, GError **error);
+
+/* Returns the address that fd is bound to in the same form; free with g_free.
+ */
+char *address_of_socket(int fd);
+
+#endif
--- /dev/null
+++ b/tests/test_peer_rpc.c
@@ -0,0 +1,610 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "common/counter.h"
+#include "common/error.h"
+#include "generated/peer.h"
+#include "peer/client.h"
+#include "peer/server.h"
+#include "peer_samples.h"
+#include "test.h"
+
+#define SECRET "the fleet secret of the tests"
+#define OTHER_SECRET "another secret of the tests"
+#define WAIT_S 20 /* a failed wait ends the test; it isn't a measure */
+
+/* What the server's handlers saw and what they answer. */
+typedef struct {
+	gint heartbeats;
+	gint returns;
+	gint borrows;
+	size_t text_len;
+	heartbeat_t heartbeat;
+	return_t returned;
+	peer_sender_t from;
+} seen_t;
+
+typedef struct {
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	int done;
+	int errors;
+	int last_code;
+	peer_result_t result;
+	char *text;
+} outcome_t;
+
+static const peer_sender_t server_self = {"s1", 11};
+static const peer_sender_t client_self = {"s2", 22};
+
+static void
+on_heartbeat(const heartbeat_t *in, heartbeat_t *reply, void *user)
+{
+	seen_t *seen = user;
+
+	seen->heartbeat = *in;
+	g_atomic_int_inc(&seen->heartbeats);
+	g_strlcpy(reply->zone, "stred-1", sizeof(reply->zone));
+	reply->lease_granted = true;
+}
+
+static void
+on_fetch(const peer_sender_t *from, const fetch_t *in, fetch_reply_t *reply,
+    void *user)
+{
+	const seen_t *seen = user;
+
+	if (in->min_version > 5)
+		return;
+	reply->version = 5;
+	reply->len = seen->text_len;
+	reply->text = g_strnfill(seen->text_len, 'y');
+}
+
+static void
+on_borrow(const peer_sender_t *from, const borrow_request_t *in,
+    borrow_reply_t *reply, void *user)
+{
+	seen_t *seen = user;
+
+	seen->from = *from;
+	g_atomic_int_inc(&seen->borrows);
+	*reply = (borrow_reply_t){in->share / 2, in->tokens / 2, 77};
+}
+
+static void
+on_return(const peer_sender_t *from, const return_t *in, void *user)
+{
+	seen_t *seen = user;
+
+	seen->returned = *in;
+	g_atomic_int_inc(&seen->returns);
+}
+
+static envelope_keys_t
+keys_make(const char *first, const char *second)
+{
+	const char *const secrets[] = {first, second, NULL};
+	envelope_keys_t keys;
+
+	ck_assert(envelope_keys_init(&keys, secrets, NULL));
+	return keys;
+}
+
+static peer_server_t *
+server_make(seen_t *seen)
+{
+	const peer_handlers_t handlers = {
+	    on_heartbeat, on_fetch, on_borrow, on_return, seen};
+	envelope_keys_t keys = keys_make(SECRET, NULL);
+	peer_server_t *server;
+
+	memset(seen, 0, sizeof(*seen));
+	seen->text_len = PEER_LIST_TEXT_LIMIT;
+	server = peer_server_create(
+	    "127.0.0.1:0", &server_self, &keys, &handlers, NULL);
+	ck_assert_ptr_nonnull(server);
+	return server;
+}
+
+static peer_client_t *
+client_make(const char *address, const char *first, const char *second)
+{
+	envelope_keys_t keys = keys_make(first, second);
+	peer_client_t *client =
+	    peer_client_create(address, &client_self, &keys, NULL);
+
+	ck_assert_ptr_nonnull(client);
+	return client;
+}
+
+static void
+outcome_init(outcome_t *outcome)
+{
+	memset(outcome, 0, sizeof(*outcome));
+	pthread_mutex_init(&outcome->lock, NULL);
+	pthread_cond_init(&outcome->wake, NULL);
+}
+
+static void
+on_done(const peer_result_t *result, const GError *error, void *user)
+{
+	outcome_t *outcome = user;
+
+	pthread_mutex_lock(&outcome->lock);
+	outcome->done++;
+	if (error != NULL) {
+		outcome->errors++;
+		outcome->last_code = error->code;
+	} else {
+		outcome->result = *result;
+		if (result->kind == PEER_CALL_FETCH) {
+			g_free(outcome->text);
+			outcome->text = g_strdup(result->fetch.text);
+		}
+	}
+	pthread_cond_signal(&outcome->wake);
+	pthread_mutex_unlock(&outcome->lock);
+}
+
+static void
+outcome_wait(outcome_t *outcome, int done)
+{
+	struct timespec limit;
+
+	clock_gettime(CLOCK_REALTIME, &limit);
+	limit.tv_sec += WAIT_S;
+	pthread_mutex_lock(&outcome->lock);
+	while (outcome->done < done)
+		ck_assert_int_eq(pthread_cond_timedwait(
+				     &outcome->wake, &outcome->lock, &limit),
+		    0);
+	pthread_mutex_unlock(&outcome->lock);
+}
+
+/* Sends one call and waits for its end. Returns whether it succeeded. */
+static bool
+call_run(peer_client_t *client, const peer_call_t *call, outcome_t *outcome)
+{
+	outcome_init(outcome);
+	ck_assert(peer_client_send(client, call, on_done, outcome, NULL));
+	outcome_wait(outcome, 1);
+	return outcome->errors == 0;
+}
+
+static peer_call_t
+borrow_make(void)
+{
+	return (peer_call_t){
+	    .kind = PEER_CALL_BORROW, .borrow = {"parish-nitra", 1000, 600, 1}};
+}
+
+static int64_t
+refused(const char *reason)
+{
+	return counter_read(counter_get("peer_refused", "reason", reason));
+}
+
+static int
+socket_to(const char *address)
+{
+	const char *colon = strchr(address, ':');
+	struct sockaddr_in to = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)atoi(colon + 1)),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	return fd;
+}
+
+/* Waits until the server closes the connection; returns the bytes before. */
+static size_t
+socket_drain(int fd)
+{
+	struct pollfd pfd = {fd, POLLIN, 0};
+	char bytes[4096];
+	size_t sum = 0;
+	ssize_t n;
+
+	do {
+		ck_assert_int_eq(poll(&pfd, 1, WAIT_S * 1000), 1);
+		n = read(fd, bytes, sizeof(bytes));
+		sum += n > 0 ? (size_t)n : 0;
+	} while (n > 0);
+	close(fd);
+	return sum;
+}
+
+/* Encodes a call with its record mark, signed with SECRET. */
+static size_t
+record_make(char *record, uint32_t procedure, const char *sender,
+    uint64_t sequence, uint64_t session, GBytes *body)
+{
+	envelope_keys_t keys = keys_make(SECRET, NULL);
+	struct rpc_msg msg = {.rm_xid = 1, .rm_direction = CALL};
+	uint32_t mark;
+	size_t len;
+	XDR xdr;
+	peer_call call = {.sender = (char *)sender,
+	    .incarnation = 33,
+	    .sequence = sequence,
+	    .session = session,
+	    .body = {(u_int)g_bytes_get_size(body),
+		(char *)g_bytes_get_data(body, NULL)}};
+
+	envelope_seal_call(&keys, procedure, &call);
+	msg.rm_call.cb_rpcvers = 2;
+	msg.rm_call.cb_prog = PEER_PROGRAM;
+	msg.rm_call.cb_vers = PEER_VERSION;
+	msg.rm_call.cb_proc = procedure;
+	msg.rm_call.cb_cred = _null_auth;
+	msg.rm_call.cb_verf = _null_auth;
+	xdrmem_create(&xdr, record + 4, PEER_CALL_BYTES + 512, XDR_ENCODE);
+	ck_assert(xdr_callmsg(&xdr, &msg) && xdr_peer_call(&xdr, &call));
+	len = xdr_getpos(&xdr);
+	mark = htonl(0x80000000U | (uint32_t)len);
+	memcpy(record, &mark, sizeof(mark));
+	return len + 4;
+}
+
+/* Sends a record and reads one whole reply into *reply. */
+static void
+record_exchange(int fd, const char *record, size_t len, peer_reply *reply)
+{
+	char bytes[1024];
+	struct rpc_msg msg = {0};
+	uint32_t mark;
+	XDR xdr;
+
+	memset(reply, 0, sizeof(*reply));
+	ck_assert_int_eq(write(fd, record, len), (ssize_t)len);
+	ck_assert_int_eq(recv(fd, &mark, 4, MSG_WAITALL), 4);
+	mark = ntohl(mark) & 0x7fffffff;
+	ck_assert_uint_le(mark, sizeof(bytes));
+	ck_assert_int_eq(recv(fd, bytes, mark, MSG_WAITALL), (ssize_t)mark);
+	msg.acpted_rply.ar_results.where = (char *)reply;
+	msg.acpted_rply.ar_results.proc = (xdrproc_t)xdr_peer_reply;
+	xdrmem_create(&xdr, bytes, mark, XDR_DECODE);
+	ck_assert(xdr_replymsg(&xdr, &msg));
+}
+
+/* Guards against a call whose argument or result is lost or mixed up. */
+START_TEST(each_call_makes_the_round_trip)
+{
+	seen_t seen;
+	outcome_t outcome;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_call_t call = {
+	    .kind = PEER_CALL_HEARTBEAT, .heartbeat = heartbeat_sample()};
+
+	g_strlcpy(call.heartbeat.sender, "s2", sizeof(call.heartbeat.sender));
+	call.heartbeat.incarnation = 22;
+	ck_assert(call_run(client, &call, &outcome));
+	ck_assert(heartbeat_equal(&seen.heartbeat, &call.heartbeat));
+	ck_assert(outcome.result.heartbeat.lease_granted);
+	ck_assert_str_eq(outcome.result.from.name, "s1");
+	ck_assert_uint_eq(outcome.result.from.incarnation, 11);
+	call = borrow_make();
+	ck_assert(call_run(client, &call, &outcome));
+	ck_assert_uint_eq(outcome.result.borrow.share, 500);
+	ck_assert_str_eq(seen.from.name, "s2");
+	ck_assert_uint_eq(seen.from.incarnation, 22);
+	call = (peer_call_t){
+	    .kind = PEER_CALL_RETURN, .give_back = {"parish-nitra", 77, 500}};
+	ck_assert(call_run(client, &call, &outcome));
+	ck_assert_uint_eq(seen.returned.loan_id, 77);
+	call = (peer_call_t){.kind = PEER_CALL_FETCH, .fetch = {LIST_PLANS, 4}};
+	ck_assert(call_run(client, &call, &outcome));
+	ck_assert_uint_eq(outcome.result.fetch.len, PEER_LIST_TEXT_LIMIT);
+	ck_assert_uint_eq(strlen(outcome.text), PEER_LIST_TEXT_LIMIT);
+	g_free(outcome.text);
+	call.fetch.min_version = 6;
+	ck_assert(call_run(client, &call, &outcome));
+	ck_assert_uint_eq(outcome.result.fetch.version, 0);
+	g_free(outcome.text);
+	peer_client_destroy(client);
+	peer_server_destroy(server);
+}
+END_TEST
+
+/* Guards against a stranger who reaches a handler, and against a rotation that
+ * locks out an instance which already signs with the new secret. */
+START_TEST(only_the_fleet_secret_is_accepted)
+{
+	seen_t seen;
+	outcome_t outcome;
+	peer_server_t *server = server_make(&seen);
+	const char *address = peer_server_address(server);
+	peer_client_t *stranger = client_make(address, OTHER_SECRET, NULL);
+	peer_client_t *rotating = client_make(address, SECRET, OTHER_SECRET);
+	peer_call_t call = borrow_make();
+	int64_t before = refused("unauthentic");
+
+	ck_assert(!call_run(stranger, &call, &outcome));
+	ck_assert_int_eq(outcome.last_code, CS_ERROR_AUTH);
+	ck_assert_int_eq(refused("unauthentic"), before + 1);
+	ck_assert_int_eq(g_atomic_int_get(&seen.borrows), 0);
+	ck_assert(call_run(rotating, &call, &outcome));
+	peer_client_destroy(stranger);
+	peer_client_destroy(rotating);
+	peer_server_destroy(server);
+}
+END_TEST
+
+/* Guards against a recorded call that runs again, on the same server or on one
+ * that was started anew, and against a heartbeat that speaks for another. */
+START_TEST(replays_and_false_senders_run_nothing)
+{
+	seen_t seen, seen_later;
+	peer_server_t *server = server_make(&seen);
+	peer_server_t *later = server_make(&seen_later);
+	const return_t message = {"parish-nitra", 1, 1};
+	const heartbeat_t beat = heartbeat_sample();
+	GBytes *body = return_encode(&message, NULL);
+	GBytes *beat_body = heartbeat_encode(&beat, NULL);
+	char record[PEER_CALL_BYTES + 516];
+	size_t len = record_make(record, PEER_RETURN, "s9", 1, 0, body);
+	int fd = socket_to(peer_server_address(server));
+	int64_t replayed = refused("replayed");
+	int64_t false_sender = refused("sender");
+	peer_reply reply;
+	uint64_t session;
+
+	record_exchange(fd, record, len, &reply);
+	ck_assert_int_eq(reply.status, PEER_STATUS_CHALLENGE);
+	session = reply.session;
+	xdr_free((xdrproc_t)xdr_peer_reply, &reply);
+	len = record_make(record, PEER_RETURN, "s9", 2, session, body);
+	record_exchange(fd, record, len, &reply);
+	ck_assert_int_eq(reply.status, PEER_STATUS_DONE);
+	xdr_free((xdrproc_t)xdr_peer_reply, &reply);
+	ck_assert_int_eq(write(fd, record, len), (ssize_t)len);
+	socket_drain(fd);
+	ck_assert_int_eq(refused("replayed"), replayed + 1);
+	ck_assert_int_eq(g_atomic_int_get(&seen.returns), 1);
+	fd = socket_to(peer_server_address(later));
+	record_exchange(fd, record, len, &reply);
+	ck_assert_int_eq(reply.status, PEER_STATUS_CHALLENGE);
+	xdr_free((xdrproc_t)xdr_peer_reply, &reply);
+	ck_assert_int_eq(g_atomic_int_get(&seen_later.returns), 0);
+	close(fd);
+	fd = socket_to(peer_server_address(server));
+	len = record_make(record, PEER_HEARTBEAT, "s9", 3, session, beat_body);
+	ck_assert_int_eq(write(fd, record, len), (ssize_t)len);
+	socket_drain(fd);
+	ck_assert_int_eq(refused("sender"), false_sender + 1);
+	ck_assert_int_eq(g_atomic_int_get(&seen.heartbeats), 0);
+	g_bytes_unref(body);
+	g_bytes_unref(beat_body);
+	peer_server_destroy(later);
+	peer_server_destroy(server);
+}
+END_TEST
+
+/* Guards against bytes of a stranger that stop the server, take its memory or
+ * are not counted. */
+START_TEST(garbage_is_refused_and_counted)
+{
+	static const struct {
+		const char *bytes;
+		size_t len;
+		const char *reason;
+	} cases[] = {
+	    {"\x80\x00\x00\x04hey!", 8, "malformed"},
+	    {"\x00\x00\x00\x00", 4, "malformed"}, /* empty fragment */
+	    {"GET / HTTP/1.0\r\n\r\n", 18, "oversized"},
+	    {"\xff\xff\xff\xff", 4, "oversized"},
+	    {"\x80\x00\x00\x40half", 8, "truncated"},
+	};
+	seen_t seen;
+	outcome_t outcome;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_call_t call = borrow_make();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int fd = socket_to(peer_server_address(server));
+		int64_t before = refused(cases[i].reason);
+
+		ck_assert_int_eq(write(fd, cases[i].bytes, cases[i].len),
+		    (ssize_t)cases[i].len);
+		shutdown(fd, SHUT_WR);
+		socket_drain(fd);
+		ck_assert_msg(refused(cases[i].reason) == before + 1,
+		    "case %zu was not counted as %s", i, cases[i].reason);
+	}
+	ck_assert(call_run(client, &call, &outcome));
+	peer_client_destroy(client);
+	peer_server_destroy(server);
+}
+END_TEST
+
+/* Guards against a connection with half a record, or one that doesn't read its
+ * replies, that delays the answers to others. */
+START_TEST(slow_peers_block_nobody)
+{
+	const fetch_t fetch = {LIST_PLANS, 1};
+	seen_t seen;
+	outcome_t outcome;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	GBytes *body = fetch_encode(&fetch, NULL);
+	char record[PEER_CALL_BYTES + 516];
+	size_t len = record_make(record, PEER_FETCH_LIST, "s9", 1, 0, body);
+	int half = socket_to(peer_server_address(server));
+	int deaf = socket_to(peer_server_address(server));
+	int64_t truncated = refused("truncated");
+	int64_t slow = refused("slow_reader");
+	peer_call_t call = borrow_make();
+	time_us_t start;
+	peer_reply reply;
+
+	ck_assert_int_eq(write(half, record, 20), 20);
+	record_exchange(deaf, record, len, &reply);
+	for (uint64_t i = 2; i < 20; i++) {
+		len = record_make(
+		    record, PEER_FETCH_LIST, "s9", i, reply.session, body);
+		ck_assert_int_eq(write(deaf, record, len), (ssize_t)len);
+	}
+	xdr_free((xdrproc_t)xdr_peer_reply, &reply);
+	start = clock_now();
+	for (int i = 0; i < 20; i++)
+		ck_assert(call_run(client, &call, &outcome));
+	ck_assert_int_lt(clock_now() - start, PEER_RECORD_US);
+	ck_assert_int_eq(refused("slow_reader"), slow);
+	socket_drain(half);
+	ck_assert_int_eq(refused("truncated"), truncated + 1);
+	while (refused("slow_reader") == slow &&
+	       clock_now() - start < WAIT_S * US_PER_S)
+		ck_assert(call_run(client, &call, &outcome));
+	ck_assert_int_eq(refused("slow_reader"), slow + 1);
+	close(deaf);
+	g_bytes_unref(body);
+	peer_client_destroy(client);
+	peer_server_destroy(server);
+}
+END_TEST
+
+/* A peer that accepts connections and never answers. */
+static int
+mute_listen(char *address, size_t size)
+{
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	ck_assert_int_eq(listen(fd, 8), 0);
+	getsockname(fd, (struct sockaddr *)&at, &len);
+	g_snprintf(address, size, "127.0.0.1:%d", ntohs(at.sin_port));
+	return fd;
+}
+
+/* Guards against a mute peer that blocks its client for longer than the limit,
+ * or blocks clients of other peers. */
+START_TEST(mute_peer_times_out_alone)
+{
+	char address[32];
+	int mute = mute_listen(address, sizeof(address));
+	seen_t seen;
+	outcome_t slow, quick;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *blocked = client_make(address, SECRET, NULL);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_call_t call = borrow_make();
+	time_us_t start = clock_now();
+
+	outcome_init(&slow);
+	ck_assert(peer_client_send(blocked, &call, on_done, &slow, NULL));
+	ck_assert(call_run(client, &call, &quick));
+	outcome_wait(&slow, 1);
+	ck_assert_int_eq(slow.last_code, CS_ERROR_TIMEOUT);
+	ck_assert_int_ge(clock_now() - start, US_PER_S * PEER_TIMEOUT_S);
+	ck_assert_int_lt(clock_now() - start, 5 * US_PER_S * PEER_TIMEOUT_S);
+	peer_client_destroy(blocked);
+	peer_client_destroy(client);
+	peer_server_destroy(server);
+	close(mute);
+}
+END_TEST
+
+/* Guards against a queue without a bound, old heartbeats that crowd out new
+ * ones, and a destroy that hangs or forgets a callback. */
+START_TEST(destroy_completes_pending_calls)
+{
+	char address[32];
+	int mute = mute_listen(address, sizeof(address));
+	struct pollfd pfd = {mute, POLLIN, 0};
+	outcome_t outcome;
+	peer_client_t *client = client_make(address, SECRET, NULL);
+	peer_call_t call = borrow_make();
+	peer_call_t beat = {
+	    .kind = PEER_CALL_HEARTBEAT, .heartbeat = heartbeat_sample()};
+	int64_t superseded =
+	    counter_read(counter_get("peer_dropped", "reason", "superseded"));
+	int queued = 1;
+	char byte;
+	int fd;
+
+	outcome_init(&outcome);
+	ck_assert(peer_client_send(client, &call, on_done, &outcome, NULL));
+	ck_assert_int_eq(poll(&pfd, 1, WAIT_S * 1000), 1);
+	fd = accept(mute, NULL, NULL);
+	/* The first call has left the queue and is on the way. */
+	ck_assert_int_eq(recv(fd, &byte, 1, 0), 1);
+	while (peer_client_send(client, &call, on_done, &outcome, NULL))
+		ck_assert_int_le(++queued, 1 + PEER_QUEUE_LIMIT);
+	ck_assert_int_eq(queued, 1 + PEER_QUEUE_LIMIT);
+	ck_assert(peer_client_send(client, &beat, on_done, &outcome, NULL));
+	ck_assert(peer_client_send(client, &beat, on_done, &outcome, NULL));
+	queued += 2;
+	peer_client_destroy(client);
+	ck_assert_int_eq(outcome.done, queued);
+	ck_assert_int_eq(outcome.errors, queued);
+	ck_assert_int_eq(
+	    counter_read(counter_get("peer_dropped", "reason", "superseded")),
+	    superseded + 2);
+	close(fd);
+	close(mute);
+}
+END_TEST
+
+/* Guards against a client that doesn't find a peer again after its restart, or
+ * that hammers it meanwhile. */
+START_TEST(client_reconnects_after_restart)
+{
+	seen_t seen;
+	outcome_t outcome;
+	peer_server_t *server = server_make(&seen);
+	g_autofree char *address = g_strdup(peer_server_address(server));
+	const peer_handlers_t handlers = {
+	    on_heartbeat, on_fetch, on_borrow, on_return, &seen};
+	envelope_keys_t keys = keys_make(SECRET, NULL);
+	peer_client_t *client = client_make(address, SECRET, NULL);
+	peer_call_t call = borrow_make();
+	counter_t *backoff = counter_get("peer_dropped", "reason", "backoff");
+	int64_t before = counter_read(backoff);
+	time_us_t limit = clock_now() + WAIT_S * US_PER_S;
+
+	ck_assert(call_run(client, &call, &outcome));
+	peer_server_destroy(server);
+	while (counter_read(backoff) == before && clock_now() < limit)
+		ck_assert(!call_run(client, &call, &outcome));
+	ck_assert_int_gt(counter_read(backoff), before);
+	server =
+	    peer_server_create(address, &server_self, &keys, &handlers, NULL);
+	ck_assert_ptr_nonnull(server);
+	while (!call_run(client, &call, &outcome))
+		ck_assert_int_lt(clock_now(), limit);
+	peer_client_destroy(client);
+	peer_server_destroy(server);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, each_call_makes_the_round_trip);
+	TEST_ADD(suite, only_the_fleet_secret_is_accepted);
+	TEST_ADD(suite, replays_and_false_senders_run_nothing);
+	TEST_ADD(suite, garbage_is_refused_and_counted);
+	TEST_ADD(suite, slow_peers_block_nobody);
+	TEST_ADD(suite, mute_peer_times_out_alone);
+	TEST_ADD(suite, destroy_completes_pending_calls);
+	TEST_ADD(suite, client_reconnects_after_restart);
+}
+
+TEST_MAIN("peer_rpc", fill)
