--- /dev/null
+++ b/core/gate_info.c
@@ -0,0 +1,238 @@
+#include <string.h>
+
+#include "gate_internal.h"
+
+#define TICKET_LIFE_S ORDER_TICKET_LIFE_S
+
+void
+gate_versions(const gate_t *gate, uint64_t versions[LIST_COUNT])
+{
+	for (int i = 0; i < LIST_COUNT; i++)
+		versions[i] = lists_version(gate->lists, (list_kind_t)i);
+}
+
+bool
+gate_find_key(const gate_t *gate, const uint8_t key_hash[KEY_HASH_BYTES],
+    char team[NAME_LIMIT + 1], char key_id[NAME_LIMIT + 1])
+{
+	const key_owner_t *owner;
+
+	if (gate->view.plans == NULL)
+		return false;
+	owner = plans_find_key(gate->view.plans, key_hash);
+	if (owner == NULL)
+		return false;
+	g_strlcpy(team, owner->team->name, NAME_LIMIT + 1);
+	g_strlcpy(key_id, owner->key->id, NAME_LIMIT + 1);
+	return true;
+}
+
+bool
+gate_ticket(
+    gate_t *gate, const char *team, int64_t wall_s, char out[TICKET_LIMIT])
+{
+	if (gate->draining)
+		return false;
+	return order_ticket_issue(gate->orders, team, gate_random(gate),
+	    wall_s + TICKET_LIFE_S, out, TICKET_LIMIT);
+}
+
+bool
+gate_is_ready(gate_t *gate, time_us_t now)
+{
+	return lists_ready(gate->lists, now);
+}
+
+bool
+gate_is_draining(const gate_t *gate)
+{
+	return gate->draining;
+}
+
+void
+gate_drain(gate_t *gate)
+{
+	gate->draining = true;
+}
+
+size_t
+gate_flights(const gate_t *gate)
+{
+	return gate->n_open;
+}
+
+static directory_state_t
+instance_state(const instance_t *instance, void *context)
+{
+	const gate_t *gate = context;
+	const peer_state_t *peer;
+
+	if (strcmp(instance->name, gate->name) == 0)
+		return gate->draining ? DIRECTORY_LEAVING : DIRECTORY_READY;
+	peer = g_hash_table_lookup(gate->peers, instance->name);
+	if (peer == NULL || !peer->reachable)
+		return DIRECTORY_UNREACHABLE;
+	if (peer->draining)
+		return DIRECTORY_LEAVING;
+	return peer->ready ? DIRECTORY_READY : DIRECTORY_NOT_READY;
+}
+
+/* Regions that the plan of a team allows for any service, or NULL. */
+static GPtrArray *
+plan_regions(const gate_t *gate, const team_t *team)
+{
+	const plan_t *plan =
+	    allowances_find_plan(gate->view.allowances, team->plan);
+	GPtrArray *regions = g_ptr_array_new();
+
+	for (size_t i = 0; plan != NULL && i < plan->n_use; i++) {
+		for (char **region = plan->use[i].regions; *region; region++)
+			g_ptr_array_add(regions, *region);
+	}
+	g_ptr_array_add(regions, NULL);
+	return regions;
+}
+
+size_t
+gate_directory(gate_t *gate, const char *team_name, const char *region,
+    time_us_t now, gate_place_t *places, size_t limit)
+{
+	const instance_t **found = g_newa(const instance_t *, limit);
+	directory_query_t query = {.team = team_name ? team_name : "",
+	    .asked = region ? region : gate->region,
+	    .state_of = instance_state,
+	    .context = gate};
+	g_autoptr(GPtrArray) regions = NULL;
+	const team_t *team = NULL;
+	size_t n;
+
+	if (gate->directory == NULL || gate->view.plans == NULL)
+		return 0;
+	if (team_name != NULL)
+		team = plans_find_team(gate->view.plans, team_name);
+	if (team != NULL) {
+		regions = plan_regions(gate, team);
+		query.home = team->home;
+		query.regions = (char *const *)regions->pdata;
+	}
+	n = directory_order(gate->directory, &query, found, limit);
+	for (size_t i = 0; i < n; i++) {
+		g_strlcpy(places[i].name, found[i]->name, NAME_LIMIT + 1);
+		g_strlcpy(places[i].zone, found[i]->zone, NAME_LIMIT + 1);
+		g_strlcpy(places[i].http, found[i]->http, NAME_LIMIT + 1);
+		g_strlcpy(places[i].region,
+		    gate_zone_region(gate, found[i]->zone), NAME_LIMIT + 1);
+	}
+	return n;
+}
+
+bool
+gate_choose_lender(gate_t *gate, const char *team_name,
+    char lender[NAME_LIMIT + 1])
+{
+	const fleet_t *fleet = gate->view.fleet;
+	const team_t *team = plans_find_team(gate->view.plans, team_name);
+
+	if (fleet == NULL || team == NULL)
+		return false;
+	for (size_t i = 0; i < fleet->n_instances; i++) {
+		const instance_t *instance =
+		    &fleet->instances[gate->lender_next++ % fleet->n_instances];
+		const char *region = gate_zone_region(gate, instance->zone);
+
+		if (instance_state(instance, gate) != DIRECTORY_READY ||
+		    strcmp(instance->name, gate->name) == 0 ||
+		    (team->home != NULL && strcmp(team->home, region) != 0))
+			continue;
+		g_strlcpy(lender, instance->name, NAME_LIMIT + 1);
+		return true;
+	}
+	return false;
+}
+
+static void
+explain_team(gate_t *gate, const team_t *team, time_us_t now, GString *text)
+{
+	const plan_t *plan =
+	    allowances_find_plan(gate->view.allowances, team->plan);
+
+	g_string_append_printf(text,
+	    "plan: %s, rate %" G_GINT64_FORMAT " tokens/s, burst %" G_GINT64_FORMAT
+	    " tokens, priority %d\n"
+	    "home: %s\n",
+	    team->plan, plan->rate, plan->burst, plan->priority,
+	    team->home ? team->home : "none");
+	g_string_append_printf(text,
+	    "share in use here: %.4f, of it borrowed: %.4f, lent: %.4f\n"
+	    "demand here: %.1f tokens/s\n",
+	    (double)allotment_in_use(gate->allotment, team->name, now) /
+		SHARE_ONE,
+	    (double)allotment_borrowed(gate->allotment, team->name, now) /
+		SHARE_ONE,
+	    (double)allotment_lent(gate->allotment, team->name, now) /
+		SHARE_ONE,
+	    allotment_demand(gate->allotment, team->name, now));
+}
+
+static void
+explain_route(gate_t *gate, const char *service, time_us_t now, GString *text)
+{
+	route_choice_t choice =
+	    route_pick(gate->route, service, 0, HANDLE_NONE, 0, now);
+	queue_t *queue = g_hash_table_lookup(gate->queues, service);
+	route_view_t view;
+	uint32_t in_flight;
+	uint32_t slots;
+
+	route_service_load(gate->route, service, &in_flight, &slots);
+	g_string_append_printf(text,
+	    "targets here: %u of %u own slots in use, %u requests wait\n",
+	    in_flight, slots, queue ? queue_length(queue) : 0);
+	if (choice.verdict == ROUTE_PICKED &&
+	    route_view(gate->route, choice.target, now, &view))
+		g_string_append_printf(
+		    text, "next target: %s at %s\n", view.name, view.url);
+	else
+		g_string_append(text,
+		    choice.verdict == ROUTE_ALL_FULL ?
+			"next target: none, all are full\n" :
+			"next target: none in this zone\n");
+}
+
+void
+gate_explain(gate_t *gate, const char *team_name, const char *service,
+    time_us_t now, GString *text)
+{
+	flight_t flight = {.forwarded = true};
+	const team_t *team;
+	refusal_t reason;
+
+	if (!gate_is_ready(gate, now)) {
+		g_string_append(text, "answer: refused (starting)\n");
+		return;
+	}
+	g_string_append_printf(text,
+	    "instance: %s, zone %s, region %s, lease: %s\n"
+	    "lists: plans %" G_GUINT64_FORMAT ", allowances %" G_GUINT64_FORMAT
+	    ", fleet %" G_GUINT64_FORMAT "\n",
+	    gate->name, gate->zone, gate->region,
+	    membership_has_lease(gate->membership, now) ? "yes" : "no",
+	    lists_version(gate->lists, LIST_PLANS),
+	    lists_version(gate->lists, LIST_ALLOWANCES),
+	    lists_version(gate->lists, LIST_FLEET));
+	team = plans_find_team(gate->view.plans, team_name);
+	if (team != NULL)
+		explain_team(gate, team, now, text);
+	g_strlcpy(flight.team, team_name, sizeof(flight.team));
+	g_strlcpy(flight.service, service, sizeof(flight.service));
+	reason = gate_check_rules(gate, &flight);
+	if (reason != REFUSAL_NONE) {
+		g_string_append_printf(text,
+		    "answer: refused (%s): %s\nremedy: %s\n",
+		    refusal_info(reason)->code, refusal_info(reason)->message,
+		    refusal_info(reason)->remedy);
+		return;
+	}
+	g_string_append(text, "answer: allowed by the lists\n");
+	explain_route(gate, service, now, text);
+}
--- /dev/null
+++ b/cyclamensail/main.c
@@ -0,0 +1,157 @@
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "common/log.h"
+#include "config/settings.h"
+#include "daemon.h"
+
+#define PROGRAM "cyclamensail"
+
+/* How often a draining instance looks whether it may stop. */
+#define DRAIN_POLL_NS 50000000L
+
+/*
+ * A drained instance stays this long, so that the others learn of it and of the
+ * newest lists before it stops answering.
+ */
+#define DRAIN_LINGER_POLLS 20
+
+typedef struct {
+	char *settings;
+	gboolean check;
+	gboolean version;
+} arguments_t;
+
+static bool
+arguments_read(int *argc, char ***argv, arguments_t *arguments)
+{
+	GOptionEntry entries[] = {
+	    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &arguments->settings,
+		"settings file, see cyclamensail-settings(5)", "FILE"},
+	    {"check", 'c', 0, G_OPTION_ARG_NONE, &arguments->check,
+		"check the settings and exit", NULL},
+	    {"version", 'v', 0, G_OPTION_ARG_NONE, &arguments->version,
+		"print the version and exit", NULL},
+	    G_OPTION_ENTRY_NULL};
+	GOptionContext *context =
+	    g_option_context_new("- entry instance of the inference gateway");
+	g_autoptr(GError) error = NULL;
+	bool ok;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	ok = g_option_context_parse(context, argc, argv, &error);
+	g_option_context_free(context);
+	if (!ok) {
+		fprintf(stderr, "%s: %s; see --help\n", PROGRAM,
+		    error->message);
+		return false;
+	}
+	if (!arguments->version && (arguments->settings == NULL || *argc > 1)) {
+		fprintf(stderr, "%s: give one settings file with --settings\n",
+		    PROGRAM);
+		return false;
+	}
+	return true;
+}
+
+static void
+signals_block(sigset_t *signals)
+{
+	sigemptyset(signals);
+	sigaddset(signals, SIGTERM);
+	sigaddset(signals, SIGINT);
+	sigaddset(signals, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, signals, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+/* Waits until running requests have ended or a second signal comes. */
+static int
+drain(daemon_t *daemon, const sigset_t *signals)
+{
+	struct timespec poll = {0, DRAIN_POLL_NS};
+	int idle_polls = 0;
+
+	daemon_drain(daemon);
+	log_event(LOG_NOTICE, "drain", LOG_S("cause", "signal"));
+	while (idle_polls < DRAIN_LINGER_POLLS) {
+		int signal_number = sigtimedwait(signals, NULL, &poll);
+
+		if (signal_number == SIGTERM || signal_number == SIGINT) {
+			log_event(LOG_WARNING, "stop",
+			    LOG_S("cause", "second signal"));
+			_exit(EXIT_FAILURE);
+		}
+		idle_polls = daemon_is_idle(daemon) ? idle_polls + 1 : 0;
+	}
+	return EXIT_SUCCESS;
+}
+
+static int
+serve(const settings_t *settings)
+{
+	g_autoptr(GError) error = NULL;
+	sigset_t signals;
+	daemon_t *daemon;
+	int signal_number = 0;
+	int status;
+
+	signals_block(&signals);
+	daemon = daemon_create(settings, &error);
+	if (daemon == NULL) {
+		log_event(
+		    LOG_ERR, "start_failed", LOG_S("error", error->message));
+		return EXIT_FAILURE;
+	}
+	log_event(LOG_NOTICE, "started",
+	    LOG_S("instance", settings->instance),
+	    LOG_S("zone", settings->zone), LOG_S("http", settings->http),
+	    LOG_S("peer", settings->peer));
+	while (signal_number != SIGTERM && signal_number != SIGINT) {
+		sigwait(&signals, &signal_number);
+		if (signal_number == SIGHUP)
+			daemon_reload_certificate(daemon);
+	}
+	status = drain(daemon, &signals);
+	daemon_destroy(daemon);
+	log_event(LOG_NOTICE, "stopped",
+	    LOG_S("instance", settings->instance));
+	return status;
+}
+
+int
+main(int argc, char **argv)
+{
+	arguments_t arguments = {NULL, FALSE, FALSE};
+	g_autoptr(GError) error = NULL;
+	settings_t *settings;
+	int status = EXIT_SUCCESS;
+
+	if (!arguments_read(&argc, &argv, &arguments))
+		return 2;
+	if (arguments.version) {
+		printf("%s %s\n", PROGRAM, VERSION);
+		return EXIT_SUCCESS;
+	}
+	if (sodium_init() < 0) {
+		fprintf(stderr, "%s: libsodium can't get random bytes\n",
+		    PROGRAM);
+		return EXIT_FAILURE;
+	}
+	settings = settings_load(arguments.settings, &error);
+	g_free(arguments.settings);
+	if (settings == NULL) {
+		fprintf(stderr, "%s: %s\n", PROGRAM, error->message);
+		return EXIT_FAILURE;
+	}
+	log_open(PROGRAM, settings->log_level);
+	if (!arguments.check)
+		status = serve(settings);
+	settings_free(settings);
+	return status;
+}
--- /dev/null
+++ b/cyclamensail/peers.h
@@ -0,0 +1,22 @@
+#ifndef CYCLAMENSAIL_PEERS_H
+#define CYCLAMENSAIL_PEERS_H
+
+#include <glib.h>
+
+#include "internal.h"
+
+/* Messages between this instance's gate and the other instances. */
+
+/* Starts the server for other instances. */
+peers_t *peers_create(daemon_t *daemon, GError **error);
+
+/* Stops the server and all clients. */
+void peers_destroy(peers_t *peers);
+
+/* Connects to the peers that the gate names, and to no others. */
+void peers_sync(peers_t *peers);
+
+/* Carries out an action that is a message to a peer. */
+void peers_act(peers_t *peers, const gate_action_t *action);
+
+#endif
