core: add the target table and the choice of a target

Cause: requests need a target of the instance's zone, within the instance's part of the target's slots, also while lists change under running requests.

Ruled out: counts kept by position in the list, which a new version would mix up; clearing a delisted target at once, which loses its running requests; adding a report to the own count, which counts own requests twice.

Before: no routing.

--- /dev/null
+++ b/core/route.c
@@ -0,0 +1,388 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "route_table.h"
+
+/* Three short strings and two hash table places of one target. */
+#define STRINGS_BYTES ((size_t)144)
+
+static void
+service_entry_free(gpointer data)
+{
+	service_entry_t *service = data;
+
+	g_array_free(service->members, TRUE);
+	g_free(service);
+}
+
+route_t *
+route_create(route_settings_t settings)
+{
+	route_t *route = g_new0(route_t, 1);
+
+	route->settings = settings;
+	route->entries = g_array_new(FALSE, TRUE, sizeof(entry_t));
+	route->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	route->services = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, service_entry_free);
+	route->candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	return route;
+}
+
+static entry_t *
+entry_find(const route_t *route, handle_t handle)
+{
+	entry_t *entry;
+
+	if (handle == HANDLE_NONE ||
+	    handle_index(handle) >= route->entries->len)
+		return NULL;
+	entry = entry_at(route, handle_index(handle));
+	if (entry->name == NULL ||
+	    entry->generation != handle_generation(handle))
+		return NULL;
+	return entry;
+}
+
+static void
+entry_clear(entry_t *entry)
+{
+	uint32_t generation = entry->generation;
+
+	g_free(entry->name);
+	g_free(entry->service);
+	g_free(entry->url);
+	*entry = (entry_t){.generation = generation};
+}
+
+void
+route_destroy(route_t *route)
+{
+	if (route == NULL)
+		return;
+	for (uint32_t i = 0; i < route->entries->len; i++)
+		entry_clear(entry_at(route, i));
+	g_array_free(route->entries, TRUE);
+	g_array_free(route->candidates, TRUE);
+	g_hash_table_destroy(route->by_name);
+	g_hash_table_destroy(route->services);
+	g_free(route);
+}
+
+/* Sync with a fleet list. */
+
+static uint32_t
+entry_alloc(route_t *route, const char *name)
+{
+	uint32_t index;
+	entry_t *entry;
+
+	for (index = 0; index < route->entries->len; index++) {
+		if (entry_at(route, index)->name == NULL)
+			break;
+	}
+	if (index == route->entries->len)
+		g_array_set_size(route->entries, index + 1);
+	entry = entry_at(route, index);
+	entry->generation = generation_next(entry->generation);
+	entry->name = g_strdup(name);
+	entry->name_hash = XXH3_64bits(name, strlen(name));
+	g_hash_table_insert(
+	    route->by_name, entry->name, GUINT_TO_POINTER(index + 1));
+	return index;
+}
+
+static void
+entry_free(route_t *route, entry_t *entry)
+{
+	g_hash_table_remove(route->by_name, entry->name);
+	entry_clear(entry);
+}
+
+/* A new process behind the name: its health is unknown and its cache cold. */
+static void
+entry_restart(entry_t *entry, const char *url, time_us_t warm_since)
+{
+	g_free(entry->url);
+	entry->url = g_strdup(url);
+	entry->warm_since = warm_since;
+	entry->ejected_until = 0;
+	entry->failures = 0;
+	entry->probing = false;
+	entry->others = 0;
+}
+
+static void
+entry_adopt(
+    route_t *route, const target_t *target, uint32_t slots, time_us_t now)
+{
+	uint32_t at =
+	    GPOINTER_TO_UINT(g_hash_table_lookup(route->by_name, target->name));
+	uint32_t index = at > 0 ? at - 1 : entry_alloc(route, target->name);
+	entry_t *entry = entry_at(route, index);
+	bool fresh = entry->url == NULL || strcmp(entry->url, target->url) != 0;
+
+	if (fresh && !route->synced)
+		entry_restart(entry, target->url, now - ROUTE_WARM_UP_US);
+	else if (fresh)
+		entry_restart(entry, target->url, now);
+	else if (entry->leaving && target->state == MEMBER_LIVE)
+		entry->warm_since = now;
+	g_free(entry->service);
+	entry->service = g_strdup(target->service);
+	entry->slots = slots;
+	entry->all_slots = target->slots;
+	entry->listed = true;
+	entry->leaving = target->state == MEMBER_LEAVING;
+}
+
+static void
+service_add(route_t *route, const char *name, uint32_t index)
+{
+	service_entry_t *service = g_hash_table_lookup(route->services, name);
+
+	if (service == NULL) {
+		service = g_new0(service_entry_t, 1);
+		service->members = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		g_hash_table_insert(route->services, g_strdup(name), service);
+	}
+	g_array_append_val(service->members, index);
+}
+
+static void
+services_rebuild(route_t *route)
+{
+	g_hash_table_remove_all(route->services);
+	for (uint32_t i = 0; i < route->entries->len; i++) {
+		entry_t *entry = entry_at(route, i);
+
+		if (entry->name != NULL && entry->listed && !entry->leaving)
+			service_add(route, entry->service, i);
+	}
+}
+
+void
+route_sync(route_t *route, const fleet_t *fleet, const char *zone,
+    route_slots_t slots, void *context, time_us_t now)
+{
+	for (uint32_t i = 0; i < route->entries->len; i++)
+		entry_at(route, i)->listed = false;
+	for (size_t i = 0; i < fleet->n_targets; i++) {
+		const target_t *target = &fleet->targets[i];
+
+		if (strcmp(target->zone, zone) == 0)
+			entry_adopt(route, target, slots(target, context), now);
+	}
+	for (uint32_t i = 0; i < route->entries->len; i++) {
+		entry_t *entry = entry_at(route, i);
+
+		if (entry->name == NULL || entry->listed)
+			continue;
+		entry->leaving = true;
+		if (entry->in_flight == 0)
+			entry_free(route, entry);
+	}
+	services_rebuild(route);
+	route->synced = true;
+}
+
+/* State of one target. */
+
+uint32_t
+route_entry_warm_part(
+    const route_t *route, const entry_t *entry, uint32_t slots, time_us_t now)
+{
+	time_us_t warm = now - entry->warm_since;
+
+	if (!route->settings.warm_up || warm >= ROUTE_WARM_UP_US || slots == 0)
+		return slots;
+	if (warm < 0)
+		return 1;
+	return MAX(1, (uint32_t)(slots * warm / ROUTE_WARM_UP_US));
+}
+
+int64_t
+route_entry_load(const entry_t *entry, time_us_t now)
+{
+	time_us_t age = now - entry->reported_at;
+	int64_t own = (int64_t)entry->in_flight * 1000;
+
+	if (entry->others == 0 || age >= ROUTE_REPORT_LIFE_US)
+		return own;
+	if (age < 0)
+		age = 0;
+	return own + (int64_t)entry->others * 1000 *
+			 (ROUTE_REPORT_LIFE_US - age) / ROUTE_REPORT_LIFE_US;
+}
+
+bool
+route_entry_ejected(const entry_t *entry, time_us_t now)
+{
+	return entry->ejected_until > now;
+}
+
+bool
+route_entry_offered(const entry_t *entry, time_us_t now)
+{
+	return entry->listed && !entry->leaving && entry->slots > 0 &&
+	       !route_entry_ejected(entry, now);
+}
+
+bool
+route_entry_free_slot(const route_t *route, const entry_t *entry, time_us_t now)
+{
+	/* Past its ejection a target gets one probe until one succeeds. */
+	if (entry->ejected_until != 0 && entry->probing)
+		return false;
+	return entry->in_flight <
+	       route_entry_warm_part(route, entry, entry->slots, now);
+}
+
+/* Running requests and health. */
+
+bool
+route_start(route_t *route, handle_t target, time_us_t now)
+{
+	entry_t *entry = entry_find(route, target);
+
+	if (entry == NULL || !route_entry_offered(entry, now) ||
+	    !route_entry_free_slot(route, entry, now))
+		return false;
+	if (entry->ejected_until != 0)
+		entry->probing = true;
+	entry->in_flight++;
+	return true;
+}
+
+static void
+entry_failed(entry_t *entry, time_us_t now)
+{
+	/* Requests that end while the target is ejected tell nothing new. */
+	if (route_entry_ejected(entry, now))
+		return;
+	entry->failures++;
+	if (entry->ejected_until != 0)
+		entry->eject_us =
+		    MIN(entry->eject_us * 2, ROUTE_EJECT_LIMIT_US);
+	else if (entry->failures >= ROUTE_EJECT_FAILURES)
+		entry->eject_us = ROUTE_EJECT_US;
+	else
+		return;
+	entry->ejected_until = now + entry->eject_us;
+}
+
+static void
+entry_succeeded(entry_t *entry, time_us_t now)
+{
+	if (route_entry_ejected(entry, now))
+		return;
+	entry->failures = 0;
+	if (entry->ejected_until != 0)
+		entry->warm_since = now;
+	entry->ejected_until = 0;
+}
+
+void
+route_finish(
+    route_t *route, handle_t target, route_result_t result, time_us_t now)
+{
+	entry_t *entry = entry_find(route, target);
+
+	if (entry == NULL || entry->in_flight == 0)
+		return;
+	entry->in_flight--;
+	entry->probing = false;
+	switch (result) {
+	case ROUTE_OK:
+		entry_succeeded(entry, now);
+		break;
+	case ROUTE_FAILED:
+		entry_failed(entry, now);
+		break;
+	case ROUTE_CANCELLED:
+		break;
+	}
+	if (!entry->listed && entry->in_flight == 0)
+		entry_free(route, entry);
+}
+
+void
+route_report(route_t *route, handle_t target, uint32_t load, time_us_t now)
+{
+	entry_t *entry = entry_find(route, target);
+
+	if (entry == NULL)
+		return;
+	/* The report holds the own requests too; counting them twice would
+	 * turn work away from the targets that this instance uses most. */
+	entry->others = load > entry->in_flight ? load - entry->in_flight : 0;
+	entry->reported_at = now;
+}
+
+/* Queries. */
+
+handle_t
+route_find(const route_t *route, const char *name)
+{
+	uint32_t at =
+	    GPOINTER_TO_UINT(g_hash_table_lookup(route->by_name, name));
+
+	if (at == 0)
+		return HANDLE_NONE;
+	return handle_make(at - 1, entry_at(route, at - 1)->generation);
+}
+
+bool
+route_view(
+    const route_t *route, handle_t target, time_us_t now, route_view_t *view)
+{
+	const entry_t *entry = entry_find(route, target);
+
+	if (entry == NULL)
+		return false;
+	*view = (route_view_t){
+	    .name = entry->name,
+	    .service = entry->service,
+	    .url = entry->url,
+	    .in_flight = entry->in_flight,
+	    .slots = entry->slots,
+	    .usable = route_entry_warm_part(route, entry, entry->slots, now),
+	    .load_milli = (uint32_t)route_entry_load(entry, now),
+	    .listed = entry->listed,
+	    .leaving = entry->leaving,
+	    .ejected = route_entry_ejected(entry, now),
+	};
+	return true;
+}
+
+void
+route_service_load(const route_t *route, const char *service,
+    uint32_t *in_flight, uint32_t *slots)
+{
+	const service_entry_t *found =
+	    g_hash_table_lookup(route->services, service);
+
+	*in_flight = 0;
+	*slots = 0;
+	for (uint32_t i = 0; found != NULL && i < found->members->len; i++) {
+		const entry_t *entry =
+		    entry_at(route, g_array_index(found->members, uint32_t, i));
+
+		*in_flight += entry->in_flight;
+		*slots += entry->slots;
+	}
+}
+
+size_t
+route_size(const route_t *route)
+{
+	return g_hash_table_size(route->by_name);
+}
+
+size_t
+route_bytes(const route_t *route)
+{
+	size_t entry = sizeof(entry_t) + sizeof(candidate_t) + STRINGS_BYTES;
+
+	return sizeof(*route) + route->entries->len * entry;
+}
--- /dev/null
+++ b/core/route_pick.c
@@ -0,0 +1,210 @@
+#include <xxhash.h>
+
+#include "route_table.h"
+
+const char *
+route_policy_name(route_policy_t policy)
+{
+	switch (policy) {
+	case ROUTE_ROUND_ROBIN:
+		return "round_robin";
+	case ROUTE_LEAST_LOADED:
+		return "least_loaded";
+	case ROUTE_TWO_CHOICES:
+		return "two_choices";
+	case ROUTE_AFFINITY:
+		return "affinity";
+	case ROUTE_AFFINITY_BOUNDED:
+	case ROUTE_POLICY_COUNT:
+		break;
+	}
+	return "affinity_bounded";
+}
+
+uint64_t
+route_prefix_hash(const void *prompt, size_t len, uint64_t key)
+{
+	uint64_t hash;
+
+	if (len == 0)
+		return 0;
+	hash = XXH3_64bits_withSeed(prompt, MIN(len, ROUTE_PREFIX_BYTES), key);
+	return hash == 0 ? 1 : hash;
+}
+
+static uint64_t
+rendezvous(const entry_t *entry, uint64_t prefix)
+{
+	return XXH3_64bits_withSeed(
+	    &entry->name_hash, sizeof(entry->name_hash), prefix);
+}
+
+/* Collects the targets with a free slot; returns how many are in service. */
+static uint32_t
+candidates_collect(route_t *route, const service_entry_t *service,
+    uint64_t prefix, handle_t exclude, time_us_t now)
+{
+	uint32_t offered = 0;
+
+	g_array_set_size(route->candidates, 0);
+	route->load_sum = 0;
+	route->weight_sum = 0;
+	for (uint32_t i = 0; i < service->members->len; i++) {
+		uint32_t index = g_array_index(service->members, uint32_t, i);
+		const entry_t *entry = entry_at(route, index);
+		candidate_t candidate = {.index = index};
+
+		if (!route_entry_offered(entry, now))
+			continue;
+		candidate.load = route_entry_load(entry, now);
+		candidate.weight = MAX(1,
+		    route_entry_warm_part(route, entry, entry->all_slots, now));
+		route->load_sum += candidate.load;
+		route->weight_sum += candidate.weight;
+		if (handle_make(index, entry->generation) == exclude)
+			continue;
+		offered++;
+		if (!route_entry_free_slot(route, entry, now))
+			continue;
+		candidate.score = rendezvous(entry, prefix);
+		g_array_append_val(route->candidates, candidate);
+	}
+	return offered;
+}
+
+/* Whether a has less load than b for its weight; the hash breaks ties. */
+static bool
+candidate_lighter(const candidate_t *a, const candidate_t *b)
+{
+	int64_t left = a->load * b->weight;
+	int64_t right = b->load * a->weight;
+
+	return left != right ? left < right : a->score > b->score;
+}
+
+static const candidate_t *
+candidate_at(const route_t *route, uint32_t i)
+{
+	return &g_array_index(route->candidates, candidate_t, i);
+}
+
+static const candidate_t *
+pick_least_loaded(const route_t *route)
+{
+	const candidate_t *best = candidate_at(route, 0);
+
+	for (uint32_t i = 1; i < route->candidates->len; i++) {
+		if (candidate_lighter(candidate_at(route, i), best))
+			best = candidate_at(route, i);
+	}
+	return best;
+}
+
+static const candidate_t *
+pick_round_robin(const route_t *route, service_entry_t *service)
+{
+	const candidate_t *next = candidate_at(route, 0);
+
+	for (uint32_t i = 0; i < route->candidates->len; i++) {
+		if (candidate_at(route, i)->index >= service->turn) {
+			next = candidate_at(route, i);
+			break;
+		}
+	}
+	service->turn = next->index + 1;
+	return next;
+}
+
+static const candidate_t *
+pick_two_choices(const route_t *route, uint64_t seed)
+{
+	uint32_t n = route->candidates->len;
+	uint64_t random = XXH3_64bits_withSeed(&seed, sizeof(seed), n);
+	uint32_t first = (uint32_t)(random >> 32) % n;
+	uint32_t second;
+	const candidate_t *a = candidate_at(route, first);
+	const candidate_t *b;
+
+	if (n == 1)
+		return a;
+	second = (first + 1 + (uint32_t)random % (n - 1)) % n;
+	b = candidate_at(route, second);
+	return candidate_lighter(b, a) ? b : a;
+}
+
+/* Whether one more request keeps the target within 1.25 x the mean. */
+static bool
+candidate_within_bound(const route_t *route, const candidate_t *candidate)
+{
+	int64_t mean_part = (route->load_sum + 1000) * candidate->weight;
+	int64_t bound =
+	    mean_part * ROUTE_BOUND_PERCENT / 100 / route->weight_sum;
+
+	/* Rounded up to whole requests, so that each target may hold one. */
+	return candidate->load + 1000 <= (bound + 999) / 1000 * 1000;
+}
+
+/* The highest rendezvous score, within the load bound when there is one. */
+static const candidate_t *
+pick_affinity(const route_t *route, bool bounded)
+{
+	const candidate_t *best = NULL;
+
+	for (uint32_t i = 0; i < route->candidates->len; i++) {
+		const candidate_t *candidate = candidate_at(route, i);
+
+		if (bounded && !candidate_within_bound(route, candidate))
+			continue;
+		if (best == NULL || candidate->score > best->score)
+			best = candidate;
+	}
+	return best != NULL ? best : pick_least_loaded(route);
+}
+
+static const candidate_t *
+pick_by_policy(const route_t *route, service_entry_t *service, uint64_t prefix,
+    uint64_t seed)
+{
+	route_policy_t policy = route->settings.policy;
+
+	if (prefix == 0 &&
+	    (policy == ROUTE_AFFINITY || policy == ROUTE_AFFINITY_BOUNDED))
+		policy = ROUTE_LEAST_LOADED;
+	switch (policy) {
+	case ROUTE_ROUND_ROBIN:
+		return pick_round_robin(route, service);
+	case ROUTE_LEAST_LOADED:
+		return pick_least_loaded(route);
+	case ROUTE_TWO_CHOICES:
+		return pick_two_choices(route, seed);
+	case ROUTE_AFFINITY:
+		return pick_affinity(route, false);
+	case ROUTE_AFFINITY_BOUNDED:
+	case ROUTE_POLICY_COUNT:
+		break;
+	}
+	return pick_affinity(route, true);
+}
+
+route_choice_t
+route_pick(route_t *route, const char *service, uint64_t prefix,
+    handle_t exclude, uint64_t seed, time_us_t now)
+{
+	service_entry_t *found = g_hash_table_lookup(route->services, service);
+	route_choice_t choice = {ROUTE_NO_TARGET, HANDLE_NONE};
+	const candidate_t *candidate;
+	bool affinity = route->settings.policy >= ROUTE_AFFINITY && prefix != 0;
+
+	if (found == NULL || candidates_collect(route, found,
+				 affinity ? prefix : seed, exclude, now) == 0)
+		return choice;
+	if (route->candidates->len == 0) {
+		choice.verdict = ROUTE_ALL_FULL;
+		return choice;
+	}
+	candidate = pick_by_policy(route, found, prefix, seed);
+	choice.verdict = ROUTE_PICKED;
+	choice.target = handle_make(
+	    candidate->index, entry_at(route, candidate->index)->generation);
+	return choice;
+}
