lists: add agreement on list versions

Cause: readers of the platform are stale, revert or are cut off, and plans and allowances are published apart.

Counting the 2 s wait from process start; before the first fleet list there is nobody to ask. A first back-off of exactly 1 s; an outage ends all watches at once.

Change: core/lists with offer, compare, waiting pair, fetch spacing, readiness and read_backoff. A fresh instance's first plans and allowances come into force together. A reachable peer (heard within 6 s) with a newer usable list delays readiness.

Before: no code.

Conclusion: versions only rise, the pair in force fits, and all instances agree once messages arrive again, in the tried schedules.

--- /dev/null
+++ b/include/core/lists.h
@@ -0,0 +1,135 @@
+#ifndef CORE_LISTS_H
+#define CORE_LISTS_H
+
+#include "core/heartbeat.h"
+#include "core/snapshot.h"
+#include "core/types.h"
+
+/*
+ * The lists in force at one instance, and its agreement with its peers about
+ * their versions. The version in force of a list only rises. Plans and
+ * allowances are in force only as a pair that fits.
+ */
+
+/* A fetch that was not reported as ended counts as lost after this time. */
+#define LISTS_FETCH_US (3 * US_PER_S)
+/* After a failed fetch, the next one of the same list starts this much later.
+ */
+#define LISTS_RETRY_US (1 * US_PER_S)
+/* A fresh instance waits this long for listed instances it has not heard. */
+#define LISTS_EXCHANGE_US (2 * US_PER_S)
+/* A peer counts as reachable this long after a heartbeat; they come every 5 s
+ * or more often. */
+#define LISTS_HEARD_US (6 * US_PER_S)
+/* Most peers whose versions are remembered; the planned size is 400 nodes. */
+#define LISTS_PEER_LIMIT 1024
+
+/* A list of any kind. All kinds start with their head. */
+typedef struct {
+	list_kind_t kind;
+	union {
+		list_head_t *head;
+		plans_t *plans;
+		allowances_t *allowances;
+		fleet_t *fleet;
+	};
+} list_any_t;
+
+typedef enum {
+	LISTS_ADOPT, /* newer: in force now, or (lists_compare) worth reading */
+	LISTS_SAME,
+	LISTS_BEHIND,	/* lower version; from the platform: it reverted */
+	LISTS_CONFLICT, /* known version with other content; kept out */
+	LISTS_WAIT,	/* newer, kept until a list comes that it fits */
+} lists_verdict_t;
+
+typedef struct {
+	lists_verdict_t verdict;
+	/* Which lists in force changed; two when a waiting list fitted. */
+	bool changed[LIST_COUNT];
+} lists_offer_t;
+
+/* What a heartbeat of a peer calls for. */
+typedef struct {
+	bool fetch[LIST_COUNT];	   /* from this peer, now */
+	bool conflict[LIST_COUNT]; /* same version, other content */
+} lists_wanted_t;
+
+/* References to the lists in force; NULL where there is none. */
+typedef struct {
+	plans_t *plans;
+	allowances_t *allowances;
+	fleet_t *fleet;
+} lists_view_t;
+
+/* Tells whether every team's plan is in the allowances list. */
+typedef bool (*lists_fits_t)(
+    const plans_t *plans, const allowances_t *allowances, void *data);
+
+typedef struct lists lists_t;
+
+/* self is the instance's own name. */
+lists_t *lists_create(const char *self, lists_fits_t fits, void *data);
+void lists_destroy(lists_t *lists);
+
+/* Returns "adopted", "same", "list_reverted", "list_conflict" or "waiting". */
+const char *lists_verdict_name(lists_verdict_t verdict);
+
+/* Judges a version of which only the stamp is known. Changes nothing. */
+lists_verdict_t lists_compare(
+    const lists_t *lists, list_kind_t kind, const list_stamp_t *stamp);
+
+/*
+ * Offers a list that was parsed and checked, from the platform or a peer. Takes
+ * references as needed; the caller keeps its own. The caller counts the
+ * verdict.
+ */
+lists_offer_t lists_offer(lists_t *lists, list_any_t list, time_us_t now);
+
+/*
+ * Notes that the text with this stamp was refused by its check, so that it is
+ * not fetched again and does not keep the instance from being ready.
+ */
+void lists_refused(lists_t *lists, list_kind_t kind, const list_stamp_t *stamp);
+
+/* Returns new references, released with lists_view_clear. */
+lists_view_t lists_view(const lists_t *lists);
+void lists_view_clear(lists_view_t *view);
+
+/* Version in force and version that waits; 0: none. */
+uint64_t lists_version(const lists_t *lists, list_kind_t kind);
+uint64_t lists_waiting(const lists_t *lists, list_kind_t kind);
+
+/* Sets heartbeat->adopted. */
+void lists_fill(const lists_t *lists, heartbeat_t *heartbeat);
+
+/*
+ * Records a heartbeat (request or reply) of a peer. A list that is to be
+ * fetched counts as being fetched until lists_fetch_end is called.
+ */
+lists_wanted_t lists_wanted(
+    lists_t *lists, const heartbeat_t *peer, time_us_t now);
+
+/*
+ * Ends a fetch. got: the text arrived, whatever became of it; it is offered or
+ * refused before this call.
+ */
+void lists_fetch_end(lists_t *lists, list_kind_t kind, bool got, time_us_t now);
+
+/*
+ * Tells whether the instance may serve. Becomes true once, and stays, when all
+ * three lists are in force, each instance of the fleet list was heard or
+ * LISTS_EXCHANGE_US has passed since the first fleet list came into force, and
+ * no peer that is reachable is known to have a newer list. The wait starts at
+ * the fleet list because before it there is nobody to ask.
+ */
+bool lists_ready(lists_t *lists, time_us_t now);
+
+/*
+ * Returns the time to wait before a read of the platform is tried again: evenly
+ * spread over 1 s .. 4 s for attempt 0, doubling to 1 s .. 30 s. The first wait
+ * is spread too, because an outage ends all watches at once.
+ */
+time_us_t read_backoff(unsigned attempt, uint64_t seed);
+
+#endif
--- /dev/null
+++ b/tests/test_lists.c
@@ -0,0 +1,523 @@
+#include "core/lists.h"
+
+#include <string.h>
+
+#include "schedule.h"
+#include "test.h"
+
+/* The text of a plans or allowances list is the partner version it needs. */
+static bool
+fits(const plans_t *plans, const allowances_t *allowances, void *data)
+{
+	return data != NULL ||
+	       (allowances->head.version >=
+		       strtoull(plans->head.text, NULL, 10) &&
+		   plans->head.version >=
+		       strtoull(allowances->head.text, NULL, 10));
+}
+
+static list_any_t
+list_new(list_kind_t kind, uint64_t version, const char *text)
+{
+	list_any_t list = {.kind = kind};
+
+	switch (kind) {
+	case LIST_PLANS:
+		list.plans = g_new0(plans_t, 1);
+		break;
+	case LIST_ALLOWANCES:
+		list.allowances = g_new0(allowances_t, 1);
+		break;
+	case LIST_FLEET:
+	case LIST_COUNT:
+		list.fleet = g_new0(fleet_t, 1);
+		break;
+	}
+	list.head->refs = 1;
+	list.head->version = version;
+	list_head_set_text(list.head, text, strlen(text));
+	return list;
+}
+
+static void
+list_free(list_any_t list)
+{
+	switch (list.kind) {
+	case LIST_PLANS:
+		plans_unref(list.plans);
+		return;
+	case LIST_ALLOWANCES:
+		allowances_unref(list.allowances);
+		return;
+	default:
+		fleet_unref(list.fleet);
+	}
+}
+
+static void
+fleet_add(list_any_t list, const char *name)
+{
+	fleet_t *fleet = list.fleet;
+
+	fleet->instances =
+	    g_renew(instance_t, fleet->instances, fleet->n_instances + 1);
+	memset(&fleet->instances[fleet->n_instances], 0, sizeof(instance_t));
+	fleet->instances[fleet->n_instances++].name = g_strdup(name);
+}
+
+static lists_offer_t
+offer_new(lists_t *lists, list_kind_t kind, uint64_t version, const char *text,
+    time_us_t now)
+{
+	list_any_t list = list_new(kind, version, text);
+	lists_offer_t offer = lists_offer(lists, list, now);
+
+	list_free(list);
+	return offer;
+}
+
+static lists_verdict_t
+offer(lists_t *lists, list_kind_t kind, uint64_t version, const char *text)
+{
+	return offer_new(lists, kind, version, text, 0).verdict;
+}
+
+/* Guards against a version that falls or changes its content. */
+START_TEST(only_a_higher_version_is_adopted)
+{
+	lists_t *lists = lists_create("a", fits, NULL);
+	heartbeat_t heartbeat = {.n_load = 3};
+
+	ck_assert_int_eq(offer(lists, LIST_FLEET, 0, "x"), LISTS_BEHIND);
+	ck_assert_int_eq(offer(lists, LIST_FLEET, 5, "x"), LISTS_ADOPT);
+	ck_assert_int_eq(offer(lists, LIST_FLEET, 5, "x"), LISTS_SAME);
+	ck_assert_int_eq(offer(lists, LIST_FLEET, 5, "y"), LISTS_CONFLICT);
+	ck_assert_int_eq(offer(lists, LIST_FLEET, 4, "x"), LISTS_BEHIND);
+	ck_assert_int_eq(offer(lists, LIST_FLEET, 6, "y"), LISTS_ADOPT);
+	lists_fill(lists, &heartbeat);
+	ck_assert_uint_eq(heartbeat.adopted[LIST_FLEET].version, 6);
+	ck_assert_uint_eq(heartbeat.adopted[LIST_PLANS].version, 0);
+	ck_assert_uint_eq(heartbeat.n_load, 3);
+	lists_destroy(lists);
+}
+END_TEST
+
+/* Guards against half of a pair in force, and a waiting list that blocks. */
+START_TEST(plans_and_allowances_wait_for_each_other)
+{
+	lists_t *lists = lists_create("a", fits, NULL);
+	lists_offer_t result;
+	lists_view_t view;
+
+	ck_assert_int_eq(offer(lists, LIST_PLANS, 4, "6"), LISTS_WAIT);
+	ck_assert_int_eq(offer(lists, LIST_PLANS, 4, "7"), LISTS_CONFLICT);
+	ck_assert_int_eq(offer(lists, LIST_ALLOWANCES, 5, "3"), LISTS_WAIT);
+	/* A lower list that fits is put into force; version 4 goes on waiting.
+	 */
+	result = offer_new(lists, LIST_PLANS, 3, "5", 0);
+	ck_assert_int_eq(result.verdict, LISTS_ADOPT);
+	ck_assert(
+	    result.changed[LIST_PLANS] && result.changed[LIST_ALLOWANCES]);
+	ck_assert_uint_eq(lists_waiting(lists, LIST_PLANS), 4);
+	result = offer_new(lists, LIST_ALLOWANCES, 6, "4", 0);
+	ck_assert_int_eq(result.verdict, LISTS_ADOPT);
+	ck_assert(result.changed[LIST_PLANS]);
+	ck_assert_uint_eq(lists_waiting(lists, LIST_PLANS), 0);
+	ck_assert_int_eq(offer(lists, LIST_PLANS, 6, "9"), LISTS_WAIT);
+	ck_assert_int_eq(offer(lists, LIST_PLANS, 5, "8"), LISTS_BEHIND);
+	view = lists_view(lists);
+	ck_assert_uint_eq(view.plans->head.version, 4);
+	ck_assert_uint_eq(view.allowances->head.version, 6);
+	ck_assert_ptr_null(view.fleet);
+	lists_destroy(lists);
+	ck_assert_str_eq(view.plans->head.text, "6"); /* still referenced */
+	lists_view_clear(&view);
+}
+END_TEST
+
+/* Guards against two fetches of one version and a retry without a pause. */
+START_TEST(fetches_are_spaced)
+{
+	lists_t *lists = lists_create("a", fits, NULL);
+	heartbeat_t peer = {.sender = "b"}, other = {.sender = "c"};
+	list_stamp_t stamp = {.version = 2};
+
+	peer.adopted[LIST_FLEET].version = 2;
+	other.adopted[LIST_FLEET].version = 2;
+	ck_assert(lists_wanted(lists, &peer, 0).fetch[LIST_FLEET]);
+	ck_assert(!lists_wanted(lists, &other, 0).fetch[LIST_FLEET]);
+	lists_fetch_end(lists, LIST_FLEET, false, 10);
+	ck_assert(
+	    !lists_wanted(lists, &other, LISTS_RETRY_US).fetch[LIST_FLEET]);
+	ck_assert(
+	    lists_wanted(lists, &other, LISTS_RETRY_US + 10).fetch[LIST_FLEET]);
+	/* The end of this fetch is never reported. */
+	ck_assert(lists_wanted(lists, &peer, 10 * US_PER_S).fetch[LIST_FLEET]);
+	/* A higher version does not wait for a lower one. */
+	other.adopted[LIST_FLEET].version = 3;
+	ck_assert(lists_wanted(lists, &other, 10 * US_PER_S).fetch[LIST_FLEET]);
+	lists_fetch_end(lists, LIST_FLEET, true, 11 * US_PER_S);
+	lists_refused(lists, LIST_FLEET, &stamp);
+	ck_assert(!lists_wanted(lists, &peer, 11 * US_PER_S).fetch[LIST_FLEET]);
+	offer(lists, LIST_FLEET, 3, "x");
+	ck_assert(
+	    lists_wanted(lists, &other, 12 * US_PER_S).conflict[LIST_FLEET]);
+	lists_destroy(lists);
+}
+END_TEST
+
+/* Guards against serving with old lists, and against never serving. */
+START_TEST(readiness_waits_for_peers_but_not_for_ever)
+{
+	time_us_t start = 100 * US_PER_S;
+	heartbeat_t peer = {.sender = "b"};
+	list_any_t fleet;
+
+	for (int heard = 0; heard < 3; heard++) {
+		lists_t *lists = lists_create("a", fits, NULL);
+
+		fleet = list_new(LIST_FLEET, 1, "x");
+		fleet_add(fleet, "a");
+		fleet_add(fleet, "b");
+		offer(lists, LIST_PLANS, 1, "0");
+		ck_assert(!lists_ready(lists, start));
+		offer(lists, LIST_ALLOWANCES, 1, "0");
+		lists_offer(lists, fleet, start);
+		list_free(fleet);
+		ck_assert(!lists_ready(lists, start));
+		peer.adopted[LIST_PLANS].version = heard == 2 ? 2 : 0;
+		if (heard > 0)
+			lists_wanted(lists, &peer, start + 1);
+		ck_assert(lists_ready(lists, start + 1) == (heard == 1));
+		ck_assert(lists_ready(lists, start + LISTS_EXCHANGE_US) ==
+			  (heard < 2));
+		/* The peer with the newer list is not heard any more. */
+		ck_assert(lists_ready(lists, start + LISTS_HEARD_US + 2));
+		lists_destroy(lists);
+	}
+}
+END_TEST
+
+/* Guards against all instances reading again at the same moment. */
+START_TEST(backoff_is_spread)
+{
+	time_us_t least = INT64_MAX, most = 0;
+
+	for (uint64_t seed = 0; seed < 1000; seed++) {
+		time_us_t first = read_backoff(0, seed);
+		time_us_t late = read_backoff(40, seed);
+
+		ck_assert(first >= US_PER_S && first <= 4 * US_PER_S);
+		ck_assert(late >= US_PER_S && late <= 30 * US_PER_S);
+		least = MIN(least, late);
+		most = MAX(most, late);
+	}
+	ck_assert(least < 2 * US_PER_S && most > 29 * US_PER_S);
+}
+END_TEST
+
+/*
+ * Schedules: the platform publishes versions and is read by instances, but
+ * gives old versions, other content under a known version, or nothing. Peers
+ * exchange heartbeats and fetch lists, which get lost. Instances are cut off
+ * from each other and start again.
+ */
+#define N_INSTANCES 4
+#define N_VERSIONS 12
+#define N_STEPS 150
+
+typedef enum {
+	FAULT_NONE,
+	FAULT_REVERT,	 /* an instance forgets its lists */
+	FAULT_NO_FETCH,	 /* lists are not fetched from peers */
+	FAULT_NO_PAIR,	 /* the pair check accepts everything */
+	FAULT_IMPATIENT, /* readiness does not wait for reachable peers */
+} fault_t;
+
+typedef struct {
+	lists_t *lists;
+	bool ready;
+	uint64_t in_force[LIST_COUNT];
+	struct {
+		time_us_t at;
+		uint64_t versions[LIST_COUNT];
+	} heard[N_INSTANCES];
+} sim_instance_t;
+
+typedef struct {
+	rng_t rng;
+	fault_t fault;
+	time_us_t now;
+	sim_instance_t instances[N_INSTANCES];
+	bool cut[N_INSTANCES][N_INSTANCES];
+	list_any_t published[LIST_COUNT][N_VERSIONS];
+	int n_published[LIST_COUNT];
+	bool honest; /* the end: no loss, and instance 0 reads the platform */
+	const char *violation;
+} sim_t;
+
+static bool
+sim_chance(sim_t *sim, int one_in)
+{
+	return rng_below(&sim->rng, one_in) == 0;
+}
+
+static void
+sim_start(sim_t *sim, int i)
+{
+	const char name[2] = {(char)('a' + i), '\0'};
+
+	lists_destroy(sim->instances[i].lists);
+	if (sim->fault != FAULT_REVERT)
+		memset(&sim->instances[i], 0, sizeof(sim->instances[i]));
+	for (int k = 0; k < N_INSTANCES; k++)
+		sim->instances[i].heard[k].at = -LISTS_HEARD_US - 1;
+	sim->instances[i].lists =
+	    lists_create(name, fits, sim->fault == FAULT_NO_PAIR ? sim : NULL);
+}
+
+/* Publishes the next version. The last plans and allowances fit each other. */
+static void
+sim_publish(sim_t *sim, list_kind_t kind)
+{
+	int n = sim->n_published[kind];
+	char text[8];
+
+	if (n == N_VERSIONS)
+		return;
+	g_snprintf(text, sizeof(text), "%d",
+	    n == N_VERSIONS - 1 ? 0 : (int)rng_below(&sim->rng, n + 3));
+	sim->published[kind][n] = list_new(kind, (uint64_t)n + 1, text);
+	for (int i = 0; kind == LIST_FLEET && i < N_INSTANCES; i++) {
+		const char name[2] = {(char)('a' + i), '\0'};
+
+		fleet_add(sim->published[kind][n], name);
+	}
+	sim->n_published[kind]++;
+}
+
+static void
+sim_read_platform(sim_t *sim, int i)
+{
+	list_kind_t kind = (list_kind_t)rng_below(&sim->rng, LIST_COUNT);
+	int n = sim->n_published[kind];
+
+	if (n == 0)
+		return;
+	if (!sim->honest && sim_chance(sim, 10)) {
+		/* Other content under a version that some may know. */
+		offer_new(sim->instances[i].lists, kind,
+		    (uint64_t)rng_below(&sim->rng, MIN(n, N_VERSIONS - 1)) + 1,
+		    "1 other", sim->now);
+		return;
+	}
+	if (!sim->honest && sim_chance(sim, 2))
+		n = 1 + (int)rng_below(&sim->rng, n);
+	lists_offer(
+	    sim->instances[i].lists, sim->published[kind][n - 1], sim->now);
+}
+
+static void
+sim_fetch(sim_t *sim, int to, int from, list_kind_t kind)
+{
+	lists_view_t view = lists_view(sim->instances[from].lists);
+	list_any_t list = {.kind = kind};
+	bool got = sim->honest || !sim_chance(sim, 4);
+
+	if (kind == LIST_PLANS)
+		list.plans = view.plans;
+	else if (kind == LIST_ALLOWANCES)
+		list.allowances = view.allowances;
+	else
+		list.fleet = view.fleet;
+	if (got && list.head != NULL)
+		lists_offer(sim->instances[to].lists, list, sim->now);
+	/* The report of a fetch can be missing too. */
+	if (!sim_chance(sim, 10))
+		lists_fetch_end(sim->instances[to].lists, kind, got, sim->now);
+	lists_view_clear(&view);
+}
+
+static void
+sim_heartbeat(sim_t *sim, int to, int from)
+{
+	sim_instance_t *receiver = &sim->instances[to];
+	heartbeat_t heartbeat = {.sender = {(char)('a' + from)}};
+	lists_wanted_t wanted;
+
+	if (to == from || sim->cut[to][from])
+		return;
+	lists_fill(sim->instances[from].lists, &heartbeat);
+	wanted = lists_wanted(receiver->lists, &heartbeat, sim->now);
+	receiver->heard[from].at = sim->now;
+	for (int k = 0; k < LIST_COUNT; k++) {
+		receiver->heard[from].versions[k] =
+		    heartbeat.adopted[k].version;
+		if (wanted.fetch[k] && sim->fault != FAULT_NO_FETCH)
+			sim_fetch(sim, to, from, (list_kind_t)k);
+	}
+}
+
+/* A newer list of a reachable peer must be in force, or wait, at readiness. */
+static bool
+is_behind(const sim_t *sim, const sim_instance_t *instance)
+{
+	for (int p = 0; p < N_INSTANCES; p++) {
+		if (instance->heard[p].at + LISTS_HEARD_US < sim->now)
+			continue;
+		for (int k = 0; k < LIST_COUNT; k++) {
+			uint64_t version = instance->heard[p].versions[k];
+			list_kind_t kind = (list_kind_t)k;
+
+			if (version > lists_version(instance->lists, kind) &&
+			    version != lists_waiting(instance->lists, kind))
+				return true;
+		}
+	}
+	return false;
+}
+
+static void
+sim_check_pair(sim_t *sim, const sim_instance_t *instance)
+{
+	lists_view_t view = lists_view(instance->lists);
+
+	if ((view.plans == NULL) != (view.allowances == NULL))
+		sim->violation = "half a pair is in force";
+	else if (view.plans != NULL && !fits(view.plans, view.allowances, NULL))
+		sim->violation = "the pair in force does not fit";
+	lists_view_clear(&view);
+}
+
+static void
+sim_check(sim_t *sim, int i)
+{
+	sim_instance_t *instance = &sim->instances[i];
+	time_us_t late = sim->fault == FAULT_IMPATIENT ? 60 * US_PER_S : 0;
+
+	for (int k = 0; k < LIST_COUNT; k++) {
+		uint64_t version =
+		    lists_version(instance->lists, (list_kind_t)k);
+
+		if (version < instance->in_force[k])
+			sim->violation = "a version fell";
+		instance->in_force[k] = version;
+	}
+	sim_check_pair(sim, instance);
+	if (!lists_ready(instance->lists, sim->now + late) || instance->ready)
+		return;
+	instance->ready = true;
+	if (is_behind(sim, instance))
+		sim->violation = "ready with less than a reachable peer has";
+}
+
+static void
+sim_step(sim_t *sim)
+{
+	int a = (int)rng_below(&sim->rng, N_INSTANCES);
+	int b = (int)rng_below(&sim->rng, N_INSTANCES);
+
+	sim->now += rng_below(&sim->rng, 400 * US_PER_MS);
+	switch (rng_below(&sim->rng, 12)) {
+	case 0:
+		sim_publish(sim, (list_kind_t)rng_below(&sim->rng, LIST_COUNT));
+		break;
+	case 1:
+		sim->cut[a][b] = sim->cut[b][a] = sim_chance(sim, 2);
+		break;
+	case 2:
+		if (sim_chance(sim, 6))
+			sim_start(sim, a);
+		break;
+	case 3:
+	case 4:
+	case 5:
+		sim_read_platform(sim, a);
+		break;
+	default:
+		sim_heartbeat(sim, a, b);
+		break;
+	}
+	for (int i = 0; i < N_INSTANCES; i++)
+		sim_check(sim, i);
+}
+
+/* Faults end; only instance 0 reads the platform. All must agree. */
+static void
+sim_settle(sim_t *sim)
+{
+	sim->honest = true;
+	memset(sim->cut, 0, sizeof(sim->cut));
+	for (int k = 0; k < LIST_COUNT; k++) {
+		while (sim->n_published[k] < N_VERSIONS)
+			sim_publish(sim, (list_kind_t)k);
+	}
+	for (int round = 0; round < 40; round++) {
+		sim->now += US_PER_S;
+		sim_read_platform(sim, 0);
+		for (int i = 0; i < N_INSTANCES * N_INSTANCES; i++)
+			sim_heartbeat(sim, i % N_INSTANCES, i / N_INSTANCES);
+		for (int i = 0; i < N_INSTANCES; i++)
+			sim_check(sim, i);
+	}
+	for (int i = 0; i < N_INSTANCES; i++) {
+		for (int k = 0; k < LIST_COUNT; k++) {
+			if (sim->instances[i].in_force[k] != N_VERSIONS)
+				sim->violation = "no agreement at the end";
+		}
+		if (!sim->instances[i].ready)
+			sim->violation = "not ready at the end";
+	}
+}
+
+static const char *
+lists_schedule(uint64_t seed, int fault)
+{
+	sim_t sim = {.rng = {seed}, .fault = (fault_t)fault};
+
+	for (int i = 0; i < N_INSTANCES; i++)
+		sim_start(&sim, i);
+	for (int step = 0; step < N_STEPS; step++)
+		sim_step(&sim);
+	sim_settle(&sim);
+	for (int i = 0; i < N_INSTANCES; i++)
+		lists_destroy(sim.instances[i].lists);
+	for (int k = 0; k < LIST_COUNT; k++) {
+		for (int n = 0; n < sim.n_published[k]; n++)
+			list_free(sim.published[k][n]);
+	}
+	return sim.violation;
+}
+
+/* Guards against any interleaving that reverts, splits a pair or diverges. */
+START_TEST(versions_only_rise_and_agree)
+{
+	ck_assert_int_eq(
+	    schedule_run("lists", lists_schedule, 4000, FAULT_NONE), 0);
+}
+END_TEST
+
+/* Guards against a schedule check that can't see a violation. */
+START_TEST(schedules_find_injected_faults)
+{
+	for (int fault = FAULT_REVERT; fault <= FAULT_IMPATIENT; fault++)
+		ck_assert_msg(
+		    schedule_run("lists", lists_schedule, 300, fault) > 0,
+		    "fault %d was not found", fault);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, only_a_higher_version_is_adopted);
+	TEST_ADD(suite, plans_and_allowances_wait_for_each_other);
+	TEST_ADD(suite, fetches_are_spaced);
+	TEST_ADD(suite, readiness_waits_for_peers_but_not_for_ever);
+	TEST_ADD(suite, backoff_is_spread);
+	TEST_ADD(suite, versions_only_rise_and_agree);
+	if (getenv("TEST_SEED") == NULL)
+		TEST_ADD(suite, schedules_find_injected_faults);
+}
+
+TEST_MAIN("lists", fill)
