--- a/config/settings.c
+++ b/config/settings.c
@@ -32,6 +32,7 @@
 	const node_t *zone;
 	const node_t *http;
 	const node_t *peer;
+	const node_t *admin;
 	const node_t *platform;
 	const node_t *seeds;
 	const node_t *fleet_secrets;
@@ -43,11 +44,12 @@
 static bool
 members_read(const node_t *root, members_t *members, GError **error)
 {
-	map_field_t fields[9 + G_N_ELEMENTS(numbers)] = {
+	map_field_t fields[10 + G_N_ELEMENTS(numbers)] = {
 	    {"instance", true, &members->instance},
 	    {"zone", true, &members->zone},
 	    {"http", true, &members->http},
 	    {"peer", true, &members->peer},
+	    {"admin", false, &members->admin},
 	    {"platform", true, &members->platform},
 	    {"seeds", false, &members->seeds},
 	    {"fleet_secrets", true, &members->fleet_secrets},
@@ -56,7 +58,7 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++)
-		fields[9 + i] =
+		fields[10 + i] =
 		    (map_field_t){numbers[i].key, false, &members->numbers[i]};
 	return map_read(root, fields, G_N_ELEMENTS(fields), error);
 }
@@ -155,6 +157,18 @@
 	return true;
 }
 
+static bool
+admin_read(settings_t *settings, const node_t *node, GError **error)
+{
+	if (!node_address(node, ADDRESS_LISTEN, &settings->admin, error))
+		return false;
+	if (strcmp(settings->admin, settings->http) == 0 ||
+	    strcmp(settings->admin, settings->peer) == 0)
+		return node_refuse(node, error, CS_ERROR_CONFLICT,
+		    "is the same as http or peer; write another port");
+	return true;
+}
+
 static bool
 settings_read(settings_t *settings, const node_t *root, GError **error)
 {
@@ -170,6 +184,8 @@
 	if (strcmp(settings->http, settings->peer) == 0)
 		return node_refuse(members.peer, error, CS_ERROR_CONFLICT,
 		    "is the same as http; write another port");
+	if (members.admin != NULL && !admin_read(settings, members.admin, error))
+		return false;
 	if (!places_read(members.platform, true, &settings->platform, error))
 		return false;
 	if (members.seeds == NULL)
@@ -223,6 +239,7 @@
 	g_free(settings->zone);
 	g_free(settings->http);
 	g_free(settings->peer);
+	g_free(settings->admin);
 	g_strfreev(settings->platform);
 	g_strfreev(settings->seeds);
 	g_free(settings->tls_certificate);
--- a/core/gate_info.c
+++ b/core/gate_info.c
@@ -2,7 +2,8 @@
 
 #include "gate_internal.h"
 
-#define TICKET_LIFE_S ORDER_TICKET_LIFE_S
+/* Usual ratio of bytes to tokens, to estimate what crosses a link. */
+#define BYTES_PER_TOKEN 4
 
 void
 gate_versions(const gate_t *gate, uint64_t versions[LIST_COUNT])
@@ -34,7 +35,7 @@
 	if (gate->draining)
 		return false;
 	return order_ticket_issue(gate->orders, team, gate_random(gate),
-	    wall_s + TICKET_LIFE_S, out, TICKET_LIMIT);
+	    wall_s + ORDER_TICKET_LIFE_S, out, TICKET_LIMIT);
 }
 
 bool
@@ -126,6 +127,43 @@
 	return n;
 }
 
+bool
+gate_spill(gate_t *gate, const flight_t *flight, bool local, time_us_t now,
+    char instance[NAME_LIMIT + 1])
+{
+	const team_t *team = plans_find_team(gate->view.plans, flight->team);
+	const plan_t *plan = NULL;
+	const plan_use_t *use = NULL;
+	queue_request_t request = {.team = flight->team,
+	    .priority = flight->priority,
+	    .cost = MAX(flight->body.cost, 1),
+	    .deadline = flight->deadline};
+	spill_query_t query = {.service = flight->service,
+	    .zone = gate->zone,
+	    .bytes = flight->body.cost * BYTES_PER_TOKEN,
+	    .local_wait = INT64_MAX};
+	spill_choice_t choice;
+
+	if (team != NULL)
+		plan = allowances_find_plan(gate->view.allowances, team->plan);
+	if (plan != NULL)
+		use = plan_find_use(plan, flight->service);
+	if (use == NULL)
+		return false;
+	query.home = team->home;
+	query.regions = use->regions;
+	if (local)
+		query.local_wait = queue_expected_wait(
+		    gate_queue(gate, flight->service), &request, now);
+	choice = spill_decide(gate->spill, gate->view.allowances, &query,
+	    gate_random(gate), now);
+	if (choice.verdict == SPILL_STAY ||
+	    fleet_find_instance(gate->view.fleet, choice.instance) == NULL)
+		return false;
+	g_strlcpy(instance, choice.instance, NAME_LIMIT + 1);
+	return true;
+}
+
 bool
 gate_choose_lender(gate_t *gate, const char *team_name,
     char lender[NAME_LIMIT + 1])
--- /dev/null
+++ b/core/gate_internal.h
@@ -0,0 +1,183 @@
+#ifndef CORE_GATE_INTERNAL_H
+#define CORE_GATE_INTERNAL_H
+
+#include "core/allotment.h"
+#include "core/directory.h"
+#include "core/gate.h"
+#include "core/lists.h"
+#include "core/membership.h"
+#include "core/order.h"
+#include "core/poison.h"
+#include "core/queue.h"
+#include "core/retry.h"
+#include "core/route.h"
+#include "core/spill.h"
+
+/* How long a request may wait for a loan before it is refused. */
+#define TOKEN_WAIT_US (500 * US_PER_MS)
+
+/*
+ * A decision older than this is checked again before bytes go out: the process
+ * may have slept while a key was withdrawn or the lease ended.
+ */
+#define RECHECK_US (1 * US_PER_S)
+
+/* Attempts of one request that ended without a byte being written. */
+#define UNSENT_LIMIT 3
+
+typedef enum {
+	FLIGHT_FREE,
+	FLIGHT_OPEN,	    /* the body is still read */
+	FLIGHT_WAIT_TOKENS, /* in gate->token_waiters */
+	FLIGHT_QUEUED,	    /* in the queue of its service */
+	FLIGHT_RUNNING,	    /* at a target */
+	FLIGHT_FORWARDED    /* at another instance */
+} flight_state_t;
+
+typedef struct {
+	uint32_t generation;
+	flight_state_t state;
+	void *user;
+	char team[NAME_LIMIT + 1]; /* "" on an open service without a key */
+	char service[NAME_LIMIT + 1];
+	char method[8];
+	uint8_t key_hash[KEY_HASH_BYTES];
+	bool has_key;
+	bool forwarded; /* came from another instance */
+	bool engine;
+	bool order;
+	bool idempotent;
+	int priority;
+	time_us_t deadline;
+	time_us_t checked_at; /* last full check of key, rule and lease */
+	gate_body_t body;
+	char ticket[ORDER_TICKET_SIZE];
+	time_us_t token_deadline;
+	bool token_tried;
+	bool charged;
+	reservation_t reservation;
+	bool order_begun;
+	order_handle_t order_handle;
+	handle_t target;
+	handle_t last_target; /* lost its last attempt */
+	handle_t queue_handle;
+	unsigned int unsent;
+	unsigned int retries;
+	bool written; /* an attempt wrote bytes, so the request may have run */
+	bool cancelled;
+	refusal_t cancel_reason;
+} flight_t;
+
+struct gate {
+	char name[NAME_LIMIT + 1];
+	char zone[NAME_LIMIT + 1];
+	char region[NAME_LIMIT + 1]; /* "" until the zone is known */
+	incarnation_t incarnation;
+	char **seeds;
+	uint64_t random; /* state of the generator */
+	uint32_t queue_limit;
+	bool draining;
+
+	lists_t *lists;
+	lists_view_t view;
+	membership_t *membership;
+	allotment_t *allotment;
+	order_table_t *orders;
+	poison_table_t *poison;
+	retry_budget_t *retries;
+	route_t *route;
+	directory_t *directory; /* NULL until two lists are known */
+	spill_t *spill;
+	size_t lender_next;	/* position in the fleet list */
+	GHashTable *queues; /* service -> queue_t */
+	time_us_t pump_now; /* time of the running queue_pop() */
+
+	flight_t *flights;
+	size_t n_flights; /* slots */
+	size_t n_open;	  /* in use */
+	GArray *free_slots;
+	GQueue token_waiters; /* flight_id_t in order of arrival */
+
+	GHashTable *peers; /* name -> peer_state_t */
+	time_us_t heartbeat_near_at;
+	time_us_t heartbeat_far_at;
+	time_us_t loans_at;
+	time_us_t sweep_at;
+};
+
+/* What heartbeats told about a peer. */
+typedef struct {
+	bool ready;
+	bool draining;
+	bool reachable;
+} peer_state_t;
+
+flight_t *gate_flight(const gate_t *gate, flight_id_t id);
+flight_id_t gate_flight_id(const gate_t *gate, const flight_t *flight);
+uint64_t gate_random(gate_t *gate);
+
+/* Appends an action for a flight and returns it for filling in. */
+gate_action_t *gate_action(gate_t *gate, GArray *actions, action_kind_t kind,
+    const flight_t *flight);
+
+/* Returns the region of a zone, or "". */
+const char *gate_zone_region(const gate_t *gate, const char *zone);
+
+/* Checks key, service and region rule of a flight against the lists in force. */
+refusal_t gate_check_rules(const gate_t *gate, flight_t *flight);
+
+/* Ends a flight with a refusal: gives tokens and the order's ticket back. */
+void gate_refuse(gate_t *gate, flight_t *flight, refusal_t reason,
+    time_us_t retry_after, time_us_t now, GArray *actions);
+
+/* Frees the flight's slot. */
+void gate_close(gate_t *gate, flight_t *flight);
+
+/* Sends an admitted flight to a target, another instance or the queue. */
+void gate_dispatch(
+    gate_t *gate, flight_t *flight, time_us_t now, GArray *actions);
+
+/* Tries to charge the flight's tokens and goes on with it. */
+void gate_charge(
+    gate_t *gate, flight_t *flight, time_us_t now, GArray *actions);
+
+/* Settles the tokens of a flight; used -1 charges all that was reserved. */
+void gate_settle(
+    gate_t *gate, flight_t *flight, int64_t used, time_us_t now);
+
+/* Starts waiting flights of a service as far as targets have room. */
+void gate_pump(gate_t *gate, const char *service, time_us_t now,
+    GArray *actions);
+void gate_pump_all(gate_t *gate, time_us_t now, GArray *actions);
+
+/* Tries again the flights that wait for tokens. */
+void gate_pump_tokens(gate_t *gate, time_us_t now, GArray *actions);
+
+/* Ends flights whose key, team or service is no longer allowed. */
+void gate_recheck_flights(gate_t *gate, time_us_t now, GArray *actions);
+
+/*
+ * Chooses another instance that should serve the flight. local: a target of
+ * this zone can take it later. Returns false when it stays here.
+ */
+bool gate_spill(gate_t *gate, const flight_t *flight, bool local, time_us_t now,
+    char instance[NAME_LIMIT + 1]);
+
+/* Asks a peer for a loan for the team if its demand calls for one. */
+void gate_ask_loan(
+    gate_t *gate, const char *team, time_us_t now, GArray *actions);
+
+/* Chooses the next peer to ask for a loan; false: none can be reached. */
+bool gate_choose_lender(
+    gate_t *gate, const char *team, char lender[NAME_LIMIT + 1]);
+
+/* Gives the target table the fleet list and this instance's slots. */
+void gate_sync_route(gate_t *gate, time_us_t now);
+
+/* Periodic messages to peers. */
+void gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions);
+
+/* Returns the wait queue of a service, created on first use. */
+queue_t *gate_queue(gate_t *gate, const char *service);
+
+#endif
--- /dev/null
+++ b/core/gate_peer.c
@@ -0,0 +1,384 @@
+#include <string.h>
+
+#include "gate_internal.h"
+
+/* Heartbeats within the zone renew leases and spread acknowledgements. */
+#define HEARTBEAT_NEAR_US (1 * US_PER_S)
+#define HEARTBEAT_FAR_US (5 * US_PER_S)
+
+typedef struct {
+	gate_t *gate;
+	time_us_t now;
+} slots_context_t;
+
+static uint32_t
+target_slots(const target_t *target, void *context)
+{
+	slots_context_t *slots = context;
+
+	return membership_slots(slots->gate->membership, target, slots->now);
+}
+
+void
+gate_sync_route(gate_t *gate, time_us_t now)
+{
+	slots_context_t context = {gate, now};
+
+	route_sync(gate->route, gate->view.fleet, gate->zone, target_slots,
+	    &context, now);
+}
+
+/* Forgets peers that left the fleet list. */
+static void
+peers_prune(gate_t *gate)
+{
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, gate->peers);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		if (fleet_find_instance(gate->view.fleet, name) != NULL)
+			continue;
+		spill_forget(gate->spill, name);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void
+lists_apply(gate_t *gate, time_us_t now, GArray *actions)
+{
+	lists_view_clear(&gate->view);
+	gate->view = lists_view(gate->lists);
+	g_strlcpy(gate->region, gate_zone_region(gate, gate->zone),
+	    sizeof(gate->region));
+	allotment_adopt(gate->allotment, gate->view.fleet, gate->view.plans,
+	    gate->view.allowances, now);
+	if (gate->view.fleet != NULL) {
+		gate_sync_route(gate, now);
+		peers_prune(gate);
+	}
+	if (gate->view.fleet != NULL && gate->view.allowances != NULL) {
+		directory_destroy(gate->directory);
+		gate->directory = directory_create(
+		    gate->view.fleet, gate->view.allowances);
+	}
+	if (gate->view.plans != NULL && gate->view.allowances != NULL)
+		gate_recheck_flights(gate, now, actions);
+	/* Tells the others at once, so that they follow and acknowledge. */
+	gate->heartbeat_near_at = 0;
+	gate->heartbeat_far_at = 0;
+}
+
+lists_verdict_t
+gate_offer(gate_t *gate, list_any_t list, time_us_t now, GArray *actions)
+{
+	lists_offer_t offer = lists_offer(gate->lists, list, now);
+	bool changed = false;
+
+	for (int i = 0; i < LIST_COUNT; i++)
+		changed = changed || offer.changed[i];
+	if (changed)
+		lists_apply(gate, now, actions);
+	return offer.verdict;
+}
+
+void
+gate_list_refused(gate_t *gate, list_kind_t kind, const list_stamp_t *stamp)
+{
+	lists_refused(gate->lists, kind, stamp);
+}
+
+void
+gate_fetch_end(gate_t *gate, list_kind_t kind, bool got, time_us_t now)
+{
+	lists_fetch_end(gate->lists, kind, got, now);
+}
+
+static const list_head_t *
+list_head(const gate_t *gate, list_kind_t kind)
+{
+	switch (kind) {
+	case LIST_PLANS:
+		return gate->view.plans ? &gate->view.plans->head : NULL;
+	case LIST_ALLOWANCES:
+		return gate->view.allowances ? &gate->view.allowances->head :
+					       NULL;
+	case LIST_FLEET:
+		return gate->view.fleet ? &gate->view.fleet->head : NULL;
+	case LIST_COUNT:
+		break;
+	}
+	return NULL;
+}
+
+bool
+gate_list_text(const gate_t *gate, list_kind_t kind, uint64_t min_version,
+    uint64_t *version, char **text, size_t *len)
+{
+	const list_head_t *head = list_head(gate, kind);
+
+	if (head == NULL || head->version < min_version)
+		return false;
+	*version = head->version;
+	*text = g_memdup2(head->text, head->text_len + 1);
+	*len = head->text_len;
+	return true;
+}
+
+static void
+peer_append(GArray *peers, const char *name, const char *address)
+{
+	gate_peer_t peer;
+
+	g_strlcpy(peer.name, name, sizeof(peer.name));
+	g_strlcpy(peer.address, address, sizeof(peer.address));
+	g_array_append_val(peers, peer);
+}
+
+GArray *
+gate_peers(const gate_t *gate)
+{
+	GArray *peers = g_array_new(FALSE, FALSE, sizeof(gate_peer_t));
+	const fleet_t *fleet = gate->view.fleet;
+
+	if (fleet == NULL) {
+		for (char **seed = gate->seeds; seed != NULL && *seed; seed++)
+			peer_append(peers, *seed, *seed);
+		return peers;
+	}
+	for (size_t i = 0; i < fleet->n_instances; i++) {
+		const instance_t *instance = &fleet->instances[i];
+
+		if (strcmp(instance->name, gate->name) != 0)
+			peer_append(peers, instance->name, instance->peer);
+	}
+	return peers;
+}
+
+static bool
+peer_in_region(const gate_t *gate, const char *peer)
+{
+	const instance_t *instance = NULL;
+
+	if (gate->view.fleet != NULL)
+		instance = fleet_find_instance(gate->view.fleet, peer);
+	return instance != NULL && gate->region[0] != '\0' &&
+	    strcmp(gate_zone_region(gate, instance->zone), gate->region) == 0;
+}
+
+static void
+load_fill(gate_t *gate, heartbeat_t *out)
+{
+	const allowances_t *allowances = gate->view.allowances;
+
+	out->n_load = 0;
+	if (allowances == NULL)
+		return;
+	for (size_t i = 0; i < allowances->n_services &&
+	     out->n_load < HEARTBEAT_LOAD_LIMIT;
+	     i++) {
+		service_load_t *load = &out->load[out->n_load];
+		const char *service = allowances->services[i].name;
+		queue_t *queue = g_hash_table_lookup(gate->queues, service);
+
+		route_service_load(
+		    gate->route, service, &load->in_flight, &load->slots);
+		if (load->slots == 0)
+			continue;
+		g_strlcpy(load->service, service, sizeof(load->service));
+		load->queued = queue ? queue_length(queue) : 0;
+		out->n_load++;
+	}
+}
+
+/* Fills the fields that this module owns, in requests and replies. */
+static void
+state_fill(gate_t *gate, const char *peer, heartbeat_t *out, time_us_t now)
+{
+	out->ready = gate_is_ready(gate, now);
+	out->draining = gate->draining;
+	load_fill(gate, out);
+	/* A digest of content doesn't leave the region either. */
+	out->n_poison = peer_in_region(gate, peer) ?
+	    poison_export(
+		gate->poison, out->poison, HEARTBEAT_POISON_LIMIT, now) :
+	    0;
+}
+
+void
+gate_heartbeat_fill(
+    gate_t *gate, const char *peer, heartbeat_t *out, time_us_t now)
+{
+	memset(out, 0, sizeof(*out));
+	membership_fill(gate->membership, out, now);
+	lists_fill(gate->lists, out);
+	state_fill(gate, peer, out, now);
+}
+
+/* Takes what a peer says of itself, in a request or a reply. */
+static void
+peer_note(gate_t *gate, const char *address, const heartbeat_t *in,
+    time_us_t now, GArray *actions)
+{
+	peer_state_t *peer = g_hash_table_lookup(gate->peers, in->sender);
+	lists_wanted_t wanted = lists_wanted(gate->lists, in, now);
+
+	if (peer == NULL) {
+		peer = g_new0(peer_state_t, 1);
+		g_hash_table_insert(gate->peers, g_strdup(in->sender), peer);
+	}
+	peer->ready = in->ready;
+	peer->draining = in->draining;
+	peer->reachable = true;
+	spill_observe(gate->spill, in, now);
+	poison_merge(gate->poison, in->poison, in->n_poison, now);
+	for (int i = 0; i < LIST_COUNT; i++) {
+		gate_action_t *action;
+
+		if (!wanted.fetch[i])
+			continue;
+		action = gate_action(gate, actions, ACTION_FETCH, NULL);
+		g_strlcpy(action->u.fetch.peer, address,
+		    sizeof(action->u.fetch.peer));
+		action->u.fetch.list = (list_kind_t)i;
+		action->u.fetch.version = in->adopted[i].version;
+	}
+}
+
+void
+gate_on_heartbeat(gate_t *gate, const heartbeat_t *in, heartbeat_t *reply,
+    time_us_t now, GArray *actions)
+{
+	peer_note(gate, in->sender, in, now, actions);
+	membership_on_heartbeat(gate->membership, in, reply, now);
+	lists_fill(gate->lists, reply);
+	state_fill(gate, in->sender, reply, now);
+}
+
+void
+gate_on_reply(gate_t *gate, const char *name, const heartbeat_t *reply,
+    time_us_t now, GArray *actions)
+{
+	peer_state_t *peer;
+
+	if (reply == NULL) {
+		peer = g_hash_table_lookup(gate->peers, name);
+		if (peer != NULL)
+			peer->reachable = false;
+		spill_forget(gate->spill, name);
+		return;
+	}
+	peer_note(gate, name, reply, now, actions);
+	membership_on_reply(gate->membership, reply, now);
+}
+
+void
+gate_ask_loan(gate_t *gate, const char *team, time_us_t now, GArray *actions)
+{
+	loan_ask_t ask;
+	gate_action_t *action;
+
+	if (!allotment_wants_loan(gate->allotment, team, now, &ask))
+		return;
+	if (ask.lender[0] == '\0' &&
+	    !gate_choose_lender(gate, team, ask.lender))
+		return;
+	action = gate_action(gate, actions, ACTION_BORROW, NULL);
+	g_strlcpy(
+	    action->u.borrow.peer, ask.lender, sizeof(action->u.borrow.peer));
+	action->u.borrow.request = ask.request;
+}
+
+void
+gate_on_borrow(gate_t *gate, const loan_request_t *request, time_us_t now,
+    loan_grant_t *grant)
+{
+	memset(grant, 0, sizeof(*grant));
+	if (gate_is_ready(gate, now))
+		allotment_lend(gate->allotment, request, now, grant);
+}
+
+void
+gate_on_grant(gate_t *gate, const loan_grant_t *grant, time_us_t now,
+    GArray *actions)
+{
+	allotment_on_grant(gate->allotment, grant, now);
+	gate_pump_tokens(gate, now, actions);
+}
+
+void
+gate_on_return(gate_t *gate, const loan_return_t *message, time_us_t now)
+{
+	allotment_on_return(gate->allotment, message, now);
+}
+
+static bool
+peer_is_near(const gate_t *gate, const char *name)
+{
+	const instance_t *instance =
+	    fleet_find_instance(gate->view.fleet, name);
+
+	return instance != NULL && strcmp(instance->zone, gate->zone) == 0;
+}
+
+static void
+heartbeats_send(gate_t *gate, bool near, bool far, GArray *actions)
+{
+	g_autoptr(GArray) peers = gate_peers(gate);
+
+	for (guint i = 0; i < peers->len; i++) {
+		const gate_peer_t *peer =
+		    &g_array_index(peers, gate_peer_t, i);
+		bool is_near = gate->view.fleet == NULL ||
+		    peer_is_near(gate, peer->name);
+		gate_action_t *action;
+
+		if (is_near ? !near : !far)
+			continue;
+		action = gate_action(gate, actions, ACTION_HEARTBEAT, NULL);
+		g_strlcpy(action->u.heartbeat.peer, peer->name,
+		    sizeof(action->u.heartbeat.peer));
+	}
+}
+
+typedef struct {
+	gate_t *gate;
+	time_us_t now;
+	GArray *actions;
+} team_visit_t;
+
+/* Renews or gives back the loans of an active team. */
+static void
+team_visit(const char *team, void *data)
+{
+	team_visit_t *visit = data;
+	loan_return_t message;
+	gate_action_t *action;
+
+	gate_ask_loan(visit->gate, team, visit->now, visit->actions);
+	if (!allotment_return(visit->gate->allotment, team, NULL, visit->now,
+		&message))
+		return;
+	action = gate_action(
+	    visit->gate, visit->actions, ACTION_RETURN, NULL);
+	action->u.give_back = message;
+}
+
+void
+gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions)
+{
+	team_visit_t visit = {gate, now, actions};
+	bool near = now >= gate->heartbeat_near_at;
+	bool far = now >= gate->heartbeat_far_at;
+
+	if (near || far)
+		heartbeats_send(gate, near, far, actions);
+	if (near)
+		gate->heartbeat_near_at = now + HEARTBEAT_NEAR_US;
+	if (far)
+		gate->heartbeat_far_at = now + HEARTBEAT_FAR_US;
+	if (now >= gate->loans_at) {
+		gate->loans_at = now + LOAN_RETRY_US;
+		allotment_each(gate->allotment, team_visit, &visit);
+	}
+}
--- /dev/null
+++ b/core/gate_result.c
@@ -0,0 +1,333 @@
+#include <string.h>
+
+#include "gate_internal.h"
+
+/* Ends a flight whose answer is whole. */
+static void
+flight_done(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
+    time_us_t now, GArray *actions)
+{
+	gate_settle(gate, flight, outcome->used, now);
+	if (flight->order_begun)
+		order_complete(gate->orders, flight->order_handle,
+		    outcome->status, outcome->content_type, outcome->answer,
+		    outcome->answer_len);
+	gate_action(gate, actions, ACTION_DONE, flight);
+	gate_close(gate, flight);
+}
+
+/* Ends a flight whose request was written and whose answer is not whole. */
+static void
+flight_fail(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
+    refusal_t reason, time_us_t now, GArray *actions)
+{
+	flight->written = true;
+	gate_settle(gate, flight, outcome->used, now);
+	if (flight->order_begun) {
+		order_unknown(gate->orders, flight->order_handle);
+		flight->order_begun = false;
+	}
+	gate_refuse(gate, flight, reason, 0, now, actions);
+}
+
+/* No byte was written: another target can take the request without any risk. */
+static void
+flight_unsent(gate_t *gate, flight_t *flight, time_us_t now, GArray *actions)
+{
+	flight->unsent++;
+	if (flight->cancelled)
+		gate_refuse(
+		    gate, flight, flight->cancel_reason, 0, now, actions);
+	else if (flight->unsent >= UNSENT_LIMIT)
+		gate_refuse(
+		    gate, flight, REFUSAL_NO_TARGET, US_PER_S, now, actions);
+	else
+		gate_dispatch(gate, flight, now, actions);
+}
+
+static refusal_t
+failure_reason(flight_result_t result)
+{
+	return result == FLIGHT_TIMEOUT ? REFUSAL_TARGET_TIMEOUT :
+					  REFUSAL_TARGET_LOST;
+}
+
+/* The target was lost while it ran the request. */
+static void
+flight_lost(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
+    time_us_t now, GArray *actions)
+{
+	retry_facts_t facts = {.idempotent = flight->idempotent,
+	    .written = true,
+	    .delivered = outcome->delivered > 0,
+	    .resumable = flight->engine,
+	    .retries = flight->retries,
+	    .deadline = flight->deadline};
+	refusal_t reason = failure_reason(outcome->result);
+
+	flight->written = true;
+	if (outcome->result == FLIGHT_LOST)
+		poison_count_loss(gate->poison, flight->body.digest, now);
+	if (poison_is_refused(gate->poison, flight->body.digest, now)) {
+		flight_fail(
+		    gate, flight, outcome, REFUSAL_POISON, now, actions);
+		return;
+	}
+	if (!retry_decide(gate->retries, &facts, now)) {
+		flight_fail(gate, flight, outcome, reason, now, actions);
+		return;
+	}
+	flight->retries++;
+	gate_dispatch(gate, flight, now, actions);
+}
+
+static route_result_t
+route_result(const flight_outcome_t *outcome)
+{
+	switch (outcome->result) {
+	case FLIGHT_OK:
+		return outcome->status >= 500 ? ROUTE_FAILED : ROUTE_OK;
+	case FLIGHT_CANCELLED:
+		return ROUTE_CANCELLED;
+	case FLIGHT_UNSENT:
+	case FLIGHT_LOST:
+	case FLIGHT_TIMEOUT:
+		break;
+	}
+	return ROUTE_FAILED;
+}
+
+/* Gives the slot at the target back. */
+static void
+target_release(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
+    time_us_t now)
+{
+	if (outcome->reported_load >= 0)
+		route_report(gate->route, flight->target,
+		    (uint32_t)outcome->reported_load, now);
+	route_finish(
+	    gate->route, flight->target, route_result(outcome), now);
+	if (outcome->result != FLIGHT_OK)
+		flight->last_target = flight->target;
+	flight->target = HANDLE_NONE;
+}
+
+static void
+own_attempt_end(gate_t *gate, flight_t *flight,
+    const flight_outcome_t *outcome, time_us_t now, GArray *actions)
+{
+	target_release(gate, flight, outcome, now);
+	switch (outcome->result) {
+	case FLIGHT_OK:
+		flight_done(gate, flight, outcome, now, actions);
+		break;
+	case FLIGHT_UNSENT:
+		flight_unsent(gate, flight, now, actions);
+		break;
+	case FLIGHT_CANCELLED:
+		flight_fail(gate, flight, outcome,
+		    flight->cancelled ? flight->cancel_reason :
+					REFUSAL_CALLER_GONE,
+		    now, actions);
+		break;
+	case FLIGHT_LOST:
+	case FLIGHT_TIMEOUT:
+		if (flight->cancelled)
+			flight_fail(gate, flight, outcome,
+			    flight->cancel_reason, now, actions);
+		else
+			flight_lost(gate, flight, outcome, now, actions);
+		break;
+	}
+}
+
+/* An attempt at another instance ended; it is not tried anywhere else. */
+static void
+forward_end(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
+    time_us_t now, GArray *actions)
+{
+	switch (outcome->result) {
+	case FLIGHT_OK:
+		if (outcome->forward_not_run)
+			gate_settle(gate, flight, 0, now);
+		flight_done(gate, flight, outcome, now, actions);
+		break;
+	case FLIGHT_UNSENT:
+		gate_refuse(gate, flight,
+		    flight->cancelled ? flight->cancel_reason :
+					REFUSAL_PEER_UNREACHABLE,
+		    US_PER_S, now, actions);
+		break;
+	case FLIGHT_LOST:
+	case FLIGHT_TIMEOUT:
+	case FLIGHT_CANCELLED:
+		flight_fail(gate, flight, outcome,
+		    flight->cancelled ? flight->cancel_reason :
+					failure_reason(outcome->result),
+		    now, actions);
+		break;
+	}
+}
+
+void
+gate_result(gate_t *gate, flight_id_t id, const flight_outcome_t *outcome,
+    time_us_t now, GArray *actions)
+{
+	flight_t *flight = gate_flight(gate, id);
+	char service[NAME_LIMIT + 1];
+
+	if (flight == NULL)
+		return;
+	flight->body.wall_s = outcome->wall_s;
+	g_strlcpy(service, flight->service, sizeof(service));
+	if (flight->state == FLIGHT_FORWARDED)
+		forward_end(gate, flight, outcome, now, actions);
+	else
+		own_attempt_end(gate, flight, outcome, now, actions);
+	gate_pump(gate, service, now, actions);
+}
+
+/* Takes a flight that is not at a target out of the place where it waits. */
+static void
+flight_unwait(gate_t *gate, flight_t *flight, time_us_t now)
+{
+	flight_id_t id = gate_flight_id(gate, flight);
+
+	if (flight->state == FLIGHT_QUEUED)
+		queue_remove(gate_queue(gate, flight->service),
+		    flight->queue_handle, now);
+	if (flight->state != FLIGHT_WAIT_TOKENS)
+		return;
+	for (GList *item = gate->token_waiters.head; item != NULL;
+	     item = item->next) {
+		if (*(flight_id_t *)item->data != id)
+			continue;
+		g_free(item->data);
+		g_queue_delete_link(&gate->token_waiters, item);
+		return;
+	}
+}
+
+/* Ends a flight early, wherever it is. */
+static void
+flight_cancel(gate_t *gate, flight_t *flight, refusal_t waiting_reason,
+    refusal_t running_reason, time_us_t now, GArray *actions)
+{
+	gate_action_t *action;
+
+	switch (flight->state) {
+	case FLIGHT_FREE:
+		break;
+	case FLIGHT_OPEN:
+	case FLIGHT_WAIT_TOKENS:
+	case FLIGHT_QUEUED:
+		flight_unwait(gate, flight, now);
+		gate_refuse(gate, flight, waiting_reason, 0, now, actions);
+		break;
+	case FLIGHT_RUNNING:
+	case FLIGHT_FORWARDED:
+		if (flight->cancelled)
+			break;
+		flight->cancelled = true;
+		flight->cancel_reason = running_reason;
+		action = gate_action(gate, actions, ACTION_CANCEL, flight);
+		action->u.refuse.reason = running_reason;
+		action->u.refuse.ran = RAN_UNKNOWN;
+		break;
+	}
+}
+
+void
+gate_abort(gate_t *gate, flight_id_t id, time_us_t now, GArray *actions)
+{
+	flight_t *flight = gate_flight(gate, id);
+
+	if (flight == NULL)
+		return;
+	if (flight->order && (flight->state == FLIGHT_RUNNING ||
+				 flight->state == FLIGHT_FORWARDED))
+		return;
+	flight_cancel(gate, flight, REFUSAL_CALLER_GONE, REFUSAL_CALLER_GONE,
+	    now, actions);
+}
+
+void
+gate_recheck_flights(gate_t *gate, time_us_t now, GArray *actions)
+{
+	for (size_t i = 0; i < gate->n_flights; i++) {
+		flight_t *flight = &gate->flights[i];
+		refusal_t reason;
+
+		/* Those that are still open are checked when submitted. */
+		if (flight->state == FLIGHT_FREE)
+			continue;
+		reason = gate_check_rules(gate, flight);
+		if (reason == REFUSAL_NONE)
+			continue;
+		flight_cancel(gate, flight, reason, REFUSAL_KEY_WITHDRAWN, now,
+		    actions);
+	}
+}
+
+static queue_answer_t
+flight_can_start(queue_item_t item, void *context)
+{
+	gate_t *gate = context;
+	const flight_t *flight =
+	    gate_flight(gate, GPOINTER_TO_SIZE(item.item));
+	route_choice_t choice = route_pick(gate->route, flight->service,
+	    flight->body.prefix_hash, flight->last_target, 0, gate->pump_now);
+
+	/* All wait for the same targets, so nobody else can start either. */
+	return choice.verdict == ROUTE_PICKED ? QUEUE_START : QUEUE_STOP;
+}
+
+static void
+queue_expire_all(
+    gate_t *gate, queue_t *queue, time_us_t now, GArray *actions)
+{
+	queue_item_t item;
+
+	while (queue_expire(queue, now, &item)) {
+		flight_t *flight =
+		    gate_flight(gate, GPOINTER_TO_SIZE(item.item));
+
+		gate_refuse(gate, flight, REFUSAL_DEADLINE,
+		    queue_retry_after(queue, now), now, actions);
+	}
+}
+
+static void
+queue_pump(gate_t *gate, queue_t *queue, time_us_t now, GArray *actions)
+{
+	queue_item_t item;
+
+	queue_expire_all(gate, queue, now, actions);
+	gate->pump_now = now;
+	while (queue_pop(queue, flight_can_start, gate, now, &item)) {
+		flight_t *flight =
+		    gate_flight(gate, GPOINTER_TO_SIZE(item.item));
+
+		gate_dispatch(gate, flight, now, actions);
+	}
+}
+
+void
+gate_pump(gate_t *gate, const char *service, time_us_t now, GArray *actions)
+{
+	queue_t *queue = g_hash_table_lookup(gate->queues, service);
+
+	if (queue != NULL)
+		queue_pump(gate, queue, now, actions);
+}
+
+void
+gate_pump_all(gate_t *gate, time_us_t now, GArray *actions)
+{
+	GHashTableIter iter;
+	gpointer queue;
+
+	g_hash_table_iter_init(&iter, gate->queues);
+	while (g_hash_table_iter_next(&iter, NULL, &queue))
+		queue_pump(gate, queue, now, actions);
+}
--- /dev/null
+++ b/cyclamensail/body.c
@@ -0,0 +1,88 @@
+#include <jansson.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/error.h"
+#include "internal.h"
+
+/* Tokens reserved for an answer whose request names no limit. */
+#define DEFAULT_MAX_TOKENS 256
+
+/* Prompt bytes that decide which target's prefix cache is likely to hit. */
+#define PREFIX_BYTES ((size_t)256)
+
+/* Usual ratio of bytes to tokens in prompts of European languages. */
+#define BYTES_PER_TOKEN 4
+
+static bool
+object_read(json_t *object, body_facts_t *facts, GError **error)
+{
+	json_t *limit = json_object_get(object, "max_tokens");
+	json_t *prompt = json_object_get(object, "prompt");
+	const char *text = json_string_value(prompt);
+	json_int_t max_tokens = DEFAULT_MAX_TOKENS;
+
+	if (!json_is_object(object)) {
+		g_set_error(error, CS_ERROR, CS_ERROR_INVALID,
+		    "the body is no JSON object; send {\"prompt\": ...}");
+		return false;
+	}
+	if (limit != NULL) {
+		max_tokens = json_integer_value(limit);
+		if (!json_is_integer(limit) || max_tokens < 1 ||
+		    max_tokens > 1000000) {
+			g_set_error(error, CS_ERROR, CS_ERROR_INVALID,
+			    "max_tokens must be a whole number from 1 to "
+			    "1000000");
+			return false;
+		}
+	} else {
+		json_object_set_new(
+		    object, "max_tokens", json_integer(max_tokens));
+		facts->adjusted = json_dumps(object, JSON_COMPACT);
+	}
+	facts->cost = facts->prompt_tokens + max_tokens;
+	facts->stream = json_is_true(json_object_get(object, "stream"));
+	if (text != NULL)
+		facts->prefix_hash =
+		    XXH3_64bits(text, MIN(strlen(text), PREFIX_BYTES));
+	return true;
+}
+
+bool
+body_read(const char *body, size_t len, bool engine, body_facts_t *facts,
+    GError **error)
+{
+	json_error_t problem;
+	json_t *object;
+	bool ok;
+
+	memset(facts, 0, sizeof(*facts));
+	facts->cost = 1;
+	facts->prefix_hash = XXH3_64bits(body, MIN(len, PREFIX_BYTES));
+	if (!engine)
+		return true;
+	facts->prompt_tokens = (int64_t)(len / BYTES_PER_TOKEN) + 1;
+	object = json_loadb(body, len, JSON_REJECT_DUPLICATES, &problem);
+	if (object == NULL) {
+		g_set_error(error, CS_ERROR, CS_ERROR_SYNTAX,
+		    "the body is no valid JSON: line %d: %s", problem.line,
+		    problem.text);
+		return false;
+	}
+	ok = object_read(object, facts, error);
+	json_decref(object);
+	return ok;
+}
+
+char *
+body_resume(const char *body, size_t len, int64_t from)
+{
+	json_t *object = json_loadb(body, len, 0, NULL);
+	char *text;
+
+	json_object_set_new(object, "resume_from", json_integer(from));
+	text = json_dumps(object, JSON_COMPACT);
+	json_decref(object);
+	return text;
+}
--- a/cyclamensail/daemon.c
+++ b/cyclamensail/daemon.c
@@ -221,6 +221,11 @@
 static bool
 parts_start(daemon_t *daemon, GError **error)
 {
+	platform_options_t reading = {
+	    .bases = (const char *const *)daemon->settings->platform,
+	    .on_value = on_value,
+	    .user = daemon};
+
 	daemon->transfers =
 	    transfer_engine_create(2 * daemon->settings->connection_limit);
 	daemon->peers = peers_create(daemon, error);
@@ -233,9 +238,7 @@
 		return false;
 	}
 	daemon->timer_started = true;
-	daemon->reader = platform_reader_create(
-	    (const char *const *)daemon->settings->platform, on_value, daemon,
-	    error);
+	daemon->reader = platform_reader_create(&reading, error);
 	return daemon->reader != NULL;
 }
 
--- /dev/null
+++ b/cyclamensail/internal.h
@@ -0,0 +1,109 @@
+#ifndef CYCLAMENSAIL_INTERNAL_H
+#define CYCLAMENSAIL_INTERNAL_H
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+
+#include "config/settings.h"
+#include "core/gate.h"
+#include "core/order.h"
+#include "edge/server.h"
+#include "platform/reader.h"
+#include "target/transfer.h"
+
+/* Parts of the daemon and the threads that connect them. */
+typedef struct peers peers_t;
+
+typedef struct {
+	const settings_t *settings;
+	incarnation_t incarnation;
+	uint8_t secrets[2][32];
+	size_t n_secrets;
+	uint8_t digest_key[32]; /* of body digests, the same in the fleet */
+
+	pthread_mutex_t gate_lock;
+	gate_t *gate;
+
+	edge_server_t *edge;
+	edge_server_t *admin; /* operators' pages, or NULL */
+	transfer_engine_t *transfers;
+	peers_t *peers;
+	platform_reader_t *reader;
+
+	pthread_t timer;
+	bool timer_started;
+	uint32_t timer_stopping;
+} daemon_t;
+
+/* What the body of a request says about it. */
+typedef struct {
+	int64_t cost;
+	int64_t prompt_tokens;
+	uint64_t prefix_hash;
+	bool stream;
+	char *adjusted; /* body with a default max_tokens, or NULL; freed by caller */
+} body_facts_t;
+
+/*
+ * Reads the facts of a body. engine: the body must be a JSON object. Returns
+ * false and sets error (CS_ERROR) when it is malformed.
+ */
+bool body_read(const char *body, size_t len, bool engine, body_facts_t *facts,
+    GError **error);
+
+/* Returns body with "resume_from" set, newly allocated. */
+char *body_resume(const char *body, size_t len, int64_t from);
+
+/* What an error answer says. detail may be NULL. */
+typedef struct {
+	refusal_t reason;
+	ran_t ran;
+	time_us_t retry_after; /* 0: none */
+	const char *team;      /* NULL: not known */
+	const char *detail;
+	const char *request_id;
+} answer_error_t;
+
+void answer_refuse(
+    daemon_t *daemon, exchange_t *exchange, const answer_error_t *error);
+
+/* JSON text of an error, freed with free(3). ticket may be NULL. */
+char *answer_error_text(const answer_error_t *error,
+    const gate_place_t *places, size_t n_places, const char *ticket);
+
+/* Adds the headers that each answer carries. */
+void answer_add_headers(
+    daemon_t *daemon, exchange_t *exchange, const char *request_id);
+
+/*
+ * Serves a page of the instance itself. Operators' pages are served only at the
+ * admin address, which callers can't reach.
+ */
+void pages_serve(daemon_t *daemon, exchange_t *exchange, bool admin);
+
+/* Request relays; see relay.c. */
+void relay_on_head(exchange_t *exchange, void *user);
+void relay_on_request(exchange_t *exchange, void *user);
+void relay_on_body_refused(exchange_t *exchange, bool memory, void *user);
+void relay_on_drained(exchange_t *exchange, void *user);
+void relay_on_closed(exchange_t *exchange, bool whole, void *user);
+
+/* Carries out an action about a flight. */
+void relay_act(daemon_t *daemon, const gate_action_t *action);
+
+/*
+ * Carries out actions and frees them. Call without gate_lock held: actions may
+ * call back into the gate.
+ */
+void daemon_act(daemon_t *daemon, GArray *actions);
+
+GArray *daemon_actions_create(void);
+
+/* SHA-256 of a key, as the plans list holds it. */
+void key_hash_compute(const char *key, uint8_t hash[KEY_HASH_BYTES]);
+
+/* Returns the bearer key of a request, or NULL. */
+const char *key_of_exchange(const exchange_t *exchange);
+
+#endif
--- a/cyclamensail/peers.c
+++ b/cyclamensail/peers.c
@@ -119,6 +119,24 @@
 	counter_count("loans", "side", "taken_back");
 }
 
+static bool
+keys_init(peers_t *peers, GError **error)
+{
+	const daemon_t *daemon = peers->daemon;
+	char hex[ENVELOPE_SECRET_LIMIT][65];
+	const char *secrets[ENVELOPE_SECRET_LIMIT + 1] = {NULL};
+	bool ok;
+
+	for (size_t i = 0; i < daemon->n_secrets; i++) {
+		sodium_bin2hex(hex[i], sizeof(hex[i]), daemon->secrets[i],
+		    sizeof(daemon->secrets[i]));
+		secrets[i] = hex[i];
+	}
+	ok = envelope_keys_init(&peers->keys, secrets, error);
+	sodium_memzero(hex, sizeof(hex));
+	return ok;
+}
+
 peers_t *
 peers_create(daemon_t *daemon, GError **error)
 {
@@ -133,7 +151,10 @@
 	pthread_mutex_init(&peers->lock, NULL);
 	peers->links = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, link_destroy);
-	envelope_keys_set(&peers->keys, daemon->secrets, daemon->n_secrets);
+	if (!keys_init(peers, error)) {
+		peers_destroy(peers);
+		return NULL;
+	}
 	peers->server = peer_server_create(daemon->settings->peer,
 	    &peers->self, &peers->keys, &handlers, error);
 	if (peers->server != NULL)
--- /dev/null
+++ b/cyclamensail/sse.c
@@ -0,0 +1,107 @@
+#include "sse.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* An event that is longer is passed on in pieces instead of being held. */
+#define SSE_EVENT_LIMIT_BYTES ((size_t)32 * 1024)
+
+#define DONE_EVENT "data: [DONE]"
+
+void
+sse_reset(sse_t *sse, bool active)
+{
+	sse->active = active;
+	sse->tokens = 0;
+	if (sse->pending == NULL)
+		sse->pending = g_string_new(NULL);
+	g_string_truncate(sse->pending, 0);
+}
+
+void
+sse_clear(sse_t *sse)
+{
+	if (sse->pending != NULL)
+		g_string_free(sse->pending, TRUE);
+	sse->pending = NULL;
+}
+
+/* Returns the end of the first event in [at, end), or NULL. */
+static const char *
+event_end(const char *at, const char *end)
+{
+	for (; at + 1 < end; at++) {
+		if (at[0] != '\n')
+			continue;
+		if (at[1] == '\n')
+			return at + 2;
+		if (at + 2 < end && at[1] == '\r' && at[2] == '\n')
+			return at + 3;
+	}
+	return NULL;
+}
+
+size_t
+sse_append(sse_t *sse, const char *data, size_t len)
+{
+	const char *start;
+	const char *end;
+	const char *whole;
+
+	g_string_append_len(sse->pending, data, (gssize)len);
+	start = sse->pending->str;
+	end = start + sse->pending->len;
+	whole = start;
+	for (const char *next = start; next != NULL;) {
+		whole = next;
+		next = event_end(whole, end);
+	}
+	if (whole == start && sse->pending->len > SSE_EVENT_LIMIT_BYTES)
+		return sse->pending->len;
+	return (size_t)(whole - start);
+}
+
+void
+sse_undo(sse_t *sse, size_t len)
+{
+	g_string_truncate(sse->pending, sse->pending->len - len);
+}
+
+void
+sse_consume(sse_t *sse, size_t len)
+{
+	const char *at = sse->pending->str;
+	const char *end = at + len;
+
+	while (at < end) {
+		const char *next = event_end(at, end);
+
+		if (next == NULL)
+			break;
+		if (strncmp(at, DONE_EVENT, strlen(DONE_EVENT)) != 0)
+			sse->tokens++;
+		at = next;
+	}
+	g_string_erase(sse->pending, 0, (gssize)len);
+}
+
+void
+sse_drop_partial(sse_t *sse)
+{
+	if (sse->pending != NULL)
+		g_string_truncate(sse->pending, 0);
+}
+
+int64_t
+answer_tokens(const char *text, size_t len, int64_t prompt_tokens)
+{
+	json_t *answer = json_loadb(text, len, 0, NULL);
+	json_t *output = json_object_get(
+	    json_object_get(answer, "usage"), "output_tokens");
+	int64_t tokens = -1;
+
+	if (json_is_integer(output))
+		tokens = prompt_tokens + json_integer_value(output);
+	json_decref(answer);
+	return tokens;
+}
--- a/edge/exchange.c
+++ b/edge/exchange.c
@@ -82,6 +82,32 @@
 	    exchange->connection, MHD_GET_ARGUMENT_KIND, name);
 }
 
+static enum MHD_Result
+query_append(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	GString *text = cls;
+
+	if (text->len > 0)
+		g_string_append_c(text, '&');
+	g_string_append_uri_escaped(text, name, NULL, FALSE);
+	if (value != NULL) {
+		g_string_append_c(text, '=');
+		g_string_append_uri_escaped(text, value, NULL, FALSE);
+	}
+	return MHD_YES;
+}
+
+char *
+exchange_query_text(const exchange_t *exchange)
+{
+	GString *text = g_string_new(NULL);
+
+	MHD_get_connection_values(
+	    exchange->connection, MHD_GET_ARGUMENT_KIND, query_append, text);
+	return g_string_free(text, text->len == 0);
+}
+
 void
 exchange_set_data(exchange_t *exchange, void *data)
 {
--- a/include/config/settings.h
+++ b/include/config/settings.h
@@ -14,6 +14,7 @@
 	char *zone;
 	char *http;	 /* address:port towards callers */
 	char *peer;	 /* address:port for ONC RPC */
+	char *admin;	 /* address:port of the operators' pages, or NULL */
 	char **platform; /* NULL-terminated base URLs, at least one */
 	char **seeds;	 /* NULL-terminated peer address:port, may be empty */
 	/* The first one signs, each of them is accepted. */
--- a/include/core/gate.h
+++ b/include/core/gate.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 
 #include "core/heartbeat.h"
+#include "core/lists.h"
+#include "core/loan.h"
 #include "core/refusal.h"
 #include "core/snapshot.h"
 
@@ -25,11 +27,13 @@
 	const char *instance;
 	const char *zone;
 	incarnation_t incarnation;
-	const uint8_t (*secrets)[32]; /* fleet secrets; the first signs */
-	size_t n_secrets;
+	const char *const *seeds; /* peer addresses until a fleet list is known */
+	const uint8_t *ticket_key; /* ORDER_MAC_KEY_BYTES, new at each start */
 	uint64_t seed;
 	unsigned int queue_limit;
 	time_us_t now;
+	lists_fits_t pair_fits; /* whether two lists belong together */
+	void *pair_data;
 } gate_options_t;
 
 /* What is known once the head of a request was read. */
@@ -50,7 +54,7 @@
 	uint64_t prefix_hash;
 	uint8_t digest[DIGEST_BYTES];
 	const char *ticket; /* NULL: none */
-	int64_t wall_s;
+	int64_t wall_s; /* wall clock, for the ticket's expiry */
 } gate_body_t;
 
 typedef enum {
@@ -72,6 +76,7 @@
 	const char *answer; /* of an order, to be sent again on a repeat */
 	size_t answer_len;
 	bool forward_not_run; /* another instance said that it did not run */
+	int64_t wall_s;
 } flight_outcome_t;
 
 typedef enum {
@@ -80,7 +85,7 @@
 	ACTION_FORWARD,	 /* pass on to another instance */
 	ACTION_REPLAY,	 /* answer with a remembered answer; flight is over */
 	ACTION_DONE,	 /* the answer was whole; the flight is over */
-	ACTION_CANCEL,	 /* end the running answer with an error; over */
+	ACTION_CANCEL,	 /* end the answer with an error; gate_result() follows */
 	ACTION_BORROW,	 /* ask a peer for a loan */
 	ACTION_RETURN,	 /* give a loan back */
 	ACTION_FETCH,	 /* ask a peer for a newer list */
@@ -95,6 +100,7 @@
 		struct {
 			refusal_t reason;
 			time_us_t retry_after; /* 0: none */
+			ran_t ran;
 		} refuse;		       /* also of ACTION_CANCEL */
 		struct {
 			char url[URL_LIMIT]; /* of the target, without path */
@@ -113,17 +119,9 @@
 		} replay;
 		struct {
 			char peer[NAME_LIMIT + 1];
-			char team[NAME_LIMIT + 1];
-			share_t share;
-			int64_t tokens;
-			uint64_t request_id;
+			loan_request_t request;
 		} borrow;
-		struct {
-			char peer[NAME_LIMIT + 1];
-			char team[NAME_LIMIT + 1];
-			uint64_t loan_id;
-			share_t share;
-		} give_back;
+		loan_return_t give_back; /* lender names the peer */
 		struct {
 			char peer[NAME_LIMIT + 1];
 			list_kind_t list;
@@ -167,13 +165,108 @@
 
 /*
  * The caller is gone, or its request was malformed. A flight without a running
- * attempt ends silently; a running one is cancelled by ACTION_CANCEL unless it
- * is an order, which runs to its end so that a repeat learns its outcome.
+ * attempt ends with ACTION_REFUSE; a running one is cancelled by ACTION_CANCEL,
+ * unless it is an order, which runs to its end so that a repeat learns its
+ * outcome. No effect on a flight that is over.
  */
 void gate_abort(
     gate_t *gate, flight_id_t flight, time_us_t now, GArray *actions);
 
+/* A place where a caller can send its requests. */
+typedef struct {
+	char name[NAME_LIMIT + 1];
+	char zone[NAME_LIMIT + 1];
+	char region[NAME_LIMIT + 1];
+	char http[NAME_LIMIT + 1];
+} gate_place_t;
+
+/*
+ * Fills places with the instances that a team should use, best first, and
+ * returns how many. region is where the caller is (NULL: not known); team is
+ * NULL for an unknown caller.
+ */
+size_t gate_directory(gate_t *gate, const char *team, const char *region,
+    time_us_t now, gate_place_t *places, size_t limit);
+
+/* Versions of the lists in force, 0 for none. */
+void gate_versions(const gate_t *gate, uint64_t versions[LIST_COUNT]);
+
+/* Team that a key belongs to; false when the key is not known. */
+bool gate_find_key(const gate_t *gate, const uint8_t key_hash[KEY_HASH_BYTES],
+    char team[NAME_LIMIT + 1], char key_id[NAME_LIMIT + 1]);
+
+/* Writes a new ticket for the team. Returns false while tickets can't be kept. */
+#define TICKET_LIMIT 320
+bool gate_ticket(
+    gate_t *gate, const char *team, int64_t wall_s, char out[TICKET_LIMIT]);
+
+/*
+ * What can be said about the execution of an order that is refused for reason:
+ * an earlier copy of it may have run, also where this copy did not.
+ */
+ran_t gate_ran(gate_t *gate, refusal_t reason, const char *team,
+    const char *ticket, int64_t wall_s);
+
+/* Explains in lines of text what a request of the team would meet now. */
+void gate_explain(gate_t *gate, const char *team, const char *service,
+    time_us_t now, GString *text);
+
+bool gate_is_ready(gate_t *gate, time_us_t now);
+bool gate_is_draining(const gate_t *gate);
+void gate_drain(gate_t *gate);
+
+/* Flights in progress. */
+size_t gate_flights(const gate_t *gate);
+
 /* Timers: queue, waits for tokens, loans, heartbeats. Call every 50 ms. */
-void gate_tick(gate_t *gate, time_us_t now, GArray *actions);
+void gate_tick(
+    gate_t *gate, time_us_t now, int64_t wall_s, GArray *actions);
+
+/* Offers a list that was parsed and checked; see lists_offer(). */
+lists_verdict_t gate_offer(
+    gate_t *gate, list_any_t list, time_us_t now, GArray *actions);
+
+/* The text with this stamp can't be used. */
+void gate_list_refused(
+    gate_t *gate, list_kind_t kind, const list_stamp_t *stamp);
+
+/* Ends an ACTION_FETCH. got: the text came, and was offered or refused. */
+void gate_fetch_end(gate_t *gate, list_kind_t kind, bool got, time_us_t now);
+
+/*
+ * Copies the list in force if its version is at least min_version. The caller
+ * frees *text.
+ */
+bool gate_list_text(const gate_t *gate, list_kind_t kind, uint64_t min_version,
+    uint64_t *version, char **text, size_t *len);
+
+/* An instance to hold a connection to. Without a fleet list, name is address. */
+typedef struct {
+	char name[NAME_LIMIT + 1];
+	char address[NAME_LIMIT + 1];
+} gate_peer_t;
+
+/* Returns the peers as a new array of gate_peer_t. */
+GArray *gate_peers(const gate_t *gate);
+
+/* Fills a heartbeat to a peer. */
+void gate_heartbeat_fill(
+    gate_t *gate, const char *peer, heartbeat_t *out, time_us_t now);
+
+/* Takes a peer's heartbeat and fills the reply. */
+void gate_on_heartbeat(gate_t *gate, const heartbeat_t *in, heartbeat_t *reply,
+    time_us_t now, GArray *actions);
+
+/* Takes the reply of a peer, or its failure (NULL). */
+void gate_on_reply(gate_t *gate, const char *peer, const heartbeat_t *reply,
+    time_us_t now, GArray *actions);
+
+/* Answers a BORROW, the answer to one, and a RETURN. */
+void gate_on_borrow(gate_t *gate, const loan_request_t *request, time_us_t now,
+    loan_grant_t *grant);
+void gate_on_grant(gate_t *gate, const loan_grant_t *grant, time_us_t now,
+    GArray *actions);
+void gate_on_return(
+    gate_t *gate, const loan_return_t *message, time_us_t now);
 
 #endif
--- a/include/edge/exchange.h
+++ b/include/edge/exchange.h
@@ -51,6 +51,12 @@
 const char *exchange_header(const exchange_t *exchange, const char *name);
 const char *exchange_query(const exchange_t *exchange, const char *name);
 
+/*
+ * Returns the query arguments, escaped, as "a=1&b=2", or NULL when there are
+ * none. The caller frees it.
+ */
+char *exchange_query_text(const exchange_t *exchange);
+
 /* Attaches data to the exchange; it is not freed by it. */
 void exchange_set_data(exchange_t *exchange, void *data);
 void *exchange_data(const exchange_t *exchange);
--- /dev/null
+++ b/tests/cluster.h
@@ -0,0 +1,143 @@
+#ifndef TESTS_CLUSTER_H
+#define TESTS_CLUSTER_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <sys/types.h>
+
+/*
+ * Separate processes on loopback for the process tests: a stand-in platform,
+ * stand-in targets and entry instances in two zones of two regions. Every
+ * helper waits on a condition with a generous limit and fails the test when it
+ * does not come true.
+ *
+ *     zone stred-1 (region stred): instances s1 s2, engines w1 w2, service r1
+ *     zone zapad-1 (region zapad): instances z1 z2, engine w3, service r2
+ */
+
+#define WAIT_LIMIT_MS 20000
+
+typedef enum {
+	NODE_S1,
+	NODE_S2,
+	NODE_Z1,
+	NODE_Z2,
+	NODE_W1,
+	NODE_W2,
+	NODE_W3,
+	NODE_R1,
+	NODE_R2,
+	NODE_PLATFORM,
+	NODE_COUNT
+} node_t;
+
+#define NODE_INSTANCES 4 /* the first nodes are entry instances */
+
+typedef struct {
+	char *folder;
+	pid_t pids[NODE_COUNT];
+	int ports[NODE_COUNT];
+	int peer_ports[NODE_INSTANCES];
+	int admin_ports[NODE_INSTANCES];
+	int engine_slots;
+	int token_ms;
+	uint64_t versions[3]; /* of the lists as last written */
+	bool leaving[NODE_COUNT];
+	bool absent[NODE_COUNT];
+	GString *extra_team; /* YAML of further teams */
+	bool desk_key_withdrawn;
+	int small_rate;
+	int small_burst;
+} cluster_t;
+
+/* An answer; text has a NUL byte after its len bytes. */
+typedef struct {
+	long status; /* 0: no whole answer */
+	GString *body;
+	GString *headers;
+	double seconds;
+	bool whole;
+	gint64 last_byte_at; /* monotonic microseconds */
+} answer_t;
+
+extern const char *const node_names[NODE_COUNT];
+
+/* Starts everything and waits until all instances are ready. */
+cluster_t *cluster_create(void);
+
+/* The same without starting any process: nodes are started one by one. */
+cluster_t *cluster_prepare(void);
+
+/* Ends all processes and removes the folder. */
+void cluster_destroy(cluster_t *cluster);
+
+void node_start(cluster_t *cluster, node_t node);
+void node_signal(cluster_t *cluster, node_t node, int signal_number);
+
+/* Waits for the process to end and returns its wait status. */
+int node_wait(cluster_t *cluster, node_t node);
+void node_wait_ready(cluster_t *cluster, node_t node);
+
+/* Publishes the lists again with versions one higher than before. */
+void cluster_publish_plans(cluster_t *cluster);
+void cluster_publish_allowances(cluster_t *cluster);
+void cluster_publish_fleet(cluster_t *cluster);
+
+/* URL of a path at a node, in a buffer that the next calls reuse. */
+const char *node_url(const cluster_t *cluster, node_t node, const char *format,
+    ...) G_GNUC_PRINTF(3, 4);
+
+/* Sends a request. key and ticket may be NULL; body NULL means GET. */
+answer_t *http_call(
+    const char *url, const char *key, const char *ticket, const char *body);
+void answer_free(answer_t *answer);
+
+/* The same in a thread of its own; http_join() returns the answer. */
+typedef struct http_task http_task_t;
+http_task_t *http_start(
+    const char *url, const char *key, const char *ticket, const char *body);
+answer_t *http_join(http_task_t *task);
+
+/* Bytes of the body that have arrived so far. */
+size_t http_task_bytes(http_task_t *task);
+
+/* Reads at most this many bytes a second (0: as fast as they come). */
+http_task_t *http_start_slow(
+    const char *url, const char *key, const char *body, long bytes_per_s);
+
+/* What a stand-in target has recorded. The caller calls json_decref(). */
+json_t *target_record(cluster_t *cluster, node_t node);
+json_int_t target_count(cluster_t *cluster, node_t node, const char *name);
+
+/* Sets a behaviour of a stand-in target or the platform, such as "mode=down".
+ */
+void node_control(cluster_t *cluster, node_t node, const char *setting);
+
+/* Value of a counter of an instance, or -1. */
+long long instance_counter(cluster_t *cluster, node_t node, const char *id);
+
+/* "code" member of a JSON error, or "". Valid until the next call. */
+const char *error_code(const answer_t *answer);
+const char *error_ran(const answer_t *answer);
+
+/* Takes a ticket for team tag-desk. The caller frees it. */
+char *ticket_take(cluster_t *cluster, node_t node);
+
+/* Repeats until condition holds, at most WAIT_LIMIT_MS. */
+#define WAIT_UNTIL(condition)                                          \
+	do {                                                           \
+		gint64 limit_ =                                        \
+		    g_get_monotonic_time() + WAIT_LIMIT_MS * 1000LL;   \
+		while (!(condition)) {                                 \
+			ck_assert_msg(g_get_monotonic_time() < limit_, \
+			    "timed out waiting for %s", #condition);   \
+			g_usleep(10000);                               \
+		}                                                      \
+	} while (0)
+
+#define DESK_KEY "demo-desk-key"
+#define PARISH_KEY "demo-parish-key"
+#define GUEST_KEY "demo-guest-key"
+
+#endif
--- /dev/null
+++ b/tests/process_path.c
@@ -0,0 +1,289 @@
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "cluster.h"
+#include "test.h"
+
+#define GENERATE "/v1/services/epitaph-writer/generate"
+#define ORDERS "/v1/services/tag-registry/orders"
+#define STREAM_30 "{\"prompt\":\"an epitaph\",\"max_tokens\":30,\"stream\":true}"
+#define STREAM_LONG \
+	"{\"prompt\":\"a log\",\"max_tokens\":100000,\"stream\":true}"
+
+static cluster_t *cluster;
+
+static size_t
+occurrences(const char *text, const char *word)
+{
+	size_t n = 0;
+
+	for (text = strstr(text, word); text != NULL;
+	     text = strstr(text + 1, word))
+		n++;
+	return n;
+}
+
+/* Guards against a path that loses, doubles or reorders tokens. */
+START_TEST(streamed_answer_is_whole)
+{
+	answer_t *answer = http_call(
+	    node_url(cluster, NODE_S1, GENERATE), PARISH_KEY, NULL, STREAM_30);
+
+	ck_assert_int_eq(answer->status, 200);
+	ck_assert(answer->whole);
+	ck_assert_uint_eq(occurrences(answer->body->str, "\"index\""), 30);
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"index\":29"));
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "data: [DONE]"));
+	answer_free(answer);
+}
+END_TEST
+
+START_TEST(whole_json_answer_arrives)
+{
+	answer_t *answer = http_call(node_url(cluster, NODE_Z2, GENERATE),
+	    DESK_KEY, NULL, "{\"prompt\":\"x\",\"max_tokens\":5}");
+
+	ck_assert_int_eq(answer->status, 200);
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"output_tokens\":5"));
+	answer_free(answer);
+}
+END_TEST
+
+/* Guards against work of a team with a home that starts in another region. */
+START_TEST(home_region_is_kept)
+{
+	json_int_t before = target_count(cluster, NODE_W3, "requests");
+	answer_t *answer = http_call(
+	    node_url(cluster, NODE_Z1, GENERATE), PARISH_KEY, NULL, STREAM_30);
+
+	ck_assert_int_eq(answer->status, 421);
+	ck_assert_str_eq(error_code(answer), "wrong_region");
+	ck_assert_str_eq(error_ran(answer), "not_run");
+	ck_assert_int_eq(target_count(cluster, NODE_W3, "requests"), before);
+	answer_free(answer);
+}
+END_TEST
+
+START_TEST(directory_names_home_instances_only)
+{
+	answer_t *answer = http_call(node_url(cluster, NODE_Z1, "/v1/directory"),
+	    PARISH_KEY, NULL, NULL);
+
+	ck_assert_int_eq(answer->status, 200);
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"stred\""));
+	ck_assert_ptr_null(strstr(answer->body->str, "\"zapad\""));
+	answer_free(answer);
+}
+END_TEST
+
+/*
+ * Guards against an order that runs twice when its caller repeats it at other
+ * instances, and against an answer that differs.
+ */
+START_TEST(order_runs_once)
+{
+	json_int_t before = target_count(cluster, NODE_R1, "orders") +
+	    target_count(cluster, NODE_R2, "orders");
+	g_autofree char *ticket = ticket_take(cluster, NODE_S1);
+	g_autofree char *first = NULL;
+
+	for (int node = NODE_S1; node <= NODE_Z2; node++) {
+		answer_t *answer =
+		    http_call(node_url(cluster, (node_t)node, ORDERS), DESK_KEY,
+			ticket, "tag=oak-3");
+
+		ck_assert_int_eq(answer->status, 201);
+		if (first == NULL)
+			first = g_strdup(answer->body->str);
+		ck_assert_str_eq(answer->body->str, first);
+		answer_free(answer);
+	}
+	ck_assert_int_eq(target_count(cluster, NODE_R1, "orders") +
+		target_count(cluster, NODE_R2, "orders"),
+	    before + 1);
+}
+END_TEST
+
+START_TEST(order_without_ticket_is_not_run)
+{
+	answer_t *answer = http_call(
+	    node_url(cluster, NODE_S2, ORDERS), DESK_KEY, NULL, "tag=oak-4");
+
+	ck_assert_int_eq(answer->status, 428);
+	ck_assert_str_eq(error_ran(answer), "not_run");
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"ticket\":\"t1."));
+	answer_free(answer);
+}
+END_TEST
+
+/*
+ * Guards against a second send of an order by libcurl when the target closes
+ * the connection after it has read the request.
+ */
+START_TEST(order_is_sent_once_when_target_closes)
+{
+	g_autofree char *ticket = NULL;
+	json_int_t before;
+	answer_t *answer;
+
+	node_control(cluster, NODE_R1, "close_orders=1");
+	node_control(cluster, NODE_R2, "close_orders=1");
+	for (int i = 0; i < 5; i++) {
+		g_free(ticket);
+		ticket = ticket_take(cluster, NODE_S1);
+		before = target_count(cluster, NODE_R1, "orders") +
+		    target_count(cluster, NODE_R2, "orders");
+		answer = http_call(node_url(cluster, NODE_S1, ORDERS), DESK_KEY,
+		    ticket, "tag=closed");
+		ck_assert_int_eq(answer->status, 502);
+		ck_assert_str_eq(error_ran(answer), "unknown");
+		answer_free(answer);
+		answer = http_call(node_url(cluster, NODE_Z1, ORDERS), DESK_KEY,
+		    ticket, "tag=closed");
+		ck_assert_str_eq(error_ran(answer), "unknown");
+		answer_free(answer);
+		ck_assert_int_eq(target_count(cluster, NODE_R1, "orders") +
+			target_count(cluster, NODE_R2, "orders"),
+		    before + 1);
+	}
+	node_control(cluster, NODE_R1, "close_orders=0");
+	node_control(cluster, NODE_R2, "close_orders=0");
+}
+END_TEST
+
+/* Guards against a key that reaches a target in any header or the query. */
+START_TEST(targets_never_see_keys)
+{
+	for (int node = NODE_W1; node <= NODE_R2; node++) {
+		json_t *record = target_record(cluster, (node_t)node);
+		const char *headers =
+		    json_string_value(json_object_get(record, "headers"));
+
+		ck_assert_ptr_null(strstr(headers, "demo-"));
+		ck_assert_ptr_null(strcasestr(headers, "authorization"));
+		ck_assert_ptr_null(strcasestr(headers, "cookie"));
+		json_decref(record);
+	}
+}
+END_TEST
+
+START_TEST(key_in_query_is_refused)
+{
+	answer_t *answer =
+	    http_call(node_url(cluster, NODE_S1, GENERATE "?api_key=x"),
+		DESK_KEY, NULL, STREAM_30);
+
+	ck_assert_int_eq(answer->status, 400);
+	ck_assert_str_eq(error_code(answer), "key_in_query");
+	answer_free(answer);
+}
+END_TEST
+
+/* Guards against bad input that runs, leaks or harms the next request. */
+START_TEST(bad_input_gets_clear_errors)
+{
+	static const struct {
+		const char *path;
+		const char *key;
+		const char *body;
+		int status;
+	} rows[] = {
+	    {GENERATE, DESK_KEY, "{\"prompt\":", 400},
+	    {GENERATE, DESK_KEY, "{\"prompt\":1,\"prompt\":2}", 400},
+	    {GENERATE, DESK_KEY, "[]", 400},
+	    {GENERATE, DESK_KEY, "{\"prompt\":\"x\",\"max_tokens\":-1}", 400},
+	    {GENERATE, NULL, STREAM_30, 401},
+	    {GENERATE, "no-such-key", STREAM_30, 401},
+	    {"/v1/services/nothing/x", DESK_KEY, STREAM_30, 404},
+	    {ORDERS, PARISH_KEY, "x", 403},
+	    {"/nowhere", DESK_KEY, NULL, 404},
+	    {"/v1/drain", DESK_KEY, "", 404},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		answer_t *answer =
+		    http_call(node_url(cluster, NODE_S1, "%s", rows[i].path),
+			rows[i].key, NULL, rows[i].body);
+
+		ck_assert_msg(answer->status == rows[i].status,
+		    "row %zu: %ld %s", i, answer->status, answer->body->str);
+		ck_assert_str_eq(error_ran(answer), "not_run");
+		answer_free(answer);
+	}
+}
+END_TEST
+
+START_TEST(large_body_is_refused_before_it_is_read)
+{
+	g_autofree char *body = g_strnfill(2 * 1024 * 1024, 'x');
+	answer_t *answer = http_call(
+	    node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL, body);
+
+	ck_assert_int_eq(answer->status, 413);
+	answer_free(answer);
+}
+END_TEST
+
+/* Guards against a withdrawn key that keeps an open stream running. */
+START_TEST(withdrawn_key_ends_its_stream)
+{
+	http_task_t *task = http_start(
+	    node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL, STREAM_LONG);
+	gint64 published_at;
+	answer_t *answer;
+
+	WAIT_UNTIL(http_task_bytes(task) > 200);
+	cluster->desk_key_withdrawn = true;
+	cluster_publish_plans(cluster);
+	published_at = g_get_monotonic_time();
+	answer = http_join(task);
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "event: error"));
+	ck_assert_ptr_nonnull(strstr(answer->body->str, "key_withdrawn"));
+	/* The stated target is 2 s while the platform can be reached. */
+	ck_assert_int_lt(answer->last_byte_at - published_at, 2000000);
+	answer_free(answer);
+	answer = http_call(
+	    node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL, STREAM_30);
+	ck_assert_int_eq(answer->status, 401);
+	answer_free(answer);
+	cluster->desk_key_withdrawn = false;
+	cluster_publish_plans(cluster);
+}
+END_TEST
+
+static void
+path_setup(void)
+{
+	cluster = cluster_create();
+}
+
+static void
+path_teardown(void)
+{
+	cluster_destroy(cluster);
+}
+
+static void
+fill(Suite *suite)
+{
+	TCase *tcase = tcase_create("path");
+
+	tcase_add_unchecked_fixture(tcase, path_setup, path_teardown);
+	tcase_set_timeout(tcase, 120);
+	tcase_add_test(tcase, streamed_answer_is_whole);
+	tcase_add_test(tcase, whole_json_answer_arrives);
+	tcase_add_test(tcase, home_region_is_kept);
+	tcase_add_test(tcase, directory_names_home_instances_only);
+	tcase_add_test(tcase, order_runs_once);
+	tcase_add_test(tcase, order_without_ticket_is_not_run);
+	tcase_add_test(tcase, order_is_sent_once_when_target_closes);
+	tcase_add_test(tcase, key_in_query_is_refused);
+	tcase_add_test(tcase, bad_input_gets_clear_errors);
+	tcase_add_test(tcase, large_body_is_refused_before_it_is_read);
+	tcase_add_test(tcase, targets_never_see_keys);
+	tcase_add_test(tcase, withdrawn_key_ends_its_stream);
+	suite_add_tcase(suite, tcase);
+}
+
+TEST_MAIN("path", fill)
