core: add the decision to forward to another zone

Cause: a zone without free targets should use others' free slots, but only when the way costs less than the local wait, and never past the home rule.

Ruled out: the zone with most free slots for all requests, which sends those of all instances to one zone until its next report; one threshold, which makes requests alternate while the wait is near it.

Change: core/spill: last load reports with age, draw in proportion to free slots, round trip and transfer time on the region's link, hysteresis for each service, and own forwards counted until the next report.

Before: no forwarding.

--- /dev/null
+++ b/core/spill.c
@@ -0,0 +1,317 @@
+#include "core/spill.h"
+
+#include <string.h>
+
+/* Last report of one instance about one service. */
+typedef struct {
+	char service[NAME_LIMIT + 1];
+	uint32_t free;
+	uint32_t sent; /* forwarded there since the report */
+} report_t;
+
+typedef struct {
+	char name[NAME_LIMIT + 1];
+	char zone[NAME_LIMIT + 1];
+	time_us_t at;
+	report_t reports[HEARTBEAT_LOAD_LIMIT];
+	size_t n_reports;
+} peer_t;
+
+typedef struct {
+	bool spilling[2]; /* to the zones of the region, to other regions */
+} service_state_t;
+
+struct spill {
+	spill_settings_t settings;
+	GPtrArray *peers;     /* peer_t, in order of first appearance */
+	GHashTable *services; /* name -> service_state_t */
+	GHashTable *links; /* region -> time at which its link is idle again */
+};
+
+/* An instance that could take the request. */
+typedef struct {
+	peer_t *peer;
+	report_t *report;
+	const zone_t *zone;
+	int64_t weight; /* free slots x 1000, discounted by age */
+} candidate_t;
+
+spill_t *
+spill_create(spill_settings_t settings)
+{
+	spill_t *spill = g_new0(spill_t, 1);
+
+	spill->settings = settings;
+	spill->peers = g_ptr_array_new_with_free_func(g_free);
+	spill->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	spill->links =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return spill;
+}
+
+void
+spill_destroy(spill_t *spill)
+{
+	if (spill == NULL)
+		return;
+	g_ptr_array_free(spill->peers, TRUE);
+	g_hash_table_destroy(spill->services);
+	g_hash_table_destroy(spill->links);
+	g_free(spill);
+}
+
+static peer_t *
+peer_find(const spill_t *spill, const char *name)
+{
+	for (guint i = 0; i < spill->peers->len; i++) {
+		peer_t *peer = g_ptr_array_index(spill->peers, i);
+
+		if (strcmp(peer->name, name) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+void
+spill_forget(spill_t *spill, const char *instance)
+{
+	peer_t *peer = peer_find(spill, instance);
+
+	if (peer != NULL)
+		g_ptr_array_remove(spill->peers, peer);
+}
+
+static void
+report_fill(report_t *report, const service_load_t *load)
+{
+	uint32_t taken = load->in_flight + load->queued;
+
+	g_strlcpy(report->service, load->service, sizeof(report->service));
+	report->free = load->slots > taken ? load->slots - taken : 0;
+	report->sent = 0;
+}
+
+void
+spill_observe(spill_t *spill, const heartbeat_t *heartbeat, time_us_t now)
+{
+	peer_t *peer;
+
+	if (!heartbeat->ready || heartbeat->draining) {
+		spill_forget(spill, heartbeat->sender);
+		return;
+	}
+	peer = peer_find(spill, heartbeat->sender);
+	if (peer == NULL) {
+		peer = g_new0(peer_t, 1);
+		g_strlcpy(peer->name, heartbeat->sender, sizeof(peer->name));
+		g_ptr_array_add(spill->peers, peer);
+	}
+	g_strlcpy(peer->zone, heartbeat->zone, sizeof(peer->zone));
+	peer->at = now;
+	peer->n_reports = MIN(heartbeat->n_load, HEARTBEAT_LOAD_LIMIT);
+	for (size_t i = 0; i < peer->n_reports; i++)
+		report_fill(&peer->reports[i], &heartbeat->load[i]);
+}
+
+/* Where a request may go. */
+
+static bool
+region_allowed(const spill_query_t *query, const char *region)
+{
+	if (query->home != NULL && strcmp(query->home, region) != 0)
+		return false;
+	for (char *const *allowed = query->regions;
+	     allowed != NULL && *allowed != NULL; allowed++) {
+		if (strcmp(*allowed, region) == 0)
+			return true;
+	}
+	return false;
+}
+
+static report_t *
+peer_report(peer_t *peer, const char *service)
+{
+	for (size_t i = 0; i < peer->n_reports; i++) {
+		if (strcmp(peer->reports[i].service, service) == 0)
+			return &peer->reports[i];
+	}
+	return NULL;
+}
+
+/* Free slots x 1000 that are still likely to be free. */
+static int64_t
+report_weight(const peer_t *peer, const report_t *report, time_us_t now)
+{
+	time_us_t age = MAX(now - peer->at, 0);
+
+	if (age >= SPILL_REPORT_LIFE_US || report->free <= report->sent)
+		return 0;
+	return (int64_t)(report->free - report->sent) * 1000 *
+	       (SPILL_REPORT_LIFE_US - age) / SPILL_REPORT_LIFE_US;
+}
+
+/* Fills candidates in the own region's other zones, or in other regions. */
+static size_t
+candidates_collect(const spill_t *spill, const allowances_t *allowances,
+    const spill_query_t *query, bool abroad, candidate_t *out, time_us_t now)
+{
+	const zone_t *own = allowances_find_zone(allowances, query->zone);
+	size_t n = 0;
+
+	/* The gate refuses a team with a home elsewhere; it goes nowhere. */
+	if (own == NULL ||
+	    (query->home != NULL && strcmp(query->home, own->region) != 0))
+		return 0;
+	for (guint i = 0; i < spill->peers->len; i++) {
+		peer_t *peer = g_ptr_array_index(spill->peers, i);
+		report_t *report = peer_report(peer, query->service);
+		const zone_t *zone;
+		int64_t weight;
+
+		if (report == NULL || strcmp(peer->zone, own->name) == 0)
+			continue;
+		zone = allowances_find_zone(allowances, peer->zone);
+		if (zone == NULL || !region_allowed(query, zone->region) ||
+		    (strcmp(zone->region, own->region) != 0) != abroad)
+			continue;
+		weight = report_weight(peer, report, now);
+		if (weight > 0)
+			out[n++] = (candidate_t){peer, report, zone, weight};
+	}
+	return n;
+}
+
+static const candidate_t *
+candidate_draw(const candidate_t *candidates, size_t n, uint64_t seed)
+{
+	int64_t sum = 0;
+	int64_t drawn;
+
+	for (size_t i = 0; i < n; i++)
+		sum += candidates[i].weight;
+	drawn = (int64_t)(seed % (uint64_t)sum);
+	for (size_t i = 0; i < n; i++) {
+		drawn -= candidates[i].weight;
+		if (drawn < 0)
+			return &candidates[i];
+	}
+	return &candidates[n - 1];
+}
+
+/* What the way costs. */
+
+static time_us_t
+link_idle_at(const spill_t *spill, const char *region, time_us_t now)
+{
+	const time_us_t *idle = g_hash_table_lookup(spill->links, region);
+
+	return idle == NULL || *idle < now ? now : *idle;
+}
+
+static time_us_t
+transfer_time(const spill_t *spill, int64_t bytes)
+{
+	if (spill->settings.bandwidth <= 0)
+		return 0;
+	return bytes * US_PER_S / spill->settings.bandwidth;
+}
+
+/* Round trip, plus transfer behind what this instance has sent before. */
+static time_us_t
+way_cost(const spill_t *spill, const spill_query_t *query, const char *region,
+    bool abroad, time_us_t now)
+{
+	if (!abroad)
+		return 2 * spill->settings.zone_delay;
+	return 2 * spill->settings.region_delay +
+	       link_idle_at(spill, region, now) - now +
+	       transfer_time(spill, query->bytes);
+}
+
+static void
+link_use(spill_t *spill, const char *region, int64_t bytes, time_us_t now)
+{
+	time_us_t *idle = g_new(time_us_t, 1);
+
+	*idle = link_idle_at(spill, region, now) + transfer_time(spill, bytes);
+	g_hash_table_replace(spill->links, g_strdup(region), idle);
+}
+
+/* Decision. */
+
+static service_state_t *
+service_state(spill_t *spill, const char *service)
+{
+	service_state_t *state = g_hash_table_lookup(spill->services, service);
+
+	if (state == NULL) {
+		state = g_new0(service_state_t, 1);
+		g_hash_table_insert(spill->services, g_strdup(service), state);
+	}
+	return state;
+}
+
+/* Updates the hysteresis flag and returns it. */
+static bool
+worth_the_way(bool *spilling, time_us_t local_wait, time_us_t cost)
+{
+	time_us_t start = SPILL_START_FACTOR * cost + SPILL_START_MARGIN_US;
+
+	*spilling = local_wait > (*spilling ? cost : start);
+	return *spilling;
+}
+
+static bool
+tier_decide(spill_t *spill, const allowances_t *allowances,
+    const spill_query_t *query, bool abroad, uint64_t seed, time_us_t now,
+    spill_choice_t *choice)
+{
+	candidate_t *candidates = g_new(candidate_t, spill->peers->len);
+	size_t n = candidates_collect(
+	    spill, allowances, query, abroad, candidates, now);
+	service_state_t *state = service_state(spill, query->service);
+	const candidate_t *drawn = NULL;
+
+	if (n > 0) {
+		drawn = candidate_draw(candidates, n, seed);
+		choice->cost =
+		    way_cost(spill, query, drawn->zone->region, abroad, now);
+		if (!worth_the_way(&state->spilling[abroad], query->local_wait,
+			choice->cost))
+			drawn = NULL;
+	}
+	if (drawn != NULL) {
+		choice->verdict =
+		    abroad ? SPILL_FORWARD_REGION : SPILL_FORWARD_ZONE;
+		g_strlcpy(choice->instance, drawn->peer->name,
+		    sizeof(choice->instance));
+		drawn->report->sent++;
+		if (abroad)
+			link_use(spill, drawn->zone->region, query->bytes, now);
+	}
+	g_free(candidates);
+	return drawn != NULL;
+}
+
+spill_choice_t
+spill_decide(spill_t *spill, const allowances_t *allowances,
+    const spill_query_t *query, uint64_t seed, time_us_t now)
+{
+	spill_choice_t choice = {.verdict = SPILL_STAY};
+
+	if (!tier_decide(spill, allowances, query, false, seed, now, &choice) &&
+	    !tier_decide(spill, allowances, query, true, seed, now, &choice))
+		choice.cost = 0;
+	return choice;
+}
+
+size_t
+spill_bytes(const spill_t *spill)
+{
+	return sizeof(*spill) + spill->peers->len * sizeof(peer_t) +
+	       g_hash_table_size(spill->services) *
+		   (sizeof(service_state_t) + NAME_LIMIT) +
+	       g_hash_table_size(spill->links) *
+		   (sizeof(time_us_t) + NAME_LIMIT);
+}
--- /dev/null
+++ b/tests/test_spill.c
@@ -0,0 +1,207 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "core/spill.h"
+#include "random.h"
+#include "test.h"
+
+#define SERVICE "writer"
+#define LONG_WAIT (5 * US_PER_S)
+
+static zone_t zones[] = {
+    {"a1", "a", 1}, {"a2", "a", 1}, {"b1", "b", 1}, {"c1", "c", 1}};
+static const allowances_t allowances = {.zones = zones, .n_zones = 4};
+static char *all_regions[] = {"a", "b", "c", NULL};
+static const spill_settings_t settings = {
+    SPILL_ZONE_DELAY_US, SPILL_REGION_DELAY_US, SPILL_REGION_BANDWIDTH};
+
+static void
+observe(spill_t *spill, const char *sender, const char *zone, uint32_t free,
+    time_us_t now)
+{
+	heartbeat_t heartbeat = {.ready = true, .n_load = 1};
+
+	g_strlcpy(heartbeat.sender, sender, sizeof(heartbeat.sender));
+	g_strlcpy(heartbeat.zone, zone, sizeof(heartbeat.zone));
+	g_strlcpy(heartbeat.load[0].service, SERVICE, NAME_LIMIT);
+	heartbeat.load[0].slots = free + 3;
+	heartbeat.load[0].in_flight = 2;
+	heartbeat.load[0].queued = 1;
+	spill_observe(spill, &heartbeat, now);
+}
+
+static spill_query_t
+query_new(time_us_t local_wait)
+{
+	return (spill_query_t){.service = SERVICE,
+	    .zone = "a1",
+	    .regions = all_regions,
+	    .local_wait = local_wait};
+}
+
+static spill_choice_t
+decide(spill_t *spill, time_us_t local_wait, time_us_t now)
+{
+	spill_query_t query = query_new(local_wait);
+
+	return spill_decide(spill, &allowances, &query, 0, now);
+}
+
+/* Guards against a request that crosses regions while its own has room. */
+START_TEST(own_region_comes_first)
+{
+	spill_t *spill = spill_create(settings);
+
+	observe(spill, "near", "a2", 1, 0);
+	observe(spill, "far", "b1", 9, 0);
+	observe(spill, "same", "a1", 9, 0);
+	ck_assert_str_eq(decide(spill, LONG_WAIT, 0).instance, "near");
+	/* The forward has used the one free slot. */
+	ck_assert_str_eq(decide(spill, LONG_WAIT, 0).instance, "far");
+	spill_forget(spill, "far");
+	ck_assert_int_eq(decide(spill, LONG_WAIT, 0).verdict, SPILL_STAY);
+	spill_destroy(spill);
+}
+END_TEST
+
+/* Guards against requests that alternate between staying and leaving. */
+START_TEST(spilling_has_hysteresis)
+{
+	spill_t *spill = spill_create(settings);
+
+	observe(spill, "far", "b1", 9, 0);
+	ck_assert_int_eq(decide(spill, 340 * US_PER_MS, 0).verdict, SPILL_STAY);
+	ck_assert_int_eq(
+	    decide(spill, 341 * US_PER_MS, 0).verdict, SPILL_FORWARD_REGION);
+	ck_assert_int_eq(
+	    decide(spill, 161 * US_PER_MS, 0).verdict, SPILL_FORWARD_REGION);
+	ck_assert_int_eq(decide(spill, 160 * US_PER_MS, 0).verdict, SPILL_STAY);
+	ck_assert_int_eq(decide(spill, 340 * US_PER_MS, 0).verdict, SPILL_STAY);
+	spill_destroy(spill);
+}
+END_TEST
+
+/* Guards against forwards to a zone that has not been heard from, that is not
+ * ready, or behind a link that is already full. */
+START_TEST(stale_or_congested_way_is_not_taken)
+{
+	spill_t *spill = spill_create(settings);
+	spill_query_t query = query_new(LONG_WAIT);
+	heartbeat_t drains = {
+	    .sender = "far", .zone = "b1", .ready = true, .draining = true};
+
+	observe(spill, "far", "b1", 9, 0);
+	query.bytes = 2 * SPILL_REGION_BANDWIDTH;
+	ck_assert_int_eq(spill_decide(spill, &allowances, &query, 0, 0).verdict,
+	    SPILL_FORWARD_REGION);
+	ck_assert_int_eq(
+	    spill_decide(spill, &allowances, &query, 0, 0).cost, 4160000);
+	query.bytes = 1;
+	query.local_wait = 4 * US_PER_S;
+	ck_assert_int_eq(
+	    spill_decide(spill, &allowances, &query, 0, 0).verdict, SPILL_STAY);
+	ck_assert_int_eq(
+	    decide(spill, LONG_WAIT, SPILL_REPORT_LIFE_US).verdict, SPILL_STAY);
+	spill_observe(spill, &drains, 5 * US_PER_S);
+	ck_assert_int_eq(
+	    decide(spill, LONG_WAIT, 5 * US_PER_S).verdict, SPILL_STAY);
+	spill_destroy(spill);
+}
+END_TEST
+
+typedef struct {
+	time_us_t at;
+	uint32_t zone;
+	uint32_t free;
+	uint32_t sent;
+	bool known;
+	char name[8];
+} model_t;
+
+#define N_PEERS 6
+
+static void
+schedule_decide(uint64_t seed, uint64_t *random, spill_t *spill, model_t *model,
+    time_us_t now)
+{
+	static char *regions_b[] = {"a", "b", NULL};
+	static const char *const homes[] = {"a", "b", NULL, NULL};
+	spill_query_t query = query_new(random_below(random, 2000000));
+	spill_choice_t choice;
+
+	query.home = homes[random_below(random, 4)];
+	query.regions = random_below(random, 2) == 0 ? regions_b : all_regions;
+	query.bytes = random_below(random, 1000000);
+	choice =
+	    spill_decide(spill, &allowances, &query, random_next(random), now);
+	SEED_CHECK(seed,
+	    (choice.verdict == SPILL_STAY) == (choice.instance[0] == '\0'));
+	for (int i = 0; i < N_PEERS; i++) {
+		model_t *peer = &model[i];
+		const zone_t *zone = &zones[peer->zone];
+
+		if (strcmp(peer->name, choice.instance) != 0)
+			continue;
+		peer->sent++;
+		SEED_CHECK(seed, peer->known && peer->sent <= peer->free);
+		SEED_CHECK(seed, now - peer->at < SPILL_REPORT_LIFE_US);
+		SEED_CHECK(seed, strcmp(zone->name, "a1") != 0);
+		SEED_CHECK(seed, query.home == NULL ||
+				     strcmp(zone->region, query.home) == 0);
+		SEED_CHECK(seed, strcmp(zone->region, "c") != 0 ||
+				     query.regions == all_regions);
+		SEED_CHECK(seed, query.local_wait > choice.cost);
+	}
+}
+
+static void
+schedule_run(uint64_t seed)
+{
+	uint64_t random = seed;
+	spill_t *spill = spill_create(settings);
+	model_t model[N_PEERS] = {0};
+	time_us_t now = 0;
+
+	for (int i = 0; i < N_PEERS; i++)
+		snprintf(model[i].name, sizeof(model[i].name), "p%d", i);
+	for (int step = 0; step < 400; step++) {
+		model_t *peer = &model[random_below(&random, N_PEERS)];
+		uint32_t action = random_below(&random, 10);
+
+		now += random_below(&random, 2000000);
+		if (action == 0) {
+			spill_forget(spill, peer->name);
+			peer->known = false;
+		} else if (action < 4) {
+			peer->zone = random_below(&random, 4);
+			peer->free = random_below(&random, 5);
+			peer->sent = 0;
+			peer->at = now;
+			peer->known = true;
+			observe(spill, peer->name, zones[peer->zone].name,
+			    peer->free, now);
+		} else {
+			schedule_decide(seed, &random, spill, model, now);
+		}
+	}
+	spill_destroy(spill);
+}
+
+/* Guards against data that leaves its home or the allowed regions, and against
+ * more forwards than an instance reported free slots. */
+START_TEST(random_reports_keep_rules)
+{
+	RANDOM_SCHEDULES(schedule_run);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, own_region_comes_first);
+	TEST_ADD(suite, spilling_has_hysteresis);
+	TEST_ADD(suite, stale_or_congested_way_is_not_taken);
+	TEST_ADD(suite, random_reports_keep_rules);
+}
+
+TEST_MAIN("spill", fill)
