core: let a fresh instance wait for its share; peer: carry agreed versions

Cause: the first run over separate processes refused every request: heartbeats did not carry the agreed versions, progress of an agreement was told only every 5 s, the target table kept the slots of the time before the first share, and an order that its issuer sent on to another zone was refused there.

Ruled out: a shorter hold after start, which would let loans of a predecessor count twice.

--- a/core/gate.c
+++ b/core/gate.c
@@ -65,6 +65,7 @@
 	gate->incarnation = options->incarnation;
 	gate->seeds = g_strdupv((char **)options->seeds);
 	gate->random = options->seed;
+	gate->started_at = options->now;
 	gate->queue_limit = options->queue_limit;
 	gate->lists = lists_create(
 	    gate->name, options->pair_fits, options->pair_data);
@@ -268,6 +269,8 @@
 	g_strlcpy(flight->method, head->method, sizeof(flight->method));
 	if (head->forwarded) {
 		g_strlcpy(flight->team, head->hop_team, sizeof(flight->team));
+		g_strlcpy(
+		    flight->sender, head->hop_sender, sizeof(flight->sender));
 	} else if (head->key_hash != NULL) {
 		flight->has_key = true;
 		memcpy(flight->key_hash, head->key_hash, KEY_HASH_BYTES);
@@ -300,6 +303,7 @@
 void
 gate_tick(gate_t *gate, time_us_t now, int64_t wall_s, GArray *actions)
 {
+	gate_follow_share(gate, now);
 	gate_pump_tokens(gate, now, actions);
 	gate_pump_all(gate, now, actions);
 	gate_tick_peers(gate, now, actions);
@@ -308,6 +312,4 @@
 	gate->sweep_at = now + US_PER_S;
 	allotment_sweep(gate->allotment, now);
 	order_expire(gate->orders, wall_s);
-	if (gate->view.fleet != NULL)
-		gate_sync_route(gate, now);
 }
--- a/core/gate_info.c
+++ b/core/gate_info.c
@@ -2,6 +2,13 @@
 
 #include "gate_internal.h"
 
+/*
+ * A fresh instance is not ready before it has a share of its own, because until
+ * then it could only refuse or borrow. It doesn't wait longer than the time for
+ * which its predecessor may have lent, plus two heartbeats.
+ */
+#define SHARE_WAIT_US (DRIFT_MARGIN(LOAN_US) + 2 * US_PER_S)
+
 /* Usual ratio of bytes to tokens, to estimate what crosses a link. */
 #define BYTES_PER_TOKEN 4
 
@@ -41,7 +48,16 @@
 bool
 gate_is_ready(gate_t *gate, time_us_t now)
 {
-	return lists_ready(gate->lists, now);
+	if (!lists_ready(gate->lists, now))
+		return false;
+	if (!gate->share_awaited)
+		gate->share_awaited = now - gate->started_at > SHARE_WAIT_US ||
+		    (membership_share(gate->membership, now) > 0 &&
+			membership_is_settled(gate->membership, LIST_PLANS,
+			    lists_version(gate->lists, LIST_PLANS)));
+	if (gate->share_awaited)
+		gate_follow_share(gate, now);
+	return gate->share_awaited;
 }
 
 bool
@@ -237,6 +253,22 @@
 			"next target: none in this zone\n");
 }
 
+static void
+explain_agreement(gate_t *gate, time_us_t now, GString *text)
+{
+	g_string_append(text, "agreed by all that divide the rates:");
+	for (int i = 0; i < LIST_COUNT; i++) {
+		list_kind_t kind = (list_kind_t)i;
+		bool settled = membership_is_settled(
+		    gate->membership, kind, lists_version(gate->lists, kind));
+
+		g_string_append_printf(text, " %s %s", list_kind_name(kind),
+		    settled ? "yes" : "no");
+	}
+	g_string_append_printf(text, "\nown share of the zone: %.4f\n",
+	    (double)membership_share(gate->membership, now) / SHARE_ONE);
+}
+
 void
 gate_explain(gate_t *gate, const char *team_name, const char *service,
     time_us_t now, GString *text)
@@ -258,6 +290,7 @@
 	    lists_version(gate->lists, LIST_PLANS),
 	    lists_version(gate->lists, LIST_ALLOWANCES),
 	    lists_version(gate->lists, LIST_FLEET));
+	explain_agreement(gate, now, text);
 	team = plans_find_team(gate->view.plans, team_name);
 	if (team != NULL)
 		explain_team(gate, team, now, text);
--- a/core/gate_internal.h
+++ b/core/gate_internal.h
@@ -6,6 +6,7 @@
 #include "core/gate.h"
 #include "core/lists.h"
 #include "core/membership.h"
+#include "core/membership_progress.h"
 #include "core/order.h"
 #include "core/poison.h"
 #include "core/queue.h"
@@ -44,6 +45,7 @@
 	uint8_t key_hash[KEY_HASH_BYTES];
 	bool has_key;
 	bool forwarded; /* came from another instance */
+	char sender[NAME_LIMIT + 1]; /* that instance */
 	bool engine;
 	bool order;
 	bool idempotent;
@@ -77,6 +79,8 @@
 	uint64_t random; /* state of the generator */
 	uint32_t queue_limit;
 	bool draining;
+	bool share_awaited; /* the wait for a first share is over */
+	time_us_t started_at;
 
 	lists_t *lists;
 	lists_view_t view;
@@ -101,6 +105,9 @@
 	GHashTable *peers; /* name -> peer_state_t */
 	time_us_t heartbeat_near_at;
 	time_us_t heartbeat_far_at;
+	time_us_t heartbeat_soonest_at;
+	share_t routed_share; /* share that the target table goes by */
+	uint64_t progress[MEMBERSHIP_PROGRESS];
 	time_us_t loans_at;
 	time_us_t sweep_at;
 };
@@ -174,6 +181,9 @@
 /* Gives the target table the fleet list and this instance's slots. */
 void gate_sync_route(gate_t *gate, time_us_t now);
 
+/* The same if this instance's share of its zone has changed. */
+void gate_follow_share(gate_t *gate, time_us_t now);
+
 /* Periodic messages to peers. */
 void gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions);
 
--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -6,6 +6,9 @@
 #define HEARTBEAT_NEAR_US (1 * US_PER_S)
 #define HEARTBEAT_FAR_US (5 * US_PER_S)
 
+/* Progress of an agreement is told at once, but not more often than this. */
+#define HEARTBEAT_SOONEST_US (100 * US_PER_MS)
+
 typedef struct {
 	gate_t *gate;
 	time_us_t now;
@@ -24,10 +27,19 @@
 {
 	slots_context_t context = {gate, now};
 
+	gate->routed_share = membership_share(gate->membership, now);
 	route_sync(gate->route, gate->view.fleet, gate->zone, target_slots,
 	    &context, now);
 }
 
+void
+gate_follow_share(gate_t *gate, time_us_t now)
+{
+	if (gate->view.fleet != NULL &&
+	    membership_share(gate->membership, now) != gate->routed_share)
+		gate_sync_route(gate, now);
+}
+
 /* Forgets peers that left the fleet list. */
 static void
 peers_prune(gate_t *gate)
@@ -368,9 +380,17 @@
 gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions)
 {
 	team_visit_t visit = {gate, now, actions};
-	bool near = now >= gate->heartbeat_near_at;
-	bool far = now >= gate->heartbeat_far_at;
-
+	bool near;
+	bool far;
+
+	if (now >= gate->heartbeat_soonest_at &&
+	    membership_progressed(gate->membership, gate->progress)) {
+		gate->heartbeat_soonest_at = now + HEARTBEAT_SOONEST_US;
+		gate->heartbeat_near_at = 0;
+		gate->heartbeat_far_at = 0;
+	}
+	near = now >= gate->heartbeat_near_at;
+	far = now >= gate->heartbeat_far_at;
 	if (near || far)
 		heartbeats_send(gate, near, far, actions);
 	if (near)
--- a/core/gate_result.c
+++ b/core/gate_result.c
@@ -141,6 +141,27 @@
 	}
 }
 
+/*
+ * Another instance answered. Its refusal is the answer to the caller, but not
+ * the outcome of an order.
+ */
+static void
+forward_settle(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
+    time_us_t now)
+{
+	if (outcome->forward_ran == RAN_COMPLETED)
+		return;
+	if (outcome->forward_ran == RAN_NOT_RUN)
+		gate_settle(gate, flight, 0, now);
+	if (!flight->order_begun)
+		return;
+	flight->order_begun = false;
+	if (outcome->forward_ran == RAN_NOT_RUN)
+		order_unsent(gate->orders, flight->order_handle);
+	else
+		order_unknown(gate->orders, flight->order_handle);
+}
+
 /* An attempt at another instance ended; it is not tried anywhere else. */
 static void
 forward_end(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
@@ -148,8 +169,7 @@
 {
 	switch (outcome->result) {
 	case FLIGHT_OK:
-		if (outcome->forward_not_run)
-			gate_settle(gate, flight, 0, now);
+		forward_settle(gate, flight, outcome, now);
 		flight_done(gate, flight, outcome, now, actions);
 		break;
 	case FLIGHT_UNSENT:
--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -360,6 +360,19 @@
 	flight_forward(gate, flight, issuer, actions);
 }
 
+static order_origin_t
+order_origin(const flight_t *flight, const char *text)
+{
+	order_ticket_t ticket;
+
+	if (!flight->forwarded)
+		return ORDER_FROM_CALLER;
+	if (order_ticket_parse(text, &ticket) &&
+	    strcmp(ticket.instance, flight->sender) == 0)
+		return ORDER_FROM_ISSUER;
+	return ORDER_FROM_PEER;
+}
+
 static void
 order_submit(gate_t *gate, flight_t *flight, const gate_body_t *body,
     time_us_t now, GArray *actions)
@@ -372,9 +385,7 @@
 		return;
 	}
 	begin = order_begin(gate->orders, flight->team, body->ticket,
-	    body->digest, flight->forwarded ? ORDER_FROM_PEER :
-					      ORDER_FROM_CALLER,
-	    body->wall_s);
+	    body->digest, order_origin(flight, body->ticket), body->wall_s);
 	switch (begin.action) {
 	case ORDER_RUN:
 		flight->order_begun = true;
--- a/cyclamensail/relay.c
+++ b/cyclamensail/relay.c
@@ -52,7 +52,7 @@
 	bool over;  /* the caller's answer is complete */
 	bool mismatch; /* a resumed answer is not the same kind of stream */
 	bool forwarded; /* the running attempt goes to another instance */
-	bool forward_not_run;
+	ran_t forward_ran; /* what the other instance said */
 } relay_t;
 
 static relay_t *
@@ -196,6 +196,7 @@
 			return REFUSAL_PEER_UNAUTHENTIC;
 		head.forwarded = true;
 		head.hop_team = hop.team;
+		head.hop_sender = hop.sender;
 	} else if (key != NULL) {
 		key_hash_compute(key, hash);
 		head.key_hash = hash;
@@ -420,6 +421,16 @@
 	relay_unref(relay);
 }
 
+/* Without the header the answer is that of a target. */
+static ran_t
+ran_parse(const char *text)
+{
+	if (text == NULL || strcmp(text, ran_name(RAN_COMPLETED)) == 0)
+		return RAN_COMPLETED;
+	return strcmp(text, ran_name(RAN_NOT_RUN)) == 0 ? RAN_NOT_RUN :
+							  RAN_UNKNOWN;
+}
+
 /* The attempt's answer has begun. */
 static void
 attempt_on_head(void *user, const transfer_head_t *head)
@@ -429,8 +440,8 @@
 	pthread_mutex_lock(&relay->lock);
 	relay->reported_load = head->reported_load;
 	/* Only another instance may say this; a target's word doesn't count. */
-	relay->forward_not_run =
-	    relay->forwarded && g_strcmp0(head->ran, "not_run") == 0;
+	relay->forward_ran = relay->forwarded ? ran_parse(head->ran) :
+						RAN_COMPLETED;
 	if (relay->begun) {
 		/* Only the same kind of stream can go on after a resume. */
 		relay->mismatch = head->status != relay->status ||
@@ -562,7 +573,7 @@
 	    .content_type = relay->content_type,
 	    .answer = answer,
 	    .answer_len = relay->capture->len,
-	    .forward_not_run = relay->forward_not_run,
+	    .forward_ran = relay->forward_ran,
 	    .wall_s = clock_wall_s()};
 	if (relay->sse.active && result != FLIGHT_OK && relay->delivered > 0)
 		outcome.used = tokens_used(relay);
--- a/include/core/gate.h
+++ b/include/core/gate.h
@@ -43,6 +43,7 @@
 	const char *path;	 /* path at the target, starts with '/' */
 	const uint8_t *key_hash; /* NULL: no key */
 	const char *hop_team;	 /* team named by another instance, or NULL */
+	const char *hop_sender;	 /* that instance, or NULL */
 	bool forwarded;
 	time_us_t deadline;
 	void *user;
@@ -75,7 +76,7 @@
 	const char *content_type;
 	const char *answer; /* of an order, to be sent again on a repeat */
 	size_t answer_len;
-	bool forward_not_run; /* another instance said that it did not run */
+	ran_t forward_ran; /* what another instance said of the execution */
 	int64_t wall_s;
 } flight_outcome_t;
 
--- a/peer/messages.c
+++ b/peer/messages.c
@@ -159,6 +159,7 @@
 		memcpy(wire.adopted[i].digest, heartbeat->adopted[i].digest,
 		    DIGEST_BYTES);
 		wire.acked[i] = heartbeat->acked[i];
+		wire.agreed[i] = heartbeat->agreed[i];
 	}
 	heartbeat_fill_arrays(heartbeat, &wire, former, poison, load);
 	return wire_encode(
@@ -211,6 +212,7 @@
 		memcpy(out->adopted[i].digest, wire->adopted[i].digest,
 		    DIGEST_BYTES);
 		out->acked[i] = wire->acked[i];
+		out->agreed[i] = wire->agreed[i];
 	}
 	heartbeat_copy_arrays(wire, out);
 }
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -73,6 +73,7 @@
 	hyper sent_at;
 	wire_stamp adopted[PEER_LISTS];
 	unsigned hyper acked[PEER_LISTS];
+	unsigned hyper agreed[PEER_LISTS];
 	bool ready;
 	bool draining;
 	bool wants_lease;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <sys/types.h>
 
 /*
--- a/tests/peer_samples.h
+++ b/tests/peer_samples.h
@@ -24,6 +24,7 @@
 		beat.adopted[i].version = 10 + (uint64_t)i;
 		beat.adopted[i].digest[i] = 0xff;
 		beat.acked[i] = 9;
+		beat.agreed[i] = 8;
 	}
 	for (size_t i = 0; i < HEARTBEAT_FORMER_LIMIT; i++) {
 		memset(beat.former[i].name, 'f', NAME_LIMIT);
@@ -51,6 +52,7 @@
 	       a->lease_granted == b->lease_granted &&
 	       memcmp(a->adopted, b->adopted, sizeof(a->adopted)) == 0 &&
 	       memcmp(a->acked, b->acked, sizeof(a->acked)) == 0 &&
+	       memcmp(a->agreed, b->agreed, sizeof(a->agreed)) == 0 &&
 	       a->n_former == b->n_former && a->n_poison == b->n_poison &&
 	       a->n_load == b->n_load &&
 	       memcmp(a->former, b->former, sizeof(a->former)) == 0 &&
