--- a/cyclamensailctl/hash_key.c
+++ b/cyclamensailctl/hash_key.c
@@ -4,7 +4,7 @@
 
 #include "cyclamensailctl/command.h"
 
-/* Longest key; HTTP servers commonly refuse header lines of 8 KiB. */
+/* Longest key; HTTP servers commonly refuse header lines above 8 KiB. */
 #define KEY_LIMIT 4096
 
 /* Returns what is wrong with a key, or NULL. */
--- a/cyclamensailctl/instance_call.c
+++ b/cyclamensailctl/instance_call.c
@@ -7,7 +7,7 @@
 #define CONNECT_TIMEOUT_MS 5000L
 #define CALL_TIMEOUT_MS 30000L
 
-/* An instance with 16,000 teams prints well under a tenth of this. */
+/* Largest answer in bytes, against a server that never stops sending. */
 #define ANSWER_LIMIT ((size_t)16 << 20)
 
 /*
@@ -53,8 +53,7 @@
 {
 	curl_easy_setopt(handle, CURLOPT_URL, url);
 	curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
-	/* Instances are named by address, so a proxy would only be in between.
-	 */
+	/* The command is for this instance, whatever the environment says. */
 	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
