bench: add a model of targets that compares policies

Cause: the default policy and the queue's goals need figures from the real core/route and core/queue.

Ruled out: a model of the whole fleet, whose peers and lists would hide what the two modules do; wall-clock load, which is not repeatable.

--- /dev/null
+++ b/bench/model.c
@@ -0,0 +1,562 @@
+#include "model.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "random.h"
+
+#define SERVICE "writer"
+#define ZONE "zone"
+
+/* Speed of a target. */
+#define PROMPT_TOKENS_PER_S 12000
+#define STEP_US 15000	     /* one output token, alone on the target */
+#define STEP_SLOWDOWN 0.03   /* for each other request */
+#define PROMPT_SLOWDOWN 0.02 /* the same for the prompt */
+
+typedef struct {
+	time_us_t arrived_at;
+	time_us_t deadline;
+	int team;
+	int instance;
+	uint32_t prefix;
+	int32_t output;
+	handle_t target;
+	uint32_t target_index;
+} request_t;
+
+typedef enum { EVENT_ARRIVAL, EVENT_FINISH, EVENT_REPORT, EVENT_LIST } kind_t;
+
+typedef struct {
+	time_us_t at;
+	uint64_t sequence; /* order of events at the same time */
+	kind_t kind;
+	int team;	    /* arrival */
+	request_t *request; /* finish */
+} event_t;
+
+typedef struct {
+	char name[16];
+	char url[16];
+	uint32_t running;
+	time_us_t prompt_free_at;
+	uint64_t used[MODEL_PREFIXES]; /* 0: not cached */
+	uint64_t uses;
+	uint32_t cached;
+	uint32_t history[MODEL_REPORT_LAG_TICKS];
+} model_target_t;
+
+typedef struct {
+	int index;
+	route_t *route;
+	queue_t *queue;
+	GQueue fifo; /* request_t */
+} instance_model_t;
+
+typedef struct {
+	const model_settings_t *settings;
+	model_result_t *result;
+	uint64_t random;
+	time_us_t now;
+	GArray *events; /* binary heap */
+	uint64_t sequence;
+	uint64_t ticks;
+	double popularity[MODEL_PREFIXES]; /* cumulative */
+	model_target_t targets[MODEL_TARGETS_MAX];
+	target_t listed[MODEL_TARGETS_MAX];
+	instance_model_t instances[MODEL_INSTANCES_MAX];
+} world_t;
+
+/* Event heap. */
+
+static event_t *
+event_at(const world_t *world, guint i)
+{
+	return &g_array_index(world->events, event_t, i);
+}
+
+static bool
+event_before(const event_t *a, const event_t *b)
+{
+	return a->at != b->at ? a->at < b->at : a->sequence < b->sequence;
+}
+
+static void
+event_swap(const world_t *world, guint a, guint b)
+{
+	event_t event = *event_at(world, a);
+
+	*event_at(world, a) = *event_at(world, b);
+	*event_at(world, b) = event;
+}
+
+static void
+event_add(world_t *world, event_t event)
+{
+	guint i = world->events->len;
+
+	event.sequence = world->sequence++;
+	g_array_append_val(world->events, event);
+	while (i > 0 &&
+	       event_before(event_at(world, i), event_at(world, (i - 1) / 2))) {
+		event_swap(world, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static bool
+event_next(world_t *world, event_t *event)
+{
+	guint i = 0;
+
+	if (world->events->len == 0)
+		return false;
+	*event = *event_at(world, 0);
+	event_swap(world, 0, world->events->len - 1);
+	g_array_set_size(world->events, world->events->len - 1);
+	for (;;) {
+		guint child = 2 * i + 1;
+
+		if (child >= world->events->len)
+			return true;
+		if (child + 1 < world->events->len &&
+		    event_before(
+			event_at(world, child + 1), event_at(world, child)))
+			child++;
+		if (!event_before(event_at(world, child), event_at(world, i)))
+			return true;
+		event_swap(world, i, child);
+		i = child;
+	}
+}
+
+/* Targets. */
+
+static void
+cache_evict(model_target_t *target)
+{
+	uint32_t oldest = 0;
+
+	for (uint32_t i = 0; i < MODEL_PREFIXES; i++) {
+		if (target->used[i] != 0 &&
+		    (target->used[oldest] == 0 ||
+			target->used[i] < target->used[oldest]))
+			oldest = i;
+	}
+	target->used[oldest] = 0;
+	target->cached--;
+}
+
+/* Returns whether the prefix was cached; it is from now on. */
+static bool
+cache_use(model_target_t *target, uint32_t prefix)
+{
+	bool hit = target->used[prefix] != 0;
+
+	if (!hit) {
+		if (target->cached == MODEL_CACHE)
+			cache_evict(target);
+		target->cached++;
+	}
+	target->used[prefix] = ++target->uses;
+	return hit;
+}
+
+static void
+cache_clear(model_target_t *target)
+{
+	memset(target->used, 0, sizeof(target->used));
+	target->cached = 0;
+}
+
+static bool
+request_counts(const world_t *world, const request_t *request)
+{
+	return request->arrived_at >= world->settings->warm_up;
+}
+
+static void
+result_add(world_t *world, const request_t *request, time_us_t first_at,
+    bool hit, int computed)
+{
+	model_result_t *result = world->result;
+	double ms = (double)(first_at - request->arrived_at) / 1000;
+
+	if (!request_counts(world, request))
+		return;
+	result->started++;
+	result->hits += hit;
+	result->computed += computed;
+	g_array_append_val(result->first_token, ms);
+	g_array_append_val(result->by_team[request->team], ms);
+	if (request->target_index == 0)
+		g_array_append_val(result->on_target_0, ms);
+	if (first_at - request->arrived_at <= MODEL_GOAL_US)
+		result->in_time[request->team]++;
+}
+
+/* Runs a request on its target and schedules its end. */
+static void
+request_run(world_t *world, request_t *request)
+{
+	model_target_t *target = &world->targets[request->target_index];
+	bool hit = cache_use(target, request->prefix);
+	int computed = MODEL_SUFFIX_TOKENS + (hit ? 0 : MODEL_PREFIX_TOKENS);
+	double others = target->running++;
+	time_us_t begin = MAX(world->now, target->prompt_free_at);
+	double step = STEP_US * (1 + STEP_SLOWDOWN * others);
+	time_us_t first;
+
+	target->prompt_free_at =
+	    begin +
+	    (time_us_t)((double)computed * US_PER_S / PROMPT_TOKENS_PER_S *
+			(1 + PROMPT_SLOWDOWN * others));
+	first = target->prompt_free_at + (time_us_t)step;
+	result_add(world, request, first, hit, computed);
+	event_add(
+	    world, (event_t){.at = first + (time_us_t)(step * request->output),
+		       .kind = EVENT_FINISH,
+		       .request = request});
+}
+
+/* Instances. */
+
+static bool
+request_try(world_t *world, request_t *request)
+{
+	instance_model_t *instance = &world->instances[request->instance];
+	route_view_t view;
+	route_choice_t choice =
+	    route_pick(instance->route, SERVICE, request->prefix + 1,
+		HANDLE_NONE, random_next(&world->random), world->now);
+
+	if (choice.verdict != ROUTE_PICKED ||
+	    !route_start(instance->route, choice.target, world->now))
+		return false;
+	route_view(instance->route, choice.target, world->now, &view);
+	request->target = choice.target;
+	request->target_index = (uint32_t)atoi(view.name + 1);
+	return true;
+}
+
+static queue_answer_t
+request_can_start(queue_item_t item, void *context)
+{
+	return request_try(context, item.item) ? QUEUE_START : QUEUE_STOP;
+}
+
+static void
+request_refuse(world_t *world, request_t *request)
+{
+	if (request_counts(world, request))
+		world->result->refused++;
+	g_free(request);
+}
+
+static void
+instance_dispatch(world_t *world, instance_model_t *instance)
+{
+	queue_item_t item;
+
+	while (world->settings->fifo && instance->fifo.length > 0 &&
+	       request_try(world, instance->fifo.head->data))
+		request_run(world, g_queue_pop_head(&instance->fifo));
+	while (queue_expire(instance->queue, world->now, &item))
+		request_refuse(world, item.item);
+	while (queue_pop(
+	    instance->queue, request_can_start, world, world->now, &item))
+		request_run(world, item.item);
+}
+
+static void
+instance_enqueue(world_t *world, instance_model_t *instance, request_t *request)
+{
+	char team[16];
+	queue_request_t entry = {.team = team,
+	    .priority = 1,
+	    .cost = MODEL_PREFIX_TOKENS + MODEL_SUFFIX_TOKENS + request->output,
+	    .deadline = request->deadline,
+	    .item = request};
+	queue_push_t push;
+
+	if (world->settings->fifo) {
+		if (instance->fifo.length >= world->settings->queue_limit)
+			request_refuse(world, request);
+		else
+			g_queue_push_tail(&instance->fifo, request);
+		return;
+	}
+	snprintf(team, sizeof(team), "t%d", request->team);
+	push = queue_push(instance->queue, &entry, world->now);
+	if (push.evicted.handle != HANDLE_NONE)
+		request_refuse(world, push.evicted.item);
+	if (push.verdict != QUEUE_QUEUED)
+		request_refuse(world, request);
+}
+
+static uint32_t
+prefix_draw(world_t *world)
+{
+	double at = random_unit(&world->random);
+	uint32_t low = 0;
+	uint32_t high = MODEL_PREFIXES - 1;
+
+	while (low < high) {
+		uint32_t middle = (low + high) / 2;
+
+		if (world->popularity[middle] < at)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+/* Events. */
+
+static void
+arrival_schedule(world_t *world, int team)
+{
+	double gap = random_exponential(
+	    &world->random, 1e6 / world->settings->rate[team]);
+	time_us_t at = world->now + (time_us_t)gap;
+
+	if (at < world->settings->duration)
+		event_add(world,
+		    (event_t){.at = at, .kind = EVENT_ARRIVAL, .team = team});
+}
+
+static void
+on_arrival(world_t *world, int team)
+{
+	request_t *request = g_new0(request_t, 1);
+	instance_model_t *instance;
+
+	request->arrived_at = world->now;
+	request->deadline = world->now + MODEL_START_US;
+	request->team = team;
+	request->prefix = prefix_draw(world);
+	request->output = 1 + (int32_t)random_exponential(
+				  &world->random, MODEL_OUTPUT_TOKENS - 1);
+	request->instance = (int)(random_next(&world->random) %
+				  (uint64_t)world->settings->n_instances);
+	instance = &world->instances[request->instance];
+	if (request_counts(world, request))
+		world->result->arrived[team]++;
+	if (queue_length(instance->queue) == 0 && instance->fifo.length == 0 &&
+	    request_try(world, request))
+		request_run(world, request);
+	else
+		instance_enqueue(world, instance, request);
+	arrival_schedule(world, team);
+}
+
+static void
+on_finish(world_t *world, request_t *request)
+{
+	instance_model_t *instance = &world->instances[request->instance];
+
+	world->targets[request->target_index].running--;
+	route_finish(instance->route, request->target, ROUTE_OK, world->now);
+	g_free(request);
+	instance_dispatch(world, instance);
+}
+
+static void
+on_report(world_t *world)
+{
+	uint64_t at = world->ticks++ % MODEL_REPORT_LAG_TICKS;
+
+	for (int t = 0; t < world->settings->n_targets; t++) {
+		model_target_t *target = &world->targets[t];
+
+		for (int i = 0; i < world->settings->n_instances; i++) {
+			route_t *route = world->instances[i].route;
+
+			route_report(route, route_find(route, target->name),
+			    target->history[at], world->now);
+		}
+		target->history[at] = target->running;
+	}
+	for (int i = 0; i < world->settings->n_instances; i++)
+		instance_dispatch(world, &world->instances[i]);
+	if (world->now < world->settings->duration)
+		event_add(
+		    world, (event_t){.at = world->now + MODEL_REPORT_EVERY_US,
+			       .kind = EVENT_REPORT});
+}
+
+static uint32_t
+own_slots(const target_t *target, void *context)
+{
+	const model_settings_t *settings = context;
+
+	return target->slots / (uint32_t)settings->n_instances;
+}
+
+static void
+on_list(world_t *world)
+{
+	const model_settings_t *settings = world->settings;
+	bool lost = settings->lost_at != 0 && world->now >= settings->lost_at &&
+		    world->now < settings->back_at;
+	bool back = settings->back_at != 0 && world->now >= settings->back_at;
+	size_t first = lost ? 1 : 0;
+	fleet_t fleet = {.targets = world->listed + first,
+	    .n_targets = (size_t)settings->n_targets - first};
+
+	if (back) {
+		cache_clear(&world->targets[0]);
+		g_strlcpy(world->targets[0].url, "restarted",
+		    sizeof(world->targets[0].url));
+	}
+	for (int i = 0; i < settings->n_instances; i++)
+		route_sync(world->instances[i].route, &fleet, ZONE, own_slots,
+		    (void *)settings, world->now);
+}
+
+/* Start and end of a run. */
+
+static void
+world_fill_popularity(world_t *world)
+{
+	double sum = 0;
+
+	for (int i = 0; i < MODEL_PREFIXES; i++) {
+		sum += 1 / pow(i + 1, MODEL_ZIPF);
+		world->popularity[i] = sum;
+	}
+	for (int i = 0; i < MODEL_PREFIXES; i++)
+		world->popularity[i] /= sum;
+}
+
+static void
+world_fill(world_t *world)
+{
+	const model_settings_t *settings = world->settings;
+
+	world->random = settings->seed;
+	world->events = g_array_new(FALSE, FALSE, sizeof(event_t));
+	world_fill_popularity(world);
+	for (int i = 0; i < settings->n_targets; i++) {
+		model_target_t *target = &world->targets[i];
+
+		snprintf(target->name, sizeof(target->name), "w%d", i);
+		g_strlcpy(target->url, "first", sizeof(target->url));
+		world->listed[i] = (target_t){.name = target->name,
+		    .zone = ZONE,
+		    .service = SERVICE,
+		    .url = target->url,
+		    .slots = MODEL_SLOTS,
+		    .state = MEMBER_LIVE};
+	}
+	for (int i = 0; i < settings->n_instances; i++) {
+		instance_model_t *instance = &world->instances[i];
+
+		instance->index = i;
+		instance->route = route_create(settings->route);
+		instance->queue = queue_create(settings->queue_limit);
+	}
+	on_list(world);
+	for (int i = 0; i < settings->n_teams; i++)
+		arrival_schedule(world, i);
+	event_add(world, (event_t){.kind = EVENT_REPORT});
+	if (settings->lost_at != 0) {
+		event_add(world,
+		    (event_t){.at = settings->lost_at, .kind = EVENT_LIST});
+		event_add(world,
+		    (event_t){.at = settings->back_at, .kind = EVENT_LIST});
+	}
+}
+
+static void
+event_handle(world_t *world, const event_t *event)
+{
+	switch (event->kind) {
+	case EVENT_ARRIVAL:
+		on_arrival(world, event->team);
+		break;
+	case EVENT_FINISH:
+		on_finish(world, event->request);
+		break;
+	case EVENT_REPORT:
+		on_report(world);
+		break;
+	case EVENT_LIST:
+		on_list(world);
+		break;
+	}
+}
+
+/* Requests that still wait when the events end are refused. */
+static void
+world_clear(world_t *world)
+{
+	for (int i = 0; i < world->settings->n_instances; i++) {
+		instance_model_t *instance = &world->instances[i];
+		queue_item_t item;
+
+		while (queue_expire(instance->queue, INT64_MAX, &item))
+			request_refuse(world, item.item);
+		while (instance->fifo.length > 0)
+			request_refuse(
+			    world, g_queue_pop_head(&instance->fifo));
+		route_destroy(instance->route);
+		queue_destroy(instance->queue);
+	}
+	g_array_free(world->events, TRUE);
+	g_free(world);
+}
+
+void
+model_run(const model_settings_t *settings, model_result_t *result)
+{
+	world_t *world = g_new0(world_t, 1);
+	event_t event;
+
+	memset(result, 0, sizeof(*result));
+	result->first_token = g_array_new(FALSE, FALSE, sizeof(double));
+	result->on_target_0 = g_array_new(FALSE, FALSE, sizeof(double));
+	for (int i = 0; i < MODEL_TEAMS_MAX; i++)
+		result->by_team[i] = g_array_new(FALSE, FALSE, sizeof(double));
+	result->seconds =
+	    (double)(settings->duration - settings->warm_up) / US_PER_S;
+	world->settings = settings;
+	world->result = result;
+	world_fill(world);
+	while (event_next(world, &event)) {
+		world->now = event.at;
+		event_handle(world, &event);
+	}
+	world_clear(world);
+}
+
+void
+model_result_clear(model_result_t *result)
+{
+	g_array_free(result->first_token, TRUE);
+	g_array_free(result->on_target_0, TRUE);
+	for (int i = 0; i < MODEL_TEAMS_MAX; i++)
+		g_array_free(result->by_team[i], TRUE);
+}
+
+static int
+double_compare(const void *left, const void *right)
+{
+	double a = *(const double *)left;
+	double b = *(const double *)right;
+
+	return (a > b) - (a < b);
+}
+
+double
+percentile(GArray *values, double percent)
+{
+	guint at;
+
+	if (values->len == 0)
+		return 0;
+	g_array_sort(values, double_compare);
+	at = (guint)(percent / 100 * values->len);
+	return g_array_index(values, double, MIN(at, values->len - 1));
+}
--- /dev/null
+++ b/bench/model.h
@@ -0,0 +1,81 @@
+#ifndef BENCH_MODEL_H
+#define BENCH_MODEL_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "core/queue.h"
+#include "core/route.h"
+
+/*
+ * Discrete-event model of targets in virtual time, which drives the real
+ * core/route and core/queue. A target computes prompts one after another,
+ * caches prompt prefixes (LRU) and generates more slowly the more requests it
+ * holds. Instances share the targets, each with its part of the slots, and see
+ * the others' load only through late reports. The same settings and seed give
+ * the same results.
+ */
+
+#define MODEL_TEAMS_MAX 8
+#define MODEL_TARGETS_MAX 16
+#define MODEL_INSTANCES_MAX 4
+#define MODEL_PREFIXES 2000
+
+/* Slots of a target over all instances. */
+#define MODEL_SLOTS 12
+
+/* Prefixes that fit into a target's cache. */
+#define MODEL_CACHE 60
+
+#define MODEL_PREFIX_TOKENS 1200
+#define MODEL_SUFFIX_TOKENS 150
+#define MODEL_OUTPUT_TOKENS 120 /* mean, exponential */
+
+/* Exponent of the popularity of prefixes. */
+#define MODEL_ZIPF 1.0
+
+#define MODEL_REPORT_EVERY_US (250 * US_PER_MS)
+#define MODEL_REPORT_LAG_TICKS 2 /* 500 ms */
+
+/* First token within this time counts as answered in time. */
+#define MODEL_GOAL_US (1300 * US_PER_MS)
+
+/* Latest start after arrival that the queue is told. */
+#define MODEL_START_US (1000 * US_PER_MS)
+
+typedef struct {
+	uint64_t seed;
+	route_settings_t route;
+	bool fifo; /* bounded FIFO without deadlines instead of core/queue */
+	int n_instances;
+	int n_targets;
+	int n_teams;
+	double rate[MODEL_TEAMS_MAX]; /* requests a second of each team */
+	time_us_t warm_up;  /* requests that arrive before are not counted */
+	time_us_t duration; /* arrivals end here */
+	/* Target 0 is out of the list from lost_at to back_at, then cold. */
+	time_us_t lost_at;
+	time_us_t back_at;
+	uint32_t queue_limit; /* of each instance */
+} model_settings_t;
+
+typedef struct {
+	GArray *first_token; /* double, ms; requests that were started */
+	GArray *on_target_0; /* the same, those on target 0 */
+	uint64_t arrived[MODEL_TEAMS_MAX];
+	uint64_t in_time[MODEL_TEAMS_MAX];
+	GArray *by_team[MODEL_TEAMS_MAX]; /* first token, ms */
+	uint64_t started;
+	uint64_t refused; /* by the queue: full, evicted, deadline */
+	uint64_t hits;
+	int64_t computed; /* prompt tokens that were not in a cache */
+	double seconds;	  /* virtual time that was counted */
+} model_result_t;
+
+void model_run(const model_settings_t *settings, model_result_t *result);
+void model_result_clear(model_result_t *result);
+
+/* Percentile of doubles, 0..100; sorts the array. 0 when it is empty. */
+double percentile(GArray *values, double percent);
+
+#endif
