core: bound the work of the directory and the idle size of a queue

Cause: the directory sorted all instances to name eight of them, and a queue allocated a list head for every possible number of requests of a team.

Ruled out: caching the order for each team, since it follows the state of peers; a smaller queue limit, which only hides the cost.

Change: the directory keeps the best ones in a sorted array as long as the output; the queue's list heads grow with the largest team.

--- a/core/directory.c
+++ b/core/directory.c
@@ -158,10 +158,8 @@
 #define ORDER(a, b) (((a) > (b)) - ((a) < (b)))
 
 static int
-ranked_compare(const void *left, const void *right)
+ranked_compare(const ranked_t *a, const ranked_t *b)
 {
-	const ranked_t *a = left;
-	const ranked_t *b = right;
 	int order = ORDER(a->state, b->state);
 
 	if (order == 0)
@@ -177,27 +175,45 @@
 	return order;
 }
 
+/* Inserts into the sorted best ones, of which limit are kept. */
+static size_t
+ranked_insert(ranked_t *best, size_t n, size_t limit, const ranked_t *next)
+{
+	size_t at = n;
+
+	if (n == limit && ranked_compare(next, &best[n - 1]) >= 0)
+		return n;
+	if (n < limit)
+		n++;
+	else
+		at--;
+	for (; at > 0 && ranked_compare(next, &best[at - 1]) < 0; at--)
+		best[at] = best[at - 1];
+	best[at] = *next;
+	return n;
+}
+
 static size_t
 instances_rank(const directory_t *directory, const directory_query_t *query,
-    const zone_rank_t *zones, uint64_t team, ranked_t *ranked)
+    const zone_rank_t *zones, uint64_t team, ranked_t *best, size_t limit)
 {
 	size_t n = 0;
 
 	for (size_t i = 0; i < directory->n_instances; i++) {
 		const instance_entry_t *entry = &directory->instances[i];
-		directory_state_t state = DIRECTORY_READY;
+		ranked_t next = {
+		    entry->instance, DIRECTORY_READY, &zones[entry->zone], 0};
 
 		if (!zones[entry->zone].allowed)
 			continue;
 		if (query->state_of != NULL)
-			state =
+			next.state =
 			    query->state_of(entry->instance, query->context);
-		if (state == DIRECTORY_LEAVING)
+		if (next.state == DIRECTORY_LEAVING)
 			continue;
-		ranked[n++] =
-		    (ranked_t){entry->instance, state, &zones[entry->zone],
-			XXH3_64bits_withSeed(
-			    &entry->hash, sizeof(entry->hash), team)};
+		next.score = XXH3_64bits_withSeed(
+		    &entry->hash, sizeof(entry->hash), team);
+		n = ranked_insert(best, n, limit, &next);
 	}
 	return n;
 }
@@ -207,19 +223,21 @@
     const instance_t **out, size_t limit)
 {
 	uint64_t team = text_hash(query->team, 0);
-	zone_rank_t *zones = g_new0(zone_rank_t, directory->n_zones);
-	ranked_t *ranked = g_new(ranked_t, directory->n_instances);
+	zone_rank_t *zones;
+	ranked_t *best;
 	size_t n;
 
+	if (limit == 0)
+		return 0;
+	limit = MIN(limit, directory->n_instances);
+	zones = g_new0(zone_rank_t, directory->n_zones);
+	best = g_new(ranked_t, limit);
 	for (size_t i = 0; i < directory->n_zones; i++)
 		zones[i] = zone_rank(&directory->zones[i], query, team);
-	n = instances_rank(directory, query, zones, team, ranked);
-	if (n > 1)
-		qsort(ranked, n, sizeof(*ranked), ranked_compare);
-	n = MIN(n, limit);
+	n = instances_rank(directory, query, zones, team, best, limit);
 	for (size_t i = 0; i < n; i++)
-		out[i] = ranked[i].instance;
-	g_free(ranked);
+		out[i] = best[i].instance;
+	g_free(best);
 	g_free(zones);
 	return n;
 }
--- a/core/queue.c
+++ b/core/queue.c
@@ -25,7 +25,7 @@
 	queue->heap = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	queue->teams =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
-	queue->by_count = g_new0(GQueue, (size_t)queue->limit + 1);
+	queue->by_count = g_array_new(FALSE, TRUE, sizeof(GQueue));
 	return queue;
 }
 
@@ -37,7 +37,7 @@
 	g_array_free(queue->entries, TRUE);
 	g_array_free(queue->heap, TRUE);
 	g_hash_table_destroy(queue->teams);
-	g_free(queue->by_count);
+	g_array_free(queue->by_count, TRUE);
 	g_free(queue);
 }
 
@@ -333,7 +333,7 @@
 	/* A team has a short name and a hash table place besides its record. */
 	size_t team = sizeof(queue_team_t) + 56;
 
-	return sizeof(*queue) + queue->limit * sizeof(GQueue) +
+	return sizeof(*queue) + queue->by_count->len * sizeof(GQueue) +
 	       queue->entries->len *
 		   (sizeof(queue_entry_t) + sizeof(uint32_t)) +
 	       g_hash_table_size(queue->teams) * team;
--- a/core/queue_table.c
+++ b/core/queue_table.c
@@ -129,17 +129,27 @@
 	return team;
 }
 
+static GQueue *
+teams_with_count(const queue_t *queue, uint32_t count)
+{
+	return &g_array_index(queue->by_count, GQueue, count);
+}
+
 static void
 team_set_count(queue_t *queue, queue_team_t *team, uint32_t count)
 {
+	if (count >= queue->by_count->len)
+		g_array_set_size(queue->by_count, count + 1);
 	if (team->count > 0)
-		g_queue_unlink(&queue->by_count[team->count], &team->link);
+		g_queue_unlink(
+		    teams_with_count(queue, team->count), &team->link);
 	team->count = count;
 	if (count > 0)
-		g_queue_push_tail_link(&queue->by_count[count], &team->link);
+		g_queue_push_tail_link(
+		    teams_with_count(queue, count), &team->link);
 	queue->max_count = MAX(queue->max_count, count);
 	while (queue->max_count > 0 &&
-	       queue->by_count[queue->max_count].length == 0)
+	       teams_with_count(queue, queue->max_count)->length == 0)
 		queue->max_count--;
 	if (count == 0)
 		g_hash_table_remove(queue->teams, team->name);
@@ -150,7 +160,7 @@
 {
 	if (queue->max_count == 0)
 		return NULL;
-	return queue->by_count[queue->max_count].head->data;
+	return teams_with_count(queue, queue->max_count)->head->data;
 }
 
 uint32_t
--- a/core/queue_table.h
+++ b/core/queue_table.h
@@ -61,7 +61,7 @@
 	uint32_t free_head;
 	GArray *heap; /* uint32_t, by deadline */
 	GHashTable *teams;
-	GQueue *by_count; /* teams, by number of waiting requests */
+	GArray *by_count; /* GQueue of teams, by number of waiting requests */
 	uint32_t max_count;
 	queue_class_t classes[QUEUE_CLASSES];
 	/* Drain rate: tokens started over time with requests waiting. */
