core: use the retry budget and the poison table in the gate

Cause: lost targets were retried without a budget, and a request that stops its targets was not recognised.

Ruled out: reuse of connections for any POST, because libcurl by itself sends a request again on a reused connection that turns out to be closed.

Change: the gate records a loss before it decides a retry; each decision is a counter; POST always uses a fresh connection.

Before: no retry counter.

--- a/core/gate.c
+++ b/core/gate.c
@@ -50,6 +50,7 @@
 	if (flight != NULL) {
 		action->flight = gate_flight_id(gate, flight);
 		action->user = flight->user;
+		action->retry_reason = flight->retry_reason;
 	}
 	return action;
 }
@@ -75,8 +76,8 @@
 	    gate->membership, gate->name, gate->incarnation);
 	gate->orders = order_table_create(gate->name, gate->incarnation,
 	    options->ticket_key, ORDER_TABLE_LIMIT, ORDER_ANSWER_BUDGET);
-	gate->poison = poison_create();
-	gate->retries = retry_budget_create(options->now);
+	gate->poison = poison_table_create(gate->zone, POISON_TABLE_LIMIT);
+	retry_budget_init(&gate->retries, options->now);
 	gate->route = route_create(routing);
 	gate->spill = spill_create((spill_settings_t){SPILL_ZONE_DELAY_US,
 	    SPILL_REGION_DELAY_US, SPILL_REGION_BANDWIDTH});
@@ -102,8 +103,7 @@
 	directory_destroy(gate->directory);
 	spill_destroy(gate->spill);
 	route_destroy(gate->route);
-	retry_budget_destroy(gate->retries);
-	poison_destroy(gate->poison);
+	poison_table_destroy(gate->poison);
 	order_table_destroy(gate->orders);
 	allotment_destroy(gate->allotment);
 	membership_destroy(gate->membership);
@@ -312,4 +312,5 @@
 	gate->sweep_at = now + US_PER_S;
 	allotment_sweep(gate->allotment, now);
 	order_expire(gate->orders, wall_s);
+	poison_expire(gate->poison, now);
 }
--- a/core/gate_internal.h
+++ b/core/gate_internal.h
@@ -64,7 +64,9 @@
 	handle_t last_target; /* lost its last attempt */
 	handle_t queue_handle;
 	unsigned int unsent;
-	unsigned int retries;
+	unsigned int tries; /* sent to a target */
+	time_us_t sent_at;
+	const char *retry_reason; /* decision after the last loss */
 	bool written; /* an attempt wrote bytes, so the request may have run */
 	bool cancelled;
 	refusal_t cancel_reason;
@@ -88,7 +90,7 @@
 	allotment_t *allotment;
 	order_table_t *orders;
 	poison_table_t *poison;
-	retry_budget_t *retries;
+	retry_budget_t retries;
 	route_t *route;
 	directory_t *directory; /* NULL until two lists are known */
 	spill_t *spill;
--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -210,11 +210,10 @@
 	out->ready = gate_is_ready(gate, now);
 	out->draining = gate->draining;
 	load_fill(gate, out);
+	out->n_poison = 0;
 	/* A digest of content doesn't leave the region either. */
-	out->n_poison = peer_in_region(gate, peer) ?
-	    poison_export(
-		gate->poison, out->poison, HEARTBEAT_POISON_LIMIT, now) :
-	    0;
+	if (peer_in_region(gate, peer))
+		poison_fill(gate->poison, out, now);
 }
 
 void
@@ -243,7 +242,8 @@
 	peer->draining = in->draining;
 	peer->reachable = true;
 	spill_observe(gate->spill, in, now);
-	poison_merge(gate->poison, in->poison, in->n_poison, now);
+	if (peer_in_region(gate, in->sender))
+		poison_merge(gate->poison, in, now);
 	for (int i = 0; i < LIST_COUNT; i++) {
 		gate_action_t *action;
 
--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -70,10 +70,14 @@
 	route_view(gate->route, target, now, &view);
 	flight->target = target;
 	flight->state = FLIGHT_RUNNING;
+	flight->sent_at = now;
+	if (flight->tries++ == 0)
+		retry_first_try(&gate->retries);
 	action = gate_action(gate, actions, ACTION_SEND, flight);
+	flight->retry_reason = NULL;
 	g_strlcpy(action->u.send.url, view.url, sizeof(action->u.send.url));
-	action->u.send.single_send = !flight->idempotent;
-	action->u.send.retry = flight->retries > 0;
+	/* libcurl by itself repeats only what may run any number of times. */
+	action->u.send.single_send = strcmp(flight->method, "POST") == 0;
 	return true;
 }
 
@@ -91,7 +95,7 @@
 	    sizeof(action->u.forward.http));
 	g_strlcpy(action->u.forward.team, flight->team,
 	    sizeof(action->u.forward.team));
-	action->u.forward.single_send = !flight->idempotent;
+	action->u.forward.single_send = strcmp(flight->method, "POST") == 0;
 }
 
 /*
@@ -412,6 +416,7 @@
     time_us_t now, GArray *actions)
 {
 	flight_t *flight = gate_flight(gate, id);
+	time_us_t refused_until;
 
 	if (flight == NULL)
 		return;
@@ -420,8 +425,10 @@
 	if (body->ticket != NULL)
 		g_strlcpy(
 		    flight->ticket, body->ticket, sizeof(flight->ticket));
-	if (poison_is_refused(gate->poison, body->digest, now)) {
-		gate_refuse(gate, flight, REFUSAL_POISON, 0, now, actions);
+	refused_until = poison_refused_until(gate->poison, body->digest, now);
+	if (refused_until > now) {
+		gate_refuse(gate, flight, REFUSAL_POISON, refused_until - now,
+		    now, actions);
 		return;
 	}
 	if (flight->order)
--- a/cyclamensail/relay.c
+++ b/cyclamensail/relay.c
@@ -569,6 +569,7 @@
 	    .status = relay->status,
 	    .used = result == FLIGHT_OK ? tokens_used(relay) : -1,
 	    .delivered = relay->delivered,
+	    .resumable = relay->sse.active,
 	    .reported_load = relay->reported_load,
 	    .content_type = relay->content_type,
 	    .answer = answer,
@@ -795,6 +796,8 @@
 {
 	relay_t *relay = action->user;
 
+	if (action->retry_reason != NULL)
+		counter_count("retries", "reason", action->retry_reason);
 	switch (action->kind) {
 	case ACTION_SEND:
 		relay_send(relay, action);
--- a/include/core/gate.h
+++ b/include/core/gate.h
@@ -72,6 +72,7 @@
 	int status;
 	int64_t used;	  /* tokens, -1: not known, charges what was reserved */
 	size_t delivered; /* bytes of the answer given to the caller so far */
+	bool resumable;	  /* it is an event stream of whole events */
 	int reported_load; /* requests that the target says it holds, or -1 */
 	const char *content_type;
 	const char *answer; /* of an order, to be sent again on a repeat */
@@ -97,6 +98,7 @@
 	action_kind_t kind;
 	flight_id_t flight;
 	void *user;
+	const char *retry_reason; /* what was decided about a retry, or NULL */
 	union {
 		struct {
 			refusal_t reason;
@@ -106,7 +108,6 @@
 		struct {
 			char url[URL_LIMIT]; /* of the target, without path */
 			bool single_send;
-			bool retry;
 		} send;
 		struct {
 			char http[NAME_LIMIT + 1]; /* address:port */
