--- /dev/null
+++ b/core/allotment.c
@@ -0,0 +1,602 @@
+#include "core/allotment.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+/* What the lender keeps and the borrower asks for, relative to demand. */
+#define LENDER_MARGIN 1.1
+#define BORROWER_MARGIN 1.25
+/* A loan that is smaller than this part of the team's rate is not worth a
+ * message. */
+#define LOAN_LEAST (SHARE_ONE / 1024)
+
+typedef struct {
+	bucket_t *bucket;
+	int64_t rate;  /* of the whole team, tokens a second */
+	int64_t burst; /* of the whole team, tokens */
+	share_t own;   /* as last applied, less what is lent */
+	uint64_t epoch;
+	double demand; /* tokens a second, at demand_at */
+	time_us_t demand_at;
+	time_us_t used_at;
+	int64_t short_tokens;  /* largest request that waits for tokens */
+	time_us_t short_until; /* after which it has given up */
+	uint64_t asked_id;     /* request that is not answered; 0: none */
+	time_us_t next_ask_at;
+} entry_t;
+
+struct allotment {
+	membership_t *m;
+	loans_t *loans;
+	char name[NAME_LIMIT + 1];
+	incarnation_t incarnation;
+	uint64_t next_request;
+	GHashTable *teams; /* name -> entry_t */
+};
+
+/* A request that is short of tokens waits this long for a loan. */
+#define LOAN_WAIT_US (500 * US_PER_MS)
+
+static void
+entry_destroy(gpointer data)
+{
+	entry_t *entry = data;
+
+	bucket_destroy(entry->bucket);
+	g_free(entry);
+}
+
+typedef struct {
+	const allotment_t *a;
+	uint64_t largest;
+} lent_visit_t;
+
+static void
+lent_visit(const char *team, share_t lent, void *data)
+{
+	lent_visit_t *visit = data;
+	uint64_t part = membership_part_newest(visit->a->m, team);
+	uint64_t share = UINT32_MAX;
+
+	if (part > 0)
+		share = ((uint64_t)lent * SHARE_ONE + part - 1) / part;
+	visit->largest = MAX(visit->largest, share);
+}
+
+static share_t
+allotment_lent_most(void *context)
+{
+	lent_visit_t visit = {context, 0};
+
+	loan_each_lent(((allotment_t *)context)->loans, lent_visit, &visit);
+	return (share_t)MIN(visit.largest, UINT32_MAX);
+}
+
+allotment_t *
+allotment_create(membership_t *m, const char *name, incarnation_t incarnation)
+{
+	allotment_t *a = g_new0(allotment_t, 1);
+
+	a->m = m;
+	a->incarnation = incarnation;
+	g_strlcpy(a->name, name, sizeof(a->name));
+	a->loans = loans_create(incarnation);
+	a->teams = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, entry_destroy);
+	membership_set_lent_source(m, allotment_lent_most, a);
+	return a;
+}
+
+void
+allotment_destroy(allotment_t *a)
+{
+	if (a == NULL)
+		return;
+	membership_set_lent_source(a->m, NULL, NULL);
+	loans_destroy(a->loans);
+	g_hash_table_destroy(a->teams);
+	g_free(a);
+}
+
+/* Returns amount x share of micro-tokens. */
+static int64_t
+share_of(int64_t amount, share_t share)
+{
+	return (int64_t)((__int128)amount * TOKEN_MICRO * share / SHARE_ONE);
+}
+
+static void
+entry_limit(entry_t *entry, share_t share, time_us_t now)
+{
+	bucket_set_limits(entry->bucket, share_of(entry->rate, share),
+	    share_of(entry->burst, share), now);
+}
+
+static share_t
+own_unlent(allotment_t *a, const char *team, time_us_t now)
+{
+	share_t own = membership_team_share(a->m, team, now);
+	share_t lent = loan_lent(a->loans, team);
+
+	return own > lent ? own - lent : 0;
+}
+
+/*
+ * Brings limits up to date. Borrowed shares end at their own time, with the own
+ * share as it was known; a risen own share counts from now on.
+ */
+static void
+entry_refresh(allotment_t *a, const char *team, entry_t *entry, time_us_t now)
+{
+	const plan_t *plan = membership_plan(a->m, team);
+	uint64_t epoch = membership_epoch(a->m, now);
+	time_us_t end;
+
+	while ((end = loan_next_end(a->loans, team)) <= now) {
+		loan_expire_team(a->loans, team, end);
+		entry_limit(
+		    entry, entry->own + loan_borrowed(a->loans, team), end);
+	}
+	loan_expire_team(a->loans, team, now);
+	/* Tokens of an own share that was lost meanwhile are void. */
+	if (entry->epoch != epoch)
+		bucket_set_limits(entry->bucket, 0, 0, now);
+	entry->epoch = epoch;
+	entry->rate = plan == NULL ? 0 : plan->rate;
+	entry->burst = plan == NULL ? 0 : plan->burst;
+	entry->own = own_unlent(a, team, now);
+	entry_limit(entry, entry->own + loan_borrowed(a->loans, team), now);
+}
+
+static entry_t *
+entry_find(allotment_t *a, const char *team, time_us_t now)
+{
+	entry_t *entry = g_hash_table_lookup(a->teams, team);
+
+	if (entry != NULL)
+		entry_refresh(a, team, entry, now);
+	return entry;
+}
+
+/* Returns the entry of a team, or NULL when the lists don't name it. */
+static entry_t *
+entry_ensure(allotment_t *a, const char *team, time_us_t now)
+{
+	entry_t *entry = entry_find(a, team, now);
+	time_us_t since;
+
+	if (entry != NULL || membership_plan(a->m, team) == NULL)
+		return entry;
+	entry = g_new0(entry_t, 1);
+	since = MIN(membership_raised_at(a->m, team), now);
+	entry->bucket = bucket_create(since);
+	entry->epoch = membership_epoch(a->m, now);
+	entry->demand_at = now;
+	entry->used_at = now;
+	entry->rate = membership_plan(a->m, team)->rate;
+	entry->burst = membership_plan(a->m, team)->burst;
+	entry->own = own_unlent(a, team, now);
+	/* An idle bucket would have refilled since the share last rose. */
+	entry_limit(entry, entry->own, since);
+	g_hash_table_insert(a->teams, g_strdup(team), entry);
+	entry_refresh(a, team, entry, now);
+	return entry;
+}
+
+static gboolean
+refresh_visit(gpointer team, gpointer entry, gpointer data)
+{
+	void **arguments = data;
+
+	entry_refresh(arguments[0], team, entry, *(time_us_t *)arguments[1]);
+	return FALSE;
+}
+
+static void
+allotment_refresh(allotment_t *a, time_us_t now)
+{
+	void *arguments[] = {a, &now};
+
+	g_hash_table_foreach_remove(a->teams, refresh_visit, arguments);
+}
+
+void
+allotment_adopt(allotment_t *a, fleet_t *fleet, plans_t *plans,
+    allowances_t *allowances, time_us_t now)
+{
+	membership_adopt(a->m, fleet, plans, allowances, now);
+	allotment_refresh(a, now);
+}
+
+static void
+demand_decay(entry_t *entry, time_us_t now)
+{
+	if (now <= entry->demand_at)
+		return;
+	entry->demand *= exp(-(double)(now - entry->demand_at) / DEMAND_TAU_US);
+	entry->demand_at = now;
+}
+
+static void
+demand_add(entry_t *entry, double tokens, time_us_t now)
+{
+	demand_decay(entry, now);
+	entry->demand += tokens * US_PER_S / DEMAND_TAU_US;
+	if (entry->demand < 0)
+		entry->demand = 0;
+}
+
+/* Demand as a share of the team's rate, times a margin; at most SHARE_ONE. */
+static share_t
+demand_share(entry_t *entry, double margin, time_us_t now)
+{
+	double share;
+
+	demand_decay(entry, now);
+	if (entry->rate <= 0)
+		return 0;
+	share = entry->demand * margin / (double)entry->rate;
+	return share >= 1 ? SHARE_ONE : (share_t)(share * SHARE_ONE);
+}
+
+static allotment_result_t
+result_wait(entry_t *entry, int64_t tokens, time_us_t now)
+{
+	allotment_result_t result = {.verdict = ALLOTMENT_WAIT};
+	int64_t missing;
+
+	result.ready_at =
+	    bucket_ready_at(entry->bucket, tokens * TOKEN_MICRO, now);
+	result.needs_loan = entry->own < SHARE_ONE;
+	if (result.ready_at != INT64_MAX)
+		return result;
+	/* With loans, the team's whole rate can supply the missing tokens. */
+	missing = tokens - bucket_level(entry->bucket, now) / TOKEN_MICRO;
+	result.ready_at = now + LOAN_WAIT_US;
+	if (entry->rate > 0)
+		result.ready_at += missing * US_PER_S / entry->rate;
+	return result;
+}
+
+allotment_result_t
+allotment_reserve(
+    allotment_t *a, const char *team, int64_t tokens, bool first, time_us_t now)
+{
+	allotment_result_t result = {.verdict = ALLOTMENT_NEVER};
+	entry_t *entry = entry_ensure(a, team, now);
+
+	if (entry == NULL || tokens < 0 || tokens > entry->burst)
+		return result;
+	entry->used_at = now;
+	if (first)
+		demand_add(entry, (double)tokens, now);
+	if (bucket_reserve(entry->bucket, tokens * TOKEN_MICRO, now,
+		&result.reservation)) {
+		result.verdict = ALLOTMENT_ADMITTED;
+		if (tokens >= entry->short_tokens)
+			entry->short_tokens = 0;
+		return result;
+	}
+	entry->short_tokens = MAX(entry->short_tokens, tokens);
+	entry->short_until = now + LOAN_WAIT_US;
+	return result_wait(entry, tokens, now);
+}
+
+void
+allotment_settle(allotment_t *a, const char *team, reservation_t *reservation,
+    int64_t used, time_us_t now)
+{
+	entry_t *entry = entry_find(a, team, now);
+	int64_t unused = reservation->tokens / TOKEN_MICRO - used;
+
+	if (entry == NULL || reservation->id == 0)
+		return;
+	bucket_settle(entry->bucket, reservation, used * TOKEN_MICRO, now);
+	if (unused > 0)
+		demand_add(entry, -(double)unused, now);
+}
+
+/* The share that would serve the demand and the largest waiting request. */
+static share_t
+entry_wanted(entry_t *entry, time_us_t now)
+{
+	share_t share = demand_share(entry, BORROWER_MARGIN, now);
+
+	if (now >= entry->short_until)
+		entry->short_tokens = 0;
+	if (entry->short_tokens > 0 && entry->burst > 0) {
+		uint64_t tokens = MIN(entry->short_tokens, entry->burst);
+		uint64_t least =
+		    (tokens * SHARE_ONE + entry->burst - 1) / entry->burst;
+
+		share = MAX(share, (share_t)least);
+	}
+	return share;
+}
+
+static void
+ask_fill(allotment_t *a, const char *team, time_us_t now, loan_ask_t *ask)
+{
+	loan_request_t *request = &ask->request;
+
+	memset(ask, 0, sizeof(*ask));
+	g_strlcpy(request->team, team, sizeof(request->team));
+	g_strlcpy(request->borrower, a->name, sizeof(request->borrower));
+	request->incarnation = a->incarnation;
+	request->requested_at = now;
+}
+
+static bool
+ask_renewal(allotment_t *a, const char *team, entry_t *entry, share_t spare,
+    time_us_t now, loan_ask_t *ask)
+{
+	for (size_t i = 0; i < loan_n_borrowed(a->loans, team); i++) {
+		loan_borrowed_t *loan = loan_borrowed_at(a->loans, team, i);
+
+		/* A loan that is no longer needed is left to end. */
+		if (loan->share == 0 || loan->share <= spare ||
+		    loan->ends_at - now >= LOAN_RENEW_US ||
+		    now < loan->next_ask_at)
+			continue;
+		loan->next_ask_at = now + LOAN_TIMEOUT_US;
+		ask_fill(a, team, now, ask);
+		g_strlcpy(ask->lender, loan->lender, sizeof(ask->lender));
+		ask->request.request_id = loan->request_id;
+		ask->request.share = loan->share;
+		return true;
+	}
+	return false;
+}
+
+static int64_t
+tokens_wanted(entry_t *entry, share_t share, time_us_t now)
+{
+	int64_t missing = entry->short_tokens * TOKEN_MICRO -
+			  bucket_level(entry->bucket, now);
+
+	return CLAMP(missing, 0, share_of(entry->burst, share));
+}
+
+bool
+allotment_wants_loan(
+    allotment_t *a, const char *team, time_us_t now, loan_ask_t *ask)
+{
+	entry_t *entry = entry_find(a, team, now);
+	share_t wanted, held;
+
+	if (entry == NULL || now < entry->next_ask_at)
+		return false;
+	wanted = entry_wanted(entry, now);
+	held = entry->own + loan_borrowed(a->loans, team);
+	if (!ask_renewal(
+		a, team, entry, held > wanted ? held - wanted : 0, now, ask)) {
+		if (wanted <= held ||
+		    (wanted - held < LOAN_LEAST && entry->short_tokens == 0))
+			return false;
+		ask_fill(a, team, now, ask);
+		ask->request.request_id = ++a->next_request;
+		/* A borrower gives back what its lender needs itself. Every
+		 * other ask, as that borrower may be gone. */
+		if (ask->request.request_id % 2 == 0)
+			loan_first_borrower(a->loans, team, ask->lender);
+		ask->request.share = wanted - held;
+		ask->request.tokens =
+		    tokens_wanted(entry, ask->request.share, now);
+	}
+	entry->asked_id = ask->request.request_id;
+	entry->next_ask_at = now + LOAN_TIMEOUT_US;
+	return true;
+}
+
+/* What the lender keeps for its own demand, waiting requests included. */
+static share_t
+entry_kept(entry_t *entry, time_us_t now)
+{
+	share_t kept = demand_share(entry, LENDER_MARGIN, now);
+
+	if (entry->short_tokens > 0 && now < entry->short_until)
+		kept = MAX(kept, entry_wanted(entry, now));
+	return kept;
+}
+
+/* Renews the loan of an earlier request, unless the lender needs it itself. */
+static void
+lend_again(allotment_t *a, entry_t *entry, const loan_request_t *request,
+    const loan_lent_t *lent, time_us_t now, loan_grant_t *grant)
+{
+	share_t own = membership_team_share(a->m, request->team, now);
+
+	if (loan_lent(a->loans, request->team) > own ||
+	    entry_kept(entry, now) > entry->own)
+		return;
+	loan_extend(a->loans, request, now);
+	grant->loan_id = lent->loan_id;
+	grant->share = lent->share;
+}
+
+/* Takes the tokens that go with a lent share out of the bucket. */
+static int64_t
+lend_tokens(entry_t *entry, const loan_request_t *request, share_t share,
+    share_t kept, time_us_t now)
+{
+	int64_t level = bucket_level(entry->bucket, now);
+	int64_t most = share_of(entry->burst, share);
+	/* Above the remaining capacity tokens would be lost. */
+	int64_t excess = level - share_of(entry->burst, entry->own - share);
+	int64_t spare = level - share_of(entry->burst, kept);
+	int64_t tokens = MAX(excess, MIN(request->tokens, spare));
+
+	return bucket_withdraw(entry->bucket, CLAMP(tokens, 0, most), now);
+}
+
+static void
+lend_new(allotment_t *a, entry_t *entry, const loan_request_t *request,
+    time_us_t now, loan_grant_t *grant)
+{
+	share_t kept = entry_kept(entry, now);
+	share_t share;
+
+	if (kept >= entry->own)
+		return;
+	share = MIN(request->share, entry->own - kept);
+	if (share == 0)
+		return;
+	grant->share = share;
+	grant->tokens = lend_tokens(entry, request, share, kept, now);
+	grant->loan_id = loan_lend(a->loans, request, share, now);
+	entry_refresh(a, request->team, entry, now);
+}
+
+void
+allotment_lend(allotment_t *a, const loan_request_t *request, time_us_t now,
+    loan_grant_t *grant)
+{
+	entry_t *entry = entry_ensure(a, request->team, now);
+	const loan_lent_t *lent = loan_find_lent(a->loans, request, now);
+
+	memset(grant, 0, sizeof(*grant));
+	g_strlcpy(grant->team, request->team, sizeof(grant->team));
+	g_strlcpy(grant->lender, a->name, sizeof(grant->lender));
+	grant->incarnation = a->incarnation;
+	grant->request_id = request->request_id;
+	grant->requested_at = request->requested_at;
+	if (entry == NULL)
+		return;
+	if (lent != NULL)
+		lend_again(a, entry, request, lent, now, grant);
+	else
+		lend_new(a, entry, request, now, grant);
+}
+
+void
+allotment_on_grant(allotment_t *a, const loan_grant_t *grant, time_us_t now)
+{
+	entry_t *entry = entry_find(a, grant->team, now);
+
+	if (entry == NULL)
+		return;
+	if (loan_accept(a->loans, grant, now)) {
+		entry_refresh(a, grant->team, entry, now);
+		bucket_add(entry->bucket, grant->tokens, now);
+	}
+	if (grant->request_id != entry->asked_id)
+		return;
+	entry->asked_id = 0;
+	entry->next_ask_at = grant->loan_id != 0 ? now : now + LOAN_RETRY_US;
+}
+
+bool
+allotment_return(allotment_t *a, const char *team, const char *lender,
+    time_us_t now, loan_return_t *message)
+{
+	entry_t *entry = entry_find(a, team, now);
+	share_t wanted, held;
+
+	if (entry == NULL)
+		return false;
+	wanted = entry_wanted(entry, now);
+	held = entry->own + loan_borrowed(a->loans, team);
+	for (size_t i = 0; i < loan_n_borrowed(a->loans, team); i++) {
+		loan_borrowed_t *loan = loan_borrowed_at(a->loans, team, i);
+		bool asked =
+		    lender != NULL && strcmp(loan->lender, lender) == 0;
+
+		if (loan->share == 0 ||
+		    (!asked && (uint64_t)wanted + loan->share > held))
+			continue;
+		if (!loan_return(a->loans, team, loan->loan_id, now, message))
+			continue;
+		g_strlcpy(
+		    message->borrower, a->name, sizeof(message->borrower));
+		entry_refresh(a, team, entry, now);
+		return true;
+	}
+	return false;
+}
+
+void
+allotment_on_return(allotment_t *a, const loan_return_t *message, time_us_t now)
+{
+	entry_t *entry = entry_find(a, message->team, now);
+
+	if (loan_on_return(a->loans, message) && entry != NULL)
+		entry_refresh(a, message->team, entry, now);
+}
+
+static gboolean
+entry_is_over(gpointer team, gpointer value, gpointer data)
+{
+	void **arguments = data;
+	allotment_t *a = arguments[0];
+	time_us_t now = *(time_us_t *)arguments[1];
+	entry_t *entry = value;
+
+	entry_refresh(a, team, entry, now);
+	return now - entry->used_at >= ALLOTMENT_IDLE_US &&
+	       !loan_exists(a->loans, team) &&
+	       bucket_is_idle(entry->bucket, now);
+}
+
+void
+allotment_sweep(allotment_t *a, time_us_t now)
+{
+	void *arguments[] = {a, &now};
+
+	/* The entries first: they count each borrowed share to its own end. */
+	g_hash_table_foreach_remove(a->teams, entry_is_over, arguments);
+	loan_expire(a->loans, now);
+}
+
+share_t
+allotment_in_use(allotment_t *a, const char *team, time_us_t now)
+{
+	entry_t *entry = entry_find(a, team, now);
+
+	if (entry == NULL)
+		return own_unlent(a, team, now);
+	return entry->own + loan_borrowed(a->loans, team);
+}
+
+share_t
+allotment_lent(allotment_t *a, const char *team, time_us_t now)
+{
+	entry_find(a, team, now);
+	return loan_lent(a->loans, team);
+}
+
+share_t
+allotment_borrowed(allotment_t *a, const char *team, time_us_t now)
+{
+	entry_find(a, team, now);
+	return loan_borrowed(a->loans, team);
+}
+
+double
+allotment_demand(allotment_t *a, const char *team, time_us_t now)
+{
+	entry_t *entry = entry_find(a, team, now);
+
+	if (entry == NULL)
+		return 0;
+	demand_decay(entry, now);
+	return entry->demand;
+}
+
+size_t
+allotment_n_teams(const allotment_t *a)
+{
+	return g_hash_table_size(a->teams);
+}
+
+void
+allotment_each(
+    allotment_t *a, void (*visit)(const char *team, void *data), void *data)
+{
+	GHashTableIter iter;
+	gpointer team;
+
+	g_hash_table_iter_init(&iter, a->teams);
+	while (g_hash_table_iter_next(&iter, &team, NULL))
+		visit(team, data);
+}
--- /dev/null
+++ b/core/membership.c
@@ -0,0 +1,608 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/membership_private.h"
+
+static void
+view_destroy(gpointer data)
+{
+	view_t *view = data;
+
+	g_hash_table_destroy(view->live);
+	g_hash_table_destroy(view->listed);
+	g_ptr_array_free(view->zone, TRUE);
+	fleet_unref(view->fleet);
+	g_free(view);
+}
+
+static gint
+name_order(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static view_t *
+view_create(const membership_t *m, fleet_t *fleet)
+{
+	view_t *view = g_new0(view_t, 1);
+
+	view->fleet = fleet_ref(fleet);
+	view->live = g_hash_table_new(g_str_hash, g_str_equal);
+	view->listed = g_hash_table_new(g_str_hash, g_str_equal);
+	view->zone = g_ptr_array_new();
+	for (size_t i = 0; i < fleet->n_instances; i++) {
+		instance_t *instance = &fleet->instances[i];
+
+		g_hash_table_insert(view->listed, instance->name, instance);
+		if (instance->state != MEMBER_LIVE)
+			continue;
+		g_hash_table_insert(view->live, instance->name, instance);
+		if (!g_str_equal(instance->zone, m->zone)) {
+			view->n_other++;
+			continue;
+		}
+		g_ptr_array_add(view->zone, instance->name);
+		if (g_str_equal(instance->name, m->name))
+			view->self_live = true;
+	}
+	g_ptr_array_sort(view->zone, name_order);
+	return view;
+}
+
+membership_t *
+membership_create(const char *name, const char *zone, incarnation_t incarnation,
+    time_us_t now)
+{
+	membership_t *m = g_new0(membership_t, 1);
+
+	g_strlcpy(m->name, name, sizeof(m->name));
+	g_strlcpy(m->zone, zone, sizeof(m->zone));
+	m->incarnation = incarnation;
+	m->held_until = now + DRIFT_MARGIN(LOAN_US);
+	m->parts = parts_create(zone);
+	m->window = g_ptr_array_new_with_free_func(view_destroy);
+	m->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	m->former =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return m;
+}
+
+void
+membership_destroy(membership_t *m)
+{
+	if (m == NULL)
+		return;
+	g_ptr_array_free(m->window, TRUE);
+	g_hash_table_destroy(m->peers);
+	g_hash_table_destroy(m->former);
+	parts_destroy(m->parts);
+	plans_unref(m->plans);
+	allowances_unref(m->allowances);
+	g_free(m);
+}
+
+void
+membership_set_lent_source(
+    membership_t *m, membership_lent_t lent, void *context)
+{
+	m->lent = lent;
+	m->lent_context = context;
+}
+
+void
+membership_set_faults(membership_t *m, membership_faults_t faults)
+{
+	m->faults = faults;
+}
+
+bool
+peer_is_at(const membership_t *m, const peer_t *peer, list_kind_t kind)
+{
+	const list_stamp_t *stamp = &peer->adopted[kind];
+	const view_t *view = membership_newest(m);
+	const list_head_t *ours = NULL;
+
+	switch (kind) {
+	case LIST_PLANS:
+		ours = m->plans == NULL ? NULL : &m->plans->head;
+		break;
+	case LIST_ALLOWANCES:
+		ours = m->allowances == NULL ? NULL : &m->allowances->head;
+		break;
+	case LIST_FLEET:
+	case LIST_COUNT:
+		ours = view == NULL ? NULL : &view->fleet->head;
+		break;
+	}
+	return ours != NULL && stamp->version == ours->version &&
+	       memcmp(stamp->digest, ours->digest, DIGEST_BYTES) == 0;
+}
+
+static bool
+name_retired(const membership_t *m, const char *name)
+{
+	char **retired = m->allowances == NULL ? NULL : m->allowances->retired;
+
+	for (; retired != NULL && *retired != NULL; retired++) {
+		if (g_str_equal(*retired, name))
+			return true;
+	}
+	return false;
+}
+
+/* Former members that are live again, or that operators declared gone. */
+static gboolean
+former_is_over(gpointer name, gpointer zone, gpointer data)
+{
+	const membership_t *m = data;
+
+	return name_retired(m, name) ||
+	       g_hash_table_contains(membership_newest(m)->live, name);
+}
+
+static void
+former_collect(membership_t *m, const view_t *old, const view_t *next)
+{
+	GHashTableIter iter;
+	gpointer name, value;
+
+	g_hash_table_iter_init(&iter, old->live);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const instance_t *instance = value;
+
+		if (!g_hash_table_contains(next->live, name) &&
+		    !g_str_equal(name, m->name))
+			g_hash_table_insert(m->former, g_strdup(name),
+			    g_strdup(instance->zone));
+	}
+}
+
+static void
+peer_ensure(membership_t *m, const char *name, const char *zone)
+{
+	peer_t *peer;
+
+	if (g_str_equal(name, m->name) || g_hash_table_contains(m->peers, name))
+		return;
+	peer = g_new0(peer_t, 1);
+	g_strlcpy(peer->name, name, sizeof(peer->name));
+	g_strlcpy(peer->zone, zone, sizeof(peer->zone));
+	g_hash_table_insert(m->peers, peer->name, peer);
+}
+
+static gboolean
+peer_is_unneeded(gpointer name, gpointer peer, gpointer data)
+{
+	const membership_t *m = data;
+
+	if (g_hash_table_contains(m->former, name))
+		return FALSE;
+	for (size_t i = 0; i < m->window->len; i++) {
+		const view_t *view = g_ptr_array_index(m->window, i);
+
+		if (g_hash_table_contains(view->listed, name))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static void
+peers_update(membership_t *m)
+{
+	const view_t *view = membership_newest(m);
+	GHashTableIter iter;
+	gpointer value;
+
+	for (size_t i = 0; i < view->fleet->n_instances; i++)
+		peer_ensure(m, view->fleet->instances[i].name,
+		    view->fleet->instances[i].zone);
+	g_hash_table_foreach_remove(m->peers, peer_is_unneeded, m);
+	g_hash_table_iter_init(&iter, m->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((peer_t *)value)->same_at = 0;
+}
+
+static void
+fleet_adopt(membership_t *m, fleet_t *fleet, time_us_t now)
+{
+	view_t *old = membership_newest(m);
+	view_t *next = view_create(m, fleet);
+	share_t before = window_share(m);
+
+	if (m->agreed[LIST_FLEET] > 0 && m->lease_until == 0)
+		membership_demote(m);
+	if (old != NULL)
+		former_collect(m, old, next);
+	g_ptr_array_add(m->window, next);
+	if (old != NULL && (m->agreed[LIST_FLEET] == 0 ||
+			       old->fleet->head.version > m->acked[LIST_FLEET]))
+		g_ptr_array_remove(m->window, old);
+	if (window_share(m) > before)
+		m->raised_at = now;
+	m->newest_since = now;
+	m->blocked_since = 0;
+	g_hash_table_foreach_remove(m->former, former_is_over, m);
+	peers_update(m);
+	lease_renew(m, now);
+}
+
+static void
+pair_adopt(
+    membership_t *m, plans_t *plans, allowances_t *allowances, time_us_t now)
+{
+	bool newer = false;
+
+	if (plans != NULL && (m->plans == NULL || plans->head.version >
+						      m->plans->head.version)) {
+		plans_unref(m->plans);
+		m->plans = plans_ref(plans);
+		newer = true;
+	}
+	if (allowances != NULL &&
+	    (m->allowances == NULL ||
+		allowances->head.version > m->allowances->head.version)) {
+		allowances_unref(m->allowances);
+		m->allowances = allowances_ref(allowances);
+		newer = true;
+	}
+	if (newer && m->plans != NULL && m->allowances != NULL)
+		parts_adopt(m->parts, m->plans, m->allowances, now);
+}
+
+void
+membership_adopt(membership_t *m, fleet_t *fleet, plans_t *plans,
+    allowances_t *allowances, time_us_t now)
+{
+	const view_t *view;
+
+	lease_check(m, now);
+	pair_adopt(m, plans, allowances, now);
+	view = membership_newest(m);
+	if (fleet != NULL &&
+	    (view == NULL || fleet->head.version > view->fleet->head.version))
+		fleet_adopt(m, fleet, now);
+	if (membership_newest(m) != NULL)
+		g_hash_table_foreach_remove(m->former, former_is_over, m);
+	membership_advance(m, now);
+}
+
+static void
+stamp_set(list_stamp_t *stamp, const list_head_t *head)
+{
+	stamp->version = head->version;
+	memcpy(stamp->digest, head->digest, DIGEST_BYTES);
+}
+
+static void
+former_write(const membership_t *m, heartbeat_t *out, bool own_zone)
+{
+	GHashTableIter iter;
+	gpointer name, zone;
+
+	g_hash_table_iter_init(&iter, m->former);
+	while (g_hash_table_iter_next(&iter, &name, &zone)) {
+		former_member_t *former = &out->former[out->n_former];
+
+		if (g_str_equal(zone, m->zone) != own_zone)
+			continue;
+		if (out->n_former == HEARTBEAT_FORMER_LIMIT)
+			return;
+		g_strlcpy(former->name, name, sizeof(former->name));
+		g_strlcpy(former->zone, zone, sizeof(former->zone));
+		out->n_former++;
+	}
+}
+
+static void
+state_write(const membership_t *m, heartbeat_t *out)
+{
+	const view_t *view = membership_newest(m);
+
+	g_strlcpy(out->sender, m->name, sizeof(out->sender));
+	g_strlcpy(out->zone, m->zone, sizeof(out->zone));
+	out->incarnation = m->incarnation;
+	memset(out->adopted, 0, sizeof(out->adopted));
+	if (m->plans != NULL)
+		stamp_set(&out->adopted[LIST_PLANS], &m->plans->head);
+	if (m->allowances != NULL)
+		stamp_set(&out->adopted[LIST_ALLOWANCES], &m->allowances->head);
+	if (view != NULL)
+		stamp_set(&out->adopted[LIST_FLEET], &view->fleet->head);
+	memcpy(out->acked, m->acked, sizeof(out->acked));
+	memcpy(out->agreed, m->agreed, sizeof(out->agreed));
+	out->wants_lease = false;
+	out->lease_granted = false;
+	out->n_former = 0;
+	former_write(m, out, true);
+	former_write(m, out, false);
+}
+
+static void
+sent_record(membership_t *m, time_us_t now)
+{
+	if (m->n_sent > 0 && m->sent[(m->n_sent - 1) % SENT_LIMIT] >= now)
+		return;
+	m->sent[m->n_sent++ % SENT_LIMIT] = now;
+}
+
+static bool
+sent_contains(const membership_t *m, time_us_t at)
+{
+	size_t low = m->n_sent > SENT_LIMIT ? m->n_sent - SENT_LIMIT : 0;
+	size_t high = m->n_sent;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (m->sent[middle % SENT_LIMIT] == at)
+			return true;
+		if (m->sent[middle % SENT_LIMIT] < at)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return false;
+}
+
+void
+membership_fill(membership_t *m, heartbeat_t *out, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+
+	lease_check(m, now);
+	membership_advance(m, now);
+	state_write(m, out);
+	out->sent_at = now;
+	out->wants_lease = view != NULL && view->self_live;
+	sent_record(m, now);
+}
+
+/* Takes what only rises, so that messages may come in any order. */
+static void
+peer_merge(peer_t *peer, const heartbeat_t *message)
+{
+	for (int kind = 0; kind < LIST_COUNT; kind++) {
+		if (message->adopted[kind].version >=
+		    peer->adopted[kind].version)
+			peer->adopted[kind] = message->adopted[kind];
+		peer->acked[kind] =
+		    MAX(peer->acked[kind], message->acked[kind]);
+		peer->agreed[kind] =
+		    MAX(peer->agreed[kind], message->agreed[kind]);
+	}
+}
+
+static void
+peer_restart(peer_t *peer, incarnation_t incarnation)
+{
+	peer_t fresh = {.incarnation = incarnation};
+
+	memcpy(fresh.name, peer->name, sizeof(fresh.name));
+	memcpy(fresh.zone, peer->zone, sizeof(fresh.zone));
+	*peer = fresh;
+}
+
+/* Former members that this message shows to hold nothing any more. */
+static void
+former_release(membership_t *m, const peer_t *peer)
+{
+	const view_t *view = membership_newest(m);
+	uint64_t version = view->fleet->head.version;
+	GHashTableIter iter;
+	gpointer zone;
+
+	if (!peer_is_at(m, peer, LIST_FLEET) ||
+	    peer->acked[LIST_FLEET] != version)
+		return;
+	g_hash_table_remove(m->former, peer->name);
+	if (peer->agreed[LIST_FLEET] != version ||
+	    g_str_equal(peer->zone, m->zone))
+		return;
+	g_hash_table_iter_init(&iter, m->former);
+	while (g_hash_table_iter_next(&iter, NULL, &zone)) {
+		if (g_str_equal(zone, peer->zone))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Returns the sender's record, or NULL when no list in the window names it. */
+static peer_t *
+message_take(membership_t *m, const heartbeat_t *message)
+{
+	peer_t *peer = membership_peer(m, message->sender);
+
+	if (peer == NULL || membership_newest(m) == NULL ||
+	    !g_str_equal(peer->zone, message->zone))
+		return NULL;
+	if (peer->incarnation != message->incarnation)
+		peer_restart(peer, message->incarnation);
+	peer_merge(peer, message);
+	former_release(m, peer);
+	return peer;
+}
+
+void
+membership_on_heartbeat(membership_t *m, const heartbeat_t *request,
+    heartbeat_t *reply, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+	bool granted;
+
+	lease_check(m, now);
+	message_take(m, request);
+	membership_advance(m, now);
+	granted = view != NULL && lease_grant(m, request);
+	state_write(m, reply);
+	reply->sent_at = request->sent_at;
+	reply->lease_granted = granted;
+	/* An instance that our list doesn't name must not count us, as we
+	 * would not wait for it in turn. */
+	if (view == NULL ||
+	    !g_hash_table_contains(view->listed, request->sender)) {
+		memset(reply->acked, 0, sizeof(reply->acked));
+		memset(reply->agreed, 0, sizeof(reply->agreed));
+	}
+}
+
+static bool
+names_former_of(const heartbeat_t *message, const char *zone)
+{
+	if (message->n_former >= HEARTBEAT_FORMER_LIMIT)
+		return true;
+	for (size_t i = 0; i < message->n_former; i++) {
+		if (g_str_equal(message->former[i].zone, zone))
+			return true;
+	}
+	return false;
+}
+
+static void
+answer_take(membership_t *m, peer_t *peer, const heartbeat_t *reply)
+{
+	if (reply->lease_granted)
+		peer->granted_at = MAX(peer->granted_at, reply->sent_at);
+	if (reply->sent_at >= peer->answered_at) {
+		peer->answered_at = reply->sent_at;
+		memcpy(peer->agreed, reply->agreed, sizeof(peer->agreed));
+	}
+	if (!peer_is_at(m, peer, LIST_FLEET) ||
+	    reply->adopted[LIST_FLEET].version !=
+		peer->adopted[LIST_FLEET].version ||
+	    reply->sent_at < peer->same_at)
+		return;
+	peer->same_at = reply->sent_at;
+	peer->names_former = reply->n_former > 0;
+	peer->names_ours = names_former_of(reply, m->zone);
+}
+
+void
+membership_on_reply(membership_t *m, const heartbeat_t *reply, time_us_t now)
+{
+	peer_t *peer;
+
+	lease_check(m, now);
+	if (reply->sent_at > now || !sent_contains(m, reply->sent_at))
+		return;
+	peer = message_take(m, reply);
+	if (peer == NULL)
+		return;
+	answer_take(m, peer, reply);
+	if (reply->lease_granted)
+		lease_renew(m, now);
+	membership_advance(m, now);
+}
+
+static share_t
+view_share(const view_t *view)
+{
+	return view->self_live ? SHARE_ONE / view->zone->len : 0;
+}
+
+share_t
+window_share(const membership_t *m)
+{
+	share_t share = m->window->len == 0 ? 0 : SHARE_ONE;
+
+	for (size_t i = 0; i < m->window->len; i++)
+		share = MIN(share, view_share(g_ptr_array_index(m->window, i)));
+	return share;
+}
+
+bool
+membership_has_lease(membership_t *m, time_us_t now)
+{
+	lease_check(m, now);
+	return m->lease_until > now;
+}
+
+static bool
+membership_holds(membership_t *m, time_us_t now)
+{
+	return membership_has_lease(m, now) && m->agreed[LIST_FLEET] > 0;
+}
+
+share_t
+membership_share(membership_t *m, time_us_t now)
+{
+	return membership_holds(m, now) ? window_share(m) : 0;
+}
+
+share_t
+membership_part(const membership_t *m, const char *team)
+{
+	return parts_lowest(m->parts, team);
+}
+
+share_t
+membership_part_newest(const membership_t *m, const char *team)
+{
+	return parts_newest(m->parts, team);
+}
+
+share_t
+membership_team_share(membership_t *m, const char *team, time_us_t now)
+{
+	uint64_t share = membership_share(m, now);
+
+	return (share_t)(share * membership_part(m, team) / SHARE_ONE);
+}
+
+const plan_t *
+membership_plan(const membership_t *m, const char *team)
+{
+	return parts_plan(m->parts, team);
+}
+
+time_us_t
+membership_raised_at(const membership_t *m, const char *team)
+{
+	return MAX(m->raised_at, parts_raised_at(m->parts, team));
+}
+
+static uint32_t
+view_slots(const membership_t *m, const view_t *view, const target_t *target)
+{
+	uint64_t n = view->zone->len;
+	uint64_t spread =
+	    XXH3_64bits(target->name, strlen(target->name)) % MAX(n, 1);
+
+	for (size_t k = 0; k < n; k++) {
+		if (g_str_equal(g_ptr_array_index(view->zone, k), m->name))
+			return (
+			    uint32_t)(target->slots / n +
+				      ((k + spread) % n < target->slots % n));
+	}
+	return 0;
+}
+
+uint32_t
+membership_slots(membership_t *m, const target_t *target, time_us_t now)
+{
+	uint32_t slots = UINT32_MAX;
+
+	if (!g_str_equal(target->zone, m->zone) || !membership_holds(m, now))
+		return 0;
+	for (size_t i = 0; i < m->window->len; i++)
+		slots = MIN(slots,
+		    view_slots(m, g_ptr_array_index(m->window, i), target));
+	return slots;
+}
+
+bool
+membership_is_settled(const membership_t *m, list_kind_t kind, uint64_t version)
+{
+	return m->agreed[kind] >= version;
+}
+
+uint64_t
+membership_epoch(membership_t *m, time_us_t now)
+{
+	lease_check(m, now);
+	return m->epoch;
+}
+
+size_t
+membership_n_lowered(const membership_t *m)
+{
+	return parts_n_lowered(m->parts);
+}
--- /dev/null
+++ b/core/membership_agree.c
@@ -0,0 +1,344 @@
+#include "core/membership_private.h"
+
+/*
+ * When a version is agreed. In all rules below an acknowledgement counts only
+ * while its sender has adopted exactly our newest version with our text: one
+ * for a newer version doesn't imply the versions that its sender skipped.
+ */
+
+static bool
+peer_acked_fleet(const membership_t *m, const peer_t *peer)
+{
+	return peer != NULL && peer_is_at(m, peer, LIST_FLEET) &&
+	       peer->acked[LIST_FLEET] == peer->adopted[LIST_FLEET].version;
+}
+
+static bool
+peer_agreed_fleet(const membership_t *m, const peer_t *peer)
+{
+	return peer_acked_fleet(m, peer) &&
+	       peer->agreed[LIST_FLEET] == peer->adopted[LIST_FLEET].version;
+}
+
+static bool
+zone_acked(const membership_t *m, const view_t *view)
+{
+	for (size_t i = 0; i < view->zone->len; i++) {
+		const char *name = g_ptr_array_index(view->zone, i);
+
+		if (!g_str_equal(name, m->name) &&
+		    !peer_acked_fleet(m, membership_peer(m, name)))
+			return false;
+	}
+	return true;
+}
+
+static const peer_t *
+zone_find(const membership_t *m, const view_t *view,
+    bool (*matches)(const membership_t *, const peer_t *))
+{
+	for (size_t i = 0; i < view->zone->len; i++) {
+		const peer_t *peer =
+		    membership_peer(m, g_ptr_array_index(view->zone, i));
+
+		if (peer != NULL && matches(m, peer))
+			return peer;
+	}
+	return NULL;
+}
+
+static bool
+peer_holds(const membership_t *m, const peer_t *peer)
+{
+	return peer->agreed[LIST_FLEET] > 0;
+}
+
+static size_t
+former_in_zone(const membership_t *m, const char *zone)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, m->former);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += g_str_equal(value, zone);
+	return n;
+}
+
+static gboolean
+former_is_of(gpointer name, gpointer zone, gpointer wanted)
+{
+	return g_str_equal(zone, wanted);
+}
+
+/* Counts instances at our version in replies to requests sent since a time. */
+static void
+count_same(const membership_t *m, const view_t *view, time_us_t since,
+    size_t *in_zone, size_t *elsewhere)
+{
+	GHashTableIter iter;
+	gpointer name, value;
+
+	*in_zone = view->self_live ? 1 : 0;
+	*elsewhere = 0;
+	g_hash_table_iter_init(&iter, view->live);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const instance_t *instance = value;
+		const peer_t *peer = membership_peer(m, name);
+
+		if (peer == NULL || !peer_is_at(m, peer, LIST_FLEET) ||
+		    peer->same_at < since || peer->same_at == 0)
+			continue;
+		if (g_str_equal(instance->zone, m->zone))
+			(*in_zone)++;
+		else
+			(*elsewhere)++;
+	}
+}
+
+/*
+ * Whether so many instances of a view are at our newest version, which refuse
+ * former members, that the rest is no majority in the zone nor elsewhere.
+ */
+static bool
+view_blocked(const membership_t *m, const view_t *view, time_us_t since)
+{
+	size_t n = view->zone->len;
+	size_t in_zone, elsewhere;
+
+	count_same(m, view, since, &in_zone, &elsewhere);
+	return in_zone >= n - n / 2 &&
+	       elsewhere >= view->n_other - view->n_other / 2;
+}
+
+static bool
+former_blocked(const membership_t *m, time_us_t since)
+{
+	for (size_t i = 0; i + 1 < m->window->len; i++) {
+		if (!view_blocked(m, g_ptr_array_index(m->window, i), since))
+			return false;
+	}
+	return m->window->len > 1;
+}
+
+/*
+ * Whether former members have lost their lease and their loans are over: they
+ * were refused for FENCE_US without a break. Versions only rise, so instances
+ * that were at our version at both ends were so all the time.
+ */
+static bool
+former_fenced(membership_t *m, time_us_t now)
+{
+	if (m->faults.short_fence)
+		return true;
+	if (!former_blocked(m, 0)) {
+		m->blocked_since = 0;
+		return false;
+	}
+	if (m->blocked_since == 0)
+		m->blocked_since = now;
+	return now >= m->blocked_since + FENCE_US &&
+	       former_blocked(m, m->blocked_since + FENCE_US);
+}
+
+/*
+ * A zone where no member has held a share: everyone is new. What happened
+ * before is asked of a majority of the other zones.
+ */
+static bool
+zone_is_new(const membership_t *m, const view_t *view)
+{
+	GHashTableIter iter;
+	gpointer name, value;
+	size_t n_clear = 0;
+
+	if (zone_find(m, view, peer_holds) != NULL ||
+	    former_in_zone(m, m->zone) > 0)
+		return false;
+	g_hash_table_iter_init(&iter, view->live);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const instance_t *instance = value;
+		const peer_t *peer = membership_peer(m, name);
+
+		if (peer == NULL || g_str_equal(instance->zone, m->zone) ||
+		    peer->same_at == 0 || !peer_is_at(m, peer, LIST_FLEET))
+			continue;
+		if (peer->names_ours)
+			return false;
+		n_clear++;
+	}
+	return view->n_other == 0 || n_clear > view->n_other / 2;
+}
+
+static bool
+fleet_is_agreed(membership_t *m, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+	bool holds = m->agreed[LIST_FLEET] > 0;
+
+	if (m->faults.no_ack)
+		return true;
+	if (m->acked[LIST_FLEET] != view->fleet->head.version || !m->recovered)
+		return false;
+	if (zone_find(m, view, peer_agreed_fleet) != NULL)
+		return true;
+	if (!view->self_live || !zone_acked(m, view))
+		return false;
+	if (!holds)
+		return zone_is_new(m, view);
+	return former_in_zone(m, m->zone) == 0 || former_fenced(m, now);
+}
+
+static void
+fleet_agree(membership_t *m, time_us_t now)
+{
+	share_t before = m->agreed[LIST_FLEET] > 0 ? window_share(m) : 0;
+
+	while (m->window->len > 1)
+		g_ptr_array_remove_index(m->window, 0);
+	g_hash_table_foreach_remove(m->former, former_is_of, m->zone);
+	m->agreed[LIST_FLEET] = membership_newest(m)->fleet->head.version;
+	m->blocked_since = 0;
+	if (window_share(m) > before)
+		m->raised_at = now;
+	lease_renew(m, now);
+}
+
+static bool
+peer_acked_pair(const membership_t *m, const peer_t *peer)
+{
+	return peer_is_at(m, peer, LIST_PLANS) &&
+	       peer_is_at(m, peer, LIST_ALLOWANCES) &&
+	       peer->acked[LIST_PLANS] == m->plans->head.version &&
+	       peer->acked[LIST_ALLOWANCES] == m->allowances->head.version;
+}
+
+static bool
+peer_agreed_pair(const membership_t *m, const peer_t *peer)
+{
+	return peer_acked_pair(m, peer) &&
+	       peer->agreed[LIST_PLANS] == m->plans->head.version &&
+	       peer->agreed[LIST_ALLOWANCES] == m->allowances->head.version;
+}
+
+/*
+ * The pair binds all zones, so the fleet list has to be agreed in each of them
+ * first: former members hold nothing then. Those of a zone without live members
+ * are known to whoever has adopted a list that named them.
+ */
+static bool
+pair_is_agreed(const membership_t *m, const view_t *view)
+{
+	bool all = g_hash_table_size(m->former) == 0;
+	GHashTableIter iter;
+	gpointer name;
+
+	if (m->faults.no_ack)
+		return true;
+	g_hash_table_iter_init(&iter, view->live);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		const peer_t *peer = membership_peer(m, name);
+
+		if (g_str_equal(name, m->name))
+			continue;
+		if (peer != NULL && peer_agreed_pair(m, peer))
+			return true;
+		all = all && peer != NULL && peer_agreed_fleet(m, peer) &&
+		      peer_acked_pair(m, peer) && peer->same_at > 0 &&
+		      !peer->names_former;
+	}
+	return all;
+}
+
+static void
+pair_advance(membership_t *m, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+
+	if (m->plans == NULL || m->allowances == NULL ||
+	    (m->agreed[LIST_PLANS] == m->plans->head.version &&
+		m->agreed[LIST_ALLOWANCES] == m->allowances->head.version) ||
+	    m->acked[LIST_PLANS] != m->plans->head.version ||
+	    m->acked[LIST_ALLOWANCES] != m->allowances->head.version ||
+	    m->agreed[LIST_FLEET] != view->fleet->head.version)
+		return;
+	if (!pair_is_agreed(m, view))
+		return;
+	m->agreed[LIST_PLANS] = m->plans->head.version;
+	m->agreed[LIST_ALLOWANCES] = m->allowances->head.version;
+	if (!parts_are_agreed(m->parts))
+		m->raised_at = now;
+	parts_agree(m->parts, now);
+}
+
+static bool
+lent_fits(const membership_t *m)
+{
+	return m->faults.ignore_lent || m->lent == NULL ||
+	       m->lent(m->lent_context) <= window_share(m);
+}
+
+static bool
+fleet_may_ack(const membership_t *m, const view_t *view, time_us_t now)
+{
+	if (view->self_live && lease_under(m, view, now) <= now)
+		return false;
+	if (m->window->len > WINDOW_SOFT_LIMIT &&
+	    now < m->newest_since + ACK_DELAY_US)
+		return false;
+	return former_in_zone(m, m->zone) <= HEARTBEAT_FORMER_LIMIT;
+}
+
+static void
+lists_ack(membership_t *m, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+	bool pair =
+	    m->plans != NULL && m->allowances != NULL &&
+	    (m->acked[LIST_PLANS] != m->plans->head.version ||
+		m->acked[LIST_ALLOWANCES] != m->allowances->head.version);
+	bool fleet = m->acked[LIST_FLEET] != view->fleet->head.version;
+
+	if ((!pair && !fleet) || now < m->held_until || !lent_fits(m))
+		return;
+	if (pair) {
+		m->acked[LIST_PLANS] = m->plans->head.version;
+		m->acked[LIST_ALLOWANCES] = m->allowances->head.version;
+	}
+	if (fleet && fleet_may_ack(m, view, now)) {
+		m->acked[LIST_FLEET] = view->fleet->head.version;
+		lease_renew(m, now);
+	}
+}
+
+/*
+ * Whether the others are at our version, as far as needed to trust it: a
+ * process that reads a stale list must not help a fenced instance to a lease.
+ */
+static void
+recover(membership_t *m)
+{
+	const view_t *view = membership_newest(m);
+	size_t in_zone, elsewhere;
+
+	count_same(m, view, 0, &in_zone, &elsewhere);
+	m->recovered = view->self_live && in_zone == view->zone->len &&
+		       (view->n_other == 0 || elsewhere > view->n_other / 2);
+}
+
+void
+membership_advance(membership_t *m, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+
+	if (view == NULL)
+		return;
+	if (!m->recovered)
+		recover(m);
+	lists_ack(m, now);
+	if (m->agreed[LIST_FLEET] != view->fleet->head.version &&
+	    fleet_is_agreed(m, now))
+		fleet_agree(m, now);
+	pair_advance(m, now);
+}
--- a/include/core/heartbeat.h
+++ b/include/core/heartbeat.h
@@ -51,6 +51,11 @@
 	list_stamp_t adopted[LIST_COUNT];
 	/* Newest version of each list that the sender's holdings obey. */
 	uint64_t acked[LIST_COUNT];
+	/*
+	 * Newest version that the sender knows to be agreed, see membership.h;
+	 * 0: none, the sender holds no share of its own.
+	 */
+	uint64_t agreed[LIST_COUNT];
 	bool ready;
 	bool draining;
 	bool wants_lease;   /* request only */
--- /dev/null
+++ b/include/core/membership.h
@@ -0,0 +1,131 @@
+#ifndef CORE_MEMBERSHIP_H
+#define CORE_MEMBERSHIP_H
+
+#include <stdbool.h>
+
+#include "core/heartbeat.h"
+
+/*
+ * One instance's view of who divides the fleet's rates: which lists it obeys,
+ * what the others have acknowledged, its lease, and former members.
+ *
+ * A version is agreed when everyone who may hold a share obeys it. The share of
+ * an instance is the minimum over its window, which reaches from the last
+ * agreed fleet version to the newest adopted one. So all shares obey the newest
+ * version that any instance knows to be agreed, and their sum is at most
+ * SHARE_ONE. docs/PROOFS.md and spec/share.pml have the argument.
+ */
+typedef struct membership membership_t;
+
+/* A lease lasts this long, counted from when its renewal was sent. */
+#define LEASE_US (30 * US_PER_S)
+/* A borrowed share lasts this long, counted from when it was asked for. */
+#define LOAN_US (10 * US_PER_S)
+/* Adds 1% to a time, as two clocks may run at different speeds. */
+#define DRIFT_MARGIN(us) ((us) + (us) / 100)
+#define FENCE_US DRIFT_MARGIN(LEASE_US + LOAN_US)
+
+/*
+ * The largest lent share over all teams, as a part of the zone's part of each
+ * team under the newest lists, rounded up. Asked while an acknowledgement is
+ * due, which waits until the instance's share covers it.
+ */
+typedef share_t (*membership_lent_t)(void *context);
+
+/* Rules that a test can switch off, to show that its checks notice. */
+typedef struct {
+	bool no_ack;	  /* agrees without waiting for acknowledgements */
+	bool short_fence; /* fences former members at once */
+	bool ignore_lent; /* acknowledges while too much is lent */
+	bool no_lease;	  /* uses the share without a lease */
+} membership_faults_t;
+
+/*
+ * Copies name and zone. The result holds nothing until lists are adopted, and
+ * not before the loans of an earlier process of this name are over. That
+ * process must have ended: two that run under one name would share one lease.
+ */
+membership_t *membership_create(const char *name, const char *zone,
+    incarnation_t incarnation, time_us_t now);
+void membership_destroy(membership_t *m);
+
+void membership_set_lent_source(
+    membership_t *m, membership_lent_t lent, void *context);
+void membership_set_faults(membership_t *m, membership_faults_t faults);
+
+/*
+ * Adopts lists and takes a reference to each. NULL, or a version that is not
+ * higher than the one in force, leaves that list as it is. plans and allowances
+ * that belong together are passed in one call. Cost: O(teams + instances).
+ */
+void membership_adopt(membership_t *m, fleet_t *fleet, plans_t *plans,
+    allowances_t *allowances, time_us_t now);
+
+/*
+ * Fills the fields of a request to any listed instance that this module owns:
+ * sender, zone, incarnation, sent_at, adopted, acked, agreed, wants_lease,
+ * former. The other fields are left as they are.
+ */
+void membership_fill(membership_t *m, heartbeat_t *out, time_us_t now);
+
+/* Takes a request and fills the same fields of the reply, and lease_granted. */
+void membership_on_heartbeat(membership_t *m, const heartbeat_t *request,
+    heartbeat_t *reply, time_us_t now);
+
+/* Takes a reply. One whose sent_at is none of ours is ignored. */
+void membership_on_reply(
+    membership_t *m, const heartbeat_t *reply, time_us_t now);
+
+/* This instance's share of its zone's part; 0 without a lease. */
+share_t membership_share(membership_t *m, time_us_t now);
+
+/* The zone's part of a team: lowest since the last agreed pair of lists. */
+share_t membership_part(const membership_t *m, const char *team);
+
+/* The zone's part of a team under the newest pair of lists alone. */
+share_t membership_part_newest(const membership_t *m, const char *team);
+
+/* This instance's share of the whole rate and burst of a team. */
+share_t membership_team_share(membership_t *m, const char *team, time_us_t now);
+
+/* This instance's part of the slots of a target of its zone, else 0. */
+uint32_t membership_slots(
+    membership_t *m, const target_t *target, time_us_t now);
+
+bool membership_has_lease(membership_t *m, time_us_t now);
+
+/*
+ * Tells whether everyone who may hold a share obeys this version. For plans and
+ * allowances the pair in force is meant.
+ */
+bool membership_is_settled(
+    const membership_t *m, list_kind_t kind, uint64_t version);
+
+/* The plan of a team in the newest pair of lists, or NULL. */
+const plan_t *membership_plan(const membership_t *m, const char *team);
+
+/*
+ * Last time at which the instance's share of this team rose. A bucket of an
+ * idle team that is created now counts as empty at that time: whoever held the
+ * added part before may have spent its tokens.
+ */
+time_us_t membership_raised_at(const membership_t *m, const char *team);
+
+/*
+ * Counts the times at which this instance lost its holdings. Tokens gathered
+ * under an earlier epoch are void.
+ */
+uint64_t membership_epoch(membership_t *m, time_us_t now);
+
+/* Number of teams whose part rose and waits for acknowledgements. */
+size_t membership_n_lowered(const membership_t *m);
+
+/*
+ * The part of a zone in the rate of a team that may use the given regions
+ * (NULL-terminated): weight of the zone / weights of all zones in the regions,
+ * rounded down. 0 when the zone is in none of them.
+ */
+share_t zone_part(
+    const allowances_t *allowances, char *const *regions, const char *zone);
+
+#endif
--- /dev/null
+++ b/include/core/membership_private.h
@@ -0,0 +1,115 @@
+#ifndef CORE_MEMBERSHIP_PRIVATE_H
+#define CORE_MEMBERSHIP_PRIVATE_H
+
+#include "core/membership.h"
+#include "core/part.h"
+
+/* What the other files of the membership module share. */
+
+#define SENT_LIMIT 4096
+/* Above this window length acknowledgements wait for ACK_DELAY_US, so that
+ * lists that change faster than they are agreed can't fill the memory. */
+#define WINDOW_SOFT_LIMIT 8
+#define ACK_DELAY_US (10 * US_PER_S)
+
+/* An instance that a list in the window names, or a former member. */
+typedef struct {
+	char name[NAME_LIMIT + 1];
+	char zone[NAME_LIMIT + 1];
+	incarnation_t incarnation;
+	list_stamp_t adopted[LIST_COUNT];
+	uint64_t acked[LIST_COUNT];
+	uint64_t agreed[LIST_COUNT];
+	/* Newest of our requests whose reply granted the lease; 0: none. */
+	time_us_t granted_at;
+	/* Newest of our requests answered. */
+	time_us_t answered_at;
+	/*
+	 * Newest of our requests whose reply showed our fleet version, whether
+	 * that reply named former members, and any of our zone.
+	 */
+	time_us_t same_at;
+	bool names_former;
+	bool names_ours;
+} peer_t;
+
+/* One adopted fleet version. */
+typedef struct {
+	fleet_t *fleet;
+	GHashTable *live;   /* name -> instance_t */
+	GHashTable *listed; /* name -> instance_t, live or leaving */
+	GPtrArray *zone;    /* names of the live members of our zone, sorted */
+	size_t n_other;	    /* live instances of other zones */
+	bool self_live;
+} view_t;
+
+struct membership {
+	char name[NAME_LIMIT + 1];
+	char zone[NAME_LIMIT + 1];
+	incarnation_t incarnation;
+	plans_t *plans;
+	allowances_t *allowances;
+	parts_t *parts;
+	/*
+	 * Oldest first: the agreed version, those acknowledged since, and the
+	 * newest. Versions that were replaced before we acknowledged them bind
+	 * nobody and are dropped.
+	 */
+	GPtrArray *window;
+	GHashTable *peers;  /* name -> peer_t */
+	GHashTable *former; /* name -> zone */
+	uint64_t acked[LIST_COUNT];
+	/* 0 for the fleet: this process holds nothing (new, or lost its lease
+	 * while the list changed). */
+	uint64_t agreed[LIST_COUNT];
+	/* A process that started knows nothing of what its predecessor
+	 * acknowledged. It grants no lease before it has seen that the others
+	 * are at the same version. */
+	bool recovered;
+	time_us_t held_until; /* end of the predecessor's loans */
+	time_us_t lease_until;
+	time_us_t newest_since;
+	time_us_t blocked_since; /* 0: former members may renew a lease */
+	uint64_t epoch;
+	time_us_t raised_at;	    /* when the share of all teams rose */
+	time_us_t sent[SENT_LIMIT]; /* ring of sent_at, rising */
+	size_t n_sent;
+	membership_lent_t lent;
+	void *lent_context;
+	membership_faults_t faults;
+};
+
+static inline view_t *
+membership_newest(const membership_t *m)
+{
+	return m->window->len == 0
+		   ? NULL
+		   : g_ptr_array_index(m->window, m->window->len - 1);
+}
+
+static inline peer_t *
+membership_peer(const membership_t *m, const char *name)
+{
+	return g_hash_table_lookup(m->peers, name);
+}
+
+/* Tells whether a peer has adopted our version and text of a list. */
+bool peer_is_at(const membership_t *m, const peer_t *peer, list_kind_t kind);
+
+/* The minimum over the window, whether there is a lease or not. */
+share_t window_share(const membership_t *m);
+
+/* membership_lease.c */
+/* Time until which a lease under this view lasts; 0: none. */
+time_us_t lease_under(const membership_t *m, const view_t *view, time_us_t now);
+void lease_renew(membership_t *m, time_us_t now);
+/* Ends the lease when its time is over. First in every entry point. */
+void lease_check(membership_t *m, time_us_t now);
+bool lease_grant(const membership_t *m, const heartbeat_t *request);
+/* Drops everything that depends on an unbroken lease. */
+void membership_demote(membership_t *m);
+
+/* membership_agree.c */
+void membership_advance(membership_t *m, time_us_t now);
+
+#endif
--- /dev/null
+++ b/tests/share_world.h
@@ -0,0 +1,121 @@
+#ifndef TESTS_SHARE_WORLD_H
+#define TESTS_SHARE_WORLD_H
+
+#include "core/allotment.h"
+
+/*
+ * Many instances of the share modules under a virtual clock and a network that
+ * loses, delays, repeats and reorders messages. Each process has a clock of its
+ * own (offset, and up to 0.4% fast or slow).
+ */
+
+#define WORLD_ZONES 3
+#define WORLD_NAMES 12 /* four in each zone */
+#define WORLD_PROCESSES 40
+#define WORLD_LISTS 64
+#define WORLD_TEAMS 3
+#define WORLD_SLOTS 128 /* longest delay in steps */
+
+/* Probabilities are for each step, those of messages for each message. */
+typedef struct {
+	membership_faults_t faults;
+	bool double_count; /* a repeated grant counts as another loan */
+	time_us_t step;	   /* 0: random, 0.1 to 0.9 s */
+	time_us_t zone_beat, other_beat;
+	time_us_t region_delay; /* 0: random delays */
+	double lose, repeat, late;
+	double list, pair, crash, pause, cut, stale;
+	double demand;
+} world_knobs_t;
+
+typedef struct world world_t;
+
+typedef enum {
+	MESSAGE_REQUEST,
+	MESSAGE_REPLY,
+	MESSAGE_BORROW,
+	MESSAGE_GRANT,
+	MESSAGE_RETURN
+} message_kind_t;
+
+typedef struct {
+	message_kind_t kind;
+	int from, to; /* processes */
+	union {
+		heartbeat_t heartbeat;
+		loan_request_t borrow;
+		loan_grant_t grant;
+		loan_return_t back;
+	} body;
+} message_t;
+
+typedef struct {
+	int name;
+	bool alive;
+	time_us_t paused_until;
+	time_us_t offset;
+	int drift; /* parts in 1e6 */
+	membership_t *m;
+	allotment_t *a;
+	int fleet, pair; /* adopted, indexes; -1: none */
+	time_us_t beat_at[2];
+	int next_lender;
+} process_t;
+
+typedef struct {
+	time_us_t at;
+	int64_t cost;
+} admission_t;
+
+typedef struct {
+	int process, team;
+	size_t admission;
+	reservation_t reservation;
+} open_t;
+
+struct world {
+	world_knobs_t knobs;
+	GRand *rand;
+	time_us_t now;
+	process_t processes[WORLD_PROCESSES];
+	int n_processes;
+	int current[WORLD_NAMES]; /* newest process of a name; -1: none */
+	time_us_t restart_at[WORLD_NAMES];
+	time_us_t drop_at[WORLD_NAMES];
+	fleet_t *fleets[WORLD_LISTS];
+	member_state_t listed[WORLD_LISTS][WORLD_NAMES]; /* WORLD_UNLISTED */
+	int n_fleets;
+	plans_t *plans[WORLD_LISTS];
+	allowances_t *allowances[WORLD_LISTS];
+	int n_pairs;
+	uint32_t cut_zones; /* bit mask */
+	int cut_name;	    /* cut off from everyone but cut_friend; -1: none */
+	int cut_friend;
+	time_us_t cut_until;
+	GPtrArray *slots[WORLD_SLOTS];
+	size_t slot;
+	GArray *admissions[WORLD_TEAMS]; /* admission_t */
+	GArray *open;			 /* open_t */
+	GHashTable *accepted;		 /* loan ids */
+	GString *violation;    /* what was seen first; empty: nothing */
+	uint64_t n_held_steps; /* steps in which the fleet held over half */
+	uint64_t n_admitted, n_tried, n_loans;
+};
+
+#define WORLD_UNLISTED ((member_state_t)99)
+
+world_t *world_create(uint32_t seed, world_knobs_t knobs);
+void world_destroy(world_t *w);
+void world_step(world_t *w);
+
+/* Checks rate x time + burst over all windows; notes a violation. */
+void world_check_admissions(world_t *w);
+
+time_us_t process_clock(const world_t *w, const process_t *p);
+bool process_runs(const world_t *w, const process_t *p);
+const char *world_team(int team);
+
+/* Asks for loans of a team at a process. Returns whether it asked. */
+bool world_borrow(world_t *w, int process, int team);
+
+#endif
--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,271 @@
+#include "core/membership.h"
+#include "share_lists.h"
+#include "test.h"
+
+/* Two instances a and b of zone z0, and c of zone z1. */
+typedef struct {
+	membership_t *m[3];
+	time_us_t now;
+} trio_t;
+
+static const char *const names[] = {"a", "b", "c"};
+static const char *const zones[] = {"z0", "z0", "z1"};
+static const uint32_t weights[] = {1, 3, 4};
+
+static fleet_t *
+fleet_of(uint64_t version, const char *members)
+{
+	fleet_t *fleet = fleet_build(version, 3);
+
+	for (int i = 0; i < 3; i++) {
+		if (strstr(members, names[i]) != NULL)
+			fleet_put(fleet, names[i], zones[i], MEMBER_LIVE);
+	}
+	return fleet;
+}
+
+static void
+trio_adopt(trio_t *t, int i, fleet_t *fleet, plans_t *plans, allowances_t *a)
+{
+	membership_adopt(t->m[i], fleet, plans, a, t->now);
+	fleet_unref(fleet);
+	plans_unref(plans);
+	allowances_unref(a);
+}
+
+static void
+trio_exchange(trio_t *t, int from, int to)
+{
+	heartbeat_t request = {0}, reply = {0};
+
+	membership_fill(t->m[from], &request, t->now);
+	membership_on_heartbeat(t->m[to], &request, &reply, t->now);
+	membership_on_reply(t->m[from], &reply, t->now);
+}
+
+/* Lets the listed instances talk once a second. */
+static void
+trio_run(trio_t *t, const char *who, int seconds)
+{
+	for (int s = 0; s < seconds; s++) {
+		t->now += US_PER_S;
+		for (int i = 0; i < 3; i++) {
+			for (int k = 0; k < 3; k++) {
+				if (i != k && strstr(who, names[i]) != NULL &&
+				    strstr(who, names[k]) != NULL)
+					trio_exchange(t, i, k);
+			}
+		}
+	}
+}
+
+static void
+trio_start(trio_t *t, const char *members)
+{
+	t->now = US_PER_S;
+	for (int i = 0; i < 3; i++) {
+		t->m[i] = membership_create(
+		    names[i], zones[i], (incarnation_t)i + 1, t->now);
+		trio_adopt(t, i, fleet_of(1, members),
+		    plans_build(1, "t:- h:r1"),
+		    allowances_build(1, weights, 3, 3, 100, 100));
+	}
+}
+
+static void
+trio_stop(trio_t *t)
+{
+	for (int i = 0; i < 3; i++)
+		membership_destroy(t->m[i]);
+}
+
+/* Guards against a start that holds a share while its predecessor's loans may
+ * run, and against a fleet that never starts. */
+START_TEST(new_fleet_holds_after_loan_time)
+{
+	trio_t t;
+
+	trio_start(&t, "abc");
+	trio_run(&t, "abc", 10);
+	ck_assert(membership_has_lease(t.m[0], t.now));
+	ck_assert_uint_eq(membership_share(t.m[0], t.now), 0);
+	trio_run(&t, "abc", 4);
+	ck_assert_uint_eq(membership_share(t.m[0], t.now), SHARE_ONE / 2);
+	ck_assert_uint_eq(membership_share(t.m[2], t.now), SHARE_ONE);
+	ck_assert_uint_eq(
+	    membership_team_share(t.m[0], "t", t.now), SHARE_ONE / 8);
+	ck_assert_uint_eq(membership_team_share(t.m[0], "h", t.now), 0);
+	ck_assert(membership_is_settled(t.m[0], LIST_PLANS, 1));
+	trio_stop(&t);
+}
+END_TEST
+
+/* Guards against a share that is used without a lease, and a lease taken from
+ * a reply that answers no request. */
+START_TEST(share_ends_with_the_lease)
+{
+	heartbeat_t request = {0}, reply = {0};
+	trio_t t;
+
+	trio_start(&t, "abc");
+	trio_run(&t, "abc", 14);
+	t.now += LEASE_US - 1;
+	ck_assert_uint_gt(membership_share(t.m[0], t.now), 0);
+	membership_fill(t.m[0], &request, t.now - 5);
+	membership_on_heartbeat(t.m[1], &request, &reply, t.now);
+	reply.sent_at = t.now - 4;
+	membership_on_reply(t.m[0], &reply, t.now);
+	t.now += 1;
+	ck_assert_uint_eq(membership_share(t.m[0], t.now), 0);
+	trio_stop(&t);
+}
+END_TEST
+
+/* Guards against a share that grows before the lost member is fenced, and
+ * against a lone survivor that never gets the lost member's share. */
+START_TEST(survivor_grows_after_the_fence)
+{
+	trio_t t;
+
+	trio_start(&t, "abc");
+	trio_run(&t, "abc", 14);
+	trio_adopt(&t, 0, fleet_of(2, "ac"), NULL, NULL);
+	trio_adopt(&t, 2, fleet_of(2, "ac"), NULL, NULL);
+	trio_run(&t, "ac", FENCE_US / US_PER_S);
+	ck_assert_uint_eq(membership_share(t.m[0], t.now), SHARE_ONE / 2);
+	ck_assert_uint_eq(membership_share(t.m[1], t.now), 0);
+	trio_run(&t, "ac", 3);
+	ck_assert_uint_eq(membership_share(t.m[0], t.now), SHARE_ONE);
+	trio_stop(&t);
+}
+END_TEST
+
+/* Guards against an acknowledgement of a later version that is taken for one
+ * of a version its sender skipped: there c's share would be larger. */
+START_TEST(skipped_version_is_not_acknowledged)
+{
+	trio_t t;
+
+	trio_start(&t, "abc");
+	trio_run(&t, "abc", 14);
+	trio_adopt(&t, 0, fleet_of(2, "ac"), NULL, NULL);
+	trio_adopt(&t, 1, fleet_of(3, "abc"), NULL, NULL);
+	trio_adopt(&t, 2, fleet_of(2, "ac"), NULL, NULL);
+	trio_run(&t, "abc", 5);
+	ck_assert(!membership_is_settled(t.m[0], LIST_FLEET, 2));
+	/* Later b is fenced, as a and c refuse it a lease. */
+	trio_run(&t, "abc", FENCE_US / US_PER_S);
+	ck_assert(membership_is_settled(t.m[0], LIST_FLEET, 2));
+	ck_assert_uint_le(
+	    membership_share(t.m[0], t.now) + membership_share(t.m[1], t.now),
+	    SHARE_ONE);
+	trio_stop(&t);
+}
+END_TEST
+
+static share_t
+lent_most(void *context)
+{
+	return *(share_t *)context;
+}
+
+/* Guards against an acknowledgement while more is lent than the new share. */
+START_TEST(acknowledgement_waits_for_loans)
+{
+	share_t lent = SHARE_ONE / 2;
+	heartbeat_t out = {0};
+	trio_t t;
+
+	trio_start(&t, "abc");
+	trio_run(&t, "abc", 14);
+	membership_set_lent_source(t.m[1], lent_most, &lent);
+	for (int i = 0; i < 3; i++)
+		trio_adopt(&t, i, fleet_of(2, "ac"), NULL, NULL);
+	trio_run(&t, "abc", 5);
+	ck_assert_uint_eq(membership_share(t.m[1], t.now), 0);
+	ck_assert_uint_eq(membership_share(t.m[0], t.now), SHARE_ONE / 2);
+	lent = 0;
+	trio_run(&t, "abc", 2);
+	membership_fill(t.m[1], &out, t.now);
+	ck_assert_uint_eq(out.acked[LIST_FLEET], 2);
+	ck_assert_uint_eq(membership_share(t.m[0], t.now), SHARE_ONE);
+	trio_stop(&t);
+}
+END_TEST
+
+/* Guards against a zone's part that rises before all have acknowledged, and
+ * against memory for teams whose part didn't rise. */
+START_TEST(part_rises_when_all_acknowledged)
+{
+	static const uint32_t heavier[] = {3, 1, 4};
+	trio_t t;
+
+	trio_start(&t, "abc");
+	trio_run(&t, "abc", 14);
+	for (int i = 0; i < 2; i++)
+		trio_adopt(&t, i, NULL, NULL,
+		    allowances_build(2, heavier, 3, 3, 100, 100));
+	trio_run(&t, "abc", 3);
+	ck_assert_uint_eq(membership_part(t.m[0], "t"), SHARE_ONE / 4);
+	ck_assert_uint_eq(
+	    membership_part_newest(t.m[0], "t"), SHARE_ONE - SHARE_ONE / 4);
+	ck_assert_uint_eq(membership_n_lowered(t.m[0]), 1);
+	trio_adopt(
+	    &t, 2, NULL, NULL, allowances_build(2, heavier, 3, 3, 100, 100));
+	ck_assert_uint_eq(membership_part(t.m[2], "t"), SHARE_ONE / 4);
+	trio_run(&t, "abc", 3);
+	ck_assert_uint_eq(
+	    membership_part(t.m[0], "t"), SHARE_ONE - SHARE_ONE / 4);
+	ck_assert_uint_eq(membership_n_lowered(t.m[0]), 0);
+	trio_stop(&t);
+}
+END_TEST
+
+/* Guards against two lists of one version that are taken for the same. */
+START_TEST(other_text_is_no_acknowledgement)
+{
+	fleet_t *other = fleet_of(2, "ac");
+	trio_t t;
+
+	trio_start(&t, "abc");
+	trio_run(&t, "abc", 14);
+	trio_adopt(&t, 0, fleet_of(2, "abc"), NULL, NULL);
+	other->head.digest[0] ^= 1;
+	trio_adopt(&t, 1, other, NULL, NULL);
+	trio_run(&t, "abc", 3);
+	ck_assert(!membership_is_settled(t.m[0], LIST_FLEET, 2));
+	trio_stop(&t);
+}
+END_TEST
+
+/* Guards against slots that are counted twice or not at all. */
+START_TEST(slots_are_divided)
+{
+	target_t target = {.name = "w1", .zone = "z0", .slots = 7};
+	trio_t t;
+
+	trio_start(&t, "abc");
+	ck_assert_uint_eq(membership_slots(t.m[0], &target, t.now), 0);
+	trio_run(&t, "abc", 14);
+	ck_assert_uint_eq(membership_slots(t.m[0], &target, t.now) +
+			      membership_slots(t.m[1], &target, t.now),
+	    7);
+	ck_assert_uint_eq(membership_slots(t.m[2], &target, t.now), 0);
+	trio_stop(&t);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, new_fleet_holds_after_loan_time);
+	TEST_ADD(suite, share_ends_with_the_lease);
+	TEST_ADD(suite, survivor_grows_after_the_fence);
+	TEST_ADD(suite, skipped_version_is_not_acknowledged);
+	TEST_ADD(suite, acknowledgement_waits_for_loans);
+	TEST_ADD(suite, part_rises_when_all_acknowledged);
+	TEST_ADD(suite, other_text_is_no_acknowledgement);
+	TEST_ADD(suite, slots_are_divided);
+}
+
+TEST_MAIN("membership", fill)
