lists: give out one list; tests: deliver events in any order

Cause: an instance that answers FETCH_LIST needs one list in force by kind, and the order schedules drew a delay for each event, which reorders less than a network can.

Change: lists_get returns a reference to one list. The order schedules take any pending event next.

Conclusion: the check sees more interleavings in the same time.

--- a/core/lists.c
+++ b/core/lists.c
@@ -251,6 +251,12 @@
 	memset(view, 0, sizeof(*view));
 }
 
+list_any_t
+lists_get(const lists_t *lists, list_kind_t kind)
+{
+	return list_any_ref(lists->in_force[kind]);
+}
+
 uint64_t
 lists_version(const lists_t *lists, list_kind_t kind)
 {
--- a/include/core/lists.h
+++ b/include/core/lists.h
@@ -100,6 +100,10 @@
 lists_view_t lists_view(const lists_t *lists);
 void lists_view_clear(lists_view_t *view);
 
+/* Returns a reference to one list in force, e.g. to send its text to a peer;
+ * its head is NULL where there is none. */
+list_any_t lists_get(const lists_t *lists, list_kind_t kind);
+
 /* Version in force and version that waits; 0: none. */
 uint64_t lists_version(const lists_t *lists, list_kind_t kind);
 uint64_t lists_waiting(const lists_t *lists, list_kind_t kind);
--- a/tests/test_lists.c
+++ b/tests/test_lists.c
@@ -19,20 +19,11 @@
 static list_any_t
 list_new(list_kind_t kind, uint64_t version, const char *text)
 {
+	static const size_t sizes[LIST_COUNT] = {
+	    sizeof(plans_t), sizeof(allowances_t), sizeof(fleet_t)};
 	list_any_t list = {.kind = kind};
 
-	switch (kind) {
-	case LIST_PLANS:
-		list.plans = g_new0(plans_t, 1);
-		break;
-	case LIST_ALLOWANCES:
-		list.allowances = g_new0(allowances_t, 1);
-		break;
-	case LIST_FLEET:
-	case LIST_COUNT:
-		list.fleet = g_new0(fleet_t, 1);
-		break;
-	}
+	list.head = g_malloc0(sizes[kind]);
 	list.head->refs = 1;
 	list.head->version = version;
 	list_head_set_text(list.head, text, strlen(text));
@@ -299,22 +290,16 @@
 static void
 sim_fetch(sim_t *sim, int to, int from, list_kind_t kind)
 {
-	lists_view_t view = lists_view(sim->instances[from].lists);
-	list_any_t list = {.kind = kind};
+	list_any_t list = lists_get(sim->instances[from].lists, kind);
+	lists_t *lists = sim->instances[to].lists;
 	bool got = sim->honest || !rng_chance(&sim->rng, 4);
 
-	if (kind == LIST_PLANS)
-		list.plans = view.plans;
-	else if (kind == LIST_ALLOWANCES)
-		list.allowances = view.allowances;
-	else
-		list.fleet = view.fleet;
 	if (got && list.head != NULL)
-		lists_offer(sim->instances[to].lists, list, sim->now);
+		lists_offer(lists, list, sim->now);
 	/* The report of a fetch can be missing too. */
 	if (!rng_chance(&sim->rng, 10))
-		lists_fetch_end(sim->instances[to].lists, kind, got, sim->now);
-	lists_view_clear(&view);
+		lists_fetch_end(lists, kind, got, sim->now);
+	list_any_clear(&list);
 }
 
 static void
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -218,7 +218,6 @@
 typedef enum { EV_REQUEST, EV_DISPATCH, EV_ANSWER } event_kind_t;
 
 typedef struct {
-	int64_t at;
 	event_kind_t kind;
 	int order;
 	int instance;
@@ -268,23 +267,14 @@
 	    order_table_create(name, instance->incarnation, key, 8, 100);
 }
 
-static void
-sim_send(sim_t *sim, event_t event)
-{
-	event.at = sim->now + 1 + rng_below(&sim->rng, 40);
-	if (rng_chance(&sim->rng, 20))
-		event.at += rng_below(&sim->rng, 900);
-	g_array_append_val(sim->events, event);
-}
-
 /* A message may be lost or come twice. */
 static void
 sim_send_message(sim_t *sim, event_t event)
 {
 	if (!rng_chance(&sim->rng, 6))
-		sim_send(sim, event);
+		g_array_append_val(sim->events, event);
 	if (rng_chance(&sim->rng, 6))
-		sim_send(sim, event);
+		g_array_append_val(sim->events, event);
 }
 
 static void
@@ -324,7 +314,7 @@
 		next.kind = EV_DISPATCH;
 		next.incarnation = instance->incarnation;
 		next.handle = result.handle;
-		sim_send(sim, next);
+		g_array_append_val(sim->events, next);
 		return;
 	case ORDER_REPLAY:
 		g_bytes_unref(result.replay.body);
@@ -351,11 +341,11 @@
 	sim_write(sim, event->order);
 	next.kind = EV_ANSWER;
 	if (!rng_chance(&sim->rng, 3))
-		sim_send(sim, next);
+		g_array_append_val(sim->events, next);
 	else if (sim->fault == FAULT_UNSENT)
 		order_unsent(table, event->handle);
 	else if (sim->fault == FAULT_REPEAT)
-		sim_send(sim, *event);
+		g_array_append_val(sim->events, *event);
 	else
 		order_unknown(table, event->handle);
 }
@@ -395,7 +385,6 @@
 	    event.incarnation != instance->incarnation)
 		return;
 	if (instance->paused_until > sim->now) {
-		event.at = instance->paused_until;
 		g_array_append_val(sim->events, event);
 		return;
 	}
@@ -447,20 +436,15 @@
 	}
 }
 
+/* Takes any of the events, so that each can be late by any time. */
 static event_t
 sim_next(sim_t *sim)
 {
-	guint first = 0;
-	event_t event;
+	guint i = (guint)rng_below(&sim->rng, sim->events->len);
+	event_t event = g_array_index(sim->events, event_t, i);
 
-	for (guint i = 1; i < sim->events->len; i++) {
-		if (g_array_index(sim->events, event_t, i).at <
-		    g_array_index(sim->events, event_t, first).at)
-			first = i;
-	}
-	event = g_array_index(sim->events, event_t, first);
-	g_array_remove_index_fast(sim->events, first);
-	sim->now = MAX(sim->now, event.at);
+	g_array_remove_index_fast(sim->events, i);
+	sim->now += 1 + rng_below(&sim->rng, 20);
 	return event;
 }
 
