core: let a warming target take more when all others are full

Cause: the warm-up limit kept slots idle while requests queued.

Change: the limit of a warming target holds while another target has a free slot. route_start checks the own slots only.

--- a/core/route.c
+++ b/core/route.c
@@ -229,13 +229,17 @@
 }
 
 bool
-route_entry_free_slot(const route_t *route, const entry_t *entry, time_us_t now)
+route_entry_free_slot(
+    const route_t *route, const entry_t *entry, bool warm_limit, time_us_t now)
 {
+	uint32_t limit = entry->slots;
+
 	/* Past its ejection a target gets one probe until one succeeds. */
 	if (entry->ejected_until != 0 && entry->probing)
 		return false;
-	return entry->in_flight <
-	       route_entry_warm_part(route, entry, entry->slots, now);
+	if (warm_limit)
+		limit = route_entry_warm_part(route, entry, limit, now);
+	return entry->in_flight < limit;
 }
 
 /* Running requests and health. */
@@ -246,7 +250,7 @@
 	entry_t *entry = entry_find(route, target);
 
 	if (entry == NULL || !route_entry_offered(entry, now) ||
-	    !route_entry_free_slot(route, entry, now))
+	    !route_entry_free_slot(route, entry, false, now))
 		return false;
 	if (entry->ejected_until != 0)
 		entry->probing = true;
--- a/core/route_pick.c
+++ b/core/route_pick.c
@@ -39,35 +39,47 @@
 	    &entry->name_hash, sizeof(entry->name_hash), prefix);
 }
 
+/* Adds a target that is in service; it is a candidate if it has a free slot. */
+static void
+candidate_add(route_t *route, const entry_t *entry, uint32_t index,
+    uint64_t prefix, bool excluded, bool warm_limit, time_us_t now)
+{
+	candidate_t candidate = {.index = index};
+
+	candidate.load = route_entry_load(entry, now);
+	candidate.weight =
+	    MAX(1, route_entry_warm_part(route, entry, entry->all_slots, now));
+	route->load_sum += candidate.load;
+	route->weight_sum += candidate.weight;
+	route->warming |= candidate.weight < entry->all_slots;
+	if (excluded || !route_entry_free_slot(route, entry, warm_limit, now))
+		return;
+	candidate.score = rendezvous(entry, prefix);
+	g_array_append_val(route->candidates, candidate);
+}
+
 /* Collects the targets with a free slot; returns how many are in service. */
 static uint32_t
 candidates_collect(route_t *route, const service_entry_t *service,
-    uint64_t prefix, handle_t exclude, time_us_t now)
+    uint64_t prefix, handle_t exclude, bool warm_limit, time_us_t now)
 {
 	uint32_t offered = 0;
 
 	g_array_set_size(route->candidates, 0);
 	route->load_sum = 0;
 	route->weight_sum = 0;
+	route->warming = false;
 	for (uint32_t i = 0; i < service->members->len; i++) {
 		uint32_t index = g_array_index(service->members, uint32_t, i);
 		const entry_t *entry = entry_at(route, index);
-		candidate_t candidate = {.index = index};
+		bool excluded =
+		    handle_make(index, entry->generation) == exclude;
 
 		if (!route_entry_offered(entry, now))
 			continue;
-		candidate.load = route_entry_load(entry, now);
-		candidate.weight = MAX(1,
-		    route_entry_warm_part(route, entry, entry->all_slots, now));
-		route->load_sum += candidate.load;
-		route->weight_sum += candidate.weight;
-		if (handle_make(index, entry->generation) == exclude)
-			continue;
-		offered++;
-		if (!route_entry_free_slot(route, entry, now))
-			continue;
-		candidate.score = rendezvous(entry, prefix);
-		g_array_append_val(route->candidates, candidate);
+		offered += !excluded;
+		candidate_add(
+		    route, entry, index, prefix, excluded, warm_limit, now);
 	}
 	return offered;
 }
@@ -194,10 +206,18 @@
 	route_choice_t choice = {ROUTE_NO_TARGET, HANDLE_NONE};
 	const candidate_t *candidate;
 	bool affinity = route->settings.policy >= ROUTE_AFFINITY && prefix != 0;
+	uint64_t prefix_or_seed = prefix;
 
-	if (found == NULL || candidates_collect(route, found,
-				 affinity ? prefix : seed, exclude, now) == 0)
+	if (!affinity)
+		prefix_or_seed = seed;
+	if (found == NULL || candidates_collect(route, found, prefix_or_seed,
+				 exclude, true, now) == 0)
 		return choice;
+	/* A cold cache costs less than a queue: with no other free slot a
+	 * target that warms up takes all that it can hold. */
+	if (route->candidates->len == 0 && route->warming)
+		candidates_collect(
+		    route, found, prefix_or_seed, exclude, false, now);
 	if (route->candidates->len == 0) {
 		choice.verdict = ROUTE_ALL_FULL;
 		return choice;
--- a/core/route_table.h
+++ b/core/route_table.h
@@ -47,7 +47,8 @@
 	GArray *candidates;   /* candidate_t, scratch of route_pick */
 	int64_t load_sum;     /* over the targets seen by route_pick */
 	int64_t weight_sum;
-	bool synced; /* a list was adopted before */
+	bool warming; /* one of these has a warm-up limit */
+	bool synced;  /* a list was adopted before */
 };
 
 static inline entry_t *
@@ -68,7 +69,8 @@
 /* Whether the target takes new work, now or when it has a free slot. */
 bool route_entry_offered(const entry_t *entry, time_us_t now);
 
+/* Whether the target can take a request now, within its warm-up or not. */
 bool route_entry_free_slot(
-    const route_t *route, const entry_t *entry, time_us_t now);
+    const route_t *route, const entry_t *entry, bool warm_limit, time_us_t now);
 
 #endif
--- a/include/core/route.h
+++ b/include/core/route.h
@@ -16,7 +16,11 @@
 /* A report counts in full when it arrives and linearly less until this age. */
 #define ROUTE_REPORT_LIFE_US (5 * US_PER_S)
 
-/* A target whose cache is cold takes all its slots only after this time. */
+/*
+ * Warm-up: a target with a cold cache is offered a part of its slots that rises
+ * linearly to all of them over this time. When no other target has a free slot
+ * it is offered the rest too, since a queue costs more than a cold cache.
+ */
 #define ROUTE_WARM_UP_US (30 * US_PER_S)
 
 /* Failures in succession that eject a target. */
@@ -73,7 +77,7 @@
 	const char *url;
 	uint32_t in_flight;  /* own requests */
 	uint32_t slots;	     /* own part of the target's slots */
-	uint32_t usable;     /* own slots that warm-up lets in now */
+	uint32_t usable;     /* own slots within its warm-up now */
 	uint32_t load_milli; /* estimated requests on the target x 1000 */
 	bool listed;
 	bool leaving;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -147,6 +147,31 @@
 }
 END_TEST
 
+/* Guards against a flood on a cold target, and against a queue in front of it
+ * while it is the only one with free slots. */
+START_TEST(warm_up_gives_way_when_all_others_are_full)
+{
+	route_t *route = route_new(ROUTE_LEAST_LOADED, 1);
+	handle_t warm = route_find(route, "w0");
+	handle_t cold;
+
+	fleet.n_targets = 2;
+	sync_at(route, 0);
+	cold = route_find(route, "w1");
+	ck_assert(route_start(route, cold, 0));
+	for (int i = 0; i < 4; i++) {
+		ck_assert(pick(route, 0, 0) == warm);
+		ck_assert(route_start(route, warm, 0));
+	}
+	for (int i = 0; i < 3; i++) {
+		ck_assert(pick(route, 0, 0) == cold);
+		ck_assert(route_start(route, cold, 0));
+	}
+	ck_assert(pick(route, 0, 0) == HANDLE_NONE);
+	route_destroy(route);
+}
+END_TEST
+
 /* Guards against load of other instances that is ignored, counted twice or
  * believed for ever. */
 START_TEST(reported_load_is_discounted)
@@ -334,6 +359,7 @@
 	TEST_ADD(suite, removed_target_moves_only_its_prefixes);
 	TEST_ADD(suite, excluded_target_is_not_picked);
 	TEST_ADD(suite, dead_target_is_probed_then_warmed);
+	TEST_ADD(suite, warm_up_gives_way_when_all_others_are_full);
 	TEST_ADD(suite, reported_load_is_discounted);
 	TEST_ADD(suite, policies_spread_requests);
 	TEST_ADD(suite, random_schedules_keep_counts);
