cyclamensail: follow the fleet list when leaving; target: drop late starts

Cause: an instance that the fleet list marks as leaving still took work, a stopped instance never released its share, and a process that slept between a decision and the first byte would have sent on an old view.

Ruled out: a message that releases a share without the list; the others could not tell a late copy of it from a new one after the name is used again.

Change: leaving in the fleet list drains; a stop waits up to 5 s for the list to drop the instance and logs when it did not; a transfer that begins more than 1 s after its decision ends as not sent and is decided again; warm-up off, as measured.

Conclusion: planned stops release their share when the list says so first.

--- a/core/gate.c
+++ b/core/gate.c
@@ -59,7 +59,8 @@
 gate_create(const gate_options_t *options)
 {
 	gate_t *gate = g_new0(gate_t, 1);
-	route_settings_t routing = {ROUTE_POLICY_DEFAULT, true};
+	/* Warm-up cost more tokens with affinity; see docs/MEASUREMENTS.md. */
+	route_settings_t routing = {ROUTE_POLICY_DEFAULT, false};
 
 	g_strlcpy(gate->name, options->instance, sizeof(gate->name));
 	g_strlcpy(gate->zone, options->zone, sizeof(gate->zone));
@@ -256,7 +257,7 @@
 	flight_t *flight;
 	refusal_t reason;
 
-	if (gate->draining)
+	if (gate_is_draining(gate))
 		return REFUSAL_DRAINING;
 	if (!gate_is_ready(gate, now))
 		return REFUSAL_STARTING;
--- a/core/gate_info.c
+++ b/core/gate_info.c
@@ -49,7 +49,7 @@
 gate_ticket(
     gate_t *gate, const char *team, int64_t wall_s, char out[TICKET_LIMIT])
 {
-	if (gate->draining)
+	if (gate_is_draining(gate))
 		return false;
 	return order_ticket_issue(gate->orders, team, gate_random(gate),
 	    wall_s + ORDER_TICKET_LIFE_S, out, TICKET_LIMIT);
@@ -74,7 +74,20 @@
 bool
 gate_is_draining(const gate_t *gate)
 {
-	return gate->draining;
+	return gate->draining || gate->leaving;
+}
+
+bool
+gate_is_released(const gate_t *gate)
+{
+	const fleet_t *fleet = gate->view.fleet;
+	const instance_t *self =
+	    fleet ? fleet_find_instance(fleet, gate->name) : NULL;
+
+	if (fleet == NULL)
+		return true;
+	return (self == NULL || self->state == MEMBER_LEAVING) &&
+	       gate->progress[LIST_FLEET] == fleet->head.version;
 }
 
 void
@@ -96,7 +109,8 @@
 	const peer_state_t *peer;
 
 	if (strcmp(instance->name, gate->name) == 0)
-		return gate->draining ? DIRECTORY_LEAVING : DIRECTORY_READY;
+		return gate_is_draining(gate) ? DIRECTORY_LEAVING
+					      : DIRECTORY_READY;
 	peer = g_hash_table_lookup(gate->peers, instance->name);
 	if (peer == NULL || !peer->reachable)
 		return DIRECTORY_UNREACHABLE;
--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -66,6 +66,10 @@
 	allotment_adopt(gate->allotment, gate->view.fleet, gate->view.plans,
 	    gate->view.allowances, now);
 	if (gate->view.fleet != NULL) {
+		const instance_t *self =
+		    fleet_find_instance(gate->view.fleet, gate->name);
+
+		gate->leaving = self != NULL && self->state == MEMBER_LEAVING;
 		gate_sync_route(gate, now);
 		peers_prune(gate);
 	}
@@ -209,7 +213,7 @@
 state_fill(gate_t *gate, const char *peer, heartbeat_t *out, time_us_t now)
 {
 	out->ready = gate_is_ready(gate, now);
-	out->draining = gate->draining;
+	out->draining = gate_is_draining(gate);
 	load_fill(gate, out);
 	out->n_poison = 0;
 	/* A digest of content doesn't leave the region either. */
--- a/cyclamensail/daemon.c
+++ b/cyclamensail/daemon.c
@@ -276,6 +276,17 @@
 	return flights == 0 && edge_server_memory(daemon->edge) == 0;
 }
 
+bool
+daemon_is_released(daemon_t *daemon)
+{
+	bool released;
+
+	pthread_mutex_lock(&daemon->gate_lock);
+	released = gate_is_released(daemon->gate);
+	pthread_mutex_unlock(&daemon->gate_lock);
+	return released;
+}
+
 void
 daemon_reload_certificate(daemon_t *daemon)
 {
--- a/cyclamensail/daemon.h
+++ b/cyclamensail/daemon.h
@@ -14,6 +14,9 @@
 /* Whether a draining daemon has nothing left to do. */
 bool daemon_is_idle(daemon_t *daemon);
 
+/* Whether the others may use this instance's share at once. */
+bool daemon_is_released(daemon_t *daemon);
+
 /* Reads the TLS certificate and key again. */
 void daemon_reload_certificate(daemon_t *daemon);
 
--- a/cyclamensail/main.c
+++ b/cyclamensail/main.c
@@ -21,6 +21,12 @@
  */
 #define DRAIN_LINGER_POLLS 20
 
+/*
+ * It waits this long for the fleet list to drop it. An instance that stops
+ * earlier counts as crashed: its share lies idle until it is fenced.
+ */
+#define DRAIN_RELEASE_POLLS 100
+
 typedef struct {
 	char *settings;
 	gboolean check;
@@ -76,10 +82,13 @@
 {
 	struct timespec poll = {0, DRAIN_POLL_NS};
 	int idle_polls = 0;
+	int released_polls = 0;
 
 	daemon_drain(daemon);
 	log_event(LOG_NOTICE, "drain", LOG_S("cause", "signal"));
-	while (idle_polls < DRAIN_LINGER_POLLS) {
+	while (idle_polls < DRAIN_LINGER_POLLS ||
+	       (released_polls < DRAIN_LINGER_POLLS &&
+		   idle_polls < DRAIN_RELEASE_POLLS)) {
 		int signal_number = sigtimedwait(signals, NULL, &poll);
 
 		if (signal_number == SIGTERM || signal_number == SIGINT) {
@@ -88,7 +97,13 @@
 			_exit(EXIT_FAILURE);
 		}
 		idle_polls = daemon_is_idle(daemon) ? idle_polls + 1 : 0;
+		released_polls =
+		    daemon_is_released(daemon) ? released_polls + 1 : 0;
 	}
+	if (released_polls == 0)
+		log_event(LOG_WARNING, "share_not_released",
+		    LOG_S("remedy", "mark the instance as leaving in the fleet "
+				    "list before it is stopped"));
 	return EXIT_SUCCESS;
 }
 
--- a/cyclamensail/relay.c
+++ b/cyclamensail/relay.c
@@ -15,6 +15,7 @@
 #include "sse.h"
 
 #define SERVICE_PREFIX "/v1/services/"
+#define START_LIMIT_US (1 * US_PER_S)
 #define CONNECT_TIMEOUT_US (1 * US_PER_S)
 #define TARGET_IDLE_TIMEOUT_US (60 * US_PER_S)
 #define EARLY_RETRY_AFTER_US (1 * US_PER_S)
@@ -619,6 +620,7 @@
 	transfer_spec_t spec = {.method = exchange_method(relay->exchange),
 	    .url = url,
 	    .single_send = single_send,
+	    .start_by = clock_now() + START_LIMIT_US,
 	    .connect_timeout_us = CONNECT_TIMEOUT_US,
 	    .idle_timeout_us = TARGET_IDLE_TIMEOUT_US};
 	bool started = false;
--- a/include/core/gate.h
+++ b/include/core/gate.h
@@ -222,6 +222,12 @@
 bool gate_is_draining(const gate_t *gate);
 void gate_drain(gate_t *gate);
 
+/*
+ * Whether the fleet list no longer counts this instance and that was
+ * acknowledged, so that the others can use its share at once.
+ */
+bool gate_is_released(const gate_t *gate);
+
 /* Flights in progress. */
 size_t gate_flights(const gate_t *gate);
 
--- a/include/target/transfer.h
+++ b/include/target/transfer.h
@@ -55,6 +55,11 @@
 	 * which an order must not risk.
 	 */
 	bool single_send;
+	/*
+	 * A transfer that has not begun by then ends as TRANSFER_UNSENT: the
+	 * process slept, and the decision to send may no longer hold.
+	 */
+	time_us_t start_by;
 	time_us_t connect_timeout_us;
 	time_us_t idle_timeout_us; /* longest time without a byte */
 } transfer_spec_t;
--- a/target/transfer.c
+++ b/target/transfer.c
@@ -36,6 +36,7 @@
 	bool head_seen;
 	bool paused;
 	bool done;
+	time_us_t start_by;
 	time_us_t idle_timeout_us;
 	time_us_t progress_at;
 	GList *link; /* in engine->running */
@@ -230,6 +231,7 @@
 	transfer->user = user;
 	transfer->head.content_type = transfer->content_type;
 	transfer->head.reported_load = -1;
+	transfer->start_by = spec->start_by;
 	transfer->idle_timeout_us = spec->idle_timeout_us;
 	if (spec->body != NULL)
 		transfer->body = g_memdup2(spec->body, spec->body_len);
@@ -290,6 +292,10 @@
 	transfer_engine_t *engine = transfer->engine;
 
 	transfer->progress_at = clock_now();
+	if (transfer->progress_at > transfer->start_by) {
+		transfer_end(transfer, TRANSFER_UNSENT);
+		return;
+	}
 	if (curl_multi_add_handle(engine->multi, transfer->easy) != CURLM_OK) {
 		transfer_end(transfer, TRANSFER_UNSENT);
 		return;
