--- /dev/null
+++ b/bench/capacity.c
@@ -0,0 +1,375 @@
+/*
+ * Measures how the state, the messages and the processor time of one instance
+ * grow with the number of instances and teams. It runs the real modules of core
+ * and peer for one instance and feeds them the messages of the others; it is no
+ * simulation of a cluster. Times are wall-clock times of one thread.
+ */
+#include <glib.h>
+#include <malloc.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "config/lists.h"
+#include "core/allotment.h"
+#include "core/lists.h"
+#include "core/order.h"
+#include "peer/messages.h"
+
+#define ZONES 26
+#define REGIONS 7
+#define SERVICES 29
+#define REPEATS 200
+
+static double
+seconds_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+static size_t
+heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+/* Zones as in the plan of sizes, or fewer for a small fleet. */
+static int
+zones_of(int instances)
+{
+	return MIN(ZONES, MAX(3, instances / 3));
+}
+
+static char *
+fleet_text(int instances, uint64_t version)
+{
+	GString *text = g_string_new(NULL);
+	int zones = zones_of(instances);
+
+	g_string_printf(text,
+	    "version: %" G_GUINT64_FORMAT "\ninstances:\n", version);
+	for (int i = 0; i < instances; i++)
+		g_string_append_printf(text,
+		    "  - { name: i%d, zone: zone-%d, http: 10.0.%d.%d:80, "
+		    "peer: 10.1.%d.%d:81, state: live }\n",
+		    i, i % zones, i / 250, i % 250 + 1, i / 250, i % 250 + 1);
+	g_string_append(text, "targets:\n");
+	for (int i = 0; i < instances * 670 / 400; i++)
+		g_string_append_printf(text,
+		    "  - { name: t%d, zone: zone-%d, service: model-%d, url: "
+		    "\"http://10.2.%d.%d:90\", slots: 32, state: live }\n",
+		    i, i % zones, i % SERVICES, i / 250, i % 250 + 1);
+	return g_string_free(text, FALSE);
+}
+
+static char *
+allowances_text(int instances)
+{
+	GString *text = g_string_new("version: 1\nzones:\n");
+	int zones = zones_of(instances);
+
+	for (int i = 0; i < zones; i++)
+		g_string_append_printf(text,
+		    "  - { name: zone-%d, region: region-%d, weight: 1 }\n", i,
+		    i % REGIONS);
+	g_string_append(text, "services:\n");
+	for (int i = 0; i < SERVICES; i++)
+		g_string_append_printf(
+		    text, "  - { name: model-%d, kind: engine }\n", i);
+	g_string_append(text,
+	    "plans:\n  - name: basic\n    rate: 100000\n    burst: 1000000\n"
+	    "    priority: 1\n    use:\n");
+	for (int i = 0; i < SERVICES; i++) {
+		g_string_append_printf(
+		    text, "      - { service: model-%d, regions: [", i);
+		for (int r = 0; r < MIN(REGIONS, zones); r++)
+			g_string_append_printf(
+			    text, "%sregion-%d", r ? ", " : "", r);
+		g_string_append(text, "] }\n");
+	}
+	return g_string_free(text, FALSE);
+}
+
+static char *
+plans_text(int teams, int instances, uint64_t version)
+{
+	GString *text = g_string_new(NULL);
+	int regions = MIN(REGIONS, zones_of(instances));
+
+	g_string_printf(
+	    text, "version: %" G_GUINT64_FORMAT "\nteams:\n", version);
+	for (int i = 0; i < teams; i++) {
+		g_autofree char *name = g_strdup_printf("team-%d", i);
+		g_autofree char *hash = g_compute_checksum_for_string(
+		    G_CHECKSUM_SHA256, name, -1);
+
+		g_string_append_printf(
+		    text, "  - name: %s\n    plan: basic\n", name);
+		/* A third of the requests are bound to a home. */
+		if (i % 3 == 0)
+			g_string_append_printf(
+			    text, "    home: region-%d\n", i % regions);
+		g_string_append_printf(
+		    text, "    keys: [{ id: k, sha256: %s }]\n", hash);
+	}
+	return g_string_free(text, FALSE);
+}
+
+/* Stops on lists that the parser refuses: the figures would mean nothing. */
+static void *
+parsed(void *list, const GError *error)
+{
+	if (list != NULL)
+		return list;
+	fprintf(stderr, "capacity_bench: %s\n", error->message);
+	exit(EXIT_FAILURE);
+}
+
+typedef struct {
+	fleet_t *fleet;
+	allowances_t *allowances;
+	plans_t *plans;
+	membership_t *membership;
+	allotment_t *allotment;
+} subject_t;
+
+static fleet_t *
+fleet_make(int instances, uint64_t version)
+{
+	g_autofree char *text = fleet_text(instances, version);
+	GError *error = NULL;
+	fleet_t *fleet = fleet_parse("fleet", text, strlen(text), &error);
+
+	return parsed(fleet, error);
+}
+
+static plans_t *
+plans_make(int teams, int instances, uint64_t version)
+{
+	g_autofree char *text = plans_text(teams, instances, version);
+	GError *error = NULL;
+	plans_t *plans = plans_parse("plans", text, strlen(text), &error);
+
+	return parsed(plans, error);
+}
+
+static void
+subject_create(subject_t *subject, int instances, int teams)
+{
+	g_autofree char *text = allowances_text(instances);
+	GError *error = NULL;
+
+	subject->fleet = fleet_make(instances, 1);
+	subject->allowances =
+	    allowances_parse("allowances", text, strlen(text), &error);
+	parsed(subject->allowances, error);
+	subject->plans = plans_make(teams, instances, 1);
+	subject->membership = membership_create("i0", "zone-0", 1, 1);
+	subject->allotment = allotment_create(subject->membership, "i0", 1);
+	allotment_adopt(subject->allotment, subject->fleet, subject->plans,
+	    subject->allowances, 2);
+}
+
+static void
+subject_destroy(subject_t *subject)
+{
+	allotment_destroy(subject->allotment);
+	membership_destroy(subject->membership);
+	plans_unref(subject->plans);
+	allowances_unref(subject->allowances);
+	fleet_unref(subject->fleet);
+}
+
+/* A heartbeat of another instance that has the same lists. */
+static heartbeat_t
+heartbeat_of(const subject_t *subject, int index, time_us_t now)
+{
+	heartbeat_t beat;
+	const instance_t *instance = &subject->fleet->instances[index];
+
+	memset(&beat, 0, sizeof(beat));
+	membership_fill(subject->membership, &beat, now);
+	g_strlcpy(beat.sender, instance->name, sizeof(beat.sender));
+	g_strlcpy(beat.zone, instance->zone, sizeof(beat.zone));
+	beat.incarnation = 100 + (uint64_t)index;
+	for (int i = 0; i < LIST_COUNT; i++)
+		beat.acked[i] = beat.adopted[i].version;
+	beat.n_load = SERVICES;
+	for (int i = 0; i < SERVICES; i++)
+		snprintf(beat.load[i].service, sizeof(beat.load[i].service),
+		    "model-%d", i);
+	return beat;
+}
+
+static void
+heartbeat_measure(subject_t *subject, int instances)
+{
+	heartbeat_t beat = heartbeat_of(subject, 1, 1000);
+	heartbeat_t reply;
+	GBytes *wire = heartbeat_encode(&beat, NULL);
+	size_t bytes = g_bytes_get_size(wire);
+	double start = seconds_now();
+
+	for (int i = 0; i < REPEATS; i++) {
+		GBytes *coded;
+
+		memset(&reply, 0, sizeof(reply));
+		heartbeat_decode(
+		    g_bytes_get_data(wire, NULL), bytes, &beat, NULL);
+		membership_on_heartbeat(
+		    subject->membership, &beat, &reply, 2000 + i);
+		reply.n_load = beat.n_load;
+		memcpy(reply.load, beat.load, sizeof(beat.load));
+		reply.sent_at = 0;
+		coded = heartbeat_encode(&reply, NULL);
+		g_bytes_unref(coded);
+	}
+	printf("| heartbeat, %d instances | %zu B each way | %.1f us |\n",
+	    instances, bytes, (seconds_now() - start) / REPEATS * 1e6);
+	g_bytes_unref(wire);
+}
+
+static void
+fleet_measure(int instances)
+{
+	size_t before = heap_bytes();
+	g_autofree char *text = fleet_text(instances, 2);
+	subject_t subject;
+	fleet_t *next;
+	double start;
+	double parse;
+
+	subject_create(&subject, instances, 5);
+	printf("| fleet list and membership, %d instances | %zu kB heap, %zu kB "
+	       "text |",
+	    instances, (heap_bytes() - before) / 1024, strlen(text) / 1024);
+	start = seconds_now();
+	next = fleet_make(instances, 2);
+	parse = seconds_now() - start;
+	start = seconds_now();
+	allotment_adopt(subject.allotment, next, NULL, NULL, 3000);
+	printf(" parse %.2f ms, adopt %.2f ms |\n", parse * 1e3,
+	    (seconds_now() - start) * 1e3);
+	fleet_unref(next);
+	heartbeat_measure(&subject, instances);
+	subject_destroy(&subject);
+}
+
+static void
+plans_measure(int teams)
+{
+	size_t before;
+	g_autofree char *text = plans_text(teams, 400, 2);
+	subject_t subject;
+	plans_t *next;
+	double start;
+	double parse = 0;
+
+	/* One published value is at most 1 MB. */
+	if (strlen(text) > 1 << 20) {
+		printf("| plans list, %d teams | text %zu kB: above the value "
+		       "limit of 1024 kB | refused |\n",
+		    teams, strlen(text) / 1024);
+		return;
+	}
+	subject_create(&subject, 400, 5);
+	before = heap_bytes();
+	start = seconds_now();
+	next = plans_make(teams, 400, 2);
+	parse = seconds_now() - start;
+	start = seconds_now();
+	allotment_adopt(subject.allotment, NULL, next, NULL, 3000);
+	printf("| plans list, %d teams | %zu kB heap, %zu kB text | parse %.2f "
+	       "ms, adopt %.2f ms |\n",
+	    teams, (heap_bytes() - before) / 1024, strlen(text) / 1024,
+	    parse * 1e3, (seconds_now() - start) * 1e3);
+	plans_unref(next);
+	subject_destroy(&subject);
+}
+
+static void
+active_measure(int teams)
+{
+	subject_t subject;
+	size_t before;
+	double start;
+	int admitted = 0;
+
+	subject_create(&subject, 8, teams);
+	before = heap_bytes();
+	start = seconds_now();
+	for (int i = 0; i < teams; i++) {
+		g_autofree char *name = g_strdup_printf("team-%d", i);
+		allotment_result_t result = allotment_reserve(
+		    subject.allotment, name, 100, true, 5000);
+
+		admitted += result.verdict == ALLOTMENT_ADMITTED;
+	}
+	printf("| active team, %d active | %zu B each | %.2f us to admit |\n",
+	    teams, (heap_bytes() - before) / (size_t)teams,
+	    (seconds_now() - start) / teams * 1e6);
+	start = seconds_now();
+	allotment_sweep(subject.allotment, 6000);
+	printf("| sweep a second, %d active | - | %.2f ms |\n", teams,
+	    (seconds_now() - start) * 1e3);
+	subject_destroy(&subject);
+}
+
+static void
+order_measure(int orders)
+{
+	static const uint8_t key[ORDER_MAC_KEY_BYTES] = {1};
+	static const uint8_t digest[DIGEST_BYTES] = {2};
+	order_table_t *table = order_table_create(
+	    "i0", 1, key, ORDER_TABLE_LIMIT, ORDER_ANSWER_BUDGET);
+	size_t before = heap_bytes();
+	double start = seconds_now();
+
+	for (int i = 0; i < orders; i++) {
+		g_autofree char *team = g_strdup_printf("team-%d", i % 100);
+		char ticket[ORDER_TICKET_SIZE];
+		order_begin_t begin;
+
+		order_ticket_issue(table, team, (uint64_t)i, 1000, ticket,
+		    sizeof(ticket));
+		begin = order_begin(
+		    table, team, ticket, digest, ORDER_FROM_CALLER, 500);
+		if (begin.action == ORDER_RUN)
+			order_complete(
+			    table, begin.handle, 201, "text/plain", "ok", 2);
+	}
+	printf("| remembered order, %d | %zu B each | %.2f us each |\n", orders,
+	    (heap_bytes() - before) / (size_t)orders,
+	    (seconds_now() - start) / orders * 1e6);
+	order_table_destroy(table);
+}
+
+int
+main(void)
+{
+	static const int instances[] = {8, 40, 400};
+	static const int teams[] = {5, 500, 7000, 16000};
+	static const int active[] = {5, 500, 7000};
+	static const int orders[] = {100, 1000, 10000};
+
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	printf("| what, size | state or message | processor time |\n"
+	       "|---|---|---|\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++)
+		fleet_measure(instances[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(teams); i++)
+		plans_measure(teams[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(active); i++)
+		active_measure(active[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(orders); i++)
+		order_measure(orders[i]);
+	return EXIT_SUCCESS;
+}
