--- a/bench/model.c
+++ b/bench/model.c
@@ -577,6 +577,17 @@
 	return (a > b) - (a < b);
 }
 
+static bool
+doubles_sorted(const GArray *values)
+{
+	for (guint i = 1; i < values->len; i++) {
+		if (g_array_index(values, double, i - 1) >
+		    g_array_index(values, double, i))
+			return false;
+	}
+	return true;
+}
+
 double
 percentile(GArray *values, double percent)
 {
@@ -584,7 +595,8 @@
 
 	if (values->len == 0)
 		return 0;
-	g_array_sort(values, double_compare);
+	if (!doubles_sorted(values))
+		g_array_sort(values, double_compare);
 	at = (guint)(percent / 100 * values->len);
 	return g_array_index(values, double, MIN(at, values->len - 1));
 }
