tests: share the keys and the record encoder of the peer tests

Cause: three test files built secrets and call records with the same lines.

Ruled out: test-only entry points in the peer package.

Change: keys_make and record_encode in tests/peer_samples.h. No check changed.

Conclusion: the same checks with one copy of the encoder.

--- a/tests/fuzz_peer_messages.c
+++ b/tests/fuzz_peer_messages.c
@@ -60,33 +60,17 @@
 		abort();
 }
 
-/* Encodes a call record for the dispatcher, with a right MAC. */
-static GByteArray *
-record_make(uint32_t procedure, uint64_t sequence, uint64_t session,
-    const uint8_t *body, size_t len)
+/* Encodes a call for the dispatcher, with a right MAC. Returns its length. */
+static size_t
+record_make(char *record, uint32_t procedure, uint64_t sequence,
+    uint64_t session, const uint8_t *body, size_t len)
 {
-	GByteArray *bytes = g_byte_array_new();
-	peer_call call = {.sender = (char *)"s9",
-	    .incarnation = 5,
-	    .sequence = sequence,
-	    .session = session,
-	    .body = {(u_int)len, (char *)body}};
-	struct rpc_msg msg = {.rm_xid = 1, .rm_direction = CALL};
-	XDR xdr;
-
-	msg.rm_call.cb_rpcvers = 2;
-	msg.rm_call.cb_prog = PEER_PROGRAM;
-	msg.rm_call.cb_vers = PEER_VERSION;
-	msg.rm_call.cb_proc = procedure;
-	msg.rm_call.cb_cred = _null_auth;
-	msg.rm_call.cb_verf = _null_auth;
-	envelope_seal_call(&dispatch.keys, procedure, &call);
-	g_byte_array_set_size(bytes, DISPATCH_RECORD_BYTES);
-	xdrmem_create(&xdr, (char *)bytes->data, bytes->len, XDR_ENCODE);
-	if (!xdr_callmsg(&xdr, &msg) || !xdr_peer_call(&xdr, &call))
-		abort();
-	g_byte_array_set_size(bytes, xdr_getpos(&xdr));
-	return bytes;
+	return record_encode(record, &dispatch.keys, procedure,
+	    (peer_call){.sender = (char *)"s9",
+		.incarnation = 5,
+		.sequence = sequence,
+		.session = session,
+		.body = {(u_int)len, (char *)body}});
 }
 
 static void
@@ -105,15 +89,14 @@
 	static uint64_t sequence;
 	peer_call call = {.sender = (char *)"s9", .incarnation = 5};
 	uint64_t session;
-	GByteArray *record;
+	char record[DISPATCH_RECORD_BYTES];
 
 	if (len == 0 || len > PEER_CALL_BYTES)
 		return;
 	replay_guard_check(dispatch.guard, &call, &session);
-	record = record_make(
-	    1 + data[0] % 4, ++sequence, session, data + 1, len - 1);
-	record_run(record->data, record->len);
-	g_byte_array_unref(record);
+	len = record_make(
+	    record, 1 + data[0] % 4, ++sequence, session, data + 1, len - 1);
+	record_run((const uint8_t *)record, len);
 }
 
 /* What was decoded must encode, and decode again to what encodes the same.
@@ -214,7 +197,8 @@
 	const fetch_t fetch = {LIST_PLANS, 1};
 	const fetch_reply_t text = {LIST_PLANS, 1, (char *)"version: 1", 10};
 	const uint8_t borrow_body[] = "\x02\0\0\0\1t\0\0";
-	GByteArray *record = record_make(PEER_RETURN, 1, 0, borrow_body, 8);
+	char record[DISPATCH_RECORD_BYTES];
+	size_t len = record_make(record, PEER_RETURN, 1, 0, borrow_body, 8);
 
 	seed_take(KIND_HEARTBEAT, heartbeat_encode(&beat, NULL));
 	seed_take(KIND_HEARTBEAT, heartbeat_encode(&empty, NULL));
@@ -223,9 +207,8 @@
 	seed_take(KIND_RETURN, return_encode(&given_back, NULL));
 	seed_take(KIND_FETCH, fetch_encode(&fetch, NULL));
 	seed_take(KIND_FETCH_REPLY, fetch_reply_encode(&text, NULL));
-	seed_write(KIND_RECORD, record->data, record->len);
+	seed_write(KIND_RECORD, record, len);
 	seed_write(KIND_SEALED_RECORD, borrow_body, 8);
-	g_byte_array_unref(record);
 }
 
 static void
@@ -246,12 +229,12 @@
 int
 LLVMFuzzerInitialize(int *argc, char ***argv)
 {
-	const char *const secrets[] = {"the fleet secret of the fuzzer", NULL};
 	static char *list;
 	char **args = calloc((size_t)*argc + 2, sizeof(*args));
 
-	if (args == NULL || !envelope_keys_init(&dispatch.keys, secrets, NULL))
+	if (args == NULL)
 		abort();
+	dispatch.keys = keys_make("the fleet secret of the fuzzer", NULL);
 	g_strlcpy(dispatch.self.name, "s1", sizeof(dispatch.self.name));
 	dispatch.self.incarnation = 4;
 	dispatch.handlers = (peer_handlers_t){
--- a/tests/peer_samples.h
+++ b/tests/peer_samples.h
@@ -1,11 +1,47 @@
 #ifndef TESTS_PEER_SAMPLES_H
 #define TESTS_PEER_SAMPLES_H
 
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "generated/peer.h"
+#include "peer/envelope.h"
 #include "peer/messages.h"
 
+/* Keys of one or two (second not NULL) good secrets. */
+static inline envelope_keys_t
+keys_make(const char *first, const char *second)
+{
+	const char *const secrets[] = {first, second, NULL};
+	envelope_keys_t keys;
+
+	if (!envelope_keys_init(&keys, secrets, NULL))
+		abort();
+	return keys;
+}
+
+/* Encodes a sealed call as an RPC record without its mark. record has room for
+ * PEER_CALL_BYTES + 512 bytes. Returns the length. */
+static inline size_t
+record_encode(char *record, const envelope_keys_t *keys, uint32_t procedure,
+    peer_call call)
+{
+	struct rpc_msg msg = {.rm_xid = 1, .rm_direction = CALL};
+	XDR xdr;
+
+	msg.rm_call.cb_rpcvers = 2;
+	msg.rm_call.cb_prog = PEER_PROGRAM;
+	msg.rm_call.cb_vers = PEER_VERSION;
+	msg.rm_call.cb_proc = procedure;
+	msg.rm_call.cb_cred = _null_auth;
+	msg.rm_call.cb_verf = _null_auth;
+	envelope_seal_call(keys, procedure, &call);
+	xdrmem_create(&xdr, record, PEER_CALL_BYTES + 512, XDR_ENCODE);
+	if (!xdr_callmsg(&xdr, &msg) || !xdr_peer_call(&xdr, &call))
+		abort();
+	return xdr_getpos(&xdr);
+}
+
 /* A heartbeat with all arrays full and all names of the greatest length. */
 static inline heartbeat_t
 heartbeat_sample(void)
--- a/tests/test_envelope.c
+++ b/tests/test_envelope.c
@@ -3,6 +3,7 @@
 #include "common/error.h"
 #include "generated/peer.h"
 #include "peer/envelope.h"
+#include "peer_samples.h"
 #include "test.h"
 
 #define OLD_SECRET "the old fleet secret"
@@ -10,16 +11,6 @@
 
 static char body_bytes[] = "body";
 
-static envelope_keys_t
-keys_make(const char *first, const char *second)
-{
-	const char *const secrets[] = {first, second, NULL};
-	envelope_keys_t keys;
-
-	ck_assert(envelope_keys_init(&keys, secrets, NULL));
-	return keys;
-}
-
 static peer_call
 call_make(const envelope_keys_t *keys, uint64_t session, uint64_t sequence)
 {
--- a/tests/test_peer_rpc.c
+++ b/tests/test_peer_rpc.c
@@ -91,16 +91,6 @@
 	g_atomic_int_inc(&seen->returns);
 }
 
-static envelope_keys_t
-keys_make(const char *first, const char *second)
-{
-	const char *const secrets[] = {first, second, NULL};
-	envelope_keys_t keys;
-
-	ck_assert(envelope_keys_init(&keys, secrets, NULL));
-	return keys;
-}
-
 static peer_server_t *
 server_make(seen_t *seen)
 {
@@ -238,27 +228,15 @@
     uint64_t sequence, uint64_t session, GBytes *body)
 {
 	envelope_keys_t keys = keys_make(SECRET, NULL);
-	struct rpc_msg msg = {.rm_xid = 1, .rm_direction = CALL};
 	uint32_t mark;
-	size_t len;
-	XDR xdr;
-	peer_call call = {.sender = (char *)sender,
-	    .incarnation = 33,
-	    .sequence = sequence,
-	    .session = session,
-	    .body = {(u_int)g_bytes_get_size(body),
-		(char *)g_bytes_get_data(body, NULL)}};
-
-	envelope_seal_call(&keys, procedure, &call);
-	msg.rm_call.cb_rpcvers = 2;
-	msg.rm_call.cb_prog = PEER_PROGRAM;
-	msg.rm_call.cb_vers = PEER_VERSION;
-	msg.rm_call.cb_proc = procedure;
-	msg.rm_call.cb_cred = _null_auth;
-	msg.rm_call.cb_verf = _null_auth;
-	xdrmem_create(&xdr, record + 4, PEER_CALL_BYTES + 512, XDR_ENCODE);
-	ck_assert(xdr_callmsg(&xdr, &msg) && xdr_peer_call(&xdr, &call));
-	len = xdr_getpos(&xdr);
+	size_t len = record_encode(record + 4, &keys, procedure,
+	    (peer_call){.sender = (char *)sender,
+		.incarnation = 33,
+		.sequence = sequence,
+		.session = session,
+		.body = {(u_int)g_bytes_get_size(body),
+		    (char *)g_bytes_get_data(body, NULL)}});
+
 	mark = htonl(0x80000000U | (uint32_t)len);
 	memcpy(record, &mark, sizeof(mark));
 	return len + 4;
