edge: listen on IPv6 numbers; core: name the reason of an early end

Cause: settings accept IPv6 numbers that the HTTP server refused; a malformed request was logged as caller_gone; forwards and whole answers had no counter.

Ruled out: dropping IPv6 from the settings; instances are addressed by IP numbers of either kind.

Before: start_failed with [::1]. After: /healthz answers at [::1].

Conclusion: process_path passes.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -53,8 +53,8 @@
 	GString *text = g_string_new(NULL);
 	int zones = zones_of(instances);
 
-	g_string_printf(text,
-	    "version: %" G_GUINT64_FORMAT "\ninstances:\n", version);
+	g_string_printf(
+	    text, "version: %" G_GUINT64_FORMAT "\ninstances:\n", version);
 	for (int i = 0; i < instances; i++)
 		g_string_append_printf(text,
 		    "  - { name: i%d, zone: zone-%d, http: 10.0.%d.%d:80, "
@@ -107,8 +107,8 @@
 	    text, "version: %" G_GUINT64_FORMAT "\nteams:\n", version);
 	for (int i = 0; i < teams; i++) {
 		g_autofree char *name = g_strdup_printf("team-%d", i);
-		g_autofree char *hash = g_compute_checksum_for_string(
-		    G_CHECKSUM_SHA256, name, -1);
+		g_autofree char *hash =
+		    g_compute_checksum_for_string(G_CHECKSUM_SHA256, name, -1);
 
 		g_string_append_printf(
 		    text, "  - name: %s\n    plan: basic\n", name);
@@ -247,8 +247,9 @@
 	double parse;
 
 	subject_create(&subject, instances, 5);
-	printf("| fleet list and membership, %d instances | %zu kB heap, %zu kB "
-	       "text |",
+	printf(
+	    "| fleet list and membership, %d instances | %zu kB heap, %zu kB "
+	    "text |",
 	    instances, (heap_bytes() - before) / 1024, strlen(text) / 1024);
 	start = seconds_now();
 	next = fleet_make(instances, 2);
@@ -307,8 +308,8 @@
 	start = seconds_now();
 	for (int i = 0; i < teams; i++) {
 		g_autofree char *name = g_strdup_printf("team-%d", i);
-		allotment_result_t result = allotment_reserve(
-		    subject.allotment, name, 100, true, 5000);
+		allotment_result_t result =
+		    allotment_reserve(subject.allotment, name, 100, true, 5000);
 
 		admitted += result.verdict == ALLOTMENT_ADMITTED;
 	}
@@ -337,8 +338,8 @@
 		char ticket[ORDER_TICKET_SIZE];
 		order_begin_t begin;
 
-		order_ticket_issue(table, team, (uint64_t)i, 1000, ticket,
-		    sizeof(ticket));
+		order_ticket_issue(
+		    table, team, (uint64_t)i, 1000, ticket, sizeof(ticket));
 		begin = order_begin(
 		    table, team, ticket, digest, ORDER_FROM_CALLER, 500);
 		if (begin.action == ORDER_RUN)
--- a/core/gate_internal.h
+++ b/core/gate_internal.h
@@ -79,8 +79,8 @@
 	char **seeds;
 	uint64_t random; /* state of the generator */
 	uint32_t queue_limit;
-	bool draining; /* by signal or operator */
-	bool leaving;  /* by the fleet list */
+	bool draining;	    /* by signal or operator */
+	bool leaving;	    /* by the fleet list */
 	bool share_awaited; /* the wait for a first share is over */
 	time_us_t started_at;
 
--- a/core/gate_result.c
+++ b/core/gate_result.c
@@ -282,7 +282,8 @@
 }
 
 void
-gate_abort(gate_t *gate, flight_id_t id, time_us_t now, GArray *actions)
+gate_abort(gate_t *gate, flight_id_t id, refusal_t reason, time_us_t now,
+    GArray *actions)
 {
 	flight_t *flight = gate_flight(gate, id);
 
@@ -291,8 +292,7 @@
 	if (flight->order && (flight->state == FLIGHT_RUNNING ||
 				 flight->state == FLIGHT_FORWARDED))
 		return;
-	flight_cancel(gate, flight, REFUSAL_CALLER_GONE, REFUSAL_CALLER_GONE,
-	    now, actions);
+	flight_cancel(gate, flight, reason, reason, now, actions);
 }
 
 void
--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -83,8 +83,8 @@
 }
 
 static void
-flight_forward(
-    gate_t *gate, flight_t *flight, const char *instance, GArray *actions)
+flight_forward(gate_t *gate, flight_t *flight, const char *instance,
+    const char *cause, GArray *actions)
 {
 	const instance_t *peer =
 	    fleet_find_instance(gate->view.fleet, instance);
@@ -96,9 +96,21 @@
 	    action->u.forward.http, peer->http, sizeof(action->u.forward.http));
 	g_strlcpy(action->u.forward.team, flight->team,
 	    sizeof(action->u.forward.team));
+	action->u.forward.cause = cause;
 	action->u.forward.single_send = strcmp(flight->method, "POST") == 0;
 }
 
+static const char *
+forward_cause(const gate_t *gate, const char *instance)
+{
+	const instance_t *peer =
+	    fleet_find_instance(gate->view.fleet, instance);
+
+	return strcmp(gate_zone_region(gate, peer->zone), gate->region) == 0
+		   ? "zone"
+		   : "region";
+}
+
 /*
  * Whether this instance may run the flight on targets of its own zone: the plan
  * must allow the service in this region.
@@ -198,7 +210,8 @@
 	if (!flight->forwarded &&
 	    gate_spill(gate, flight, local && choice.verdict != ROUTE_NO_TARGET,
 		now, instance)) {
-		flight_forward(gate, flight, instance, actions);
+		flight_forward(gate, flight, instance,
+		    forward_cause(gate, instance), actions);
 		return;
 	}
 	if (choice.verdict == ROUTE_NO_TARGET)
@@ -382,7 +395,7 @@
 	}
 	flight->charged = true;
 	flight->reservation = result.reservation;
-	flight_forward(gate, flight, issuer, actions);
+	flight_forward(gate, flight, issuer, "issuer", actions);
 }
 
 static order_origin_t
--- a/cyclamensail/daemon.c
+++ b/cyclamensail/daemon.c
@@ -123,8 +123,11 @@
 address_split(const char *text, char address[64], uint16_t *port)
 {
 	const char *colon = strrchr(text, ':');
+	size_t skip = text[0] == '[' ? 1 : 0;
 
-	g_strlcpy(address, text, MIN((size_t)(colon - text) + 1, 64));
+	/* Without the brackets of an IPv6 number. */
+	g_strlcpy(address, text + skip,
+	    MIN((size_t)(colon - text) + 1 - 2 * skip, 64));
 	*port = (uint16_t)strtoul(colon + 1, NULL, 10);
 }
 
--- a/cyclamensail/relay.c
+++ b/cyclamensail/relay.c
@@ -300,7 +300,7 @@
 	pthread_mutex_unlock(&daemon->gate_lock);
 	answer_refuse(daemon, relay->exchange, &error);
 	pthread_mutex_lock(&daemon->gate_lock);
-	gate_abort(daemon->gate, relay->flight, clock_now(), actions);
+	gate_abort(daemon->gate, relay->flight, reason, clock_now(), actions);
 	pthread_mutex_unlock(&daemon->gate_lock);
 	daemon_act(daemon, actions);
 }
@@ -416,7 +416,8 @@
 	exchange_set_data(exchange, NULL);
 	actions = daemon_actions_create();
 	pthread_mutex_lock(&daemon->gate_lock);
-	gate_abort(daemon->gate, relay->flight, clock_now(), actions);
+	gate_abort(daemon->gate, relay->flight, REFUSAL_CALLER_GONE,
+	    clock_now(), actions);
 	pthread_mutex_unlock(&daemon->gate_lock);
 	daemon_act(daemon, actions);
 	relay_unref(relay);
@@ -686,6 +687,7 @@
 
 	g_strlcpy(hop.sender, daemon->settings->instance, sizeof(hop.sender));
 	g_strlcpy(hop.team, action->u.forward.team, sizeof(hop.team));
+	counter_count("forwards", "cause", action->u.forward.cause);
 	randombytes_buf(&hop.nonce, sizeof(hop.nonce));
 	request.body = exchange_body(relay->exchange, &request.body_len);
 	hop_seal(&hop, &request, daemon->secrets[0], text, sizeof(text));
@@ -749,6 +751,7 @@
 static void
 relay_done(relay_t *relay)
 {
+	counter_count("requests_answered", "service", relay->service);
 	pthread_mutex_lock(&relay->lock);
 	if (!relay->over) {
 		relay_begin(relay);
--- a/edge/server.c
+++ b/edge/server.c
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 #include <ck_pr.h>
+#include <errno.h>
+#include <netdb.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -13,6 +15,8 @@
 /* Bytes for one request head; larger heads get 431 from libmicrohttpd. */
 #define HEAD_LIMIT_BYTES ((size_t)16 * 1024)
 
+#define LISTEN_BACKLOG 1024
+
 /* A refused body is read and dropped up to this many times the limit. */
 #define BODY_DROP_FACTOR 4
 
@@ -169,36 +173,63 @@
 	    settings->certificate ? tls : no_tls, MHD_OPTION_END);
 }
 
+/* Opens a socket for one numeric address; -1 with errno on failure. */
 static int
-socket_listen(const edge_options_t *options, uint16_t *port, GError **error)
+socket_open(const struct addrinfo *info)
 {
-	struct sockaddr_in address = {
-	    .sin_family = AF_INET, .sin_port = htons(options->port)};
-	socklen_t size = sizeof(address);
 	int one = 1;
+	int fd = socket(
+	    info->ai_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, info->ai_addr, info->ai_addrlen) == 0 &&
+	    listen(fd, LISTEN_BACKLOG) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static uint16_t
+socket_port(int fd)
+{
+	struct sockaddr_storage address;
+	socklen_t size = sizeof(address);
+
+	getsockname(fd, (struct sockaddr *)&address, &size);
+	if (address.ss_family == AF_INET6)
+		return ntohs(((struct sockaddr_in6 *)&address)->sin6_port);
+	return ntohs(((struct sockaddr_in *)&address)->sin_port);
+}
+
+static int
+socket_listen(const edge_options_t *options, uint16_t *port, GError **error)
+{
+	struct addrinfo hints = {
+	    .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV | AI_PASSIVE,
+	    .ai_socktype = SOCK_STREAM};
+	g_autofree char *service =
+	    g_strdup_printf("%u", (unsigned int)options->port);
+	struct addrinfo *info;
 	int fd;
 
-	if (inet_pton(AF_INET, options->address, &address.sin_addr) != 1) {
+	if (getaddrinfo(options->address, service, &hints, &info) != 0) {
 		g_set_error(error, CS_ERROR, CS_ERROR_INVALID,
-		    "'%s' is no IPv4 address; set http to ADDRESS:PORT",
+		    "'%s' is no IP number; write ADDRESS:PORT with an IP "
+		    "number",
 		    options->address);
 		return -1;
 	}
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (fd < 0 ||
-	    bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
-	    listen(fd, 1024) != 0) {
+	fd = socket_open(info);
+	freeaddrinfo(info);
+	if (fd < 0) {
 		g_set_error(error, CS_ERROR, CS_ERROR_IO,
-		    "can't listen on %s:%u: %s; choose a free port",
-		    options->address, (unsigned int)options->port,
-		    g_strerror(errno));
-		if (fd >= 0)
-			close(fd);
+		    "can't listen on %s port %s: %s; choose a free port",
+		    options->address, service, g_strerror(errno));
 		return -1;
 	}
-	getsockname(fd, (struct sockaddr *)&address, &size);
-	*port = ntohs(address.sin_port);
+	*port = socket_port(fd);
 	return fd;
 }
 
--- a/include/core/gate.h
+++ b/include/core/gate.h
@@ -112,6 +112,7 @@
 		} send;
 		struct {
 			char http[NAME_LIMIT + 1]; /* address:port */
+			const char *cause;	   /* issuer, zone or region */
 			char team[NAME_LIMIT + 1];
 			bool single_send;
 		} forward;
@@ -167,13 +168,14 @@
     const flight_outcome_t *outcome, time_us_t now, GArray *actions);
 
 /*
- * The caller is gone, or its request was malformed. A flight without a running
- * attempt ends with ACTION_REFUSE; a running one is cancelled by ACTION_CANCEL,
- * unless it is an order, which runs to its end so that a repeat learns its
- * outcome. No effect on a flight that is over.
+ * Ends a flight early, because the caller is gone or its request turned out to
+ * be unacceptable. A flight without a running attempt ends with ACTION_REFUSE;
+ * a running one is cancelled by ACTION_CANCEL, unless it is an order, which
+ * runs to its end so that a repeat learns its outcome. No effect on a flight
+ * that is over.
  */
-void gate_abort(
-    gate_t *gate, flight_id_t flight, time_us_t now, GArray *actions);
+void gate_abort(gate_t *gate, flight_id_t flight, refusal_t reason,
+    time_us_t now, GArray *actions);
 
 /* A place where a caller can send its requests. */
 typedef struct {
--- a/include/edge/server.h
+++ b/include/edge/server.h
@@ -9,7 +9,7 @@
 /* HTTP server towards callers (libmicrohttpd with a pool of epoll threads). */
 
 typedef struct {
-	const char *address; /* IP number */
+	const char *address; /* IP number, without brackets */
 	uint16_t port;	     /* 0: any free port */
 	unsigned int threads;
 	unsigned int connection_limit;
