edge: start from a cleared socket address

Cause: clang-tidy can't see that getsockname fills the address.

Ruled out: a note to switch the check off.

Change: the address starts as zero bytes.

Conclusion: no change of behaviour.

--- a/edge/server.c
+++ b/edge/server.c
@@ -194,7 +194,7 @@
 static uint16_t
 socket_port(int fd)
 {
-	struct sockaddr_storage address;
+	struct sockaddr_storage address = {0};
 	socklen_t size = sizeof(address);
 
 	getsockname(fd, (struct sockaddr *)&address, &size);
