core: bound the heartbeat fan-out of a large fleet

Cause: heartbeats to all instances grow with the square of the fleet: at 400 instances 92 a second and 160 KB/s a node (computed), against 7 KB/s allowed.

Ruled out: longer intervals to all, which would need 115 s between two heartbeats to meet the limit.

Change: above 16 other instances the zone gets one every 5 s and each other zone one in turn every 15 s; loads go to other zones only; bench/capacity.c counts what a real gate sends.

Before: 92/s, 160 KB/s computed at 400.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -14,6 +14,7 @@
 
 #include "config/lists.h"
 #include "core/allotment.h"
+#include "core/gate.h"
 #include "core/lists.h"
 #include "core/order.h"
 #include "peer/messages.h"
@@ -22,6 +23,7 @@
 #define REGIONS 7
 #define SERVICES 29
 #define REPEATS 200
+#define TICK_US (50 * US_PER_MS)
 
 static double
 seconds_now(void)
@@ -323,6 +325,129 @@
 	subject_destroy(&subject);
 }
 
+/* Counts what one gate sends, and answers it as peers in agreement would. */
+typedef struct {
+	size_t requests;
+	size_t bytes;
+} traffic_t;
+
+static size_t
+heartbeat_bytes(const heartbeat_t *beat)
+{
+	GBytes *wire = heartbeat_encode(beat, NULL);
+	size_t bytes = g_bytes_get_size(wire);
+
+	g_bytes_unref(wire);
+	return bytes;
+}
+
+static void
+traffic_answer(gate_t *gate, const fleet_t *fleet, const char *peer,
+    time_us_t now, traffic_t *traffic)
+{
+	const instance_t *instance = fleet_find_instance(fleet, peer);
+	GArray *actions = g_array_new(FALSE, FALSE, sizeof(gate_action_t));
+	heartbeat_t request;
+	heartbeat_t reply;
+
+	gate_heartbeat_fill(gate, peer, &request, now);
+	reply = request;
+	g_strlcpy(reply.sender, instance->name, sizeof(reply.sender));
+	g_strlcpy(reply.zone, instance->zone, sizeof(reply.zone));
+	reply.incarnation = 7;
+	reply.ready = true;
+	reply.lease_granted = true;
+	for (int i = 0; i < LIST_COUNT; i++) {
+		reply.acked[i] = reply.adopted[i].version;
+		reply.agreed[i] = reply.adopted[i].version;
+	}
+	gate_on_reply(gate, peer, &reply, now, actions);
+	traffic->requests++;
+	traffic->bytes += heartbeat_bytes(&request);
+	g_array_free(actions, TRUE);
+}
+
+static void
+gate_run(gate_t *gate, const fleet_t *fleet, time_us_t from, time_us_t to,
+    traffic_t *traffic)
+{
+	for (time_us_t now = from; now < to; now += TICK_US) {
+		GArray *actions =
+		    g_array_new(FALSE, FALSE, sizeof(gate_action_t));
+
+		gate_tick(gate, now, 1000, actions);
+		for (guint i = 0; i < actions->len; i++) {
+			gate_action_t *action =
+			    &g_array_index(actions, gate_action_t, i);
+
+			if (action->kind == ACTION_HEARTBEAT)
+				traffic_answer(gate, fleet,
+				    action->u.heartbeat.peer, now, traffic);
+		}
+		g_array_free(actions, TRUE);
+	}
+}
+
+static bool
+pair_fits(const plans_t *plans, const allowances_t *allowances, void *data)
+{
+	return true;
+}
+
+static void
+gate_offer_list(gate_t *gate, list_kind_t kind, void *list, time_us_t now)
+{
+	GArray *actions = g_array_new(FALSE, FALSE, sizeof(gate_action_t));
+	list_any_t any = {.kind = kind, .head = list};
+
+	gate_offer(gate, any, now, actions);
+	g_array_free(actions, TRUE);
+}
+
+static void
+traffic_measure(int instances)
+{
+	static const uint8_t key[ORDER_MAC_KEY_BYTES] = {1};
+	subject_t subject;
+	gate_options_t options = {.instance = "i0",
+	    .zone = "zone-0",
+	    .incarnation = 1,
+	    .ticket_key = key,
+	    .queue_limit = 16,
+	    .now = 1,
+	    .pair_fits = pair_fits};
+	gate_t *gate = gate_create(&options);
+	traffic_t traffic = {0, 0};
+	plans_t *next;
+	double start;
+	double seconds;
+
+	subject_create(&subject, instances, 5);
+	gate_offer_list(gate, LIST_FLEET, subject.fleet, 2);
+	gate_offer_list(gate, LIST_ALLOWANCES, subject.allowances, 2);
+	gate_offer_list(gate, LIST_PLANS, subject.plans, 2);
+	/* Past the start, in which an instance asks all. */
+	gate_run(gate, subject.fleet, 1000, 60 * US_PER_S, &traffic);
+	traffic = (traffic_t){0, 0};
+	start = seconds_now();
+	gate_run(gate, subject.fleet, 60 * US_PER_S, 120 * US_PER_S, &traffic);
+	seconds = seconds_now() - start;
+	printf("| heartbeats sent, steady, %d instances | %.2f/s, %.2f kB/s | "
+	       "%.3f%% of a core |\n",
+	    instances, (double)traffic.requests / 60,
+	    (double)traffic.bytes / 60 / 1000, seconds / 60 * 100);
+	traffic = (traffic_t){0, 0};
+	next = plans_make(5, instances, 2);
+	gate_offer_list(gate, LIST_PLANS, next, 120 * US_PER_S);
+	gate_run(gate, subject.fleet, 120 * US_PER_S, 121 * US_PER_S, &traffic);
+	printf("| heartbeats in the second after a list change, %d instances | "
+	       "%zu, %.1f kB | - |\n",
+	    instances, traffic.requests, (double)traffic.bytes / 1000);
+	plans_unref(next);
+	gate_destroy(gate);
+	subject_destroy(&subject);
+}
+
 static void
 order_measure(int orders)
 {
@@ -366,6 +491,8 @@
 	       "|---|---|---|\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++)
 		fleet_measure(instances[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++)
+		traffic_measure(instances[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(teams); i++)
 		plans_measure(teams[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(active); i++)
--- a/core/gate.c
+++ b/core/gate.c
@@ -86,6 +86,8 @@
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)queue_destroy);
 	gate->free_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_queue_init(&gate->token_waiters);
+	gate->zone_sizes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	gate->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return gate;
@@ -96,6 +98,7 @@
 {
 	if (gate == NULL)
 		return;
+	g_hash_table_destroy(gate->zone_sizes);
 	g_hash_table_destroy(gate->peers);
 	g_queue_clear_full(&gate->token_waiters, g_free);
 	g_array_free(gate->free_slots, TRUE);
--- /dev/null
+++ b/core/gate_heartbeat.c
@@ -0,0 +1,182 @@
+#include <string.h>
+
+#include "gate_internal.h"
+
+/*
+ * When and to whom heartbeats go. Up to FAN_OUT_ALL other instances all of them
+ * get each one. In a larger fleet the bytes a second would grow with its
+ * square: then those of the own zone get one every few seconds, which a lease
+ * of 30 s allows, and of each other zone one instance in turn. Agreements still
+ * reach everybody, because one peer that knows of them is enough. An instance
+ * without a share has to hear many to get one and asks all.
+ */
+#define FAN_OUT_ALL 16
+
+#define HEARTBEAT_NEAR_US (1 * US_PER_S)
+#define HEARTBEAT_FAR_US (5 * US_PER_S)
+#define HEARTBEAT_NEAR_LARGE_US (5 * US_PER_S)
+#define HEARTBEAT_FAR_LARGE_US (15 * US_PER_S)
+
+/* Progress of an agreement is told at once, but not more often than this. */
+#define HEARTBEAT_SOONEST_US (100 * US_PER_MS)
+
+/* One round of heartbeats. */
+typedef struct {
+	bool near;	   /* to the own zone */
+	bool far;	   /* to other zones */
+	bool all;	   /* to all of them, not one of each */
+	GHashTable *ranks; /* zone -> instances of it seen so far */
+} beat_round_t;
+
+static bool
+fan_out_is_full(const gate_t *gate)
+{
+	return gate->view.fleet->n_instances <= FAN_OUT_ALL + 1 ||
+	       gate->routed_share == 0;
+}
+
+static size_t
+zone_size(const fleet_t *fleet, const char *zone)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < fleet->n_instances; i++)
+		n += strcmp(fleet->instances[i].zone, zone) == 0;
+	return n;
+}
+
+/* Whether it is the turn of this instance among those of its zone. */
+static bool
+turn_comes(gate_t *gate, const instance_t *instance, beat_round_t *round)
+{
+	size_t rank =
+	    GPOINTER_TO_SIZE(g_hash_table_lookup(round->ranks, instance->zone));
+	size_t size = GPOINTER_TO_SIZE(
+	    g_hash_table_lookup(gate->zone_sizes, instance->zone));
+
+	g_hash_table_insert(
+	    round->ranks, instance->zone, GSIZE_TO_POINTER(rank + 1));
+	return rank == gate->far_turn % MAX(size, 1);
+}
+
+static bool
+beat_is_due(gate_t *gate, const instance_t *instance, beat_round_t *round)
+{
+	if (strcmp(instance->name, gate->name) == 0)
+		return false;
+	if (strcmp(instance->zone, gate->zone) == 0)
+		return round->near;
+	if (!round->far)
+		return false;
+	return round->all || turn_comes(gate, instance, round);
+}
+
+static void
+beat_add(gate_t *gate, const char *peer, GArray *actions)
+{
+	gate_action_t *action =
+	    gate_action(gate, actions, ACTION_HEARTBEAT, NULL);
+
+	g_strlcpy(
+	    action->u.heartbeat.peer, peer, sizeof(action->u.heartbeat.peer));
+}
+
+/* Without a fleet list the seeds are asked for one. */
+static void
+seeds_send(gate_t *gate, GArray *actions)
+{
+	for (char **seed = gate->seeds; seed != NULL && *seed != NULL; seed++)
+		beat_add(gate, *seed, actions);
+}
+
+static void
+round_send(gate_t *gate, beat_round_t *round, GArray *actions)
+{
+	const fleet_t *fleet = gate->view.fleet;
+
+	round->ranks = g_hash_table_new(g_str_hash, g_str_equal);
+	for (size_t i = 0; i < fleet->n_instances; i++) {
+		if (beat_is_due(gate, &fleet->instances[i], round))
+			beat_add(gate, fleet->instances[i].name, actions);
+	}
+	g_hash_table_destroy(round->ranks);
+	if (round->far)
+		gate->far_turn++;
+}
+
+void
+gate_count_zones(gate_t *gate)
+{
+	const fleet_t *fleet = gate->view.fleet;
+
+	g_hash_table_remove_all(gate->zone_sizes);
+	for (size_t i = 0; fleet != NULL && i < fleet->n_instances; i++) {
+		char *zone = fleet->instances[i].zone;
+
+		if (!g_hash_table_contains(gate->zone_sizes, zone))
+			g_hash_table_insert(gate->zone_sizes, g_strdup(zone),
+			    GSIZE_TO_POINTER(zone_size(fleet, zone)));
+	}
+}
+
+static void
+heartbeats_tick(gate_t *gate, time_us_t now, GArray *actions)
+{
+	bool full = gate->view.fleet == NULL || fan_out_is_full(gate);
+	beat_round_t round = {.near = now >= gate->heartbeat_near_at,
+	    .far = now >= gate->heartbeat_far_at,
+	    .all = full};
+
+	if (round.near)
+		gate->heartbeat_near_at =
+		    now + (full ? HEARTBEAT_NEAR_US : HEARTBEAT_NEAR_LARGE_US);
+	if (round.far)
+		gate->heartbeat_far_at =
+		    now + (full ? HEARTBEAT_FAR_US : HEARTBEAT_FAR_LARGE_US);
+	if (gate->view.fleet == NULL) {
+		if (round.near)
+			seeds_send(gate, actions);
+	} else if (round.near || round.far) {
+		round_send(gate, &round, actions);
+	}
+}
+
+typedef struct {
+	gate_t *gate;
+	time_us_t now;
+	GArray *actions;
+} team_visit_t;
+
+/* Renews or gives back the loans of an active team. */
+static void
+team_visit(const char *team, void *data)
+{
+	team_visit_t *visit = data;
+	loan_return_t message;
+	gate_action_t *action;
+
+	gate_ask_loan(visit->gate, team, visit->now, visit->actions);
+	if (!allotment_return(
+		visit->gate->allotment, team, NULL, visit->now, &message))
+		return;
+	action = gate_action(visit->gate, visit->actions, ACTION_RETURN, NULL);
+	action->u.give_back = message;
+}
+
+void
+gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions)
+{
+	team_visit_t visit = {gate, now, actions};
+
+	if (now >= gate->heartbeat_soonest_at &&
+	    membership_progressed(gate->membership, gate->progress)) {
+		gate->heartbeat_soonest_at = now + HEARTBEAT_SOONEST_US;
+		gate->heartbeat_near_at = 0;
+		gate->heartbeat_far_at = 0;
+	}
+	heartbeats_tick(gate, now, actions);
+	if (now >= gate->loans_at) {
+		gate->loans_at = now + LOAN_RETRY_US;
+		allotment_each(gate->allotment, team_visit, &visit);
+	}
+}
--- a/core/gate_internal.h
+++ b/core/gate_internal.h
@@ -108,7 +108,9 @@
 	time_us_t heartbeat_near_at;
 	time_us_t heartbeat_far_at;
 	time_us_t heartbeat_soonest_at;
-	share_t routed_share; /* share that the target table goes by */
+	size_t far_turn;	/* whose turn it is in other zones */
+	GHashTable *zone_sizes; /* zone -> number of instances */
+	share_t routed_share;	/* share that the target table goes by */
 	uint64_t progress[MEMBERSHIP_PROGRESS];
 	time_us_t loans_at;
 	time_us_t sweep_at;
@@ -159,6 +161,9 @@
     gate_t *gate, const char *service, time_us_t now, GArray *actions);
 void gate_pump_all(gate_t *gate, time_us_t now, GArray *actions);
 
+/* Takes a flight out of those that wait for tokens, if it is there. */
+void gate_token_wait_leave(gate_t *gate, flight_id_t id);
+
 /* Tries again the flights that wait for tokens. */
 void gate_pump_tokens(gate_t *gate, time_us_t now, GArray *actions);
 
@@ -186,6 +191,9 @@
 /* The same if this instance's share of its zone has changed. */
 void gate_follow_share(gate_t *gate, time_us_t now);
 
+/* Counts the instances of each zone of a new fleet list. */
+void gate_count_zones(gate_t *gate);
+
 /* Periodic messages to peers. */
 void gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions);
 
--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -2,13 +2,6 @@
 
 #include "gate_internal.h"
 
-/* Heartbeats within the zone renew leases and spread acknowledgements. */
-#define HEARTBEAT_NEAR_US (1 * US_PER_S)
-#define HEARTBEAT_FAR_US (5 * US_PER_S)
-
-/* Progress of an agreement is told at once, but not more often than this. */
-#define HEARTBEAT_SOONEST_US (100 * US_PER_MS)
-
 typedef struct {
 	gate_t *gate;
 	time_us_t now;
@@ -71,6 +64,7 @@
 
 		gate->leaving = self != NULL && self->state == MEMBER_LEAVING;
 		gate_sync_route(gate, now);
+		gate_count_zones(gate);
 		peers_prune(gate);
 	}
 	if (gate->view.fleet != NULL && gate->view.allowances != NULL) {
@@ -110,35 +104,20 @@
 	lists_fetch_end(gate->lists, kind, got, now);
 }
 
-static const list_head_t *
-list_head(const gate_t *gate, list_kind_t kind)
-{
-	switch (kind) {
-	case LIST_PLANS:
-		return gate->view.plans ? &gate->view.plans->head : NULL;
-	case LIST_ALLOWANCES:
-		return gate->view.allowances ? &gate->view.allowances->head
-					     : NULL;
-	case LIST_FLEET:
-		return gate->view.fleet ? &gate->view.fleet->head : NULL;
-	case LIST_COUNT:
-		break;
-	}
-	return NULL;
-}
-
 bool
 gate_list_text(const gate_t *gate, list_kind_t kind, uint64_t min_version,
     uint64_t *version, char **text, size_t *len)
 {
-	const list_head_t *head = list_head(gate, kind);
-
-	if (head == NULL || head->version < min_version)
-		return false;
-	*version = head->version;
-	*text = g_memdup2(head->text, head->text_len + 1);
-	*len = head->text_len;
-	return true;
+	list_any_t list = lists_get(gate->lists, kind);
+	bool found = list.head != NULL && list.head->version >= min_version;
+
+	if (found) {
+		*version = list.head->version;
+		*text = g_memdup2(list.head->text, list.head->text_len + 1);
+		*len = list.head->text_len;
+	}
+	list_any_clear(&list);
+	return found;
 }
 
 static void
@@ -183,12 +162,21 @@
 		   0;
 }
 
+static bool
+peer_in_zone(const gate_t *gate, const char *peer)
+{
+	const instance_t *instance = NULL;
+
+	if (gate->view.fleet != NULL)
+		instance = fleet_find_instance(gate->view.fleet, peer);
+	return instance != NULL && strcmp(instance->zone, gate->zone) == 0;
+}
+
 static void
 load_fill(gate_t *gate, heartbeat_t *out)
 {
 	const allowances_t *allowances = gate->view.allowances;
 
-	out->n_load = 0;
 	if (allowances == NULL)
 		return;
 	for (size_t i = 0;
@@ -214,7 +202,10 @@
 {
 	out->ready = gate_is_ready(gate, now);
 	out->draining = gate_is_draining(gate);
-	load_fill(gate, out);
+	out->n_load = 0;
+	/* Only other zones forward requests, so only they need the load. */
+	if (!peer_in_zone(gate, peer))
+		load_fill(gate, out);
 	out->n_poison = 0;
 	/* A digest of content doesn't leave the region either. */
 	if (peer_in_region(gate, peer))
@@ -328,80 +319,3 @@
 {
 	allotment_on_return(gate->allotment, message, now);
 }
-
-static bool
-peer_is_near(const gate_t *gate, const char *name)
-{
-	const instance_t *instance =
-	    fleet_find_instance(gate->view.fleet, name);
-
-	return instance != NULL && strcmp(instance->zone, gate->zone) == 0;
-}
-
-static void
-heartbeats_send(gate_t *gate, bool near, bool far, GArray *actions)
-{
-	g_autoptr(GArray) peers = gate_peers(gate);
-
-	for (guint i = 0; i < peers->len; i++) {
-		const gate_peer_t *peer = &g_array_index(peers, gate_peer_t, i);
-		bool is_near =
-		    gate->view.fleet == NULL || peer_is_near(gate, peer->name);
-		gate_action_t *action;
-
-		if (is_near ? !near : !far)
-			continue;
-		action = gate_action(gate, actions, ACTION_HEARTBEAT, NULL);
-		g_strlcpy(action->u.heartbeat.peer, peer->name,
-		    sizeof(action->u.heartbeat.peer));
-	}
-}
-
-typedef struct {
-	gate_t *gate;
-	time_us_t now;
-	GArray *actions;
-} team_visit_t;
-
-/* Renews or gives back the loans of an active team. */
-static void
-team_visit(const char *team, void *data)
-{
-	team_visit_t *visit = data;
-	loan_return_t message;
-	gate_action_t *action;
-
-	gate_ask_loan(visit->gate, team, visit->now, visit->actions);
-	if (!allotment_return(
-		visit->gate->allotment, team, NULL, visit->now, &message))
-		return;
-	action = gate_action(visit->gate, visit->actions, ACTION_RETURN, NULL);
-	action->u.give_back = message;
-}
-
-void
-gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions)
-{
-	team_visit_t visit = {gate, now, actions};
-	bool near;
-	bool far;
-
-	if (now >= gate->heartbeat_soonest_at &&
-	    membership_progressed(gate->membership, gate->progress)) {
-		gate->heartbeat_soonest_at = now + HEARTBEAT_SOONEST_US;
-		gate->heartbeat_near_at = 0;
-		gate->heartbeat_far_at = 0;
-	}
-	near = now >= gate->heartbeat_near_at;
-	far = now >= gate->heartbeat_far_at;
-	if (near || far)
-		heartbeats_send(gate, near, far, actions);
-	if (near)
-		gate->heartbeat_near_at = now + HEARTBEAT_NEAR_US;
-	if (far)
-		gate->heartbeat_far_at = now + HEARTBEAT_FAR_US;
-	if (now >= gate->loans_at) {
-		gate->loans_at = now + LOAN_RETRY_US;
-		allotment_each(gate->allotment, team_visit, &visit);
-	}
-}
--- a/core/gate_result.c
+++ b/core/gate_result.c
@@ -240,16 +240,8 @@
 	if (flight->state == FLIGHT_QUEUED)
 		queue_remove(gate_queue(gate, flight->service),
 		    flight->queue_handle, now);
-	if (flight->state != FLIGHT_WAIT_TOKENS)
-		return;
-	for (GList *item = gate->token_waiters.head; item != NULL;
-	     item = item->next) {
-		if (*(flight_id_t *)item->data != id)
-			continue;
-		g_free(item->data);
-		g_queue_delete_link(&gate->token_waiters, item);
-		return;
-	}
+	if (flight->state == FLIGHT_WAIT_TOKENS)
+		gate_token_wait_leave(gate, id);
 }
 
 /* Ends a flight early, wherever it is. */
--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -255,8 +255,8 @@
 	gate_refuse(gate, flight, reason, retry_after, now, actions);
 }
 
-static void
-token_wait_leave(gate_t *gate, flight_id_t id)
+void
+gate_token_wait_leave(gate_t *gate, flight_id_t id)
 {
 	for (GList *item = gate->token_waiters.head; item != NULL;
 	     item = item->next) {
@@ -283,13 +283,13 @@
 	    gate->allotment, flight->team, flight->body.cost, first, now);
 	switch (result.verdict) {
 	case ALLOTMENT_ADMITTED:
-		token_wait_leave(gate, id);
+		gate_token_wait_leave(gate, id);
 		flight->charged = true;
 		flight->reservation = result.reservation;
 		flight_start(gate, flight, now, actions);
 		break;
 	case ALLOTMENT_NEVER:
-		token_wait_leave(gate, id);
+		gate_token_wait_leave(gate, id);
 		gate_refuse(
 		    gate, flight, REFUSAL_COST_ABOVE_BURST, 0, now, actions);
 		break;
@@ -297,7 +297,7 @@
 		if (now >= flight->token_deadline ||
 		    (!result.needs_loan &&
 			result.ready_at > flight->token_deadline)) {
-			token_wait_leave(gate, id);
+			gate_token_wait_leave(gate, id);
 			flight_refuse_tokens(
 			    gate, flight, &result, now, actions);
 		} else if (flight->state != FLIGHT_WAIT_TOKENS) {
--- a/cyclamensail/lists.c
+++ b/cyclamensail/lists.c
@@ -29,23 +29,6 @@
 	return list->head != NULL;
 }
 
-static void
-list_unref(list_any_t *list)
-{
-	switch (list->kind) {
-	case LIST_PLANS:
-		plans_unref(list->plans);
-		break;
-	case LIST_ALLOWANCES:
-		allowances_unref(list->allowances);
-		break;
-	case LIST_FLEET:
-	case LIST_COUNT:
-		fleet_unref(list->fleet);
-		break;
-	}
-}
-
 bool
 lists_pair_fits(
     const plans_t *plans, const allowances_t *allowances, void *data)
@@ -89,7 +72,7 @@
 	verdict = gate_offer(daemon->gate, list, clock_now(), actions);
 	pthread_mutex_unlock(&daemon->gate_lock);
 	verdict_log(&list, verdict, source);
-	list_unref(&list);
+	list_any_clear(&list);
 	daemon_act(daemon, actions);
 	return true;
 }
--- a/cyclamensail/peers.c
+++ b/cyclamensail/peers.c
@@ -20,6 +20,8 @@
 	peer_sender_t self;
 	envelope_keys_t keys;
 	peer_server_t *server;
+	bool synced;	      /* used by the timer thread only, like fleet */
+	uint64_t fleet;	      /* version of the fleet list that links go by */
 	pthread_mutex_t lock; /* of links */
 	GHashTable *links;    /* name -> link_t */
 };
@@ -232,11 +234,20 @@
 peers_sync(peers_t *peers)
 {
 	g_autoptr(GArray) wanted = NULL;
+	uint64_t versions[LIST_COUNT];
 	GPtrArray *removed;
+	bool changed;
 
 	pthread_mutex_lock(&peers->daemon->gate_lock);
-	wanted = gate_peers(peers->daemon->gate);
+	gate_versions(peers->daemon->gate, versions);
+	changed = !peers->synced || versions[LIST_FLEET] != peers->fleet;
+	if (changed)
+		wanted = gate_peers(peers->daemon->gate);
 	pthread_mutex_unlock(&peers->daemon->gate_lock);
+	if (!changed)
+		return;
+	peers->synced = true;
+	peers->fleet = versions[LIST_FLEET];
 	pthread_mutex_lock(&peers->lock);
 	removed = links_remove(peers, wanted);
 	for (guint i = 0; i < wanted->len; i++) {
