gate: keep a request here after a written attempt

Cause: a request that had lost its target after bytes were written could be retried by forwarding it to another instance. That instance does not know of the first attempt, so its refusal says "not run", and the answer is passed on to the caller as it is.

Ruled out: correcting the statement when the answer arrives; its header has gone to the caller by then.

Change: gate_dispatch() does not forward a request that has a written attempt. It is retried on own targets, waits for them, or ends with "unknown".

--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -195,7 +195,11 @@
 	if (choice.verdict == ROUTE_PICKED &&
 	    flight_send(gate, flight, choice.target, now, actions))
 		return;
-	if (!flight->forwarded &&
+	/*
+	 * After a written attempt the request stays here: another instance
+	 * doesn't know of the attempt and would refuse with "not run".
+	 */
+	if (!flight->forwarded && !flight->written &&
 	    gate_spill(gate, flight, local && choice.verdict != ROUTE_NO_TARGET,
 		now, instance)) {
 		flight_forward(gate, flight, instance, actions);
