gate: check for poison again at dispatch

Cause: a body was checked against the poison table only when it was submitted. Copies that waited for tokens or in the queue while two targets were lost to the same body were sent to a third one.

Ruled out: dropping the check at submission. It spares a poisoned request the tokens and the ticket.

Change: gate_dispatch() makes the same check before it chooses a target. Copies that already run at a target when the losses are recorded are still allowed, as core/poison.h describes.

--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -120,6 +120,23 @@
 	       g_strv_contains((const char *const *)use->regions, region);
 }
 
+/*
+ * The body may have stopped targets while the flight waited. Returns false when
+ * the flight was refused.
+ */
+static bool
+flight_check_poison(
+    gate_t *gate, flight_t *flight, time_us_t now, GArray *actions)
+{
+	time_us_t until =
+	    poison_refused_until(gate->poison, flight->body.digest, now);
+
+	if (until <= now)
+		return true;
+	gate_refuse(gate, flight, REFUSAL_POISON, until - now, now, actions);
+	return false;
+}
+
 /* Repeats the checks of an old decision; ends the flight if one fails. */
 static bool
 flight_recheck(gate_t *gate, flight_t *flight, time_us_t now, GArray *actions)
@@ -186,7 +203,8 @@
 	bool local = region_allowed(gate, flight, gate->region);
 	char instance[NAME_LIMIT + 1];
 
-	if (!flight_recheck(gate, flight, now, actions))
+	if (!flight_recheck(gate, flight, now, actions) ||
+	    !flight_check_poison(gate, flight, now, actions))
 		return;
 	if (local)
 		choice = route_pick(gate->route, flight->service,
@@ -421,7 +439,6 @@
     time_us_t now, GArray *actions)
 {
 	flight_t *flight = gate_flight(gate, id);
-	time_us_t refused_until;
 
 	if (flight == NULL)
 		return;
@@ -429,12 +446,8 @@
 	flight->body.ticket = NULL;
 	if (body->ticket != NULL)
 		g_strlcpy(flight->ticket, body->ticket, sizeof(flight->ticket));
-	refused_until = poison_refused_until(gate->poison, body->digest, now);
-	if (refused_until > now) {
-		gate_refuse(gate, flight, REFUSAL_POISON, refused_until - now,
-		    now, actions);
+	if (!flight_check_poison(gate, flight, now, actions))
 		return;
-	}
 	if (flight->order)
 		order_submit(gate, flight, body, now, actions);
 	else
