gate: follow the share before each decision, not only at ticks

Cause: the parts of the slots were brought up to date by gate_tick() only. A process that was paused beyond its lease wakes with a share of 0, but where its next event was a request, an answer or a grant, it sent with the old slots.

Ruled out: asking the membership for each target at each send; it searches the fleet list.

Change: gate_submit(), gate_result() and gate_on_grant() call gate_follow_share() first, which compares the share with the routed one.

--- a/core/gate_internal.h
+++ b/core/gate_internal.h
@@ -182,7 +182,11 @@
 /* Gives the target table the fleet list and this instance's slots. */
 void gate_sync_route(gate_t *gate, time_us_t now);
 
-/* The same if this instance's share of its zone has changed. */
+/*
+ * The same if this instance's share of its zone has changed. Must precede all
+ * that can send: a process that was paused wakes with a lease that is over, and
+ * its next event need not be a tick.
+ */
 void gate_follow_share(gate_t *gate, time_us_t now);
 
 /* Periodic messages to peers. */
--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -315,6 +315,7 @@
 gate_on_grant(
     gate_t *gate, const loan_grant_t *grant, time_us_t now, GArray *actions)
 {
+	gate_follow_share(gate, now);
 	allotment_on_grant(gate->allotment, grant, now);
 	gate_pump_tokens(gate, now, actions);
 }
--- a/core/gate_result.c
+++ b/core/gate_result.c
@@ -222,6 +222,7 @@
 
 	if (flight == NULL)
 		return;
+	gate_follow_share(gate, now);
 	flight->body.wall_s = outcome->wall_s;
 	g_strlcpy(service, flight->service, sizeof(service));
 	if (flight->state == FLIGHT_FORWARDED)
--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -442,6 +442,7 @@
 
 	if (flight == NULL)
 		return;
+	gate_follow_share(gate, now);
 	flight->body = *body;
 	flight->body.ticket = NULL;
 	if (body->ticket != NULL)
