sse: keep the end of an event together after a long event

Cause: an event above 32 KiB is passed on in pieces. When a piece ended with the first of the two line feeds that end the event, the second one became the start of the next event. The long event was not counted as a token, and its last byte was held until the next event came.

Change: sse_append() holds back bytes that can be the start of an end.

--- a/cyclamensail/sse.c
+++ b/cyclamensail/sse.c
@@ -41,6 +41,15 @@
 	return NULL;
 }
 
+/* Bytes at the end of pending that can be the start of an event's end. */
+static size_t
+tail_len(const GString *pending)
+{
+	if (g_str_has_suffix(pending->str, "\n"))
+		return 1;
+	return g_str_has_suffix(pending->str, "\n\r") ? 2 : 0;
+}
+
 size_t
 sse_append(sse_t *sse, const char *data, size_t len)
 {
@@ -57,7 +66,7 @@
 		next = event_end(whole, end);
 	}
 	if (whole == start && sse->pending->len > SSE_EVENT_LIMIT_BYTES)
-		return sse->pending->len;
+		return sse->pending->len - tail_len(sse->pending);
 	return (size_t)(whole - start);
 }
 
