--- /dev/null
+++ b/tests/fuzz_sse.c
@@ -0,0 +1,60 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "sse.h"
+
+/*
+ * libFuzzer target for the splitting of event streams. The first byte is the
+ * length of the chunks. Guards against events and token counts that depend on
+ * where the chunks of the target end. Inputs are shorter than the longest event
+ * that is held back.
+ */
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
+
+static GString *
+stream_split(const char *data, size_t len, size_t chunk, int64_t *tokens)
+{
+	GString *out = g_string_new(NULL);
+	sse_t sse = {0};
+
+	sse_reset(&sse, true);
+	while (len > 0) {
+		size_t n = MIN(chunk, len);
+		size_t whole;
+
+		/* Bytes that are taken back and come again change nothing. */
+		sse_append(&sse, data, n);
+		sse_undo(&sse, n);
+		whole = sse_append(&sse, data, n);
+		g_string_append_len(out, sse.pending->str, (gssize)whole);
+		sse_consume(&sse, whole);
+		data += n;
+		len -= n;
+	}
+	*tokens = sse.tokens;
+	sse_clear(&sse);
+	return out;
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
+{
+	const char *stream = (const char *)data + 1;
+	int64_t tokens[2];
+	GString *whole;
+	GString *split;
+
+	if (len < 2)
+		return 0;
+	whole = stream_split(stream, len - 1, len, &tokens[0]);
+	split =
+	    stream_split(stream, len - 1, (size_t)data[0] % 16 + 1, &tokens[1]);
+	if (!g_string_equal(whole, split) || tokens[0] != tokens[1] ||
+	    whole->len > len - 1 || memcmp(whole->str, stream, whole->len) != 0)
+		abort();
+	g_string_free(whole, TRUE);
+	g_string_free(split, TRUE);
+	answer_tokens(stream, len - 1, 1);
+	return 0;
+}
--- /dev/null
+++ b/tests/test_body.c
@@ -0,0 +1,139 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "common/error.h"
+#include "internal.h"
+#include "test.h"
+
+static bool
+reads(const char *body, body_facts_t *facts)
+{
+	g_autoptr(GError) error = NULL;
+	bool ok = body_read(body, strlen(body), true, facts, &error);
+
+	ck_assert(ok == (error == NULL));
+	ck_assert(ok || error->domain == CS_ERROR);
+	return ok;
+}
+
+/* Guards against malformed bodies that reach a target. */
+START_TEST(malformed_bodies_are_refused)
+{
+	static const char *const bodies[] = {"", "{", "[]", "1", "null",
+	    "{} {}", "{\"a\":1,\"a\":2}", "{\"prompt\":\"\xff\"}",
+	    "{\"max_tokens\":0}", "{\"max_tokens\":-1}",
+	    "{\"max_tokens\":1000001}", "{\"max_tokens\":1.5}",
+	    "{\"max_tokens\":\"9\"}", "{\"max_tokens\":null}",
+	    "{\"max_tokens\":99999999999999999999}"};
+	body_facts_t facts;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		ck_assert_msg(!reads(bodies[i], &facts), "%s", bodies[i]);
+		ck_assert_ptr_null(facts.adjusted);
+	}
+}
+END_TEST
+
+/* Guards against nesting that overflows the stack. */
+START_TEST(deep_nesting_is_refused)
+{
+	g_autofree char *open = g_strnfill(200000, '[');
+	body_facts_t facts;
+
+	ck_assert(!reads(open, &facts));
+}
+END_TEST
+
+/* Guards against requests that are charged less than they can use. */
+START_TEST(cost_is_prompt_and_limit)
+{
+	body_facts_t facts;
+
+	ck_assert(reads("{\"max_tokens\":100,\"stream\":true}", &facts));
+	ck_assert_int_eq(facts.prompt_tokens, 32 / 4 + 1);
+	ck_assert_int_eq(facts.cost, 109);
+	ck_assert(facts.stream);
+	ck_assert_ptr_null(facts.adjusted);
+	ck_assert(reads("{\"max_tokens\":1000000}", &facts));
+	ck_assert_int_eq(facts.cost, 1000006);
+	ck_assert(!facts.stream);
+}
+END_TEST
+
+/* Guards against an engine that answers longer than what was reserved. */
+START_TEST(default_limit_is_written_into_the_body)
+{
+	body_facts_t facts;
+	json_t *adjusted;
+
+	ck_assert(reads("{\"prompt\":\"p\"}", &facts));
+	adjusted = json_loads(facts.adjusted, 0, NULL);
+	ck_assert_str_eq(
+	    json_string_value(json_object_get(adjusted, "prompt")), "p");
+	ck_assert_int_eq(
+	    json_integer_value(json_object_get(adjusted, "max_tokens")) +
+		facts.prompt_tokens,
+	    facts.cost);
+	json_decref(adjusted);
+	free(facts.adjusted);
+}
+END_TEST
+
+/* Guards against prompts with a common start that go to different targets. */
+START_TEST(prefix_decides_the_hash)
+{
+	g_autofree char *start = g_strnfill(256, 'p');
+	g_autofree char *one =
+	    g_strdup_printf("{\"max_tokens\":1,\"prompt\":\"%s one\"}", start);
+	g_autofree char *two =
+	    g_strdup_printf("{\"max_tokens\":2,\"prompt\":\"%s two\"}", start);
+	body_facts_t a;
+	body_facts_t b;
+
+	ck_assert(reads(one, &a) && reads(two, &b));
+	ck_assert(a.prefix_hash == b.prefix_hash);
+	ck_assert(reads("{\"max_tokens\":1,\"prompt\":\"other\"}", &b));
+	ck_assert(a.prefix_hash != b.prefix_hash);
+}
+END_TEST
+
+/* Guards against plain services whose bodies are read as JSON. */
+START_TEST(plain_bodies_are_not_read)
+{
+	body_facts_t facts;
+
+	ck_assert(body_read("\0{", 2, false, &facts, NULL));
+	ck_assert_int_eq(facts.cost, 1);
+	ck_assert(body_read("", 0, false, &facts, NULL));
+}
+END_TEST
+
+/* Guards against a resumed stream that starts again. */
+START_TEST(resume_names_the_token)
+{
+	const char *body = "{\"prompt\":\"p\",\"resume_from\":1}";
+	char *text = body_resume(body, strlen(body), 17);
+	json_t *object = json_loads(text, 0, NULL);
+
+	ck_assert_int_eq(
+	    json_integer_value(json_object_get(object, "resume_from")), 17);
+	ck_assert_str_eq(
+	    json_string_value(json_object_get(object, "prompt")), "p");
+	json_decref(object);
+	free(text);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, malformed_bodies_are_refused);
+	TEST_ADD(suite, deep_nesting_is_refused);
+	TEST_ADD(suite, cost_is_prompt_and_limit);
+	TEST_ADD(suite, default_limit_is_written_into_the_body);
+	TEST_ADD(suite, prefix_decides_the_hash);
+	TEST_ADD(suite, plain_bodies_are_not_read);
+	TEST_ADD(suite, resume_names_the_token);
+}
+
+TEST_MAIN("body", fill)
--- /dev/null
+++ b/tests/test_sse.c
@@ -0,0 +1,152 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "sse.h"
+#include "test.h"
+
+/* Longer than the event that is held back, see sse.c. */
+#define LONG_EVENT_BYTES ((size_t)40 * 1024)
+
+/* Appends data in two parts; returns the whole events that came out. */
+static char *
+split_at(const char *data, size_t len, size_t at, int64_t *tokens)
+{
+	const size_t parts[] = {at, len - at};
+	sse_t sse = {0};
+	GString *out = g_string_new(NULL);
+
+	sse_reset(&sse, true);
+	for (int i = 0; i < 2; i++) {
+		size_t whole = sse_append(&sse, data, parts[i]);
+
+		g_string_append_len(out, sse.pending->str, (gssize)whole);
+		sse_consume(&sse, whole);
+		data += parts[i];
+	}
+	*tokens = sse.tokens;
+	sse_clear(&sse);
+	return g_string_free(out, FALSE);
+}
+
+static void
+check_split(const char *stream, const char *whole, int64_t tokens)
+{
+	size_t len = strlen(stream);
+
+	for (size_t at = 0; at <= len; at++) {
+		int64_t counted;
+		g_autofree char *out = split_at(stream, len, at, &counted);
+
+		ck_assert_msg(strcmp(out, whole) == 0, "split at %zu", at);
+		ck_assert_msg(
+		    counted == tokens, "split at %zu: %ld", at, (long)counted);
+	}
+}
+
+/* Guards against events that depend on how the target's bytes arrive. */
+START_TEST(split_at_each_byte)
+{
+	const char *stream = "data: a\n\nevent: x\ndata: b\n\ndata: [DONE]\n\n";
+
+	check_split(stream, stream, 2);
+}
+END_TEST
+
+/* Guards against engines that end lines with CR LF. */
+START_TEST(carriage_returns_are_accepted)
+{
+	const char *stream =
+	    "data: a\r\n\r\ndata: b\r\n\r\ndata: [DONE]\r\n\r\n";
+
+	check_split(stream, stream, 2);
+	check_split(
+	    "data: a\r\n\ndata: b\n\r\n", "data: a\r\n\ndata: b\n\r\n", 2);
+}
+END_TEST
+
+/* Guards against an incomplete event that reaches the caller as whole. */
+START_TEST(missing_last_blank_line)
+{
+	sse_t sse = {0};
+
+	check_split("data: a\n\ndata: b\n", "data: a\n\n", 1);
+	check_split("data: a\n\ndata: b\r\n\r", "data: a\n\n", 1);
+	check_split("data: a", "", 0);
+	sse_reset(&sse, true);
+	ck_assert_uint_eq(sse_append(&sse, "data: a", 7), 0);
+	sse_drop_partial(&sse);
+	ck_assert_uint_eq(sse_append(&sse, "data: b\n\n", 9), 9);
+	ck_assert(g_str_has_prefix(sse.pending->str, "data: b"));
+	sse_clear(&sse);
+}
+END_TEST
+
+/* Guards against a final marker that counts as a token. */
+START_TEST(done_is_no_token)
+{
+	check_split("data: [DONE]\n\n", "data: [DONE]\n\n", 0);
+	check_split("data: [DON]\n\n", "data: [DON]\n\n", 1);
+}
+END_TEST
+
+/* Guards against bytes that are held twice when the buffer is full. */
+START_TEST(undo_takes_back_the_last_bytes)
+{
+	sse_t sse = {0};
+
+	sse_reset(&sse, true);
+	sse_append(&sse, "data: a", 7);
+	sse_append(&sse, "\n\ndata", 6);
+	sse_undo(&sse, 6);
+	ck_assert_uint_eq(sse_append(&sse, "\n\ndata", 6), 9);
+	sse_clear(&sse);
+}
+END_TEST
+
+/* Guards against memory that grows with the length of one event, and against
+ * an end that is lost where the event was cut. */
+START_TEST(oversized_event_is_passed_on)
+{
+	g_autofree char *data = g_strnfill(LONG_EVENT_BYTES, 'x');
+	g_autofree char *stream =
+	    g_strconcat("data: ", data, "\n\ndata: b\n\n", NULL);
+	size_t len = strlen(stream);
+
+	for (size_t at = LONG_EVENT_BYTES - 4; at <= len; at++) {
+		int64_t tokens;
+		g_autofree char *out = split_at(stream, len, at, &tokens);
+
+		ck_assert_msg(strcmp(out, stream) == 0, "split at %zu", at);
+		ck_assert_msg(
+		    tokens == 2, "split at %zu: %ld", at, (long)tokens);
+	}
+}
+END_TEST
+
+/* Guards against tokens taken from answers that don't state them. */
+START_TEST(usage_of_whole_answers)
+{
+	static const char *const without[] = {"", "{", "[]", "{\"usage\":1}",
+	    "{\"usage\":{\"output_tokens\":\"7\"}}"};
+	const char *with = "{\"usage\":{\"output_tokens\":7}}";
+
+	ck_assert_int_eq(answer_tokens(with, strlen(with), 5), 12);
+	for (size_t i = 0; i < G_N_ELEMENTS(without); i++)
+		ck_assert_int_eq(
+		    answer_tokens(without[i], strlen(without[i]), 5), -1);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, split_at_each_byte);
+	TEST_ADD(suite, carriage_returns_are_accepted);
+	TEST_ADD(suite, missing_last_blank_line);
+	TEST_ADD(suite, done_is_no_token);
+	TEST_ADD(suite, undo_takes_back_the_last_bytes);
+	TEST_ADD(suite, oversized_event_is_passed_on);
+	TEST_ADD(suite, usage_of_whole_answers);
+}
+
+TEST_MAIN("sse", fill)
