cyclamensailctl: add a load command

Figures on latency need a tool that counts from the time at which a request was due; a closed loop hides the requests that a slow server holds back.

It refuses to run without a bound or towards addresses other than loopback. Keys come from a file or standard input only.

--- a/cyclamensailctl/main.c
+++ b/cyclamensailctl/main.c
@@ -12,6 +12,7 @@
     {"explain", "print what an instance would decide on a request",
 	explain_run},
     {"drain", "let an instance finish its work and take no more", drain_run},
+    {"bench", "send a bounded load and report its latency", bench_run},
 };
 
 static void
--- a/include/cyclamensailctl/command.h
+++ b/include/cyclamensailctl/command.h
@@ -25,6 +25,7 @@
 int counters_run(int argc, char **argv);
 int explain_run(int argc, char **argv);
 int drain_run(int argc, char **argv);
+int bench_run(int argc, char **argv);
 
 /*
  * Parses the options of a command; --help prints the usage and exits.
--- a/tests/process_ctl.c
+++ b/tests/process_ctl.c
@@ -101,6 +101,22 @@
 		"--team is missing"},
 	    {"instance that is down", "drain 127.0.0.1:1", "", 1, "",
 		"check that the instance runs"},
+	    {"load without an end", "bench 127.0.0.1:1", "", 2, "", "no bound"},
+	    {"load on other machines", "bench -n 1 http://192.0.2.1/", "", 2,
+		"", "--allow-remote"},
+	    {"name that only looks like loopback",
+		"bench -n 1 http://127.0.0.1.example/", "", 2, "",
+		"--allow-remote"},
+	    {"more callers than memory", "bench -n 1 -c 10001 127.0.0.1:1", "",
+		2, "", "--concurrency"},
+	    {"two bodies", "bench -n 1 -b x --body-size 3 127.0.0.1:1", "", 2,
+		"", "give one of"},
+	    {"order without a body", "bench -n 1 -t 127.0.0.1:1", "", 2, "",
+		"--tickets needs a body"},
+	    {"load without a key", "bench -n 1 -k - 127.0.0.1:1", "\n", 1, "",
+		"the key is empty"},
+	    {"lost connections that count as success", "bench -n 2 127.0.0.1:1",
+		"", 1, "status none: 2", ""},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
@@ -185,6 +201,53 @@
 }
 END_TEST
 
+START_TEST(bench_answers)
+{
+	call_run(&(const run_case_t){"error codes that are not counted",
+		     "bench -n 1 -b {}", "", 1, "error queue_full: 1\n", ""},
+	    "HTTP/1.1 503 Busy\r\nContent-Length: 23\r\n\r\n"
+	    "{\"code\":\"queue_full\"}\r\n",
+	    "POST / HTTP/1.1\r\n");
+	call_run(&(const run_case_t){"error event that counts as success",
+		     "bench -n 1 -s -j", "", 1,
+		     "\"errors\":{\"target_lost\":1}", ""},
+	    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	    "data: 1\r\n\r\nevent: error\ndata: {\"code\":\"target_lost\"}\n\n",
+	    "GET / HTTP/1.1\r\n");
+}
+END_TEST
+
+/*
+ * Guards against coordinated omission: a request that waits for one before it
+ * counts from the time at which it was due. The socket never answers.
+ */
+START_TEST(bench_counts_from_the_scheduled_time)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	g_autofree char *args = NULL;
+	g_autofree char *output = NULL;
+	const char *total;
+	const char *max;
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, len), 0);
+	ck_assert_int_eq(listen(fd, 8), 0);
+	getsockname(fd, (struct sockaddr *)&address, &len);
+	args = g_strdup_printf("%s bench -j -n 2 -r 1000 --timeout 0.2 "
+			       "http://127.0.0.1:%d",
+	    program, ntohs(address.sin_port));
+	ck_assert(g_spawn_command_line_sync(args, &output, NULL, NULL, NULL));
+	close(fd);
+	ck_assert_ptr_nonnull(strstr(output, "\"late\":1,"));
+	total = strstr(output, "\"total_us\"");
+	ck_assert_ptr_nonnull(total);
+	max = strstr(total, "\"max\":");
+	ck_assert_int_ge(strtol(max + strlen("\"max\":"), NULL, 10), 380000);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -197,6 +260,8 @@
 	program = argv[1];
 	TEST_ADD(suite, exit_status_and_streams);
 	TEST_ADD(suite, answers_of_an_instance);
+	TEST_ADD(suite, bench_answers);
+	TEST_ADD(suite, bench_counts_from_the_scheduled_time);
 	runner = srunner_create(suite);
 	srunner_set_fork_status(runner, CK_NOFORK);
 	srunner_run_all(runner, CK_NORMAL);
--- /dev/null
+++ b/tests/test_histogram.c
@@ -0,0 +1,92 @@
+#include "common/histogram.h"
+
+#include <glib.h>
+
+#include "test.h"
+
+/* Guards against a slot that reports a value too low or too imprecisely. */
+START_TEST(each_value_is_reported_within_one_in_128)
+{
+	for (uint64_t value = 0; value <= HISTOGRAM_MAX;
+	     value += value / 97 + 1) {
+		histogram_t *histogram = histogram_create();
+		uint64_t reported;
+
+		histogram_record(histogram, value);
+		histogram_record(histogram, HISTOGRAM_MAX);
+		reported = histogram_quantile(histogram, 0.5);
+		ck_assert_uint_ge(reported, value);
+		ck_assert_uint_le(reported, value + value / 128);
+		histogram_destroy(histogram);
+	}
+}
+END_TEST
+
+/* Guards against a rank that is off by one at small counts. */
+START_TEST(quantiles_are_ranks)
+{
+	histogram_t *histogram = histogram_create();
+
+	ck_assert_uint_eq(histogram_quantile(histogram, 0.99), 0);
+	for (uint64_t value = 1; value <= 100; value++)
+		histogram_record(histogram, value);
+	ck_assert_uint_eq(histogram_quantile(histogram, 0.0), 1);
+	ck_assert_uint_eq(histogram_quantile(histogram, 0.5), 50);
+	ck_assert_uint_eq(histogram_quantile(histogram, 0.99), 99);
+	ck_assert_uint_eq(histogram_quantile(histogram, 0.999), 100);
+	ck_assert_uint_eq(histogram_quantile(histogram, 1.0), 100);
+	ck_assert_uint_eq(histogram_min(histogram), 1);
+	ck_assert_double_eq_tol(histogram_mean(histogram), 50.5, 1e-9);
+	histogram_destroy(histogram);
+}
+END_TEST
+
+/* Guards against a merge that differs from recording into one histogram. */
+START_TEST(merge_equals_one_histogram)
+{
+	histogram_t *parts[3] = {
+	    histogram_create(), histogram_create(), histogram_create()};
+	histogram_t *whole = histogram_create();
+	uint64_t value = 1;
+
+	for (int i = 0; i < 3000; i++) {
+		value = (value * 48271) % 2147483647;
+		histogram_record(parts[i % 2], value);
+		histogram_record(whole, value);
+	}
+	histogram_merge(parts[2], parts[0]);
+	histogram_merge(parts[2], parts[1]);
+	ck_assert_uint_eq(histogram_count(parts[2]), histogram_count(whole));
+	ck_assert_uint_eq(histogram_min(parts[2]), histogram_min(whole));
+	ck_assert_uint_eq(histogram_max(parts[2]), histogram_max(whole));
+	for (int i = 0; i <= 1000; i++)
+		ck_assert_uint_eq(histogram_quantile(parts[2], i / 1000.0),
+		    histogram_quantile(whole, i / 1000.0));
+	for (int i = 0; i < 3; i++)
+		histogram_destroy(parts[i]);
+	histogram_destroy(whole);
+}
+END_TEST
+
+/* Guards against a write behind the last slot. */
+START_TEST(too_large_value_counts_as_the_maximum)
+{
+	histogram_t *histogram = histogram_create();
+
+	histogram_record(histogram, UINT64_MAX);
+	ck_assert_uint_eq(histogram_max(histogram), HISTOGRAM_MAX);
+	ck_assert_uint_eq(histogram_quantile(histogram, 0.5), HISTOGRAM_MAX);
+	histogram_destroy(histogram);
+}
+END_TEST
+
+static void
+suite_fill(Suite *suite)
+{
+	TEST_ADD(suite, each_value_is_reported_within_one_in_128);
+	TEST_ADD(suite, quantiles_are_ranks);
+	TEST_ADD(suite, merge_equals_one_histogram);
+	TEST_ADD(suite, too_large_value_counts_as_the_maximum);
+}
+
+TEST_MAIN("histogram", suite_fill)
