--- a/peer/connection.c
+++ b/peer/connection.c
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "traffic.h"
+
 #define LAST_FRAGMENT UINT32_C(0x80000000)
 
 connection_t *
@@ -36,6 +38,7 @@
 	ssize_t n = recv(connection->fd, data, len, MSG_DONTWAIT);
 
 	if (n > 0) {
+		traffic_in(n);
 		connection->active_at = now;
 		if (connection->record_at == 0)
 			connection->record_at = now;
@@ -143,6 +146,7 @@
 			return CONNECTION_OPEN;
 		if (n <= 0)
 			return CONNECTION_CLOSED;
+		traffic_out(n);
 		connection->active_at = now;
 		connection->reply_sent += (size_t)n;
 	}
--- a/peer/link.c
+++ b/peer/link.c
@@ -15,6 +15,7 @@
 #include "common/error.h"
 #include "generated/peer.h"
 #include "peer/client.h"
+#include "traffic.h"
 
 /* A challenge is repeated only when the peer dropped a window meanwhile. */
 #define CHALLENGE_LIMIT 3
@@ -30,6 +31,7 @@
 	pthread_mutex_t lock; /* of fd and broken */
 	int fd;
 	bool broken;
+	traffic_t traffic; /* of the socket, as far as counted */
 };
 
 /* One count for the process, so that clients of the same peer differ. */
@@ -78,8 +80,10 @@
 	fd = link->fd;
 	link->fd = -1;
 	pthread_mutex_unlock(&link->lock);
-	if (fd >= 0)
+	if (fd >= 0) {
+		traffic_update(&link->traffic, fd);
 		close(fd);
+	}
 }
 
 void
@@ -178,6 +182,7 @@
 	int fd = socket(link->address.ss_family,
 	    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
+	memset(&link->traffic, 0, sizeof(link->traffic));
 	if (fd >= 0 && link_register(link, fd) && socket_connect(link, fd) &&
 	    socket_prepare(fd)) {
 		link->rpc = clnt_vc_create(
@@ -229,6 +234,7 @@
 	memset(reply, 0, sizeof(*reply));
 	status = clnt_call(link->rpc, procedure, (xdrproc_t)xdr_peer_call,
 	    (char *)call, (xdrproc_t)xdr_peer_reply, (char *)reply, limit);
+	traffic_update(&link->traffic, link->fd);
 	if (status != RPC_SUCCESS) {
 		xdr_free((xdrproc_t)xdr_peer_reply, reply);
 		link_error(link, status, error);
--- a/tests/test_peer_rpc.c
+++ b/tests/test_peer_rpc.c
@@ -316,6 +316,31 @@
 }
 END_TEST
 
+/* Guards against traffic that is counted at one end only, or twice. */
+START_TEST(bytes_are_counted_at_both_ends)
+{
+	counter_t *in = counter_get("peer_bytes", "direction", "in");
+	counter_t *out = counter_get("peer_bytes", "direction", "out");
+	int64_t in_before = counter_read(in);
+	int64_t out_before = counter_read(out);
+	seen_t seen;
+	outcome_t outcome;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_call_t call = {.kind = PEER_CALL_FETCH, .fetch = {LIST_PLANS, 4}};
+
+	ck_assert(call_run(client, &call, &outcome));
+	g_free(outcome.text);
+	peer_client_destroy(client);
+	peer_server_destroy(server);
+	ck_assert_int_ge(
+	    counter_read(in) - in_before, (int64_t)PEER_LIST_TEXT_LIMIT);
+	ck_assert_int_eq(
+	    counter_read(in) - in_before, counter_read(out) - out_before);
+}
+END_TEST
+
 /* Guards against a stranger who reaches a handler, and against a rotation that
  * locks out an instance which already signs with the new secret. */
 START_TEST(only_the_fleet_secret_is_accepted)
@@ -598,6 +623,7 @@
 fill(Suite *suite)
 {
 	TEST_ADD(suite, each_call_makes_the_round_trip);
+	TEST_ADD(suite, bytes_are_counted_at_both_ends);
 	TEST_ADD(suite, only_the_fleet_secret_is_accepted);
 	TEST_ADD(suite, replays_and_false_senders_run_nothing);
 	TEST_ADD(suite, garbage_is_refused_and_counted);
