--- a/tests/share_world.c
+++ b/tests/share_world.c
@@ -497,6 +497,15 @@
 	}
 }
 
+void
+world_lose(world_t *w, int process, time_us_t after)
+{
+	process_t *p = &w->processes[process];
+
+	process_stop(p);
+	w->drop_at[p->name] = w->now + after;
+}
+
 static void
 network_cut(world_t *w)
 {
--- a/tests/share_world.h
+++ b/tests/share_world.h
@@ -108,6 +108,9 @@
 void world_destroy(world_t *w);
 void world_step(world_t *w);
 
+/* Ends a process; the fleet list drops it after a time. */
+void world_lose(world_t *w, int process, time_us_t after);
+
 /* Checks rate x time + burst over all windows; notes a violation. */
 void world_check_admissions(world_t *w);
 
