core: bring a new team into force at once after an agreed pair of lists

Cause: a team that a list adds had no rate until all instances had agreed on the pair; one dead instance delayed that by 40 s and more, so its requests were refused although they were within rate.

Ruled out: giving a new team its part always.

Change: the part applies at once when the pair directly follows the agreed one.

Before: part 0 until agreed.

Conclusion: operators raise versions by one.

--- a/core/part.c
+++ b/core/part.c
@@ -12,6 +12,7 @@
 	GHashTable *lowered; /* team name -> lowest part, if below the newest */
 	GHashTable *raised;  /* team name -> time of its last rise, boxed */
 	bool agreed;
+	bool pair_agreed; /* the pair in force is the agreed one */
 };
 
 static bool
@@ -183,9 +184,29 @@
 	int64_t burst;
 } before_t;
 
+/*
+ * Whether no other pair can lie between the agreed one and the next: one list
+ * has the next version and the other is the same. A team that the agreed pair
+ * doesn't name has then no part anywhere under an older pair.
+ */
+static bool
+pair_is_next(
+    const parts_t *parts, const plans_t *plans, const allowances_t *allowances)
+{
+	uint64_t steps;
+
+	if (!parts->agreed || !parts->pair_agreed)
+		return false;
+	steps = plans->head.version - parts->plans->head.version +
+		allowances->head.version - parts->allowances->head.version;
+	return steps == 1;
+}
+
 static before_t *
-parts_before(const parts_t *parts, const plans_t *plans)
+parts_before(
+    const parts_t *parts, const plans_t *plans, const allowances_t *allowances)
 {
+	bool next = pair_is_next(parts, plans, allowances);
 	before_t *before = g_new0(before_t, plans->n_teams + 1);
 
 	for (size_t i = 0; i < plans->n_teams; i++) {
@@ -193,6 +214,8 @@
 		const plan_t *plan = parts_plan(parts, name);
 
 		before[i].lowest = parts_lowest(parts, name);
+		if (next && plans_find_team(parts->plans, name) == NULL)
+			before[i].lowest = SHARE_ONE;
 		before[i].burst = plan == NULL ? 0 : plan->burst;
 	}
 	return before;
@@ -224,7 +247,7 @@
 parts_adopt(
     parts_t *parts, plans_t *plans, allowances_t *allowances, time_us_t now)
 {
-	before_t *before = parts_before(parts, plans);
+	before_t *before = parts_before(parts, plans, allowances);
 
 	plans_ref(plans);
 	allowances_ref(allowances);
@@ -233,6 +256,7 @@
 	parts->plans = plans;
 	parts->allowances = allowances;
 	parts_index(parts);
+	parts->pair_agreed = false;
 	g_hash_table_remove_all(parts->lowered);
 	g_hash_table_foreach_remove(parts->raised, team_is_unlisted, plans);
 	if (parts->agreed)
@@ -251,6 +275,7 @@
 		raised_set(parts, team, now);
 	g_hash_table_remove_all(parts->lowered);
 	parts->agreed = true;
+	parts->pair_agreed = true;
 }
 
 bool
@@ -263,6 +288,7 @@
 parts_void(parts_t *parts)
 {
 	parts->agreed = false;
+	parts->pair_agreed = false;
 	g_hash_table_remove_all(parts->lowered);
 	g_hash_table_remove_all(parts->raised);
 }
--- a/include/core/part.h
+++ b/include/core/part.h
@@ -8,7 +8,8 @@
 /*
  * One zone's part of each team under the pair (plans, allowances) in force, and
  * lower bounds for the teams whose part rose since the last agreed pair. A team
- * that a list doesn't name has part 0.
+ * that a list doesn't name has part 0. A team that a list adds has its part at
+ * once when its pair is the next after the agreed one, else with the agreement.
  */
 typedef struct parts parts_t;
 
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -1246,7 +1246,8 @@
 		break;
 	case EVENT_ABORT:
 		if (!e->flight->ended)
-			gate_abort(gate, e->flight->id, now, actions);
+			gate_abort(gate, e->flight->id, REFUSAL_CALLER_GONE,
+			    now, actions);
 		break;
 	default:
 		on_peer_event(w, process, e, actions);
--- /dev/null
+++ b/tests/test_part.c
@@ -0,0 +1,101 @@
+#include "core/membership.h"
+#include "core/part.h"
+#include "share_lists.h"
+#include "test.h"
+
+#define ZONES 3
+
+/* Adopts a pair: teams as in plans_build(), equal weights. */
+static void
+pair_adopt(parts_t *parts, uint64_t plans_version, uint64_t allowances_version,
+    const char *teams)
+{
+	static const uint32_t weights[ZONES] = {1, 1, 1};
+	plans_t *plans = plans_build(plans_version, teams);
+	allowances_t *allowances =
+	    allowances_build(allowances_version, weights, ZONES, 7, 100, 100);
+
+	parts_adopt(parts, plans, allowances, 1000);
+	plans_unref(plans);
+	allowances_unref(allowances);
+}
+
+/* Parts of zone z0 or z1 after the agreed pair (1, 1), which names team t. */
+static parts_t *
+parts_start(const char *zone)
+{
+	parts_t *parts = parts_create(zone);
+
+	pair_adopt(parts, 1, 1, "t:-");
+	parts_agree(parts, 1000);
+	return parts;
+}
+
+/* Guards against a new team that is refused until all have acknowledged. */
+START_TEST(added_team_is_in_force_at_once)
+{
+	parts_t *parts = parts_start("z0");
+
+	pair_adopt(parts, 2, 1, "t:- u:r0");
+	ck_assert_uint_eq(parts_lowest(parts, "u"), SHARE_ONE);
+	ck_assert_uint_eq(parts_n_lowered(parts), 0);
+	parts_destroy(parts);
+}
+END_TEST
+
+/*
+ * Guards against parts that add to more than one: another instance may hold a
+ * part under the version that this one skipped.
+ */
+START_TEST(skipped_version_holds_an_added_team_back)
+{
+	parts_t *at_two = parts_start("z0");
+	parts_t *at_three = parts_start("z1");
+
+	pair_adopt(at_two, 2, 1, "t:- u:r0");
+	pair_adopt(at_three, 3, 1, "t:- u:r1");
+	ck_assert_uint_le(
+	    (uint64_t)parts_lowest(at_two, "u") + parts_lowest(at_three, "u"),
+	    SHARE_ONE);
+	ck_assert_uint_eq(parts_lowest(at_three, "u"), 0);
+	parts_agree(at_three, 2000);
+	ck_assert_uint_eq(parts_lowest(at_three, "u"), SHARE_ONE);
+	parts_destroy(at_two);
+	parts_destroy(at_three);
+}
+END_TEST
+
+/* The same where either list may have come alone at another instance. */
+START_TEST(change_of_both_lists_holds_an_added_team_back)
+{
+	parts_t *parts = parts_start("z0");
+
+	pair_adopt(parts, 2, 2, "t:- u:r0");
+	ck_assert_uint_eq(parts_lowest(parts, "u"), 0);
+	parts_destroy(parts);
+}
+END_TEST
+
+/* The same where the pair before is not agreed. */
+START_TEST(pending_agreement_holds_an_added_team_back)
+{
+	parts_t *parts = parts_start("z0");
+
+	pair_adopt(parts, 2, 1, "t:- u:r0");
+	pair_adopt(parts, 3, 1, "t:- u:r0 v:r0");
+	ck_assert_uint_eq(parts_lowest(parts, "u"), SHARE_ONE);
+	ck_assert_uint_eq(parts_lowest(parts, "v"), 0);
+	parts_destroy(parts);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, added_team_is_in_force_at_once);
+	TEST_ADD(suite, skipped_version_holds_an_added_team_back);
+	TEST_ADD(suite, change_of_both_lists_holds_an_added_team_back);
+	TEST_ADD(suite, pending_agreement_holds_an_added_team_back);
+}
+
+TEST_MAIN("part", fill)
