edge: keep listening when a new certificate is refused

Cause: libmicrohttpd closes the listen socket that it was given when a daemon can not be started, for example with a key that does not belong to the certificate. After SIGHUP with a broken pair the instance accepted no further connection, and the number of the closed socket could be given to another file.

Ruled out: checking the pair first, which needs the TLS library as a further dependency.

Change: each daemon gets a copy of the listen socket. A copy that libmicrohttpd has not closed after a failed start is closed; the others are closed after all daemons have stopped.

--- a/edge/internal.h
+++ b/edge/internal.h
@@ -41,7 +41,8 @@
 
 struct edge_server {
 	struct MHD_Daemon *daemon;
-	GPtrArray *retired; /* daemons that serve old connections only */
+	GPtrArray *retired;    /* daemons that serve old connections only */
+	GArray *listen_copies; /* of each daemon; closed after all stopped */
 	edge_handlers_t handlers;
 	size_t body_limit;
 	uint64_t memory_limit;
--- a/edge/server.c
+++ b/edge/server.c
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <ck_pr.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "common/error.h"
@@ -142,10 +144,32 @@
 	exchange_unref(exchange);
 }
 
-/* Starts a daemon on the server's listen socket. */
+/*
+ * Closes the copy of a daemon that could not be started, unless libmicrohttpd
+ * has closed it: whether it does depends on where the start failed. The number
+ * may stand for another file by then, so the files are compared.
+ */
+static void
+listen_copy_close(const edge_server_t *server, int copy)
+{
+	struct stat original;
+	struct stat found;
+
+	if (fstat(server->listen_fd, &original) == 0 &&
+	    fstat(copy, &found) == 0 && found.st_dev == original.st_dev &&
+	    found.st_ino == original.st_ino)
+		close(copy);
+}
+
+/*
+ * Starts a daemon on a copy of the server's listen socket: libmicrohttpd closes
+ * the socket that it was given when the certificate can't be used.
+ */
 static struct MHD_Daemon *
 daemon_start(edge_server_t *server)
 {
+	struct MHD_Daemon *daemon;
+	int copy;
 	struct edge_server_settings *settings = server->settings;
 	unsigned int flags =
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
@@ -157,16 +181,23 @@
 
 	if (settings->certificate != NULL)
 		flags |= MHD_USE_TLS;
-	return MHD_start_daemon(flags, 0, NULL, NULL, connection_handle, server,
-	    MHD_OPTION_LISTEN_SOCKET, server->listen_fd,
-	    MHD_OPTION_NOTIFY_COMPLETED, connection_completed, server,
-	    MHD_OPTION_THREAD_POOL_SIZE, settings->threads,
-	    MHD_OPTION_CONNECTION_LIMIT,
+	copy = fcntl(server->listen_fd, F_DUPFD_CLOEXEC, 0);
+	if (copy < 0)
+		return NULL;
+	daemon = MHD_start_daemon(flags, 0, NULL, NULL, connection_handle,
+	    server, MHD_OPTION_LISTEN_SOCKET, copy, MHD_OPTION_NOTIFY_COMPLETED,
+	    connection_completed, server, MHD_OPTION_THREAD_POOL_SIZE,
+	    settings->threads, MHD_OPTION_CONNECTION_LIMIT,
 	    MAX(settings->connection_limit, settings->threads),
 	    MHD_OPTION_CONNECTION_TIMEOUT, settings->idle_timeout_s,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, 2 * HEAD_LIMIT_BYTES,
 	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY,
 	    settings->certificate ? tls : no_tls, MHD_OPTION_END);
+	if (daemon == NULL)
+		listen_copy_close(server, copy);
+	else
+		g_array_append_val(server->listen_copies, copy);
+	return daemon;
 }
 
 static int
@@ -210,6 +241,7 @@
 
 	server->settings = g_new0(struct edge_server_settings, 1);
 	server->retired = g_ptr_array_new();
+	server->listen_copies = g_array_new(FALSE, FALSE, sizeof(int));
 	server->handlers = *handlers;
 	server->body_limit = options->body_limit;
 	server->memory_limit = options->memory_limit;
@@ -279,8 +311,11 @@
 	}
 	for (guint i = 0; i < server->retired->len; i++)
 		MHD_stop_daemon(g_ptr_array_index(server->retired, i));
+	for (guint i = 0; i < server->listen_copies->len; i++)
+		close(g_array_index(server->listen_copies, int, i));
 	if (server->listen_fd >= 0)
 		close(server->listen_fd);
+	g_array_free(server->listen_copies, TRUE);
 	g_ptr_array_free(server->retired, TRUE);
 	g_free(server->settings->certificate);
 	g_free(server->settings->key);
