target: verify other instances by a configured authority

Cause: with TLS a forwarded request went over https with the system's authorities only, so instances with certificates of a private authority could not pass requests on to each other.

Change: settings key tls: authority, a PEM file used for forwards. Certificate and address are always verified. A forward to an unverified instance ends as unsent: 503 peer_unreachable, not run.

--- a/config/settings.c
+++ b/config/settings.c
@@ -117,14 +117,18 @@
 {
 	const node_t *certificate;
 	const node_t *key;
+	const node_t *authority = NULL;
 	const map_field_t fields[] = {
 	    {"certificate", true, &certificate},
 	    {"key", true, &key},
+	    {"authority", false, &authority},
 	};
 
 	return map_read(node, fields, G_N_ELEMENTS(fields), error) &&
 	       node_text(certificate, &settings->tls_certificate, error) &&
-	       node_text(key, &settings->tls_key, error);
+	       node_text(key, &settings->tls_key, error) &&
+	       (authority == NULL ||
+		   node_text(authority, &settings->tls_authority, error));
 }
 
 static bool
@@ -245,6 +249,7 @@
 	g_strfreev(settings->seeds);
 	g_free(settings->tls_certificate);
 	g_free(settings->tls_key);
+	g_free(settings->tls_authority);
 	explicit_bzero(
 	    settings->fleet_secrets, sizeof(settings->fleet_secrets));
 	g_free(settings);
--- a/cyclamensail/relay.c
+++ b/cyclamensail/relay.c
@@ -643,6 +643,8 @@
 		spec.body_len = strlen(resumed);
 	}
 	relay->forwarded = forwarded;
+	if (forwarded)
+		spec.authority = relay->daemon->settings->tls_authority;
 	wanted = !relay->over || relay->info.order;
 	if (wanted) {
 		relay_ref(relay);
--- a/include/config/settings.h
+++ b/include/config/settings.h
@@ -22,6 +22,7 @@
 	size_t n_fleet_secrets;
 	char *tls_certificate; /* file path, or NULL without TLS */
 	char *tls_key;	       /* file path, NULL when tls_certificate is */
+	char *tls_authority;   /* file path, or NULL for the system's */
 	uint32_t memory_mb;
 	uint32_t body_limit_kb;
 	uint32_t http_threads;
--- a/include/target/transfer.h
+++ b/include/target/transfer.h
@@ -47,7 +47,13 @@
 	const char *method; /* GET, HEAD or POST */
 	const char *url;
 	const char *const *headers; /* NULL-terminated "Name: value" lines */
-	const char *body;	    /* copied; NULL for none */
+	/*
+	 * PEM file of the authority that must have signed the certificate of an
+	 * https URL; NULL: the system's. Certificate and address are always
+	 * verified; a transfer that fails at this is TRANSFER_UNSENT.
+	 */
+	const char *authority;
+	const char *body; /* copied; NULL for none */
 	size_t body_len;
 	/*
 	 * Use a new connection and close it afterwards. libcurl sends a request
--- a/target/transfer.c
+++ b/target/transfer.c
@@ -189,6 +189,12 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
 	curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+	curl_easy_setopt(easy, CURLOPT_SSL_VERIFYPEER, 1L);
+	curl_easy_setopt(easy, CURLOPT_SSL_VERIFYHOST, 2L);
+	if (spec->authority != NULL) {
+		curl_easy_setopt(easy, CURLOPT_CAINFO, spec->authority);
+		curl_easy_setopt(easy, CURLOPT_CAPATH, NULL);
+	}
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, data_receive);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -18,6 +18,8 @@
 const char *const node_names[NODE_COUNT] = {
     "s1", "s2", "z1", "z2", "w1", "w2", "w3", "r1", "r2", "platform"};
 
+const char *http_authority;
+
 struct http_task {
 	pthread_t thread;
 	char *url;
@@ -179,6 +181,19 @@
 	    cluster->admin_ports[node], cluster->ports[NODE_PLATFORM],
 	    cluster->peer_ports[NODE_S1], cluster->peer_ports[NODE_Z1]);
 
+	if (cluster->tls) {
+		g_autofree char *pair =
+		    g_strdup_printf("tls: { certificate: %s/tls.pem, key: "
+				    "%s/tls.key%s%s%s }\n",
+			cluster->folder, cluster->folder,
+			cluster->no_authority[node] ? "" : ", authority: ",
+			cluster->no_authority[node] ? "" : cluster->folder,
+			cluster->no_authority[node] ? "" : "/tls.pem");
+		char *plain = text;
+
+		text = g_strconcat(plain, pair, NULL);
+		g_free(plain);
+	}
 	file_publish(cluster, name, text);
 }
 
@@ -355,8 +370,9 @@
 	va_list args;
 	int len;
 
-	len = snprintf(
-	    url, sizeof(urls[0]), "http://127.0.0.1:%d", cluster->ports[node]);
+	len = snprintf(url, sizeof(urls[0]), "%s://127.0.0.1:%d",
+	    cluster->tls && node < NODE_INSTANCES ? "https" : "http",
+	    cluster->ports[node]);
 	va_start(args, format);
 	vsnprintf(url + len, sizeof(urls[0]) - (size_t)len, format, args);
 	va_end(args);
@@ -422,6 +438,8 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, task);
 	curl_easy_setopt(
 	    easy, CURLOPT_MAX_RECV_SPEED_LARGE, (curl_off_t)task->bytes_per_s);
+	if (http_authority != NULL)
+		curl_easy_setopt(easy, CURLOPT_CAINFO, http_authority);
 	if (task->body != NULL)
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, task->body);
 	code = curl_easy_perform(easy);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -50,8 +50,13 @@
 	bool desk_key_withdrawn;
 	int small_rate;
 	int small_burst;
+	bool tls; /* instances serve https with tls.pem and tls.key */
+	bool no_authority[NODE_INSTANCES]; /* tls: authority is not set */
 } cluster_t;
 
+/* Authority that the client of the tests trusts; NULL: the system's. */
+extern const char *http_authority;
+
 /* An answer; text has a NUL byte after its len bytes. */
 typedef struct {
 	long status; /* 0: no whole answer */
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -18,7 +18,7 @@
 static const char optional_text[] =
     "fleet_secrets: [" SECRET_A ", " SECRET_B "]\n"
     "seeds: [\"10.0.0.2:81\"]\n"
-    "tls: { certificate: /c.pem, key: /k.pem }\n"
+    "tls: { certificate: /c.pem, key: /k.pem, authority: /a.pem }\n"
     "memory_mb: 16\n"
     "body_limit_kb: 2\n"
     "http_threads: 3\n"
@@ -72,6 +72,7 @@
 	ck_assert_uint_eq(settings->fleet_secrets[1][0], 0xff);
 	ck_assert_str_eq(settings->tls_certificate, "/c.pem");
 	ck_assert_str_eq(settings->tls_key, "/k.pem");
+	ck_assert_str_eq(settings->tls_authority, "/a.pem");
 	ck_assert_uint_eq(settings->memory_mb, 16);
 	ck_assert_uint_eq(settings->body_limit_kb, 2);
 	ck_assert_uint_eq(settings->http_threads, 3);
