core: decide commands to engines

Operators want to publish which model version, adapters and role the engines of a region have; so far nothing tells the engines. Shared state that would name one commander is ruled out, and so is a lock at the engine, because some engines ignore fencing numbers.

Adds the keys desired, fencing and weight_store to the allowances list, their checks and their lines in diff, and core/engine, which divides the targets of a zone into lanes with one owner each.

--- a/config/allowances.c
+++ b/config/allowances.c
@@ -98,6 +98,87 @@
 	return true;
 }
 
+/* The region of each entry needs a zone and occurs once. */
+static bool
+desired_entry_read(desired_t *desired, const node_t *node, GHashTable *used,
+    const allowances_seen_t *seen, GError **error)
+{
+	const node_t *region;
+	const node_t *model;
+	const node_t *version;
+	const node_t *adapters;
+	const node_t *role;
+	const map_field_t fields[] = {
+	    {"region", true, &region},
+	    {"model", true, &model},
+	    {"version", true, &version},
+	    {"adapters", false, &adapters},
+	    {"role", true, &role},
+	};
+
+	if (!map_read(node, fields, G_N_ELEMENTS(fields), error) ||
+	    !node_name(region, &desired->region, error) ||
+	    !seen_add(used, region, desired->region, error) ||
+	    !node_name(model, &desired->model, error) ||
+	    !node_name(version, &desired->version, error) ||
+	    !node_name(role, &desired->role, error))
+		return false;
+	if (!g_hash_table_contains(seen->regions, desired->region))
+		return node_refuse(region, error, CS_ERROR_CONFLICT,
+		    "no zone is in region %s; add a zone or write another "
+		    "region",
+		    desired->region);
+	if (adapters == NULL) {
+		desired->adapters = g_new0(char *, 1);
+		return true;
+	}
+	if (!node_names(adapters, &desired->adapters, error))
+		return false;
+	if (adapters->n_children > DESIRED_ADAPTER_LIMIT)
+		return node_refuse(adapters, error, CS_ERROR_INVALID,
+		    "has %u items; write at most %d", adapters->n_children,
+		    DESIRED_ADAPTER_LIMIT);
+	return true;
+}
+
+static bool
+desired_read(service_t *service, const node_t *node,
+    const allowances_seen_t *seen, GError **error)
+{
+	g_autoptr(GHashTable) used = seen_create();
+
+	if (!node_list(node, 0, error))
+		return false;
+	if (service->kind != SERVICE_ENGINE)
+		return node_refuse(node, error, CS_ERROR_CONFLICT,
+		    "only engines take commands; remove the key or write "
+		    "kind: engine");
+	service->desired = g_new0(desired_t, node->n_children);
+	service->n_desired = node->n_children;
+	for (const node_t *item = node->first; item; item = item->next) {
+		if (!desired_entry_read(&service->desired[item->index], item,
+			used, seen, error))
+			return false;
+	}
+	return true;
+}
+
+static bool
+fencing_read(service_t *service, const node_t *node, GError **error)
+{
+	static const char *const ways[] = {"ignore", "refuse", NULL};
+	int choice;
+
+	if (!node_choice(node, ways, &choice, error))
+		return false;
+	if (service->kind != SERVICE_ENGINE)
+		return node_refuse(node, error, CS_ERROR_CONFLICT,
+		    "only engines take commands; remove the key or write "
+		    "kind: engine");
+	service->refuses_fences = choice == 1;
+	return true;
+}
+
 static bool
 service_read(service_t *service, const node_t *node, allowances_seen_t *seen,
     GError **error)
@@ -107,11 +188,15 @@
 	const node_t *kind;
 	const node_t *orders;
 	const node_t *open;
+	const node_t *desired;
+	const node_t *fencing;
 	const map_field_t fields[] = {
 	    {"name", true, &name},
 	    {"kind", true, &kind},
 	    {"orders", false, &orders},
 	    {"open", false, &open},
+	    {"desired", false, &desired},
+	    {"fencing", false, &fencing},
 	};
 	int choice;
 
@@ -125,7 +210,9 @@
 		service->orders = g_new0(char *, 1);
 	else if (!orders_read(service, orders, error))
 		return false;
-	if (open != NULL && !node_bool(open, &service->open, error))
+	if ((open != NULL && !node_bool(open, &service->open, error)) ||
+	    (desired != NULL && !desired_read(service, desired, seen, error)) ||
+	    (fencing != NULL && !fencing_read(service, fencing, error)))
 		return false;
 	/* A ticket belongs to a team, and an open service has none. */
 	if (service->open && service->orders[0] != NULL)
@@ -247,6 +334,49 @@
 	return true;
 }
 
+static uint32_t
+loading_zones_count(const allowances_t *allowances)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < allowances->n_zones; i++)
+		n += allowances_zone_loads(allowances, &allowances->zones[i]);
+	return n;
+}
+
+static bool
+store_read(allowances_t *allowances, const node_t *node,
+    const allowances_seen_t *seen, GError **error)
+{
+	const node_t *region;
+	const node_t *loads;
+	const map_field_t fields[] = {
+	    {"region", true, &region},
+	    {"loads_at_a_time", true, &loads},
+	};
+	uint32_t least = loading_zones_count(allowances);
+	int64_t number;
+
+	if (!map_read(node, fields, G_N_ELEMENTS(fields), error) ||
+	    !node_name(region, &allowances->store_region, error) ||
+	    !node_integer(loads, 1, 10000, &number, error))
+		return false;
+	if (!g_hash_table_contains(seen->regions, allowances->store_region))
+		return node_refuse(region, error, CS_ERROR_CONFLICT,
+		    "no zone is in region %s; add a zone or write another "
+		    "region",
+		    allowances->store_region);
+	/* A zone without a permit could never load what is desired there. */
+	if (number < least)
+		return node_refuse(loads, error, CS_ERROR_CONFLICT,
+		    "is lower than the number of zones whose engines have a "
+		    "desired state; write at least %u or remove entries of "
+		    "desired",
+		    least);
+	allowances->store_loads = (uint32_t)number;
+	return true;
+}
+
 static bool
 allowances_read(allowances_t *allowances, const node_t *root, const char *text,
     size_t len, GError **error)
@@ -256,12 +386,14 @@
 	const node_t *services;
 	const node_t *plans;
 	const node_t *retired;
+	const node_t *store;
 	const map_field_t fields[] = {
 	    {"version", true, &version},
 	    {"zones", true, &zones},
 	    {"services", true, &services},
 	    {"plans", true, &plans},
 	    {"retired", false, &retired},
+	    {"weight_store", false, &store},
 	};
 	g_autoptr(GHashTable) region_names = seen_create();
 	g_autoptr(GHashTable) service_names = seen_create();
@@ -272,7 +404,8 @@
 	    !list_head_read(&allowances->head, version, text, len, error) ||
 	    !zones_read(allowances, zones, &seen, error) ||
 	    !services_read(allowances, services, &seen, error) ||
-	    !plan_list_read(allowances, plans, &seen, error))
+	    !plan_list_read(allowances, plans, &seen, error) ||
+	    (store != NULL && !store_read(allowances, store, &seen, error)))
 		return false;
 	if (retired == NULL) {
 		allowances->retired = g_new0(char *, 1);
--- a/config/diff_allowances.c
+++ b/config/diff_allowances.c
@@ -114,6 +114,79 @@
 	}
 }
 
+/* Writes "model version [adapters] role", or "none". */
+static char *
+desired_text(const desired_t *desired)
+{
+	g_autofree char *adapters = NULL;
+
+	if (desired == NULL)
+		return g_strdup("none");
+	adapters = g_strjoinv(" ", desired->adapters);
+	return g_strdup_printf("%s %s [%s] %s", desired->model,
+	    desired->version, adapters, desired->role);
+}
+
+static void
+desired_line(GString *lines, const char *service, const char *region,
+    const desired_t *before, const desired_t *after)
+{
+	g_autofree char *old = desired_text(before);
+	g_autofree char *new = desired_text(after);
+
+	if (strcmp(old, new) != 0)
+		g_string_append_printf(lines,
+		    "service %s: desired in %s: %s -> %s\n", service, region,
+		    old, new);
+}
+
+static void
+desired_diff(GString *lines, const service_t *before, const service_t *after)
+{
+	for (size_t i = 0; i < before->n_desired; i++) {
+		const desired_t *old = &before->desired[i];
+
+		desired_line(lines, after->name, old->region, old,
+		    service_find_desired(after, old->region));
+	}
+	for (size_t i = 0; i < after->n_desired; i++) {
+		const desired_t *new = &after->desired[i];
+
+		if (service_find_desired(before, new->region) == NULL)
+			desired_line(
+			    lines, after->name, new->region, NULL, new);
+	}
+	if (before->refuses_fences != after->refuses_fences)
+		g_string_append_printf(lines, "service %s: fencing %s\n",
+		    after->name,
+		    after->refuses_fences ? "ignore -> refuse"
+					  : "refuse -> ignore");
+}
+
+static void
+store_append(GString *lines, const allowances_t *allowances)
+{
+	if (allowances->store_region == NULL)
+		g_string_append(lines, "none");
+	else
+		g_string_append_printf(lines, "%s, %u loads at a time",
+		    allowances->store_region, allowances->store_loads);
+}
+
+static void
+store_diff(
+    GString *lines, const allowances_t *before, const allowances_t *after)
+{
+	if (g_strcmp0(before->store_region, after->store_region) == 0 &&
+	    before->store_loads == after->store_loads)
+		return;
+	g_string_append(lines, "weight store: ");
+	store_append(lines, before);
+	g_string_append(lines, " -> ");
+	store_append(lines, after);
+	g_string_append_c(lines, '\n');
+}
+
 static void
 service_diff(GString *lines, const service_t *before, const service_t *after)
 {
@@ -132,6 +205,7 @@
 		g_string_append_printf(lines, "service %s: %s\n", after->name,
 		    after->open ? "opened, no key is asked any more"
 				: "closed, a key is asked from now on");
+	desired_diff(lines, before, after);
 }
 
 static void
@@ -150,12 +224,13 @@
 		const service_t *old =
 		    allowances_find_service(before, service->name);
 
-		if (old != NULL)
+		if (old != NULL) {
 			service_diff(lines, old, service);
-		else
-			g_string_append_printf(lines, "service %s: added%s\n",
-			    service->name,
-			    service->open ? ", open without a key" : "");
+			continue;
+		}
+		g_string_append_printf(lines, "service %s: added%s\n",
+		    service->name, service->open ? ", open without a key" : "");
+		desired_diff(lines, &(service_t){0}, service);
 	}
 }
 
@@ -240,6 +315,7 @@
 	    before->head.version, after->head.version);
 	zones_diff(lines, before, after);
 	services_list_diff(lines, before, after);
+	store_diff(lines, before, after);
 	plans_diff(&diff, before, after);
 	retired_diff(lines, after->retired, before->retired, "retired");
 	retired_diff(
--- a/core/membership.c
+++ b/core/membership.c
@@ -588,6 +588,59 @@
 	return slots;
 }
 
+static bool
+view_wins(const membership_t *m, const view_t *view, const char *key)
+{
+	const char *best = NULL;
+	uint64_t highest = 0;
+
+	for (size_t i = 0; i < view->zone->len; i++) {
+		const char *name = g_ptr_array_index(view->zone, i);
+		uint64_t rank = XXH3_64bits_withSeed(
+		    name, strlen(name), XXH3_64bits(key, strlen(key)));
+
+		if (best == NULL || rank > highest) {
+			best = name;
+			highest = rank;
+		}
+	}
+	return best != NULL && g_str_equal(best, m->name);
+}
+
+bool
+membership_owns(membership_t *m, membership_key_t key_of, void *context,
+    time_us_t now, char key[OWNER_KEY_LIMIT])
+{
+	char other[OWNER_KEY_LIMIT];
+
+	key[0] = '\0';
+	if (!membership_holds(m, now))
+		return false;
+	for (size_t i = 0; i < m->window->len; i++) {
+		const view_t *view = g_ptr_array_index(m->window, i);
+
+		key_of(context, view->fleet, other);
+		if (i == 0)
+			memcpy(key, other, sizeof(other));
+		if (other[0] == '\0' || !g_str_equal(key, other) ||
+		    !view_wins(m, view, key))
+			return false;
+	}
+	return true;
+}
+
+time_us_t
+membership_lease_until(membership_t *m, time_us_t now)
+{
+	return membership_has_lease(m, now) ? m->lease_until : 0;
+}
+
+uint64_t
+membership_agreed_fleet(const membership_t *m)
+{
+	return m->agreed[LIST_FLEET];
+}
+
 bool
 membership_is_settled(const membership_t *m, list_kind_t kind, uint64_t version)
 {
--- a/core/snapshot.c
+++ b/core/snapshot.c
@@ -79,6 +79,21 @@
 	g_free(plan->name);
 }
 
+static void
+service_clear(service_t *service)
+{
+	for (size_t i = 0; i < service->n_desired; i++) {
+		g_free(service->desired[i].region);
+		g_free(service->desired[i].model);
+		g_free(service->desired[i].version);
+		g_strfreev(service->desired[i].adapters);
+		g_free(service->desired[i].role);
+	}
+	g_free(service->desired);
+	g_free(service->name);
+	g_strfreev(service->orders);
+}
+
 allowances_t *
 allowances_ref(allowances_t *allowances)
 {
@@ -97,16 +112,15 @@
 		g_free(allowances->zones[i].name);
 		g_free(allowances->zones[i].region);
 	}
-	for (size_t i = 0; i < allowances->n_services; i++) {
-		g_free(allowances->services[i].name);
-		g_strfreev(allowances->services[i].orders);
-	}
+	for (size_t i = 0; i < allowances->n_services; i++)
+		service_clear(&allowances->services[i]);
 	for (size_t i = 0; i < allowances->n_plans; i++)
 		plan_clear(&allowances->plans[i]);
 	g_free(allowances->zones);
 	g_free(allowances->services);
 	g_free(allowances->plans);
 	g_strfreev(allowances->retired);
+	g_free(allowances->store_region);
 	head_clear(&allowances->head);
 	g_free(allowances);
 }
@@ -220,6 +234,27 @@
 	return NULL;
 }
 
+const desired_t *
+service_find_desired(const service_t *service, const char *region)
+{
+	for (size_t i = 0; i < service->n_desired; i++) {
+		if (strcmp(service->desired[i].region, region) == 0)
+			return &service->desired[i];
+	}
+	return NULL;
+}
+
+bool
+allowances_zone_loads(const allowances_t *allowances, const zone_t *zone)
+{
+	for (size_t i = 0; i < allowances->n_services; i++) {
+		if (service_find_desired(
+			&allowances->services[i], zone->region) != NULL)
+			return true;
+	}
+	return false;
+}
+
 const plan_use_t *
 plan_find_use(const plan_t *plan, const char *service)
 {
--- /dev/null
+++ b/include/core/engine_private.h
@@ -0,0 +1,59 @@
+#ifndef CORE_ENGINE_PRIVATE_H
+#define CORE_ENGINE_PRIVATE_H
+
+#include "core/engine.h"
+
+/* What the files of the engine module share. */
+
+typedef struct {
+	char name[NAME_LIMIT + 1];
+	char url[512];
+	char service[NAME_LIMIT + 1];
+	bool listed; /* live, with a desired state */
+	bool refuses_fences;
+	engine_config_t desired;
+
+	char lane[OWNER_KEY_LIMIT];
+	bool owned;
+	time_us_t owned_since;
+	uint64_t owned_version; /* agreed fleet version at that time */
+
+	engine_state_t state;
+	time_us_t state_at; /* when it was asked for; 0: not known */
+	time_us_t asked_at; /* of the newest poll */
+
+	uint64_t fence_last;	 /* of this ownership; 0: none */
+	uint64_t running;	 /* fence of the running command; 0: none */
+	time_us_t running_until; /* it is surely over then */
+	char running_lane[OWNER_KEY_LIMIT];
+	unsigned int failures;
+	time_us_t retry_at;
+} engine_target_t;
+
+/* How the permits of the weight store are divided; a digest of 0 is none. */
+typedef struct {
+	uint64_t digest;
+	uint32_t permits; /* of this zone; UINT32_MAX: no limit */
+} division_t;
+
+struct engines {
+	membership_t *membership;
+	char zone[NAME_LIMIT + 1];
+	int64_t start_s;
+	fleet_t *fleet;
+	allowances_t *allowances;
+	GHashTable *targets; /* name -> engine_target_t */
+	division_t division; /* in force */
+	uint64_t epoch;
+	engine_in_flight_t in_flight;
+	void *in_flight_context;
+	engine_faults_t faults;
+};
+
+/* engine_lane.c: notes which lanes this instance owns now. */
+void engines_update_rights(engines_t *engines, time_us_t now);
+
+/* engine_fence.c */
+uint64_t engine_next_fence(const engines_t *engines, const engine_target_t *t);
+
+#endif
--- a/include/core/membership.h
+++ b/include/core/membership.h
@@ -92,6 +92,30 @@
 uint32_t membership_slots(
     membership_t *m, const target_t *target, time_us_t now);
 
+/*
+ * Writes the key whose owner has a right under one fleet version, "" for none.
+ */
+#define OWNER_KEY_LIMIT 192
+typedef void (*membership_key_t)(
+    void *context, const fleet_t *fleet, char key[OWNER_KEY_LIMIT]);
+
+/*
+ * Whether this instance has a right that one member of its zone holds at a
+ * time: it has a lease, and under every version of the window it is the
+ * rendezvous winner of that version's key among the zone's live members, and
+ * the key is the same. All holders' windows contain the newest version that any
+ * of them knows to be agreed, so two can't hold the right at a time. Writes the
+ * key.
+ */
+bool membership_owns(membership_t *m, membership_key_t key_of, void *context,
+    time_us_t now, char key[OWNER_KEY_LIMIT]);
+
+/* End of the lease, 0 without one. */
+time_us_t membership_lease_until(membership_t *m, time_us_t now);
+
+/* Newest fleet version known to be agreed; 0: this instance holds nothing. */
+uint64_t membership_agreed_fleet(const membership_t *m);
+
 bool membership_has_lease(membership_t *m, time_us_t now);
 
 /*
--- a/include/core/snapshot.h
+++ b/include/core/snapshot.h
@@ -58,11 +58,25 @@
 
 typedef enum { SERVICE_ENGINE, SERVICE_PLAIN } service_kind_t;
 
+/* What the engines of a service in a region should run. */
+typedef struct {
+	char *region;
+	char *model;
+	char *version;
+	char **adapters; /* NULL-terminated, at most DESIRED_ADAPTER_LIMIT */
+	char *role;
+} desired_t;
+
+#define DESIRED_ADAPTER_LIMIT 8
+
 typedef struct {
 	char *name;
 	service_kind_t kind;
 	char **orders; /* NULL-terminated paths whose POST is an order */
 	bool open;     /* no key asked */
+	desired_t *desired;
+	size_t n_desired;
+	bool refuses_fences; /* its engines refuse an old fencing number */
 } service_t;
 
 typedef struct {
@@ -94,6 +108,8 @@
 	plan_t *plans;
 	size_t n_plans;
 	char **retired; /* NULL-terminated names of instances that are gone */
+	char *store_region;   /* of the weight store, or NULL */
+	uint32_t store_loads; /* at a time over the fleet; 0: no limit */
 } allowances_t;
 
 typedef enum { MEMBER_LIVE, MEMBER_LEAVING } member_state_t;
@@ -143,6 +159,10 @@
     const allowances_t *allowances, const char *name);
 const zone_t *allowances_find_zone(
     const allowances_t *allowances, const char *name);
+/* Whether a service has a desired state in the zone's region. */
+bool allowances_zone_loads(const allowances_t *allowances, const zone_t *zone);
+const desired_t *service_find_desired(
+    const service_t *service, const char *region);
 const plan_use_t *plan_find_use(const plan_t *plan, const char *service);
 const instance_t *fleet_find_instance(const fleet_t *fleet, const char *name);
 
