--- a/tests/share_world.c
+++ b/tests/share_world.c
@@ -268,6 +268,8 @@
 	    newer ? w->allowances[pair] : NULL, process_clock(w, p));
 	p->fleet = MAX(p->fleet, fleet);
 	p->pair = MAX(p->pair, pair);
+	if (w->adopted != NULL)
+		w->adopted(w->adopted_context, (int)(p - w->processes));
 }
 
 static int
@@ -662,6 +664,31 @@
 		world_check(w);
 }
 
+void
+world_heal(world_t *w)
+{
+	world_knobs_t *k = &w->knobs;
+	member_state_t state[WORLD_NAMES];
+
+	k->lose = k->late = k->list = k->pair = 0;
+	k->crash = k->pause = k->cut = k->stale = 0;
+	w->cut_until = w->now;
+	for (int i = 0; i < w->n_processes; i++)
+		w->processes[i].paused_until = w->now;
+	for (int name = 0; name < WORLD_NAMES; name++) {
+		int current = w->current[name];
+
+		w->restart_at[name] = w->drop_at[name] = 0;
+		if (current < 0 || !w->processes[current].alive)
+			process_start(w, name);
+		current = w->current[name];
+		state[name] = current >= 0 && w->processes[current].alive
+				  ? MEMBER_LIVE
+				  : WORLD_UNLISTED;
+	}
+	fleet_publish(w, state);
+}
+
 /*
  * Replays the admissions through a bucket with the whole rate and burst, which
  * is the same as comparing each with the maximum over all windows that end
--- a/tests/share_world.h
+++ b/tests/share_world.h
@@ -75,6 +75,9 @@
 
 struct world {
 	world_knobs_t knobs;
+	/* Called after a process has adopted lists; may be NULL. */
+	void (*adopted)(void *context, int process);
+	void *adopted_context;
 	GRand *rand;
 	time_us_t now;
 	process_t processes[WORLD_PROCESSES];
@@ -108,6 +111,9 @@
 void world_destroy(world_t *w);
 void world_step(world_t *w);
 
+/* Ends all faults, starts what has ended and lists what runs. */
+void world_heal(world_t *w);
+
 /* Checks rate x time + burst over all windows; notes a violation. */
 void world_check_admissions(world_t *w);
 
--- a/tests/test_diff.c
+++ b/tests/test_diff.c
@@ -164,6 +164,15 @@
 		"service help: opened, no key is asked any more\n"},
 	    {"[/orders]", "[/a, /b]",
 		"service book: orders [/orders] -> [/a /b]\n"},
+	    {"{name: draft, kind: engine}",
+		"{name: draft, kind: engine, fencing: refuse, desired: [\n"
+		" {region: north, model: m, version: v2, adapters: [a], "
+		"role: r}]}",
+		"service draft: desired in north: none -> m v2 [a] r\n"
+		"service draft: fencing ignore -> refuse\n"},
+	    {"plans:",
+		"weight_store: {region: south, loads_at_a_time: 2}\nplans:",
+		"weight store: none -> south, 2 loads at a time\n"},
 	    {"plans:", "retired: [i9]\nplans:", "instance i9: retired\n"},
 	};
 
--- a/tests/test_lists_parse.c
+++ b/tests/test_lists_parse.c
@@ -40,7 +40,8 @@
     "    use:\n"
     "      - { service: draft, regions: [north, south] }\n"
     "      - { service: book, regions: [north] }\n"
-    "retired: [i9]\n";
+    "retired: [i9]\n"
+    "weight_store: { region: south, loads_at_a_time: 1 }\n";
 
 static const char fleet_text[] =
     "version: 88\n"
@@ -202,6 +203,33 @@
 		"f:7: services[1].orders[0]: "},
 	    {"order path given twice", "/orders", "/a, /a", CS_ERROR_CONFLICT,
 		"f:7: services[1].orders[1]: "},
+	    {"desired state of a plain service", "orders: [/orders]",
+		"desired: []", CS_ERROR_CONFLICT, "f:7: services[1].desired: "},
+	    {"fencing of a plain service", "orders: [/orders]",
+		"fencing: refuse", CS_ERROR_CONFLICT,
+		"f:7: services[1].fencing: "},
+	    {"desired state in a region without a zone", "kind: engine",
+		"kind: engine, desired: [{ region: west, model: m, "
+		"version: v2, role: r }]",
+		CS_ERROR_CONFLICT, "f:6: services[0].desired[0].region: "},
+	    {"two desired states in a region", "kind: engine",
+		"kind: engine, desired: [{ region: north, model: m, "
+		"version: v2, role: r }, { region: north, model: m, "
+		"version: v3, role: r }]",
+		CS_ERROR_CONFLICT, "f:6: services[0].desired[1].region: "},
+	    {"more adapters than are kept", "kind: engine",
+		"kind: engine, desired: [{ region: north, model: m, "
+		"version: v2, role: r, "
+		"adapters: [a, b, c, d, e, f, g, h, i] }]",
+		CS_ERROR_INVALID, "f:6: services[0].desired[0].adapters: "},
+	    {"fewer loads than zones that load", "kind: engine",
+		"kind: engine, desired: [{ region: north, model: m, "
+		"version: v2, role: r }, { region: south, model: m, "
+		"version: v2, role: r }]",
+		CS_ERROR_CONFLICT, "f:17: weight_store.loads_at_a_time: "},
+	    {"weight store nowhere", "region: south, loads",
+		"region: west, loads", CS_ERROR_CONFLICT,
+		"f:17: weight_store.region: "},
 	    {"rate 0", "500", "0", CS_ERROR_INVALID, "f:10: plans[0].rate: "},
 	    {"rate that overflows", "500", "1000000001", CS_ERROR_INVALID,
 		"f:10: plans[0].rate: "},
