core, cyclamensail: send commands to engines

core/engine decided without anything that carries its decisions out. The gate now follows the lists with it at each adoption, because a right that is lost and got back between two ticks would not be noticed, and returns ACTION_COMMAND and ACTION_ENGINE_STATE. Fences are bounded to 63 bits: a fleet version from a clock in milliseconds would have overflowed the shift.

--- a/core/engine.c
+++ b/core/engine.c
@@ -320,7 +320,8 @@
 {
 	engine_target_t *t = g_hash_table_lookup(engines->targets, target);
 
-	if (t == NULL || state == NULL || t->asked_at != decided_at)
+	if (t == NULL || state == NULL || t->asked_at != decided_at ||
+	    state->fence > FENCE_LIMIT)
 		return;
 	t->state = *state;
 	t->state_at = decided_at;
--- a/core/engine_lane.c
+++ b/core/engine_lane.c
@@ -118,7 +118,8 @@
 	char lane[OWNER_KEY_LIMIT] = "";
 	bool owned = false;
 
-	if (t->listed && engines->division.digest != 0)
+	if (t->listed && engines->division.digest != 0 &&
+	    membership_agreed_fleet(engines->membership) < FENCE_VERSION_LIMIT)
 		owned = membership_owns(
 		    engines->membership, lane_write, &query, now, lane);
 	if (engines->faults.any_owner && t->listed &&
--- a/core/gate.c
+++ b/core/gate.c
@@ -85,6 +85,7 @@
 	gate->queues = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)queue_destroy);
 	gate->free_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	gate_create_engines(gate, options->wall_s);
 	g_queue_init(&gate->token_waiters);
 	gate->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -102,6 +103,7 @@
 	g_free(gate->flights);
 	g_hash_table_destroy(gate->queues);
 	directory_destroy(gate->directory);
+	engines_destroy(gate->engines);
 	spill_destroy(gate->spill);
 	route_destroy(gate->route);
 	poison_table_destroy(gate->poison);
@@ -308,6 +310,7 @@
 	gate_pump_tokens(gate, now, actions);
 	gate_pump_all(gate, now, actions);
 	gate_tick_peers(gate, now, actions);
+	gate_tick_engines(gate, now, actions);
 	if (now < gate->sweep_at)
 		return;
 	gate->sweep_at = now + US_PER_S;
--- a/core/gate_internal.h
+++ b/core/gate_internal.h
@@ -3,6 +3,7 @@
 
 #include "core/allotment.h"
 #include "core/directory.h"
+#include "core/engine.h"
 #include "core/gate.h"
 #include "core/lists.h"
 #include "core/membership.h"
@@ -79,8 +80,8 @@
 	char **seeds;
 	uint64_t random; /* state of the generator */
 	uint32_t queue_limit;
-	bool draining; /* by signal or operator */
-	bool leaving;  /* by the fleet list */
+	bool draining;	    /* by signal or operator */
+	bool leaving;	    /* by the fleet list */
 	bool share_awaited; /* the wait for a first share is over */
 	time_us_t started_at;
 
@@ -94,9 +95,11 @@
 	route_t *route;
 	directory_t *directory; /* NULL until two lists are known */
 	spill_t *spill;
-	size_t lender_next; /* position in the fleet list */
-	GHashTable *queues; /* service -> queue_t */
-	time_us_t pump_now; /* time of the running queue_pop() */
+	engines_t *engines;
+	time_us_t engines_at; /* when they are looked at next */
+	size_t lender_next;   /* position in the fleet list */
+	GHashTable *queues;   /* service -> queue_t */
+	time_us_t pump_now;   /* time of the running queue_pop() */
 
 	flight_t *flights;
 	size_t n_flights; /* slots */
@@ -189,6 +192,10 @@
 /* Periodic messages to peers. */
 void gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions);
 
+/* Decides about commands to engines. */
+void gate_create_engines(gate_t *gate, int64_t start_s);
+void gate_tick_engines(gate_t *gate, time_us_t now, GArray *actions);
+
 /* Returns the wait queue of a service, created on first use. */
 queue_t *gate_queue(gate_t *gate, const char *service);
 
--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -65,6 +65,8 @@
 	    sizeof(gate->region));
 	allotment_adopt(gate->allotment, gate->view.fleet, gate->view.plans,
 	    gate->view.allowances, now);
+	engines_follow(
+	    gate->engines, gate->view.fleet, gate->view.allowances, now);
 	if (gate->view.fleet != NULL) {
 		const instance_t *self =
 		    fleet_find_instance(gate->view.fleet, gate->name);
--- a/cyclamensail/daemon.c
+++ b/cyclamensail/daemon.c
@@ -33,7 +33,10 @@
 		gate_action_t *action =
 		    &g_array_index(actions, gate_action_t, i);
 
-		if (action->user != NULL)
+		if (action->kind == ACTION_COMMAND ||
+		    action->kind == ACTION_ENGINE_STATE)
+			engine_act(daemon, action);
+		else if (action->user != NULL)
 			relay_act(daemon, action);
 		else
 			peers_act(daemon->peers, action);
@@ -110,6 +113,7 @@
 	    .ticket_key = ticket_key,
 	    .queue_limit = daemon->settings->queue_limit,
 	    .now = clock_now(),
+	    .wall_s = clock_wall_s(),
 	    .pair_fits = lists_pair_fits};
 
 	randombytes_buf(&options.seed, sizeof(options.seed));
--- a/cyclamensail/internal.h
+++ b/cyclamensail/internal.h
@@ -93,6 +93,9 @@
 /* Carries out an action about a flight. */
 void relay_act(daemon_t *daemon, const gate_action_t *action);
 
+/* Carries out an action about an engine, and frees its step. */
+void engine_act(daemon_t *daemon, const gate_action_t *action);
+
 /*
  * Carries out actions and frees them. Call without gate_lock held: actions may
  * call back into the gate.
--- a/cyclamensail/peers.c
+++ b/cyclamensail/peers.c
@@ -389,6 +389,8 @@
 		call_send(peers, action->u.give_back.lender, &message,
 		    return_done, &facts);
 		break;
+	case ACTION_COMMAND:
+	case ACTION_ENGINE_STATE:
 	case ACTION_REFUSE:
 	case ACTION_SEND:
 	case ACTION_FORWARD:
--- a/cyclamensail/relay.c
+++ b/cyclamensail/relay.c
@@ -821,6 +821,8 @@
 	case ACTION_BORROW:
 	case ACTION_RETURN:
 	case ACTION_FETCH:
+	case ACTION_COMMAND:
+	case ACTION_ENGINE_STATE:
 	case ACTION_HEARTBEAT:
 		return;
 	}
--- a/fakes/fake_target.c
+++ b/fakes/fake_target.c
@@ -9,9 +9,15 @@
  *     POST /orders    records the order and answers 201 with its number.
  *     GET /trees/ID   answers with the ID.
  *     GET /record     what this target has seen, as JSON.
+ *     GET /state      the engine's model, version, adapters, role, highest
+ *                     fence and whether it is busy.
+ *     POST /command   {"fence": N, "action": "load"|"role", "limit_ms": N, ...}
+ *                     takes load_ms and answers 200, 409 for an old fence if
+ *                     refuse_fences is set, 503 while busy, 500 above limit_ms.
  *     POST /control?NAME=VALUE  sets first_ms, token_ms, close_orders (close
  *                     the connection after an order was recorded), die_after
- *                     (exit after so many tokens), order_ms.
+ *                     (exit after so many tokens), order_ms, load_ms,
+ *                     refuse_fences.
  *
  * A body that contains the crash marker ends the process, like a request that
  * crashes each engine that runs it.
@@ -24,6 +30,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "fake_engine.h"
 #include "fake_http.h"
 
 #define RECORD_LIMIT 200000
@@ -50,6 +57,7 @@
 	unsigned long cancelled;
 	json_t *orders;
 	json_t *arrivals; /* [time in microseconds, tokens asked for] */
+	fake_engine_t engine;
 	GString *headers; /* every header value seen, for leak checks */
 } fake_target_t;
 
@@ -314,7 +322,9 @@
 	    {"token_ms", &target->behaviour.token_ms},
 	    {"order_ms", &target->behaviour.order_ms},
 	    {"close_orders", &target->behaviour.close_orders},
-	    {"die_after", &target->behaviour.die_after}};
+	    {"die_after", &target->behaviour.die_after},
+	    {"load_ms", &target->engine.load_ms},
+	    {"refuse_fences", &target->engine.refuse_fences}};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(controls); i++) {
 		const char *value = fake_http_query(request, controls[i].name);
@@ -334,6 +344,10 @@
 		return record_handle(target, request);
 	if (strcmp(request->path, "/control") == 0)
 		return control_handle(target, request);
+	if (strcmp(request->path, "/state") == 0)
+		return fake_engine_state(&target->engine, request);
+	if (strcmp(request->path, "/command") == 0)
+		return fake_engine_command(&target->engine, request);
 	if (strstr(request->body->str, target->crash_marker) != NULL)
 		_exit(3);
 	if (strcmp(request->path, "/generate") == 0)
@@ -364,6 +378,7 @@
 		target.behaviour.first_ms = atoi(argv[4]);
 		target.behaviour.token_ms = atoi(argv[5]);
 	}
+	fake_engine_init(&target.engine);
 	target.orders = json_array();
 	target.arrivals = json_array();
 	target.headers = g_string_new(NULL);
--- a/include/core/engine.h
+++ b/include/core/engine.h
@@ -43,8 +43,10 @@
  * agreed one, the lists were restarted with lower numbers; then both owners add
  * their version to the reported one, which keeps the order. A new process of
  * the same name at the same version has a later start, and its predecessor can
- * send nothing any more. Numbers stay below 2^53, which JSON readers keep
- * exact, up to fleet version 2^24.
+ * send nothing any more. Numbers fit in 63 bits: nothing is owned under a fleet
+ * version of FENCE_VERSION_LIMIT or more, and a state with a fence above
+ * FENCE_LIMIT is not accepted. They are exact in JSON readers that use doubles
+ * up to fleet version 2^24.
  *
  * A process that pauses between the last look at the clock and the write sends
  * a command late. An engine that refuses old fences drops it if the next owner
@@ -63,6 +65,8 @@
 #define COMMAND_BACKOFF_US (5 * US_PER_S)
 #define COMMAND_BACKOFF_DOUBLINGS 5
 #define FENCE_VERSION_SHIFT 29
+#define FENCE_VERSION_LIMIT ((uint64_t)1 << 33)
+#define FENCE_LIMIT ((uint64_t)1 << 62)
 
 typedef struct {
 	char model[NAME_LIMIT + 1];
--- a/include/core/gate.h
+++ b/include/core/gate.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "core/engine.h"
 #include "core/heartbeat.h"
 #include "core/lists.h"
 #include "core/loan.h"
@@ -33,6 +34,7 @@
 	uint64_t seed;
 	unsigned int queue_limit;
 	time_us_t now;
+	int64_t wall_s;		/* at the start, for fencing numbers */
 	lists_fits_t pair_fits; /* whether two lists belong together */
 	void *pair_data;
 } gate_options_t;
@@ -92,7 +94,9 @@
 	ACTION_BORROW, /* ask a peer for a loan */
 	ACTION_RETURN, /* give a loan back */
 	ACTION_FETCH,  /* ask a peer for a newer list */
-	ACTION_HEARTBEAT /* send a heartbeat to a peer */
+	ACTION_HEARTBEAT,   /* send a heartbeat to a peer */
+	ACTION_COMMAND,	    /* send a command to an engine */
+	ACTION_ENGINE_STATE /* ask an engine for its state */
 } action_kind_t;
 
 typedef struct {
@@ -133,6 +137,7 @@
 		struct {
 			char peer[NAME_LIMIT + 1];
 		} heartbeat;
+		engine_step_t *engine; /* freed by the caller with g_free() */
 	} u;
 } gate_action_t;
 
@@ -234,6 +239,14 @@
 /* Timers: queue, waits for tokens, loans, heartbeats. Call every 50 ms. */
 void gate_tick(gate_t *gate, time_us_t now, int64_t wall_s, GArray *actions);
 
+/* Ends an ACTION_ENGINE_STATE; state NULL: it failed. */
+void gate_on_engine_state(
+    gate_t *gate, const engine_step_t *step, const engine_state_t *state);
+
+/* Ends an ACTION_COMMAND. */
+void gate_on_command(gate_t *gate, const engine_step_t *step,
+    command_result_t result, time_us_t now);
+
 /* Offers a list that was parsed and checked; see lists_offer(). */
 lists_verdict_t gate_offer(
     gate_t *gate, list_any_t list, time_us_t now, GArray *actions);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -94,16 +94,32 @@
 	g_string_free(text, TRUE);
 }
 
+/* Engines start with version v1 and role generate of model m. */
+static char *
+desired_text(const char *version)
+{
+	if (version == NULL)
+		return g_strdup("");
+	return g_strdup_printf(", fencing: refuse, desired: [\n"
+			       "      { region: stred, model: m, version: %s, "
+			       "adapters: [a], role: draft },\n"
+			       "      { region: zapad, model: m, version: %s, "
+			       "role: draft }]",
+	    version, version);
+}
+
 void
 cluster_publish_allowances(cluster_t *cluster)
 {
+	g_autofree char *desired = desired_text(cluster->engine_version);
 	g_autofree char *text = g_strdup_printf(
 	    "version: %" G_GUINT64_FORMAT "\n"
+	    "weight_store: { region: zapad, loads_at_a_time: 2 }\n"
 	    "zones:\n"
 	    "  - { name: stred-1, region: stred, weight: 1 }\n"
 	    "  - { name: zapad-1, region: zapad, weight: 1 }\n"
 	    "services:\n"
-	    "  - { name: epitaph-writer, kind: engine }\n"
+	    "  - { name: epitaph-writer, kind: engine%s }\n"
 	    "  - { name: tag-registry, kind: plain, orders: [/orders] }\n"
 	    "  - { name: opening-hours, kind: plain, open: true }\n"
 	    "plans:\n"
@@ -117,7 +133,8 @@
 	    "  - { name: small, rate: %d, burst: %d, priority: 2,\n"
 	    "      use: [{ service: epitaph-writer, regions: [stred, zapad] }] "
 	    "}\n",
-	    ++cluster->versions[1], cluster->small_rate, cluster->small_burst);
+	    ++cluster->versions[1], desired, cluster->small_rate,
+	    cluster->small_burst);
 
 	file_publish(cluster, "allowances.yaml", text);
 }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -48,6 +48,7 @@
 	bool absent[NODE_COUNT];
 	GString *extra_team; /* YAML of further teams */
 	bool desk_key_withdrawn;
+	const char *engine_version; /* desired of the engines; NULL: none */
 	int small_rate;
 	int small_burst;
 } cluster_t;
