--- a/tests/share_world.h
+++ b/tests/share_world.h
@@ -75,6 +75,9 @@
 
 struct world {
 	world_knobs_t knobs;
+	/* Called after a process has adopted lists; may be NULL. */
+	void (*adopted)(void *context, int process);
+	void *adopted_context;
 	GRand *rand;
 	time_us_t now;
 	process_t processes[WORLD_PROCESSES];
@@ -111,6 +114,9 @@
 /* Ends a process; the fleet list drops it after a time. */
 void world_lose(world_t *w, int process, time_us_t after);
 
+/* Ends all faults, starts what has ended and lists what runs. */
+void world_heal(world_t *w);
+
 /* Checks rate x time + burst over all windows; notes a violation. */
 void world_check_admissions(world_t *w);
 
