edge: send no chunk after the head of an answer to HEAD

Cause: libmicrohttpd 0.9.75 ends a streamed answer with its last chunk also for HEAD, so that "0" and two line ends came before the next answer of the connection.

Change: a streamed answer to HEAD is sent as a response without a body.

--- a/edge/exchange.c
+++ b/edge/exchange.c
@@ -265,9 +265,17 @@
 	exchange_unref(cls);
 }
 
+/*
+ * A streamed answer to HEAD is sent without a stream: libmicrohttpd 0.9.75
+ * would end it with a chunk, which the caller reads as the start of the next
+ * answer.
+ */
 static struct MHD_Response *
 response_create(exchange_t *exchange)
 {
+	if (exchange->streaming && strcmp(exchange->method, "HEAD") == 0)
+		return MHD_create_response_from_buffer(
+		    0, NULL, MHD_RESPMEM_PERSISTENT);
 	if (exchange->streaming)
 		return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
 		    READ_BLOCK_BYTES, stream_read, exchange_ref(exchange),
