edge: refuse a request with two lengths

Cause: libmicrohttpd goes by the first of several Content-Length headers. Another reader on the way may go by the last and see a second request.

Change: the connection is closed when a head has more than one.

--- a/edge/server.c
+++ b/edge/server.c
@@ -105,6 +105,31 @@
 	return answered ? exchange_queue(exchange) : MHD_YES;
 }
 
+static enum MHD_Result
+length_count(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	unsigned int *lengths = cls;
+
+	if (g_ascii_strcasecmp(name, "Content-Length") == 0)
+		(*lengths)++;
+	return MHD_YES;
+}
+
+/*
+ * libmicrohttpd goes by the first of several lengths; another reader may go by
+ * the last and find a second request in the body.
+ */
+static bool
+body_length_is_clear(struct MHD_Connection *connection)
+{
+	unsigned int lengths = 0;
+
+	MHD_get_connection_values(
+	    connection, MHD_HEADER_KIND, length_count, &lengths);
+	return lengths <= 1;
+}
+
 static enum MHD_Result
 connection_handle(void *cls, struct MHD_Connection *connection, const char *url,
     const char *method, const char *version, const char *data, size_t *len,
@@ -114,6 +139,8 @@
 	exchange_t *exchange = *state;
 	enum MHD_Result result;
 
+	if (exchange == NULL && !body_length_is_clear(connection))
+		return MHD_NO;
 	if (exchange == NULL) {
 		exchange = exchange_create(server, connection, url, method);
 		*state = exchange;
