--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -361,21 +361,26 @@
 	g_free(cluster);
 }
 
+static const char *
+node_scheme(const cluster_t *cluster, node_t node)
+{
+	return cluster->tls && node < NODE_INSTANCES ? "https" : "http";
+}
+
 const char *
 node_url(const cluster_t *cluster, node_t node, const char *format, ...)
 {
 	static char urls[8][1024];
 	static unsigned int next;
 	char *url = urls[next++ % G_N_ELEMENTS(urls)];
+	g_autofree char *path = NULL;
 	va_list args;
-	int len;
 
-	len = snprintf(url, sizeof(urls[0]), "%s://127.0.0.1:%d",
-	    cluster->tls && node < NODE_INSTANCES ? "https" : "http",
-	    cluster->ports[node]);
 	va_start(args, format);
-	vsnprintf(url + len, sizeof(urls[0]) - (size_t)len, format, args);
+	path = g_strdup_vprintf(format, args);
 	va_end(args);
+	g_snprintf(url, sizeof(urls[0]), "%s://127.0.0.1:%d%s",
+	    node_scheme(cluster, node), cluster->ports[node], path);
 	return url;
 }
 
