peer: don't count the end of a connection as a byte

bytes_are_counted_at_both_ends failed once in the suite: in was 1 larger than out. The kernel counts a received FIN in tcpi_bytes_received, and the last update was made when the peer had already closed. The count is now taken after each call only. A fault of the test was ruled out: it was right.

--- a/peer/link.c
+++ b/peer/link.c
@@ -80,10 +80,8 @@
 	fd = link->fd;
 	link->fd = -1;
 	pthread_mutex_unlock(&link->lock);
-	if (fd >= 0) {
-		traffic_update(&link->traffic, fd);
+	if (fd >= 0)
 		close(fd);
-	}
 }
 
 void
@@ -234,6 +232,7 @@
 	memset(reply, 0, sizeof(*reply));
 	status = clnt_call(link->rpc, procedure, (xdrproc_t)xdr_peer_call,
 	    (char *)call, (xdrproc_t)xdr_peer_reply, (char *)reply, limit);
+	/* Not at the close: the kernel counts the peer's FIN as a byte. */
 	traffic_update(&link->traffic, link->fd);
 	if (status != RPC_SUCCESS) {
 		xdr_free((xdrproc_t)xdr_peer_reply, reply);
