--- a/cyclamensail/peers.c
+++ b/cyclamensail/peers.c
@@ -154,10 +154,13 @@
 		peers_destroy(peers);
 		return NULL;
 	}
+	/* A heartbeat can come before peer_server_create returns. */
+	daemon->peers = peers;
 	peers->server = peer_server_create(daemon->settings->peer, &peers->self,
 	    &peers->keys, &handlers, error);
 	if (peers->server != NULL)
 		return peers;
+	daemon->peers = NULL;
 	peers_destroy(peers);
 	return NULL;
 }
--- a/cyclamensail/relay.c
+++ b/cyclamensail/relay.c
@@ -167,7 +167,7 @@
 		return REFUSAL_KEY_IN_QUERY;
 	if (length != NULL && g_ascii_strtoull(length, NULL, 10) > limit)
 		return REFUSAL_BODY_TOO_LARGE;
-	if (edge_server_memory(daemon->edge) + EXCHANGE_BUFFER_BYTES >
+	if (exchange_server_memory(exchange) + EXCHANGE_BUFFER_BYTES >
 	    (size_t)daemon->settings->memory_mb * 1024 * 1024)
 		return REFUSAL_MEMORY;
 	return REFUSAL_NONE;
--- a/edge/exchange.c
+++ b/edge/exchange.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "edge/server.h"
 #include "internal.h"
 
 /* Buffered bytes below which a refused writer is asked to go on. */
@@ -111,6 +112,12 @@
 	return g_string_free(text, text->len == 0);
 }
 
+size_t
+exchange_server_memory(const exchange_t *exchange)
+{
+	return edge_server_memory(exchange->server);
+}
+
 void
 exchange_set_data(exchange_t *exchange, void *data)
 {
--- a/include/edge/exchange.h
+++ b/include/edge/exchange.h
@@ -85,4 +85,10 @@
  */
 void exchange_stream_end(exchange_t *exchange, const char *last, bool whole);
 
+/*
+ * Returns the bytes that all exchanges of this one's server hold. A request can
+ * come before edge_server_create has returned the server.
+ */
+size_t exchange_server_memory(const exchange_t *exchange);
+
 #endif
