core: add the allowances version to the fences of engine commands

A change of the weight store's permits moves lanes between owners under one fleet version. The next owner's first fence then differed from the last one's only by the start of the process, so a late command of the last owner could be accepted after one of the next.

The first fence is now made of the sum of the agreed fleet version and the allowances version, and a right begins only when all listed instances have acknowledged that list. Ruled out: the version under which the division took effect, which can differ between two owners at the same division.

--- a/core/engine_lane.c
+++ b/core/engine_lane.c
@@ -110,6 +110,29 @@
 	    key, OWNER_KEY_LIMIT, "%s/%u", engines->zone, (unsigned int)index);
 }
 
+/* The right starts, or started again after a break that no tick has seen. */
+static bool
+target_gain(
+    engines_t *engines, engine_target_t *t, const char *lane, time_us_t now)
+{
+	uint64_t version = engines->allowances->head.version;
+
+	/* Otherwise the last owner could have gone by a newer list, and its
+	 * fences would be higher. */
+	if (!membership_is_settled(
+		engines->membership, LIST_ALLOWANCES, version) &&
+	    !engines->faults.any_owner)
+		return false;
+	t->owned_since = now;
+	t->owned_version =
+	    membership_agreed_fleet(engines->membership) + version;
+	t->state_at = 0;
+	t->asked_at = 0;
+	t->fence_last = 0;
+	g_strlcpy(t->lane, lane, sizeof(t->lane));
+	return t->owned_version < FENCE_VERSION_LIMIT;
+}
+
 static void
 target_update(
     engines_t *engines, engine_target_t *t, bool broken, time_us_t now)
@@ -118,8 +141,7 @@
 	char lane[OWNER_KEY_LIMIT] = "";
 	bool owned = false;
 
-	if (t->listed && engines->division.digest != 0 &&
-	    membership_agreed_fleet(engines->membership) < FENCE_VERSION_LIMIT)
+	if (t->listed && engines->division.digest != 0)
 		owned = membership_owns(
 		    engines->membership, lane_write, &query, now, lane);
 	if (engines->faults.any_owner && t->listed &&
@@ -128,14 +150,8 @@
 		lane_write(&query, engines->fleet, lane);
 		owned = true;
 	}
-	if (owned && (!t->owned || broken || strcmp(lane, t->lane) != 0)) {
-		t->owned_since = now;
-		t->owned_version = membership_agreed_fleet(engines->membership);
-		t->state_at = 0;
-		t->asked_at = 0;
-		t->fence_last = 0;
-		memcpy(t->lane, lane, sizeof(lane));
-	}
+	if (owned && (!t->owned || broken || strcmp(lane, t->lane) != 0))
+		owned = target_gain(engines, t, lane, now);
 	t->owned = owned;
 }
 
--- a/include/core/engine.h
+++ b/include/core/engine.h
@@ -33,20 +33,22 @@
  * COMMAND_LIMIT_US from when it got the lane before its first command. Only a
  * role change at an engine that refuses old fences needs no such wait.
  *
- * Fences. The first number of an owner is (agreed fleet version) << 29 | (start
- * of the process in seconds, modulo 2^29), or 1 more than the highest number
- * that the engine reports if that is larger; each further one is at least 1
- * more than the last. It rises across owners: the next owner wins under an
- * agreed version that the last one did not win under and that is newer than the
- * one it went by, so its number is larger even if no command of the last owner
- * has reached the engine yet. When the engine reports a version above the
- * agreed one, the lists were restarted with lower numbers; then both owners add
- * their version to the reported one, which keeps the order. A new process of
- * the same name at the same version has a later start, and its predecessor can
- * send nothing any more. Numbers fit in 63 bits: nothing is owned under a fleet
- * version of FENCE_VERSION_LIMIT or more, and a state with a fence above
- * FENCE_LIMIT is not accepted. They are exact in JSON readers that use doubles
- * up to fleet version 2^24.
+ * Fences. The first number of an owner is (version sum) << 29 | (start of the
+ * process in seconds, modulo 2^29), or 1 more than the highest number that the
+ * engine reports if that is larger; each further one is at least 1 more than
+ * the last. The version sum is the agreed fleet version plus the allowances
+ * version when the right began, which all listed instances have to have
+ * acknowledged by then. So neither part is lower than that of an earlier owner,
+ * and an owner follows another only under a newer agreed fleet version or,
+ * after a change of the division, a newer allowances version. The sum is larger
+ * even if no command of the last owner has reached the engine yet. When the
+ * engine reports a larger sum, the lists were restarted with lower numbers;
+ * then both owners add theirs to the reported one, which keeps the order. A new
+ * process of the same name at the same versions has a later start, and its
+ * predecessor can send nothing any more. Numbers fit in 63 bits: nothing is
+ * owned with a sum of FENCE_VERSION_LIMIT or more, and a state with a fence
+ * above FENCE_LIMIT is not accepted. They are exact in JSON readers that use
+ * doubles up to a sum of 2^24.
  *
  * A process that pauses between the last look at the clock and the write sends
  * a command late. An engine that refuses old fences drops it if the next owner
--- a/include/core/engine_private.h
+++ b/include/core/engine_private.h
@@ -16,7 +16,7 @@
 	char lane[OWNER_KEY_LIMIT];
 	bool owned;
 	time_us_t owned_since;
-	uint64_t owned_version; /* agreed fleet version at that time */
+	uint64_t owned_version; /* fleet and allowances version then, added */
 
 	engine_state_t state;
 	time_us_t state_at; /* when it was asked for; 0: not known */
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -56,8 +56,10 @@
 file_publish(cluster_t *cluster, const char *name, const char *text)
 {
 	g_autofree char *path = g_build_filename(cluster->folder, name, NULL);
+	g_autoptr(GError) error = NULL;
+	bool written = g_file_set_contents(path, text, -1, &error);
 
-	ck_assert(g_file_set_contents(path, text, -1, NULL));
+	ck_assert_msg(written, "%s", written ? "" : error->message);
 }
 
 static void
