tests: kill instances and targets; core: call orders of lost issuers unknown

An order whose ticket was issued by a killed instance was answered 503 peer_unreachable at the others, while the design says 409 outcome_unknown with Retry-After: the issuer may have run it. Cause: forward_end() used the same refusal for every forward of which no byte was written. Ruled out: the member "ran", which was "unknown" already, and the directory.

Change: an order that is passed on to its issuer ends with outcome_unknown when the issuer can't be reached. process_kill guards it, together with the streams of other instances, the directory, a replacement of the same name, resumed streams and orders of a killed target. tests/tcp_relay.c imitates cuts; cluster.c finds the process behind a connection through /proc, since all instances list one address. Stand-in targets record a marker for each arrival, so that "not_run" can be compared with them. Ports lie below the range of outgoing connections: with several clusters at once an instance once failed to come up.

--- a/core/gate_result.c
+++ b/core/gate_result.c
@@ -191,15 +191,19 @@
 forward_end(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
     time_us_t now, GArray *actions)
 {
+	refusal_t reason = REFUSAL_PEER_UNREACHABLE;
+
 	switch (outcome->result) {
 	case FLIGHT_OK:
 		forward_settle(gate, flight, outcome, now);
 		flight_done(gate, flight, outcome, now, actions);
 		break;
 	case FLIGHT_UNSENT:
+		/* Only the issuer knows whether a repeated order has run. */
+		if (flight->order && !flight->order_begun)
+			reason = REFUSAL_TICKET_UNKNOWN;
 		gate_refuse(gate, flight,
-		    flight->cancelled ? flight->cancel_reason
-				      : REFUSAL_PEER_UNREACHABLE,
+		    flight->cancelled ? flight->cancel_reason : reason,
 		    US_PER_S, now, actions);
 		break;
 	case FLIGHT_LOST:
--- a/fakes/fake_target.c
+++ b/fakes/fake_target.c
@@ -28,6 +28,9 @@
 
 #define RECORD_LIMIT 200000
 
+/* Bytes of a prompt or an order that are recorded to tell requests apart. */
+#define MARKER_BYTES 64
+
 typedef struct {
 	int first_ms;
 	int token_ms;
@@ -49,7 +52,7 @@
 	unsigned long tokens;
 	unsigned long cancelled;
 	json_t *orders;
-	json_t *arrivals; /* [time in microseconds, tokens asked for] */
+	json_t *arrivals; /* [microseconds, tokens asked for, marker] */
 	GString *headers; /* every header value seen, for leak checks */
 } fake_target_t;
 
@@ -97,16 +100,19 @@
 }
 
 static void
-arrival_record(fake_target_t *target, fake_request_t *request, long tokens)
+arrival_record(fake_target_t *target, fake_request_t *request, long tokens,
+    const char *marker)
 {
+	g_autofree char *start = g_strndup(marker, MARKER_BYTES);
+
 	pthread_mutex_lock(&target->lock);
 	MHD_get_connection_values(request->connection,
 	    MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND | MHD_COOKIE_KIND,
 	    header_record, target);
 	if (json_array_size(target->arrivals) < RECORD_LIMIT)
 		json_array_append_new(target->arrivals,
-		    json_pack("[I,I]", (json_int_t)g_get_monotonic_time(),
-			(json_int_t)tokens));
+		    json_pack("[I,I,s]", (json_int_t)g_get_monotonic_time(),
+			(json_int_t)tokens, start));
 	pthread_mutex_unlock(&target->lock);
 }
 
@@ -234,9 +240,9 @@
 		return fake_http_reply(request, 400, "application/json", NULL,
 		    "{\"error\":\"prompt is missing\"}\n", 30);
 	}
+	arrival_record(target, request,
+	    tokens - from + (long)prompt_bytes / 4 + 1, prompt);
 	json_decref(body);
-	arrival_record(
-	    target, request, tokens - from + (long)prompt_bytes / 4 + 1);
 	target_enter(target);
 	usleep((useconds_t)target->behaviour.first_ms * 1000);
 	if (stream)
@@ -250,7 +256,7 @@
 	g_autofree char *answer = NULL;
 	size_t number;
 
-	arrival_record(target, request, 1);
+	arrival_record(target, request, 1, request->body->str);
 	target_enter(target);
 	pthread_mutex_lock(&target->lock);
 	json_array_append_new(target->orders, json_string(request->body->str));
@@ -272,7 +278,7 @@
 	g_autofree char *answer =
 	    g_strdup_printf("{\"tree\":\"%s\"}\n", request->path + 7);
 
-	arrival_record(target, request, 1);
+	arrival_record(target, request, 1, request->path);
 	target_enter(target);
 	target_leave(target);
 	return fake_http_reply(
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -7,6 +7,8 @@
 #include <stdint.h>
 #include <sys/types.h>
 
+#include "tcp_relay.h"
+
 /*
  * Separate processes on loopback for the process tests: a stand-in platform,
  * stand-in targets and entry instances in two zones of two regions. Every
@@ -48,8 +50,14 @@
 	bool absent[NODE_COUNT];
 	GString *extra_team; /* YAML of further teams */
 	bool desk_key_withdrawn;
+	int desk_rate;
+	int desk_burst;
 	int small_rate;
 	int small_burst;
+	/* Relays in front of the instances, or NULL; see cluster_relay(). */
+	tcp_relay_t *http_relays[NODE_INSTANCES];
+	tcp_relay_t *peer_relays[NODE_INSTANCES];
+	tcp_relay_t *platform_relays[NODE_INSTANCES];
 } cluster_t;
 
 /* An answer; text has a NUL byte after its len bytes. */
@@ -70,7 +78,34 @@
 /* The same without starting any process: nodes are started one by one. */
 cluster_t *cluster_prepare(void);
 
-/* Ends all processes and removes the folder. */
+/* Starts all nodes of a prepared cluster and waits until they are ready. */
+void cluster_start(cluster_t *cluster);
+
+/*
+ * Puts relays between the instances and between each instance and the platform.
+ * To be called before any list is read. Callers of the tests reach instances
+ * directly.
+ */
+void cluster_relay(cluster_t *cluster);
+
+/* Sets the mode of the connections of both directions between two instances. */
+void cluster_link(
+    cluster_t *cluster, node_t a, node_t b, tcp_relay_mode_t mode);
+
+/* Sets the mode of the connections between the two zones. */
+void cluster_link_zones(cluster_t *cluster, tcp_relay_mode_t mode);
+
+/* Sets the mode of the connections of an instance to the platform. */
+void cluster_link_platform(
+    cluster_t *cluster, node_t node, tcp_relay_mode_t mode);
+
+/* Whether text occurs in the log of any instance. */
+bool cluster_logs_contain(cluster_t *cluster, const char *text);
+
+/*
+ * Ends all processes and removes the folder. Fails when the log of an instance
+ * contains a key.
+ */
 void cluster_destroy(cluster_t *cluster);
 
 void node_start(cluster_t *cluster, node_t node);
@@ -103,7 +138,11 @@
 /* Bytes of the body that have arrived so far. */
 size_t http_task_bytes(http_task_t *task);
 
-/* Reads at most this many bytes a second (0: as fast as they come). */
+/*
+ * Reads at most this many bytes a second (0: as fast as they come), with a
+ * small receive buffer. http_task_hasten() ends the limit.
+ */
+void http_task_hasten(http_task_t *task);
 http_task_t *http_start_slow(
     const char *url, const char *key, const char *body, long bytes_per_s);
 
@@ -111,6 +150,60 @@
 json_t *target_record(cluster_t *cluster, node_t node);
 json_int_t target_count(cluster_t *cluster, node_t node, const char *name);
 
+/* Memory of a process in KiB (VmRSS). */
+long node_rss_kb(cluster_t *cluster, node_t node);
+
+/* How often targets recorded the arrival of each marker: text -> count. */
+GHashTable *cluster_arrivals(cluster_t *cluster);
+unsigned int arrivals_of(GHashTable *arrivals, const char *marker);
+
+/*
+ * Largest excess, in tokens, of the arrivals with this start of the marker
+ * over rate x time + burst in any window.
+ */
+double cluster_rate_excess(
+    cluster_t *cluster, const char *prefix, double rate, double burst);
+
+/* Callers that each send one request after the other. */
+typedef struct {
+	const char *key;
+	const char *tag;    /* start of the marker of each request */
+	unsigned int nodes; /* bit set of the instances; callers take turns */
+	int callers;
+	int interval_ms; /* between the starts of two requests of a caller */
+	int tokens;
+	bool stream;
+} load_spec_t;
+
+typedef struct {
+	char marker[64];
+	node_t node;
+	long status;
+	char code[32];
+	char ran[16];
+	double seconds;
+	bool whole; /* status 200 and the whole body as asked */
+	gint64 at;  /* start, monotonic microseconds */
+} load_result_t;
+
+typedef struct load load_t;
+load_t *load_start(cluster_t *cluster, const load_spec_t *spec);
+
+/* Lets each caller end its request. Returns an array of load_result_t. */
+GArray *load_stop(load_t *load);
+
+/* Results so far. */
+unsigned int load_count(load_t *load);
+
+/* Share of the results that have this error code. */
+double results_share(const GArray *results, const char *code);
+
+/* Latency, in seconds, that this fraction of the whole answers stay under. */
+double results_latency(const GArray *results, double fraction);
+
+/* Fails when a target recorded a request whose answer said "not_run". */
+void results_check_not_run(cluster_t *cluster, const GArray *results);
+
 /* Sets a behaviour of a stand-in target or the platform, such as "mode=down".
  */
 void node_control(cluster_t *cluster, node_t node, const char *setting);
@@ -122,6 +215,20 @@
 const char *error_code(const answer_t *answer);
 const char *error_ran(const answer_t *answer);
 
+/* Whether a stream has the tokens 0 to n - 1 once each, in order, and an end.
+ */
+bool stream_is_whole(const answer_t *answer, int n);
+
+/* The target, of first to last, that runs a request now, or NODE_COUNT. */
+node_t target_busy(cluster_t *cluster, node_t first, node_t last);
+
+/*
+ * Whether a node's directory for callers of region stred names no other
+ * instance after this one.
+ */
+bool directory_names_last(
+    cluster_t *cluster, node_t node, const char *instance);
+
 /* Takes a ticket for team tag-desk. The caller frees it. */
 char *ticket_take(cluster_t *cluster, node_t node);
 
@@ -140,5 +247,9 @@
 #define DESK_KEY "demo-desk-key"
 #define PARISH_KEY "demo-parish-key"
 #define GUEST_KEY "demo-guest-key"
+#define SPARE_KEY "spare-desk-key"
+
+#define GENERATE "/v1/services/epitaph-writer/generate"
+#define ORDERS "/v1/services/tag-registry/orders"
 
 #endif
--- a/tests/process_path.c
+++ b/tests/process_path.c
@@ -5,8 +5,6 @@
 #include "cluster.h"
 #include "test.h"
 
-#define GENERATE "/v1/services/epitaph-writer/generate"
-#define ORDERS "/v1/services/tag-registry/orders"
 #define STREAM_30 \
 	"{\"prompt\":\"an epitaph\",\"max_tokens\":30,\"stream\":true}"
 #define STREAM_LONG "{\"prompt\":\"a log\",\"max_tokens\":4000,\"stream\":true}"
