core: tell other instances of a poison request at once

A caller that repeated a request with the crash marker at several instances stopped 4 engines of its home region, and 7 and 8 engines over two regions; the goal is two. Cause: stamps of lost targets travelled with heartbeats only, every 1 s in the zone, while the caller repeats within milliseconds, and never left the region, also for teams that any region serves. Ruled out: the retry rules, and a limit of 100 ms between such heartbeats, with which 3 engines still stopped, as a first loss was told too late.

Change: a loss sends heartbeats before any retry is decided; the peer client keeps only the newest that waits for a peer. The stamp of a team without a home also goes to other regions; that of a team with a home stays in its region as before (poison_fill_abroad).

Remaining: a retry that is forwarded to another zone can overtake the heartbeat that tells of its first loss, and callers that repeat at several instances at the same time are not covered.

--- a/core/gate_internal.h
+++ b/core/gate_internal.h
@@ -188,6 +188,9 @@
 /* Periodic messages to peers. */
 void gate_tick_peers(gate_t *gate, time_us_t now, GArray *actions);
 
+/* Sends heartbeats now. Of those that wait for a peer one is sent. */
+void gate_hasten_heartbeats(gate_t *gate, time_us_t now, GArray *actions);
+
 /* Returns the wait queue of a service, created on first use. */
 queue_t *gate_queue(gate_t *gate, const char *service);
 
--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -211,10 +211,11 @@
 	out->ready = gate_is_ready(gate, now);
 	out->draining = gate->draining;
 	load_fill(gate, out);
-	out->n_poison = 0;
-	/* A digest of content doesn't leave the region either. */
+	/* A digest of a home region's content doesn't leave it either. */
 	if (peer_in_region(gate, peer))
 		poison_fill(gate->poison, out, now);
+	else
+		poison_fill_abroad(gate->poison, out, now);
 }
 
 void
@@ -243,8 +244,7 @@
 	peer->draining = in->draining;
 	peer->reachable = true;
 	spill_observe(gate->spill, in, now);
-	if (peer_in_region(gate, in->sender))
-		poison_merge(gate->poison, in, now);
+	poison_merge(gate->poison, in, now);
 	for (int i = 0; i < LIST_COUNT; i++) {
 		gate_action_t *action;
 
@@ -401,3 +401,11 @@
 		allotment_each(gate->allotment, team_visit, &visit);
 	}
 }
+
+void
+gate_hasten_heartbeats(gate_t *gate, time_us_t now, GArray *actions)
+{
+	gate->heartbeat_near_at = now;
+	gate->heartbeat_far_at = now;
+	gate_tick_peers(gate, now, actions);
+}
--- a/core/gate_result.c
+++ b/core/gate_result.c
@@ -87,18 +87,28 @@
 	}
 }
 
-/* Counts a lost target against the request. Must precede any retry. */
+/*
+ * Counts a lost target against the request. Must precede any retry. The other
+ * instances are told before it, because a caller repeats its request at one of
+ * them sooner than the next heartbeat is due.
+ */
 static uint32_t
 loss_record(gate_t *gate, const flight_t *flight,
-    const flight_outcome_t *outcome, time_us_t now)
+    const flight_outcome_t *outcome, time_us_t now, GArray *actions)
 {
+	const team_t *team = plans_find_team(gate->view.plans, flight->team);
 	route_view_t view;
+	uint32_t lost;
 
 	if (outcome->result != FLIGHT_LOST ||
 	    !route_view(gate->route, flight->target, now, &view))
 		return 0;
-	return poison_lost(
+	lost = poison_lost(
 	    gate->poison, flight->body.digest, view.name, flight->sent_at, now);
+	if (team == NULL || team->home == NULL)
+		poison_allow_abroad(gate->poison, flight->body.digest);
+	gate_hasten_heartbeats(gate, now, actions);
+	return lost;
 }
 
 static route_result_t
@@ -135,7 +145,8 @@
 own_attempt_end(gate_t *gate, flight_t *flight, const flight_outcome_t *outcome,
     time_us_t now, GArray *actions)
 {
-	uint32_t targets_lost = loss_record(gate, flight, outcome, now);
+	uint32_t targets_lost =
+	    loss_record(gate, flight, outcome, now, actions);
 
 	target_release(gate, flight, outcome, now);
 	switch (outcome->result) {
--- a/core/poison.c
+++ b/core/poison.c
@@ -27,7 +27,8 @@
 	lost_target_t targets[TARGET_LIMIT];
 	zone_count_t others[POISON_ZONE_LIMIT];
 	bool refused;
-	GList age; /* in poison_table.suspects or .refused */
+	bool abroad; /* may leave the region */
+	GList age;   /* in poison_table.suspects or .refused */
 	GList own_age;
 } poison_entry_t;
 
@@ -298,7 +299,17 @@
 }
 
 void
-poison_fill(const poison_table_t *table, heartbeat_t *heartbeat, time_us_t now)
+poison_allow_abroad(poison_table_t *table, const uint8_t digest[DIGEST_BYTES])
+{
+	poison_entry_t *entry = g_hash_table_lookup(table->by_digest, digest);
+
+	if (entry != NULL)
+		entry->abroad = true;
+}
+
+static void
+stamps_fill(const poison_table_t *table, heartbeat_t *heartbeat, bool abroad,
+    time_us_t now)
 {
 	heartbeat->n_poison = 0;
 	for (const GList *item = table->own.head; item != NULL;
@@ -309,12 +320,27 @@
 		if (heartbeat->n_poison == HEARTBEAT_POISON_LIMIT ||
 		    entry->own_lost_at + POISON_LIFE_US <= now)
 			break;
+		if (abroad && !entry->abroad)
+			continue;
 		stamp = &heartbeat->poison[heartbeat->n_poison++];
 		memcpy(stamp->digest, entry->digest, DIGEST_BYTES);
 		stamp->targets_lost = entry->own;
 	}
 }
 
+void
+poison_fill(const poison_table_t *table, heartbeat_t *heartbeat, time_us_t now)
+{
+	stamps_fill(table, heartbeat, false, now);
+}
+
+void
+poison_fill_abroad(
+    const poison_table_t *table, heartbeat_t *heartbeat, time_us_t now)
+{
+	stamps_fill(table, heartbeat, true, now);
+}
+
 size_t
 poison_count(const poison_table_t *table)
 {
--- a/include/core/poison.h
+++ b/include/core/poison.h
@@ -57,7 +57,11 @@
 uint32_t poison_lost(poison_table_t *table, const uint8_t digest[DIGEST_BYTES],
     const char *target, time_us_t dispatched_at, time_us_t now);
 
-/* Merges the stamps of a peer of the region. */
+/* The digest may leave the region: the team of the request has no home. */
+void poison_allow_abroad(
+    poison_table_t *table, const uint8_t digest[DIGEST_BYTES]);
+
+/* Merges the stamps of a peer. */
 void poison_merge(
     poison_table_t *table, const heartbeat_t *peer, time_us_t now);
 
@@ -69,6 +73,10 @@
 void poison_fill(
     const poison_table_t *table, heartbeat_t *heartbeat, time_us_t now);
 
+/* The same for a peer of another region. */
+void poison_fill_abroad(
+    const poison_table_t *table, heartbeat_t *heartbeat, time_us_t now);
+
 /* Drops entries that are over. Returns how many. */
 size_t poison_expire(poison_table_t *table, time_us_t now);
 
