--- a/core/queue.c
+++ b/core/queue.c
@@ -56,14 +56,17 @@
 	}
 }
 
-/* Time to drain the tokens; 0 while the rate is not known. */
+/*
+ * Time to drain the tokens; 0 while the rate is not known. Where nothing was
+ * started, all that is known is that the wait is as long as the past one.
+ */
 static time_us_t
 rate_time(const queue_t *queue, int64_t tokens)
 {
 	if (queue->busy < RATE_MIN_US || tokens == 0)
 		return 0;
 	if (queue->drained == 0)
-		return QUEUE_RETRY_MAX_US;
+		return MIN(queue->busy, QUEUE_RETRY_MAX_US);
 	return (time_us_t)((double)tokens * (double)queue->busy /
 			   (double)queue->drained);
 }
