edge: ask for the port as text; core: charge a retry that is refused

Cause: clang-tidy reported the port of a listen socket as not initialized; a flight whose retry was refused after a written attempt got all its tokens back, although the first target may have computed them.

Ruled out: a note to switch the check off.

Change: getnameinfo for the port; such a flight is charged what it reserved.

--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -20,7 +20,8 @@
 {
 	gate_action_t *action;
 
-	gate_settle(gate, flight, 0, now);
+	/* What an attempt with written bytes used is not known any more. */
+	gate_settle(gate, flight, flight->written ? -1 : 0, now);
 	if (flight->order_begun)
 		order_unsent(gate->orders, flight->order_handle);
 	action = gate_action(gate, actions, ACTION_REFUSE, flight);
--- a/edge/server.c
+++ b/edge/server.c
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <netdb.h>
 #include <netinet/in.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -286,11 +287,12 @@
 {
 	struct sockaddr_storage address = {0};
 	socklen_t size = sizeof(address);
+	char port[8] = "0";
 
 	getsockname(fd, (struct sockaddr *)&address, &size);
-	if (address.ss_family == AF_INET6)
-		return ntohs(((struct sockaddr_in6 *)&address)->sin6_port);
-	return ntohs(((struct sockaddr_in *)&address)->sin_port);
+	getnameinfo((struct sockaddr *)&address, size, NULL, 0, port,
+	    sizeof(port), NI_NUMERICSERV);
+	return (uint16_t)strtoul(port, NULL, 10);
 }
 
 static int
