core: keep one random generator

Ruled out: GLib's, whose sequence is not fixed over versions, so that seeds would not replay.

Conclusion: no change of behaviour.

--- a/core/gate.c
+++ b/core/gate.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/random.h"
 #include "gate_internal.h"
 
 flight_t *
@@ -26,15 +27,10 @@
 	    (uint32_t)(flight - gate->flights), flight->generation);
 }
 
-/* splitmix64 */
 uint64_t
 gate_random(gate_t *gate)
 {
-	uint64_t z = (gate->random += UINT64_C(0x9e3779b97f4a7c15));
-
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return z ^ (z >> 31);
+	return random_next(&gate->random);
 }
 
 gate_action_t *
--- a/cyclamensailctl/bench_send.c
+++ b/cyclamensailctl/bench_send.c
@@ -5,6 +5,7 @@
 
 #include "bench.h"
 #include "common/clock.h"
+#include "core/random.h"
 
 /* Bytes of an error answer that are searched for its code. */
 #define ERROR_TEXT_LIMIT 4096
@@ -60,15 +61,12 @@
 	(*count)++;
 }
 
-/* Returns a fraction in (0, 1] from a splitmix64 sequence. */
+/* Returns a fraction in (0, 1] from a random sequence. */
 static double
 random_fraction(uint64_t *state)
 {
-	uint64_t z = (*state += UINT64_C(0x9e3779b97f4a7c15));
+	uint64_t z = random_next(state);
 
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	z ^= z >> 31;
 	return (double)((z >> 11) + 1) / 9007199254740992.0;
 }
 
--- a/tests/random.h
+++ b/tests/random.h
@@ -5,6 +5,8 @@
 #include <stdint.h>
 #include <stdlib.h>
 
+#include "core/random.h"
+
 /*
  * Random schedules. TEST_SEED=n replays the one schedule whose failure printed
  * that seed; otherwise seeds 1..RANDOM_RUNS are run.
@@ -33,17 +35,6 @@
 			    (unsigned long)(seed), #condition); \
 	} while (0)
 
-/* SplitMix64. */
-static inline uint64_t
-random_next(uint64_t *state)
-{
-	uint64_t z = (*state += 0x9e3779b97f4a7c15u);
-
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
-	return z ^ (z >> 31);
-}
-
 static inline uint32_t
 random_below(uint64_t *state, uint32_t limit)
 {
--- a/tests/schedule.h
+++ b/tests/schedule.h
@@ -7,6 +7,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "core/random.h"
+
 /*
  * Seeded random schedules over a virtual clock. A schedule is a function of its
  * seed alone, so a failure is replayed with TEST_SEED=n in the environment.
@@ -18,11 +20,7 @@
 static inline uint64_t
 rng_next(rng_t *rng)
 {
-	uint64_t z = rng->state += 0x9e3779b97f4a7c15;
-
-	z = (z ^ z >> 30) * 0xbf58476d1ce4e5b9;
-	z = (z ^ z >> 27) * 0x94d049bb133111eb;
-	return z ^ z >> 31;
+	return random_next(&rng->state);
 }
 
 static inline int64_t
