tests: share the frame of the process tests; fakes: take the relay in

Cause: seven process tests repeated their fixture and main; the relay is a stand-in for the network, like the other stand-ins.

Ruled out: dropping tests; each function and check is as before.

Change: CLUSTER_MAIN in tests/cluster.h; tcp_relay moves to fakes.

Conclusion: the tests are the same.

--- a/tests/tcp_relay.h
+++ b/fakes/tcp_relay.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_TCP_RELAY_H
-#define TESTS_TCP_RELAY_H
+#ifndef FAKES_TCP_RELAY_H
+#define FAKES_TCP_RELAY_H
 
 /*
  * A TCP relay on loopback in a thread of its own. It imitates faults of the
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -15,6 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#define CASE_TIMEOUT_S 120
 #define PORT_FIRST 10000
 #define PORT_LAST 32000
 
@@ -1218,3 +1219,16 @@
 	}
 	g_hash_table_destroy(arrivals);
 }
+
+void
+cluster_case_add(Suite *suite, const char *name, SFun setup, SFun teardown,
+    const TTest *const *tests, size_t n)
+{
+	TCase *tcase = tcase_create(name);
+
+	tcase_add_unchecked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, CASE_TIMEOUT_S);
+	for (size_t i = 0; i < n; i++)
+		tcase_add_test(tcase, tests[i]);
+	suite_add_tcase(suite, tcase);
+}
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_CLUSTER_H
 #define TESTS_CLUSTER_H
 
+#include <check.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
@@ -258,4 +259,25 @@
 #define GENERATE "/v1/services/epitaph-writer/generate"
 #define ORDERS "/v1/services/tag-registry/orders"
 
+/* Adds one case whose tests share a cluster that setup starts. */
+void cluster_case_add(Suite *suite, const char *name, SFun setup, SFun teardown,
+    const TTest *const *tests, size_t n);
+
+/*
+ * Defines main() of a program whose tests share the file's variable cluster,
+ * which setup starts. The tests follow in the order in which they run.
+ */
+#define CLUSTER_MAIN(name, setup, ...)                                        \
+	static void cluster_teardown(void)                                    \
+	{                                                                     \
+		cluster_destroy(cluster);                                     \
+	}                                                                     \
+	static void cluster_fill(Suite *suite)                                \
+	{                                                                     \
+		const TTest *const tests[] = {__VA_ARGS__};                   \
+		cluster_case_add(suite, name, setup, cluster_teardown, tests, \
+		    G_N_ELEMENTS(tests));                                     \
+	}                                                                     \
+	TEST_MAIN(name, cluster_fill)
+
 #endif
--- a/tests/process_cut.c
+++ b/tests/process_cut.c
@@ -272,26 +272,8 @@
 	cluster_start(cluster);
 }
 
-static void
-teardown(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("cut");
-
-	tcase_add_unchecked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, withdrawal_with_the_platform);
-	tcase_add_test(tcase, older_list_is_ignored_and_counted);
-	tcase_add_test(tcase, zones_cut_from_each_other);
-	/* Last: after an outage reads start again with a delay up to 30 s. */
-	tcase_add_test(tcase, withdrawal_through_peers);
-	tcase_add_test(tcase, instances_serve_without_the_platform);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("cut", fill)
+/* Withdrawal through peers runs late: after an outage reads start again with a
+ * delay up to 30 s. */
+CLUSTER_MAIN("cut", setup, withdrawal_with_the_platform,
+    older_list_is_ignored_and_counted, zones_cut_from_each_other,
+    withdrawal_through_peers, instances_serve_without_the_platform)
--- a/tests/process_drain.c
+++ b/tests/process_drain.c
@@ -161,22 +161,5 @@
 	cluster_start(cluster);
 }
 
-static void
-teardown(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("drain");
-
-	tcase_add_unchecked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, leaving_target_ends_its_work);
-	tcase_add_test(tcase, stopped_instance_ends_its_work);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("drain", fill)
+CLUSTER_MAIN("drain", setup, leaving_target_ends_its_work,
+    stopped_instance_ends_its_work)
--- a/tests/process_kill.c
+++ b/tests/process_kill.c
@@ -168,23 +168,6 @@
 	cluster = cluster_create();
 }
 
-static void
-teardown(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("kill");
-
-	tcase_add_unchecked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, killed_instance_harms_no_other);
-	tcase_add_test(tcase, stream_goes_on_when_its_target_is_killed);
-	tcase_add_test(tcase, order_of_a_killed_target_is_unknown);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("kill", fill)
+CLUSTER_MAIN("kill", setup, killed_instance_harms_no_other,
+    stream_goes_on_when_its_target_is_killed,
+    order_of_a_killed_target_is_unknown)
--- a/tests/process_load.c
+++ b/tests/process_load.c
@@ -316,25 +316,6 @@
 	cluster_start(cluster);
 }
 
-static void
-teardown(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("load");
-
-	tcase_add_unchecked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, rate_holds_over_all_instances);
-	tcase_add_test(tcase, load_within_rate_is_served);
-	tcase_add_test(tcase, home_data_stays_in_its_region);
-	tcase_add_test(tcase, idle_connections_harm_no_request);
-	tcase_add_test(tcase, slow_readers_are_bounded);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("load", fill)
+CLUSTER_MAIN("load", setup, rate_holds_over_all_instances,
+    load_within_rate_is_served, home_data_stays_in_its_region,
+    idle_connections_harm_no_request, slow_readers_are_bounded)
--- a/tests/process_path.c
+++ b/tests/process_path.c
@@ -261,32 +261,10 @@
 	cluster = cluster_create();
 }
 
-static void
-path_teardown(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("path");
-
-	tcase_add_unchecked_fixture(tcase, path_setup, path_teardown);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, streamed_answer_is_whole);
-	tcase_add_test(tcase, whole_json_answer_arrives);
-	tcase_add_test(tcase, home_region_is_kept);
-	tcase_add_test(tcase, directory_names_home_instances_only);
-	tcase_add_test(tcase, order_runs_once);
-	tcase_add_test(tcase, order_without_ticket_is_not_run);
-	tcase_add_test(tcase, order_is_sent_once_when_target_closes);
-	tcase_add_test(tcase, key_in_query_is_refused);
-	tcase_add_test(tcase, bad_input_gets_clear_errors);
-	tcase_add_test(tcase, large_body_is_refused_before_it_is_read);
-	tcase_add_test(tcase, targets_never_see_keys);
-	tcase_add_test(tcase, withdrawn_key_ends_its_stream);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("path", fill)
+CLUSTER_MAIN("path", path_setup, streamed_answer_is_whole,
+    whole_json_answer_arrives, home_region_is_kept,
+    directory_names_home_instances_only, order_runs_once,
+    order_without_ticket_is_not_run, order_is_sent_once_when_target_closes,
+    key_in_query_is_refused, bad_input_gets_clear_errors,
+    large_body_is_refused_before_it_is_read, targets_never_see_keys,
+    withdrawn_key_ends_its_stream)
--- a/tests/process_pause.c
+++ b/tests/process_pause.c
@@ -133,21 +133,4 @@
 	cluster_start(cluster);
 }
 
-static void
-teardown(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("pause");
-
-	tcase_add_unchecked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, paused_instance_wakes_without_old_rights);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("pause", fill)
+CLUSTER_MAIN("pause", setup, paused_instance_wakes_without_old_rights)
--- a/tests/process_poison.c
+++ b/tests/process_poison.c
@@ -84,23 +84,5 @@
 	cluster = cluster_create();
 }
 
-static void
-teardown(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("poison");
-
-	tcase_add_unchecked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, poison_request_stops_at_most_two_engines);
-	tcase_add_test(
-	    tcase, poison_request_at_two_regions_stops_at_most_two_engines);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("poison", fill)
+CLUSTER_MAIN("poison", setup, poison_request_stops_at_most_two_engines,
+    poison_request_at_two_regions_stops_at_most_two_engines)
