core, edge: remove what nothing uses

Cause: the last read of the whole change found a refusal reason that is never given (slow_reader), two facts of a flight that nobody reads, and a port of the HTTP server that nobody asks for.

Ruled out: giving slow_reader; libmicrohttpd closes such a connection itself, and its caller reads no answer any more.

No second whole run of make check.

Conclusion: no change of behaviour.

--- a/core/gate.c
+++ b/core/gate.c
@@ -299,7 +299,6 @@
 	g_strlcpy(info->team, flight->team, sizeof(info->team));
 	info->engine = flight->engine;
 	info->order = flight->order;
-	info->idempotent = flight->idempotent;
 	return true;
 }
 
--- a/core/refusal.c
+++ b/core/refusal.c
@@ -95,9 +95,6 @@
     [REFUSAL_TARGET_TIMEOUT] = {"target_timeout", 504, RAN_UNKNOWN,
 	"The target did not answer in time.",
 	"Repeat the request if running it twice is harmless."},
-    [REFUSAL_SLOW_READER] = {"slow_reader", 408, RAN_UNKNOWN,
-	"The caller read nothing of its answer for too long.",
-	"Read the answer as it arrives."},
     [REFUSAL_CALLER_GONE] = {"caller_gone", 499, RAN_UNKNOWN,
 	"The caller closed its connection.", "Nothing to do."},
 };
--- a/edge/internal.h
+++ b/edge/internal.h
@@ -48,7 +48,6 @@
 	uint64_t memory_limit;
 	uint64_t memory;
 	int listen_fd;
-	uint16_t port;
 	struct edge_server_settings *settings;
 };
 
--- a/edge/server.c
+++ b/edge/server.c
@@ -282,21 +282,8 @@
 	return -1;
 }
 
-static uint16_t
-socket_port(int fd)
-{
-	struct sockaddr_storage address = {0};
-	socklen_t size = sizeof(address);
-	char port[8] = "0";
-
-	getsockname(fd, (struct sockaddr *)&address, &size);
-	getnameinfo((struct sockaddr *)&address, size, NULL, 0, port,
-	    sizeof(port), NI_NUMERICSERV);
-	return (uint16_t)strtoul(port, NULL, 10);
-}
-
 static int
-socket_listen(const edge_options_t *options, uint16_t *port, GError **error)
+socket_listen(const edge_options_t *options, GError **error)
 {
 	struct addrinfo hints = {
 	    .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV | AI_PASSIVE,
@@ -321,7 +308,6 @@
 		    options->address, service, g_strerror(errno));
 		return -1;
 	}
-	*port = socket_port(fd);
 	return fd;
 }
 
@@ -342,7 +328,7 @@
 	server->settings->idle_timeout_s = options->idle_timeout_s;
 	server->settings->certificate = g_strdup(options->tls_certificate);
 	server->settings->key = g_strdup(options->tls_key);
-	server->listen_fd = socket_listen(options, &server->port, error);
+	server->listen_fd = socket_listen(options, error);
 	if (server->listen_fd >= 0) {
 		server->daemon = daemon_start(server);
 		if (server->daemon != NULL)
@@ -355,12 +341,6 @@
 	return NULL;
 }
 
-uint16_t
-edge_server_port(const edge_server_t *server)
-{
-	return server->port;
-}
-
 bool
 edge_server_set_certificate(edge_server_t *server, const char *certificate,
     const char *key, GError **error)
--- a/include/core/gate.h
+++ b/include/core/gate.h
@@ -145,10 +145,8 @@
 /* Facts about a flight that the I/O side needs. */
 typedef struct {
 	char team[NAME_LIMIT + 1];
-	char region[NAME_LIMIT + 1]; /* home region, or "" */
 	bool engine;
 	bool order;
-	bool idempotent;
 } flight_info_t;
 
 gate_t *gate_create(const gate_options_t *options);
--- a/include/core/refusal.h
+++ b/include/core/refusal.h
@@ -38,7 +38,6 @@
 	REFUSAL_PEER_UNREACHABLE,
 	REFUSAL_TARGET_LOST,
 	REFUSAL_TARGET_TIMEOUT,
-	REFUSAL_SLOW_READER,
 	REFUSAL_CALLER_GONE, /* the caller closed its connection */
 	REFUSAL_COUNT
 } refusal_t;
--- a/include/edge/server.h
+++ b/include/edge/server.h
@@ -24,9 +24,6 @@
 edge_server_t *edge_server_create(const edge_options_t *options,
     const edge_handlers_t *handlers, GError **error);
 
-/* Port that the server listens on. */
-uint16_t edge_server_port(const edge_server_t *server);
-
 /* Bytes held in request bodies and answer buffers now. */
 size_t edge_server_memory(const edge_server_t *server);
 
