core: let loans follow a load that starts or moves

Asks for the largest waiting request alone don't help, it is 40 tokens.

Change: a second estimate over 1 s. A borrower whose tokens last less than 0.5 s goes by the larger one, a lender keeps at most twice the second one. Asks of a short team overlap every 40 ms unless the last answer brought nothing or 8 are unanswered. The test tries waiting requests in order of arrival, as the gate does, and counts 10 seeds in place of one.

--- a/core/allotment.c
+++ b/core/allotment.c
@@ -17,12 +17,17 @@
 	int64_t burst; /* of the whole team, tokens */
 	share_t own;   /* as last applied, less what is lent */
 	uint64_t epoch;
-	double demand; /* tokens a second, at demand_at */
+	/* Tokens a second at demand_at, smoothed over DEMAND_TAU_US and over
+	 * DEMAND_RECENT_TAU_US. */
+	double demand;
+	double recent;
 	time_us_t demand_at;
 	time_us_t used_at;
-	int64_t short_tokens;  /* largest request that waits for tokens */
-	time_us_t short_until; /* after which it has given up */
-	uint64_t asked_id;     /* request that is not answered; 0: none */
+	int64_t short_tokens;	 /* largest request that waits for tokens */
+	time_us_t short_until;	 /* after which it has given up */
+	uint64_t asked_id;	 /* of the latest ask */
+	unsigned int unanswered; /* asks since the latest answer */
+	bool ask_refused;	 /* the latest answer brought nothing */
 	time_us_t next_ask_at;
 } entry_t;
 
@@ -35,6 +40,16 @@
 	GHashTable *teams; /* name -> entry_t */
 };
 
+/* Time constant of the estimate that follows a change of the load at once. */
+#define DEMAND_RECENT_TAU_US (1 * US_PER_S)
+/* Tokens that last for less than this are few. */
+#define TOKENS_LOW_US (500 * US_PER_MS)
+
+/* Between two asks of a team that is short. */
+#define LOAN_ASK_GAP_US (40 * US_PER_MS)
+/* Asks without any answer after which they don't overlap any more. */
+#define LOAN_ASKS_LIMIT 8
+
 /* A request that is short of tokens waits this long for a loan. */
 #define LOAN_WAIT_US (500 * US_PER_MS)
 
@@ -215,6 +230,8 @@
 	if (now <= entry->demand_at)
 		return;
 	entry->demand *= exp(-(double)(now - entry->demand_at) / DEMAND_TAU_US);
+	entry->recent *=
+	    exp(-(double)(now - entry->demand_at) / DEMAND_RECENT_TAU_US);
 	entry->demand_at = now;
 }
 
@@ -223,20 +240,21 @@
 {
 	demand_decay(entry, now);
 	entry->demand += tokens * US_PER_S / DEMAND_TAU_US;
-	if (entry->demand < 0)
-		entry->demand = 0;
+	entry->demand = MAX(entry->demand, 0);
+	/* Tokens that come back unused were held when it counted. */
+	if (tokens > 0)
+		entry->recent += tokens * US_PER_S / DEMAND_RECENT_TAU_US;
 }
 
 /* Demand as a share of the team's rate, times a margin; at most SHARE_ONE. */
 static share_t
-demand_share(entry_t *entry, double margin, time_us_t now)
+demand_share(const entry_t *entry, double demand, double margin)
 {
 	double share;
 
-	demand_decay(entry, now);
 	if (entry->rate <= 0)
 		return 0;
-	share = entry->demand * margin / (double)entry->rate;
+	share = demand * margin / (double)entry->rate;
 	return share >= 1 ? SHARE_ONE : (share_t)(share * SHARE_ONE);
 }
 
@@ -297,12 +315,28 @@
 		demand_add(entry, -(double)unused, now);
 }
 
+static bool
+tokens_are_few(entry_t *entry, time_us_t now)
+{
+	double needed =
+	    entry->recent * (TOKENS_LOW_US / (double)US_PER_S) * TOKEN_MICRO;
+
+	return (double)bucket_level(entry->bucket, now) < needed;
+}
+
 /* The share that would serve the demand and the largest waiting request. */
 static share_t
 entry_wanted(entry_t *entry, time_us_t now)
 {
-	share_t share = demand_share(entry, BORROWER_MARGIN, now);
+	double demand;
+	share_t share;
 
+	demand_decay(entry, now);
+	demand = entry->demand;
+	/* A load that has just come needs loans before the tokens run out. */
+	if (tokens_are_few(entry, now))
+		demand = MAX(demand, entry->recent);
+	share = demand_share(entry, demand, BORROWER_MARGIN);
 	if (now >= entry->short_until)
 		entry->short_tokens = 0;
 	if (entry->short_tokens > 0 && entry->burst > 0) {
@@ -315,6 +349,20 @@
 	return share;
 }
 
+/*
+ * Asks of a team that is short overlap, as an answer from another region takes
+ * longer than its tokens last. Not while nothing is to be had or nobody
+ * answers.
+ */
+static time_us_t
+ask_interval(const entry_t *entry)
+{
+	if (entry->short_tokens > 0 && !entry->ask_refused &&
+	    entry->unanswered < LOAN_ASKS_LIMIT)
+		return LOAN_ASK_GAP_US;
+	return LOAN_TIMEOUT_US;
+}
+
 static void
 ask_fill(allotment_t *a, const char *team, time_us_t now, loan_ask_t *ask)
 {
@@ -385,7 +433,8 @@
 		    tokens_wanted(entry, ask->request.share, now);
 	}
 	entry->asked_id = ask->request.request_id;
-	entry->next_ask_at = now + LOAN_TIMEOUT_US;
+	entry->unanswered++;
+	entry->next_ask_at = now + ask_interval(entry);
 	return true;
 }
 
@@ -393,8 +442,12 @@
 static share_t
 entry_kept(entry_t *entry, time_us_t now)
 {
-	share_t kept = demand_share(entry, LENDER_MARGIN, now);
+	share_t kept;
 
+	demand_decay(entry, now);
+	/* A load that has just gone away leaves its share to others. */
+	kept = demand_share(
+	    entry, MIN(entry->demand, 2 * entry->recent), LENDER_MARGIN);
 	if (entry->short_tokens > 0 && now < entry->short_until)
 		kept = MAX(kept, entry_wanted(entry, now));
 	return kept;
@@ -480,10 +533,12 @@
 		entry_refresh(a, grant->team, entry, now);
 		bucket_add(entry->bucket, grant->tokens, now);
 	}
-	if (grant->request_id != entry->asked_id)
-		return;
-	entry->asked_id = 0;
-	entry->next_ask_at = grant->loan_id != 0 ? now : now + LOAN_RETRY_US;
+	entry->unanswered = 0;
+	entry->ask_refused = grant->loan_id == 0;
+	if (entry->ask_refused)
+		entry->next_ask_at = now + LOAN_RETRY_US;
+	else if (grant->request_id == entry->asked_id)
+		entry->next_ask_at = now;
 }
 
 bool
--- a/tests/test_share_load.c
+++ b/tests/test_share_load.c
@@ -10,7 +10,15 @@
  * requests cost 1 to 40 tokens.
  */
 
-typedef enum { LOAD_EVEN, LOAD_ONE, LOAD_CUT, LOAD_LOST } load_t;
+typedef enum {
+	LOAD_EVEN,
+	LOAD_ONE,
+	LOAD_MOVED,   /* even, then at one instance only */
+	LOAD_STARTED, /* none, then at one instance only */
+	LOAD_CUT,
+	LOAD_LOST,
+	LOAD_COUNT
+} load_t;
 
 typedef struct {
 	int process;
@@ -19,15 +27,32 @@
 } waiting_t;
 
 #define STEP (10 * US_PER_MS)
+#define STEPS_PER_S 100
 #define WARM_S 40
 #define MEASURED_S 60
+/* Loans follow a load that starts or moves within this time. */
+#define RAMP_S 2
+#define SEEDS 10
+
+/* Requests of one run, before and after the ramp. */
+typedef struct {
+	int arrived[2];
+	int refused[2];
+} counts_t;
+
+static bool
+load_is_at_one(load_t load, bool warm)
+{
+	return load == LOAD_ONE || load == LOAD_STARTED ||
+	       (load == LOAD_MOVED && warm);
+}
 
 static int
-load_target(world_t *w, load_t load, int lost)
+load_target(world_t *w, load_t load, bool warm, int lost)
 {
 	int process = 1;
 
-	if (load == LOAD_ONE)
+	if (load_is_at_one(load, warm))
 		return process;
 	do
 		process = g_rand_int_range(w->rand, 0, w->n_processes);
@@ -35,22 +60,26 @@
 	return process;
 }
 
-static void
-arrivals_add(world_t *w, GArray *waiting, load_t load, double use, int lost)
+/* Returns the number of new requests. */
+static int
+arrivals_add(
+    world_t *w, GArray *waiting, load_t load, bool warm, double use, int lost)
 {
 	/* 20.5 tokens on average. */
 	double each = use * 1000 * STEP / US_PER_S / 20.5;
 
 	if (g_rand_double(w->rand) < each) {
-		waiting_t request = {load_target(w, load, lost),
+		waiting_t request = {load_target(w, load, warm, lost),
 		    g_rand_int_range(w->rand, 1, 41), w->now};
 
 		g_array_append_val(waiting, request);
+		return 1;
 	}
+	return 0;
 }
 
 static bool
-request_is_over(world_t *w, waiting_t *request, int *refused)
+request_is_over(world_t *w, const waiting_t *request, int *refused)
 {
 	process_t *p = &w->processes[request->process];
 	allotment_result_t result;
@@ -67,72 +96,106 @@
 	return true;
 }
 
-/* Returns the part of the requests that is refused, in percent. */
-static double
-load_run(load_t load, double use)
+/* Tries the requests in order of arrival. Returns the number refused. */
+static int
+waiting_try(world_t *w, GArray *waiting)
+{
+	int refused = 0;
+
+	for (guint i = 0; i < waiting->len;) {
+		if (request_is_over(
+			w, &g_array_index(waiting, waiting_t, i), &refused))
+			g_array_remove_index(waiting, i);
+		else
+			i++;
+	}
+	for (int i = 0; i < w->n_processes; i++) {
+		if (w->processes[i].alive)
+			world_borrow(w, i, 0);
+	}
+	return refused;
+}
+
+static void
+fault_begin(world_t *w, load_t load, int lost)
+{
+	if (load == LOAD_CUT) {
+		w->cut_zones = 4;
+		w->cut_until = INT64_MAX;
+	}
+	if (load == LOAD_LOST)
+		world_lose(w, lost, 10 * US_PER_S);
+}
+
+static void
+load_run(load_t load, double use, uint32_t seed, counts_t *counts)
 {
 	world_knobs_t knobs = {.step = STEP,
 	    .zone_beat = US_PER_S,
 	    .other_beat = 5 * US_PER_S,
 	    .region_delay = 80 * US_PER_MS};
-	world_t *w = world_create(7, knobs);
+	world_t *w = world_create(seed, knobs);
 	GArray *waiting = g_array_new(FALSE, FALSE, sizeof(waiting_t));
-	int refused = 0, arrived = 0, lost = -1;
-
-	for (int s = 0; s < (WARM_S + MEASURED_S) * 100; s++) {
-		guint before = waiting->len;
-
-		if (s == WARM_S * 100) {
-			refused = arrived = 0;
-			if (load == LOAD_CUT) {
-				w->cut_zones = 4;
-				w->cut_until = INT64_MAX;
-			}
-			if (load == LOAD_LOST) {
-				lost = 2;
-				world_lose(w, lost, 10 * US_PER_S);
-			}
+	/* Instances hold shares after about 20 s. */
+	int first = (load == LOAD_STARTED ? WARM_S : 25) * STEPS_PER_S;
+	int lost = -1;
+
+	for (int s = 0; s < (WARM_S + MEASURED_S) * STEPS_PER_S; s++) {
+		bool warm = s >= WARM_S * STEPS_PER_S;
+		int late = s >= (WARM_S + RAMP_S) * STEPS_PER_S;
+		int arrived = 0, refused;
+
+		if (s == WARM_S * STEPS_PER_S) {
+			lost = load == LOAD_LOST ? 2 : -1;
+			fault_begin(w, load, lost);
 		}
 		world_step(w);
-		/* Instances hold shares after about 20 s. */
-		if (s >= 2500)
-			arrivals_add(w, waiting, load, use, lost);
-		arrived += (int)(waiting->len - before);
-		for (guint i = waiting->len; i > 0; i--) {
-			if (request_is_over(w,
-				&g_array_index(waiting, waiting_t, i - 1),
-				&refused))
-				g_array_remove_index(waiting, i - 1);
-		}
-		for (int i = 0; i < w->n_processes; i++) {
-			if (w->processes[i].alive)
-				world_borrow(w, i, 0);
+		if (s >= first)
+			arrived =
+			    arrivals_add(w, waiting, load, warm, use, lost);
+		refused = waiting_try(w, waiting);
+		if (warm) {
+			counts->arrived[late] += arrived;
+			counts->refused[late] += refused;
 		}
 	}
 	g_array_free(waiting, TRUE);
 	world_destroy(w);
-	return arrived == 0 ? 100 : 100.0 * refused / arrived;
 }
 
-/* Guards against wrongful refusals above the goal of 1% in steady skewed
- * load. The other figures are printed only. */
+/* Prints the refused part in percent, returns that after the ramp. */
+static double
+load_measure(load_t load, double use)
+{
+	static const char *const names[LOAD_COUNT] = {"even", "one instance",
+	    "moved to one instance", "started at one instance", "one zone cut",
+	    "one instance lost"};
+	counts_t counts = {0};
+	double percent[2];
+
+	for (uint32_t seed = 7; seed < 7 + SEEDS; seed++)
+		load_run(load, use, seed, &counts);
+	for (int i = 0; i < 2; i++)
+		percent[i] = 100.0 * counts.refused[i] / counts.arrived[i];
+	printf("%-23s at %.0f%% of the rate: refused %.2f%% in the first %d s, "
+	       "%.2f%% after them\n",
+	    names[load], 100 * use, percent[0], RAMP_S, percent[1]);
+	return percent[1];
+}
+
+/*
+ * Guards against wrongful refusals above the goal of 1% under steady load
+ * without faults. At 90% of the rate and with faults they are printed only.
+ */
 START_TEST(refusals_within_rate)
 {
-	static const char *const names[] = {
-	    "even", "one instance", "one zone cut", "one instance lost"};
-	double skewed = 0;
-
-	for (int load = LOAD_EVEN; load <= LOAD_LOST; load++) {
-		double low = load_run((load_t)load, 0.8);
-		double high = load_run((load_t)load, 0.9);
-
-		printf("%-18s refused at 80%% of the rate %.2f%%, at 90%% "
-		       "%.2f%%\n",
-		    names[load], low, high);
-		if (load <= LOAD_ONE)
-			skewed = MAX(skewed, low);
+	for (int load = LOAD_EVEN; load < LOAD_COUNT; load++) {
+		double low = load_measure((load_t)load, 0.8);
+
+		load_measure((load_t)load, 0.9);
+		if (load < LOAD_CUT)
+			ck_assert_double_lt(low, 1);
 	}
-	ck_assert_msg(skewed < 1, "%.2f%% refused", skewed);
 }
 END_TEST
 
