core: let a load that went away borrow no more either

After an overload and a pause, lenders gave their share away by the new estimate, while the borrowers still wanted by the old one, which takes 15 s to fall from 5 times the rate.

Change: both sides go by the smaller of the smoothed demand and twice that of the last second.

--- a/core/allotment.c
+++ b/core/allotment.c
@@ -315,6 +315,14 @@
 		demand_add(entry, -(double)unused, now);
 }
 
+/* The smoothed demand, corrected where the load has just gone away. */
+static double
+demand_now(entry_t *entry, time_us_t now)
+{
+	demand_decay(entry, now);
+	return MIN(entry->demand, 2 * entry->recent);
+}
+
 static bool
 tokens_are_few(entry_t *entry, time_us_t now)
 {
@@ -328,11 +336,9 @@
 static share_t
 entry_wanted(entry_t *entry, time_us_t now)
 {
-	double demand;
+	double demand = demand_now(entry, now);
 	share_t share;
 
-	demand_decay(entry, now);
-	demand = entry->demand;
 	/* A load that has just come needs loans before the tokens run out. */
 	if (tokens_are_few(entry, now))
 		demand = MAX(demand, entry->recent);
@@ -442,12 +448,9 @@
 static share_t
 entry_kept(entry_t *entry, time_us_t now)
 {
-	share_t kept;
+	share_t kept =
+	    demand_share(entry, demand_now(entry, now), LENDER_MARGIN);
 
-	demand_decay(entry, now);
-	/* A load that has just gone away leaves its share to others. */
-	kept = demand_share(
-	    entry, MIN(entry->demand, 2 * entry->recent), LENDER_MARGIN);
 	if (entry->short_tokens > 0 && now < entry->short_until)
 		kept = MAX(kept, entry_wanted(entry, now));
 	return kept;
--- a/tests/test_share_load.c
+++ b/tests/test_share_load.c
@@ -15,6 +15,7 @@
 	LOAD_ONE,
 	LOAD_MOVED,   /* even, then at one instance only */
 	LOAD_STARTED, /* none, then at one instance only */
+	LOAD_CALMED,  /* three times the rate, a pause, then even */
 	LOAD_CUT,
 	LOAD_LOST,
 	LOAD_COUNT
@@ -32,6 +33,8 @@
 #define MEASURED_S 60
 /* Loans follow a load that starts or moves within this time. */
 #define RAMP_S 2
+/* In which the burst fills again. */
+#define PAUSE_S 2
 #define SEEDS 10
 
 /* Requests of one run, before and after the ramp. */
@@ -68,6 +71,8 @@
 	/* 20.5 tokens on average. */
 	double each = use * 1000 * STEP / US_PER_S / 20.5;
 
+	if (load == LOAD_CALMED && !warm)
+		each *= 3 / use;
 	if (g_rand_double(w->rand) < each) {
 		waiting_t request = {load_target(w, load, warm, lost),
 		    g_rand_int_range(w->rand, 1, 41), w->now};
@@ -138,6 +143,7 @@
 	GArray *waiting = g_array_new(FALSE, FALSE, sizeof(waiting_t));
 	/* Instances hold shares after about 20 s. */
 	int first = (load == LOAD_STARTED ? WARM_S : 25) * STEPS_PER_S;
+	int pause = load == LOAD_CALMED ? PAUSE_S * STEPS_PER_S : 0;
 	int lost = -1;
 
 	for (int s = 0; s < (WARM_S + MEASURED_S) * STEPS_PER_S; s++) {
@@ -150,7 +156,7 @@
 			fault_begin(w, load, lost);
 		}
 		world_step(w);
-		if (s >= first)
+		if (s >= first && (warm || s < WARM_S * STEPS_PER_S - pause))
 			arrived =
 			    arrivals_add(w, waiting, load, warm, use, lost);
 		refused = waiting_try(w, waiting);
@@ -168,8 +174,8 @@
 load_measure(load_t load, double use)
 {
 	static const char *const names[LOAD_COUNT] = {"even", "one instance",
-	    "moved to one instance", "started at one instance", "one zone cut",
-	    "one instance lost"};
+	    "moved to one instance", "started at one instance", "calmed",
+	    "one zone cut", "one instance lost"};
 	counts_t counts = {0};
 	double percent[2];
 
