tests: split the gate world by concern

tests/gate_world.c was one file of 1,392 lines with events, lists, callers, flights, checks and processes in it, so that a reader had to look for the invariants. It is now six files (platform, network, callers, flights, checks, and processes with the event loop), which share gate_world_internal.h. The identity of a process and the body of a request are functions of their own, and the two places that abort a passed-on request share child_abort().

Ruled out: one file for each event kind, because events of flights and of callers share most of their types.

--- /dev/null
+++ b/tests/gate_world_internal.h
@@ -0,0 +1,236 @@
+#ifndef TESTS_GATE_WORLD_INTERNAL_H
+#define TESTS_GATE_WORLD_INTERNAL_H
+
+#include "core/order.h"
+#include "gate_internal.h"
+#include "gate_world.h"
+#include "schedule.h"
+
+/* What the parts of the gate world (tests/gate_world*.c) share. */
+
+#define N_NAMES 5
+#define N_TARGETS 5
+#define N_TEAMS 3
+#define N_KEYS 6
+#define N_BODIES 24
+#define N_POISON 3 /* bodies 0.. stop the targets that run them */
+#define N_PROCESSES 64
+#define N_VERSIONS 64
+#define RATE 60
+#define BURST 200
+#define TICK_US (200 * US_PER_MS)
+#define WARM_US (14 * US_PER_S)
+#define TRAFFIC_US (24 * US_PER_S)
+#define SETTLE_US (24 * US_PER_S)
+#define WALL_S 1000000
+
+typedef struct {
+	const char *name, *service;
+	int zone;
+	uint32_t slots;
+} model_target_t;
+
+extern const char *const instance_names[N_NAMES];
+extern const int instance_zones[N_NAMES];
+extern const char *const zone_names[];
+
+/* Only zone 0 has targets of the plain service "p". */
+extern const model_target_t model_targets[N_TARGETS];
+
+typedef struct {
+	char text[TICKET_LIMIT];
+	int team, body;
+	unsigned int written; /* times it was sent with bytes written */
+} ticket_t;
+
+typedef struct {
+	int team, key, body;
+	const char *service;
+	bool post;
+	ticket_t *ticket;
+	int64_t cost;
+	bool written; /* an attempt of any instance wrote bytes */
+} request_t;
+
+/* A flight of one process. parent: the flight that was passed on as this. */
+typedef struct flight_log flight_log_t;
+struct flight_log {
+	int process;
+	flight_id_t id;
+	request_t *request;
+	flight_log_t *parent, *child;
+	bool ended, admitted;
+	size_t admission;
+	unsigned int attempt; /* results of older attempts don't count */
+	int target;	      /* -1: none */
+	time_us_t sent_at;
+	flight_result_t result; /* drawn when it was sent */
+	int64_t used; /* tokens of the last attempt that wrote bytes */
+	ran_t forward_ran;
+};
+
+typedef struct {
+	gate_t *gate;
+	int name;
+	bool alive;
+	incarnation_t incarnation;
+	uint8_t ticket_key[ORDER_MAC_KEY_BYTES];
+	time_us_t offset, paused_until;
+	uint32_t in_flight[N_TARGETS];
+	uint64_t plans;	    /* adopted version */
+	time_us_t plans_at; /* when */
+	int lost[N_BODIES]; /* losses that count towards poison */
+	time_us_t lost_at[N_BODIES][N_TARGETS];
+} process_t;
+
+typedef struct {
+	time_us_t at;
+	int64_t tokens;
+} admission_t;
+
+typedef enum {
+	EVENT_TICK,
+	EVENT_CHAOS,
+	EVENT_START,
+	EVENT_REQUEST,
+	EVENT_LIST,
+	EVENT_END,    /* of an attempt at a target */
+	EVENT_HOP,    /* a request reaches another instance */
+	EVENT_ANSWER, /* the answer of another instance */
+	EVENT_ABORT,
+	EVENT_HEARTBEAT,
+	EVENT_REPLY,
+	EVENT_NO_REPLY,
+	EVENT_BORROW,
+	EVENT_GRANT,
+	EVENT_RETURN,
+	EVENT_FETCHED
+} event_kind_t;
+
+typedef struct {
+	time_us_t at;
+	uint64_t order;
+	event_kind_t kind;
+	int process; /* -1: the current process of name */
+	int name, from;
+	flight_log_t *flight;
+	unsigned int attempt;
+	flight_result_t result;
+	list_kind_t list;
+	uint64_t version;
+	heartbeat_t *heartbeat;
+	union {
+		loan_request_t borrow;
+		loan_grant_t grant;
+		loan_return_t back;
+	} u;
+} event_t;
+
+typedef struct {
+	rng_t rng;
+	int fault;
+	bool harsh;
+	time_us_t now;
+	uint64_t order;
+	GSequence *events;
+	process_t processes[N_PROCESSES];
+	int n_processes, current[N_NAMES];
+	GPtrArray *flights, *requests, *tickets;
+	GArray *admissions[N_TEAMS];
+	plans_t *plans[N_VERSIONS];
+	fleet_t *fleets[N_VERSIONS];
+	allowances_t *allowances;
+	uint64_t n_plans, n_fleets;
+	bool withdrawn[N_KEYS];
+	int home[N_TEAMS]; /* zone number; -1: none */
+	bool target_leaving[N_TARGETS], instance_leaving[N_NAMES];
+	uint32_t in_flight[N_TARGETS];
+	time_us_t cut_until;
+	char violation[256];
+} world_t;
+
+/* Clocks and names */
+
+time_us_t local_time(const world_t *w, int process);
+int64_t wall_s(const world_t *w);
+int name_index(const char *name);
+
+/* Network: events, links and peer messages */
+
+void event_free(gpointer data);
+void event_put(world_t *w, time_us_t after, event_t event);
+bool link_is_cut(const world_t *w, int from, int to);
+time_us_t link_delay(world_t *w);
+void action_peer(world_t *w, int process, const gate_action_t *action);
+void on_peer_event(world_t *w, int process, const event_t *e, GArray *actions);
+
+/* Platform: lists and their way to the instances */
+
+void key_hash(int key, uint8_t hash[KEY_HASH_BYTES]);
+void plans_publish(world_t *w);
+void fleet_publish(world_t *w);
+void allowances_make(world_t *w);
+void list_offer(world_t *w, int process, list_kind_t kind, uint64_t version,
+    GArray *actions);
+void chaos_list(world_t *w);
+
+/* Callers */
+
+void on_request(world_t *w, int process, GArray *actions);
+void on_hop(world_t *w, int process, const event_t *event, GArray *actions);
+
+/* Arrivals come in bursts, so that queues and buckets fill. */
+void requests_plan(world_t *w);
+
+/* Flights: attempts at targets and hops, and their ends */
+
+void attempt_release(world_t *w, flight_log_t *f);
+
+/* Tells the instance that passed a request on how it ended. */
+void child_answer(world_t *w, flight_log_t *parent, unsigned int attempt,
+    flight_result_t result, ran_t ran);
+
+/* Ends the flight at the instance that the request was passed on to. */
+void child_abort(world_t *w, const flight_log_t *f);
+void actions_run(world_t *w, int process, GArray *actions);
+void on_end(world_t *w, const event_t *event, GArray *actions);
+
+/* Invariants */
+
+void G_GNUC_PRINTF(2, 3) violate(world_t *w, const char *format, ...);
+
+/* Follows the reservations of a process' flights. */
+void check_admissions(world_t *w, int process);
+void admission_settle(world_t *w, flight_log_t *f, int64_t used);
+void check_key(world_t *w, const flight_log_t *f);
+
+/* Checks that the team may be served in a zone, by the lists of the sender. */
+void check_home(world_t *w, const flight_log_t *f, int zone);
+
+/* Notes a loss by the rule of core/poison.h. */
+void loss_note(world_t *w, const flight_log_t *f);
+
+/*
+ * An instance sends no body of which it has recorded two losses. Allowed are
+ * the concurrent cases of core/poison.h: copies that were at other targets
+ * before the second loss was recorded, and copies at instances that had not
+ * heard of the losses yet.
+ */
+void check_poison(world_t *w, const flight_log_t *f);
+
+/*
+ * A "not run" statement. It is judged when it is made: while it travels between
+ * two instances, another copy of an order may start.
+ */
+void check_not_run(
+    world_t *w, const request_t *r, bool made_here, const char *by);
+
+/*
+ * An instance sends only within its own part of a target's slots, and the parts
+ * never add up to more than the slots. Requests that an instance still runs
+ * from a larger part count in the strict check only; see KNOWN-RED.txt.
+ */
+void check_slots(world_t *w, int process, int target);
+void check_ended(world_t *w);
+
+#endif
