--- a/tests/process_engine.c
+++ b/tests/process_engine.c
@@ -5,7 +5,6 @@
 #include "cluster.h"
 #include "test.h"
 
-#define GENERATE "/v1/services/epitaph-writer/generate"
 /* A new owner waits about 40 s for the fence and 20 s for commands. */
 #define REACH_LIMIT_US ((gint64)150 * G_USEC_PER_SEC)
 
--- a/tests/process_input.c
+++ b/tests/process_input.c
@@ -10,7 +10,6 @@
 #include "test.h"
 
 #define PATH "/v1/services/epitaph-writer/generate"
-#define ORDERS "/v1/services/tag-registry/orders"
 #define BODY "{\"prompt\":\"x\",\"max_tokens\":5}"
 #define HOST "Host: a\r\n"
 #define KEY "Authorization: Bearer " DESK_KEY "\r\n"
--- a/tests/process_tls.c
+++ b/tests/process_tls.c
@@ -4,8 +4,6 @@
 #include "cluster.h"
 #include "test.h"
 
-#define GENERATE "/v1/services/epitaph-writer/generate"
-#define ORDERS "/v1/services/tag-registry/orders"
 #define STREAM_200 "{\"prompt\":\"x\",\"max_tokens\":200,\"stream\":true}"
 #define SHORT "{\"prompt\":\"x\",\"max_tokens\":5}"
 
@@ -193,25 +191,7 @@
 	}
 }
 
-static void
-cluster_stop(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("tls");
-
-	/* One cluster for all: the order of the tests matters. */
-	tcase_add_unchecked_fixture(tcase, tls_cluster_start, cluster_stop);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, only_https_is_served);
-	tcase_add_test(tcase, forward_is_verified);
-	tcase_add_test(tcase, broken_pair_is_refused);
-	tcase_add_test(tcase, new_pair_is_used_by_new_connections);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("tls", fill)
+/* One cluster for all: the order of the tests matters. */
+CLUSTER_MAIN("tls", tls_cluster_start, only_https_is_served,
+    forward_is_verified, broken_pair_is_refused,
+    new_pair_is_used_by_new_connections)
