--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -11,7 +11,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define CASE_TIMEOUT_S 120
 #define PORT_FIRST 10000
 #define PORT_LAST 32000
 
@@ -290,16 +289,3 @@
 	ck_assert_ptr_nonnull(line);
 	return strtol(line + strlen("VmRSS:"), NULL, 10);
 }
-
-void
-cluster_case_add(Suite *suite, const char *name, SFun setup, SFun teardown,
-    const TTest *const *tests, size_t n)
-{
-	TCase *tcase = tcase_create(name);
-
-	tcase_add_unchecked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, CASE_TIMEOUT_S);
-	for (size_t i = 0; i < n; i++)
-		tcase_add_test(tcase, tests[i]);
-	suite_add_tcase(suite, tcase);
-}
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -9,6 +9,7 @@
 #include <sys/types.h>
 
 #include "tcp_relay.h"
+#include "test.h"
 
 /*
  * Separate processes on loopback for the process tests: a stand-in platform,
@@ -21,6 +22,7 @@
  */
 
 #define WAIT_LIMIT_MS 20000
+#define CASE_TIMEOUT_S 120
 
 typedef enum {
 	NODE_S1,
@@ -259,25 +261,19 @@
 #define GENERATE "/v1/services/epitaph-writer/generate"
 #define ORDERS "/v1/services/tag-registry/orders"
 
-/* Adds one case whose tests share a cluster that setup starts. */
-void cluster_case_add(Suite *suite, const char *name, SFun setup, SFun teardown,
-    const TTest *const *tests, size_t n);
-
 /*
  * Defines main() of a program whose tests share the file's variable cluster,
- * which setup starts. The tests follow in the order in which they run.
+ * which setup starts. They run in the order of the file.
  */
-#define CLUSTER_MAIN(name, setup, ...)                                        \
-	static void cluster_teardown(void)                                    \
-	{                                                                     \
-		cluster_destroy(cluster);                                     \
-	}                                                                     \
-	static void cluster_fill(Suite *suite)                                \
-	{                                                                     \
-		const TTest *const tests[] = {__VA_ARGS__};                   \
-		cluster_case_add(suite, name, setup, cluster_teardown, tests, \
-		    G_N_ELEMENTS(tests));                                     \
-	}                                                                     \
-	TEST_MAIN(name, cluster_fill)
+#define CLUSTER_MAIN(name, setup)                                   \
+	static void cluster_teardown(void)                          \
+	{                                                           \
+		cluster_destroy(cluster);                           \
+	}                                                           \
+	int main(void)                                              \
+	{                                                           \
+		return test_run_case(                               \
+		    name, setup, cluster_teardown, CASE_TIMEOUT_S); \
+	}
 
 #endif
--- a/tests/process_ctl.c
+++ b/tests/process_ctl.c
@@ -65,7 +65,7 @@
 	    row->guards, errors);
 }
 
-START_TEST(exit_status_and_streams)
+TEST(exit_status_and_streams)
 {
 	static const run_case_t rows[] = {
 	    {"no command", "", "", 2, "", "usage: cyclamensailctl COMMAND"},
@@ -122,7 +122,6 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
 		case_run(&rows[i]);
 }
-END_TEST
 
 /* A server that takes one connection, keeps the request and answers. */
 typedef struct {
@@ -179,7 +178,7 @@
 	    "%s: sent %s", row->guards, server.request);
 }
 
-START_TEST(answers_of_an_instance)
+TEST(answers_of_an_instance)
 {
 	call_run(
 	    &(const run_case_t){"wrong path", "counters", "", 0, "a 1\n", ""},
@@ -199,9 +198,8 @@
 	    "Content-Length: 0\r\n\r\n",
 	    "POST /v1/drain HTTP/1.1\r\n");
 }
-END_TEST
 
-START_TEST(bench_answers)
+TEST(bench_answers)
 {
 	call_run(&(const run_case_t){"error codes that are not counted",
 		     "bench -n 1 -b {}", "", 1, "error queue_full: 1\n", ""},
@@ -215,13 +213,12 @@
 	    "data: 1\r\n\r\nevent: error\ndata: {\"code\":\"target_lost\"}\n\n",
 	    "GET / HTTP/1.1\r\n");
 }
-END_TEST
 
 /*
  * Guards against coordinated omission: a request that waits for one before it
  * counts from the time at which it was due. The socket never answers.
  */
-START_TEST(bench_counts_from_the_scheduled_time)
+TEST(bench_counts_from_the_scheduled_time)
 {
 	struct sockaddr_in address = {
 	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
@@ -246,26 +243,12 @@
 	max = strstr(total, "\"max\":");
 	ck_assert_int_ge(strtol(max + strlen("\"max\":"), NULL, 10), 380000);
 }
-END_TEST
 
 int
 main(int argc, char **argv)
 {
-	Suite *suite = suite_create("ctl");
-	SRunner *runner;
-	int failed;
-
 	if (argc != 2)
 		return EXIT_FAILURE;
 	program = argv[1];
-	TEST_ADD(suite, exit_status_and_streams);
-	TEST_ADD(suite, answers_of_an_instance);
-	TEST_ADD(suite, bench_answers);
-	TEST_ADD(suite, bench_counts_from_the_scheduled_time);
-	runner = srunner_create(suite);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return test_run("ctl");
 }
--- a/tests/process_cut.c
+++ b/tests/process_cut.c
@@ -100,62 +100,13 @@
 }
 
 /* Guards against a withdrawn key that is served on: target 2 s. */
-START_TEST(withdrawal_with_the_platform)
+TEST(withdrawal_with_the_platform)
 {
 	withdrawal_takes_at_most(2, "platform reachable");
 }
-END_TEST
-
-/*
- * Guards against a zone that serves a withdrawn key on because it can't read
- * the platform: target 5 s through the instances of the other zone.
- */
-START_TEST(withdrawal_through_peers)
-{
-	static const tcp_relay_mode_t modes[] = {RELAY_DROP, RELAY_HOLD};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
-		platform_links(1U << NODE_Z1 | 1U << NODE_Z2, modes[i]);
-		withdrawal_takes_at_most(
-		    5, i ? "one zone's reads hang" : "one zone can't read");
-		WAIT_UNTIL(versions_reached());
-	}
-	platform_links(0xf, RELAY_PASS);
-}
-END_TEST
-
-/* Guards against instances that need the platform to serve. */
-START_TEST(instances_serve_without_the_platform)
-{
-	static const char *const modes[] = {"mode=down", "mode=stale"};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
-		load_spec_t spec = {
-		    DESK_KEY, "no-platform", 0xf, 8, 50, 5, false};
-		GArray *results;
-		load_t *load;
-
-		node_control(cluster, NODE_PLATFORM, modes[i]);
-		load = load_start(cluster, &spec);
-		WAIT_UNTIL(load_count(load) >= 200);
-		results = load_stop(load);
-		for (guint k = 0; k < results->len; k++)
-			ck_assert_msg(
-			    g_array_index(results, load_result_t, k).whole,
-			    "%s: %s", modes[i],
-			    g_array_index(results, load_result_t, k).code);
-		g_array_free(results, TRUE);
-	}
-	platform_links(0xf, RELAY_HOLD);
-	node_control(cluster, NODE_PLATFORM, "mode=ok");
-	for (int node = 0; node < NODE_INSTANCES; node++)
-		ck_assert_int_eq(request_status((node_t)node, DESK_KEY), 200);
-	platform_links(0xf, RELAY_PASS);
-}
-END_TEST
 
 /* Guards against a platform that was reset and puts an old list in force. */
-START_TEST(older_list_is_ignored_and_counted)
+TEST(older_list_is_ignored_and_counted)
 {
 	static const char id[] = "list_offers{result=\"list_reverted\"}";
 	uint64_t newest;
@@ -178,7 +129,6 @@
 	key_set_withdrawn(false);
 	WAIT_UNTIL(versions_reached());
 }
-END_TEST
 
 static unsigned int
 whole_count(const GArray *results, gint64 from, gint64 to)
@@ -198,7 +148,7 @@
  * Guards against two zones that each use the whole rate while they can't see
  * each other, a zone that serves nobody, and requests that run in circles.
  */
-START_TEST(zones_cut_from_each_other)
+TEST(zones_cut_from_each_other)
 {
 	static const tcp_relay_mode_t modes[] = {RELAY_DROP, RELAY_HOLD};
 	/* Callers at all instances ask for about four times the rate. */
@@ -259,7 +209,52 @@
 	}
 	g_hash_table_destroy(arrivals);
 }
-END_TEST
+
+/*
+ * Guards against a zone that serves a withdrawn key on because it can't read
+ * the platform: target 5 s through the instances of the other zone.
+ */
+TEST(withdrawal_through_peers)
+{
+	static const tcp_relay_mode_t modes[] = {RELAY_DROP, RELAY_HOLD};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		platform_links(1U << NODE_Z1 | 1U << NODE_Z2, modes[i]);
+		withdrawal_takes_at_most(
+		    5, i ? "one zone's reads hang" : "one zone can't read");
+		WAIT_UNTIL(versions_reached());
+	}
+	platform_links(0xf, RELAY_PASS);
+}
+
+/* Guards against instances that need the platform to serve. */
+TEST(instances_serve_without_the_platform)
+{
+	static const char *const modes[] = {"mode=down", "mode=stale"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		load_spec_t spec = {
+		    DESK_KEY, "no-platform", 0xf, 8, 50, 5, false};
+		GArray *results;
+		load_t *load;
+
+		node_control(cluster, NODE_PLATFORM, modes[i]);
+		load = load_start(cluster, &spec);
+		WAIT_UNTIL(load_count(load) >= 200);
+		results = load_stop(load);
+		for (guint k = 0; k < results->len; k++)
+			ck_assert_msg(
+			    g_array_index(results, load_result_t, k).whole,
+			    "%s: %s", modes[i],
+			    g_array_index(results, load_result_t, k).code);
+		g_array_free(results, TRUE);
+	}
+	platform_links(0xf, RELAY_HOLD);
+	node_control(cluster, NODE_PLATFORM, "mode=ok");
+	for (int node = 0; node < NODE_INSTANCES; node++)
+		ck_assert_int_eq(request_status((node_t)node, DESK_KEY), 200);
+	platform_links(0xf, RELAY_PASS);
+}
 
 static void
 setup(void)
@@ -274,6 +269,4 @@
 
 /* Withdrawal through peers runs late: after an outage reads start again with a
  * delay up to 30 s. */
-CLUSTER_MAIN("cut", setup, withdrawal_with_the_platform,
-    older_list_is_ignored_and_counted, zones_cut_from_each_other,
-    withdrawal_through_peers, instances_serve_without_the_platform)
+CLUSTER_MAIN("cut", setup)
--- a/tests/process_drain.c
+++ b/tests/process_drain.c
@@ -56,7 +56,7 @@
  * Guards against new work at a target that leaves, later than 3 s after the
  * list said so, and against running work that is cut off there.
  */
-START_TEST(leaving_target_ends_its_work)
+TEST(leaving_target_ends_its_work)
 {
 	load_spec_t spec = {
 	    DESK_KEY, "leave", 0xf, 24, 20, STREAM_TOKENS, true};
@@ -91,13 +91,12 @@
 	cluster_publish_fleet(cluster);
 	WAIT_UNTIL(fleet_reached());
 }
-END_TEST
 
 /*
  * Guards against a planned stop that cuts off requests, keeps being ready or
  * takes new work, or that does not name the instances to use.
  */
-START_TEST(stopped_instance_ends_its_work)
+TEST(stopped_instance_ends_its_work)
 {
 	load_spec_t spec = {DESK_KEY, "stop", 0xf, 24, 20, STREAM_TOKENS, true};
 	http_task_t *long_stream;
@@ -149,7 +148,6 @@
 	}
 	g_array_free(results, TRUE);
 }
-END_TEST
 
 static void
 setup(void)
@@ -161,5 +159,4 @@
 	cluster_start(cluster);
 }
 
-CLUSTER_MAIN("drain", setup, leaving_target_ends_its_work,
-    stopped_instance_ends_its_work)
+CLUSTER_MAIN("drain", setup)
--- a/tests/process_engine.c
+++ b/tests/process_engine.c
@@ -152,7 +152,7 @@
 	ck_assert_int_eq(engine_number(NODE_W2, "most_running"), 1);
 }
 
-START_TEST(engines_follow_the_list)
+TEST(engines_follow_the_list)
 {
 	cluster = cluster_create();
 	for (int node = NODE_W1; node <= NODE_W3; node++)
@@ -161,16 +161,9 @@
 	frozen_owner_is_replaced();
 	cluster_destroy(cluster);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
+int
+main(void)
 {
-	TCase *tcase = tcase_create("engine");
-
-	tcase_set_timeout(tcase, 230);
-	tcase_add_test(tcase, engines_follow_the_list);
-	suite_add_tcase(suite, tcase);
+	return test_run_case("engine", NULL, NULL, 230);
 }
-
-TEST_MAIN("engine", fill)
--- a/tests/process_input.c
+++ b/tests/process_input.c
@@ -323,14 +323,15 @@
 	TCase *tcase = tcase_create(name);
 
 	tcase_add_unchecked_fixture(tcase, input_setup, input_teardown);
-	tcase_set_timeout(tcase, 120);
+	tcase_set_timeout(tcase, CASE_TIMEOUT_S);
 	suite_add_tcase(suite, tcase);
 	return tcase;
 }
 
-static void
-fill(Suite *suite)
+int
+main(void)
 {
+	Suite *suite = suite_create("input");
 	TCase *tcase = case_add(suite, "input");
 
 	tcase_add_test(tcase, malformed_heads_are_refused);
@@ -344,6 +345,5 @@
 	if (getenv("TEST_STOP") != NULL)
 		tcase_add_test(tcase, nothing_is_left_open);
 	tcase_add_test(case_add(suite, "nul"), nul_in_a_header_is_refused);
+	return test_suite_run(suite);
 }
-
-TEST_MAIN("input", fill)
--- a/tests/process_kill.c
+++ b/tests/process_kill.c
@@ -55,7 +55,7 @@
  * Guards against a killed instance that ends the streams of others, stays
  * before others in the directory, or whose orders run again at a replacement.
  */
-START_TEST(killed_instance_harms_no_other)
+TEST(killed_instance_harms_no_other)
 {
 	g_autofree char *done = ticket_take(cluster, NODE_S1);
 	g_autofree char *held = ticket_take(cluster, NODE_S1);
@@ -106,10 +106,9 @@
 	ck_assert_uint_eq(arrivals_now("tag=held"), 1);
 	node_control(cluster, NODE_R1, "order_ms=0");
 }
-END_TEST
 
 /* Guards against tokens lost or doubled when a stream changes its target. */
-START_TEST(stream_goes_on_when_its_target_is_killed)
+TEST(stream_goes_on_when_its_target_is_killed)
 {
 	http_task_t *task =
 	    stream_start(NODE_S2, PARISH_KEY, "resumed", STREAM_TOKENS);
@@ -131,10 +130,9 @@
 	node_start(cluster, busy);
 	node_wait_ready(cluster, busy);
 }
-END_TEST
 
 /* Guards against an order that is sent to a second target or called not run. */
-START_TEST(order_of_a_killed_target_is_unknown)
+TEST(order_of_a_killed_target_is_unknown)
 {
 	g_autofree char *ticket = ticket_take(cluster, NODE_S2);
 	http_task_t *order;
@@ -160,7 +158,6 @@
 	node_start(cluster, NODE_R1);
 	node_wait_ready(cluster, NODE_R1);
 }
-END_TEST
 
 static void
 setup(void)
@@ -168,6 +165,4 @@
 	cluster = cluster_create();
 }
 
-CLUSTER_MAIN("kill", setup, killed_instance_harms_no_other,
-    stream_goes_on_when_its_target_is_killed,
-    order_of_a_killed_target_is_unknown)
+CLUSTER_MAIN("kill", setup)
--- a/tests/process_load.c
+++ b/tests/process_load.c
@@ -63,7 +63,7 @@
  * Guards against shares that together exceed the team's rate or burst: callers
  * at all instances ask for five times the rate, while the fleet list changes.
  */
-START_TEST(rate_holds_over_all_instances)
+TEST(rate_holds_over_all_instances)
 {
 	load_spec_t spec = {
 	    GUEST_KEY, "over", ALL_INSTANCES, 50, 100, REQUEST_TOKENS, false};
@@ -96,7 +96,6 @@
 	slots_are_kept();
 	g_array_free(results, TRUE);
 }
-END_TEST
 
 /* Share of the requests refused although the load offered is within the rate.
  */
@@ -137,7 +136,7 @@
  * Guards against refusals of a team that keeps its rate. The goal is under 1%
  * under steady load, so the first seconds are printed, but not checked.
  */
-START_TEST(load_within_rate_is_served)
+TEST(load_within_rate_is_served)
 {
 	double even = refused_within_rate("even", ALL_INSTANCES);
 	double one = refused_within_rate("one", 1U << NODE_S1);
@@ -145,7 +144,6 @@
 	ck_assert_double_lt(even, 0.01);
 	ck_assert_double_lt(one, 0.01);
 }
-END_TEST
 
 static long long
 buffer_bytes(node_t node)
@@ -153,11 +151,72 @@
 	return instance_counter(cluster, node, "buffer_bytes");
 }
 
+/*
+ * Guards against a prompt of a team with a home in a log or at a target of
+ * another region, and against keys in logs.
+ */
+TEST(home_data_stays_in_its_region)
+{
+	load_spec_t spec = {
+	    PARISH_KEY, "HOME-MARKER", ALL_INSTANCES, 40, 20, 20, true};
+	GArray *results = load_run(&spec, 2);
+	json_t *record = target_record(cluster, NODE_W3);
+	char *text = json_dumps(record, JSON_COMPACT);
+	unsigned int whole = 0;
+
+	for (guint i = 0; i < results->len; i++) {
+		const load_result_t *result =
+		    &g_array_index(results, load_result_t, i);
+
+		whole += result->whole;
+		if (result->node >= NODE_Z1)
+			ck_assert_str_eq(result->code, "wrong_region");
+	}
+	ck_assert_uint_gt(whole, 0);
+	ck_assert_ptr_null(strstr(text, spec.tag));
+	ck_assert(!cluster_logs_contain(cluster, spec.tag));
+	ck_assert(!cluster_logs_contain(cluster, PARISH_KEY));
+	ck_assert(!cluster_logs_contain(cluster, GUEST_KEY));
+	ck_assert(!cluster_logs_contain(cluster, DESK_KEY));
+	/* The search finds what is there: each log names its team. */
+	ck_assert(cluster_logs_contain(cluster, "parish-nitra"));
+	results_check_not_run(cluster, results);
+	free(text);
+	json_decref(record);
+	g_array_free(results, TRUE);
+}
+
+/* Guards against idle connections that use up what a request needs. */
+TEST(idle_connections_harm_no_request)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)cluster->ports[NODE_S1]),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fds[IDLE_CONNECTIONS];
+	answer_t *answer;
+
+	for (int i = 0; i < IDLE_CONNECTIONS; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		ck_assert_int_eq(connect(fds[i], (struct sockaddr *)&address,
+				     sizeof(address)),
+		    0);
+	}
+	answer = http_call(node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL,
+	    "{\"prompt\":\"idle\",\"max_tokens\":5}");
+	printf("with %d idle connections: %ld in %.3f s\n", IDLE_CONNECTIONS,
+	    answer->status, answer->seconds);
+	ck_assert_int_eq(answer->status, 200);
+	ck_assert_double_lt(answer->seconds, 1);
+	answer_free(answer);
+	for (int i = 0; i < IDLE_CONNECTIONS; i++)
+		close(fds[i]);
+}
+
 /*
  * Guards against slow readers that fill the memory, delay the answers of other
  * callers or lose a part of their own.
  */
-START_TEST(slow_readers_are_bounded)
+TEST(slow_readers_are_bounded)
 {
 	load_spec_t spec = {DESK_KEY, "fast", ALL_INSTANCES, 8, 50, 10, false};
 	http_task_t *tasks[SLOW_READERS];
@@ -236,70 +295,6 @@
 	g_array_free(before, TRUE);
 	g_array_free(during, TRUE);
 }
-END_TEST
-
-/* Guards against idle connections that use up what a request needs. */
-START_TEST(idle_connections_harm_no_request)
-{
-	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_port = htons((uint16_t)cluster->ports[NODE_S1]),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fds[IDLE_CONNECTIONS];
-	answer_t *answer;
-
-	for (int i = 0; i < IDLE_CONNECTIONS; i++) {
-		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
-		ck_assert_int_eq(connect(fds[i], (struct sockaddr *)&address,
-				     sizeof(address)),
-		    0);
-	}
-	answer = http_call(node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL,
-	    "{\"prompt\":\"idle\",\"max_tokens\":5}");
-	printf("with %d idle connections: %ld in %.3f s\n", IDLE_CONNECTIONS,
-	    answer->status, answer->seconds);
-	ck_assert_int_eq(answer->status, 200);
-	ck_assert_double_lt(answer->seconds, 1);
-	answer_free(answer);
-	for (int i = 0; i < IDLE_CONNECTIONS; i++)
-		close(fds[i]);
-}
-END_TEST
-
-/*
- * Guards against a prompt of a team with a home in a log or at a target of
- * another region, and against keys in logs.
- */
-START_TEST(home_data_stays_in_its_region)
-{
-	load_spec_t spec = {
-	    PARISH_KEY, "HOME-MARKER", ALL_INSTANCES, 40, 20, 20, true};
-	GArray *results = load_run(&spec, 2);
-	json_t *record = target_record(cluster, NODE_W3);
-	char *text = json_dumps(record, JSON_COMPACT);
-	unsigned int whole = 0;
-
-	for (guint i = 0; i < results->len; i++) {
-		const load_result_t *result =
-		    &g_array_index(results, load_result_t, i);
-
-		whole += result->whole;
-		if (result->node >= NODE_Z1)
-			ck_assert_str_eq(result->code, "wrong_region");
-	}
-	ck_assert_uint_gt(whole, 0);
-	ck_assert_ptr_null(strstr(text, spec.tag));
-	ck_assert(!cluster_logs_contain(cluster, spec.tag));
-	ck_assert(!cluster_logs_contain(cluster, PARISH_KEY));
-	ck_assert(!cluster_logs_contain(cluster, GUEST_KEY));
-	ck_assert(!cluster_logs_contain(cluster, DESK_KEY));
-	/* The search finds what is there: each log names its team. */
-	ck_assert(cluster_logs_contain(cluster, "parish-nitra"));
-	results_check_not_run(cluster, results);
-	free(text);
-	json_decref(record);
-	g_array_free(results, TRUE);
-}
-END_TEST
 
 static void
 setup(void)
@@ -316,6 +311,4 @@
 	cluster_start(cluster);
 }
 
-CLUSTER_MAIN("load", setup, rate_holds_over_all_instances,
-    load_within_rate_is_served, home_data_stays_in_its_region,
-    idle_connections_harm_no_request, slow_readers_are_bounded)
+CLUSTER_MAIN("load", setup)
--- a/tests/process_path.c
+++ b/tests/process_path.c
@@ -23,7 +23,7 @@
 }
 
 /* Guards against a path that loses, doubles or reorders tokens. */
-START_TEST(streamed_answer_is_whole)
+TEST(streamed_answer_is_whole)
 {
 	answer_t *answer = http_call(
 	    node_url(cluster, NODE_S1, GENERATE), PARISH_KEY, NULL, STREAM_30);
@@ -35,9 +35,8 @@
 	ck_assert_ptr_nonnull(strstr(answer->body->str, "data: [DONE]"));
 	answer_free(answer);
 }
-END_TEST
 
-START_TEST(whole_json_answer_arrives)
+TEST(whole_json_answer_arrives)
 {
 	answer_t *answer = http_call(node_url(cluster, NODE_Z2, GENERATE),
 	    DESK_KEY, NULL, "{\"prompt\":\"x\",\"max_tokens\":5}");
@@ -46,10 +45,9 @@
 	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"output_tokens\":5"));
 	answer_free(answer);
 }
-END_TEST
 
 /* Guards against work of a team with a home that starts in another region. */
-START_TEST(home_region_is_kept)
+TEST(home_region_is_kept)
 {
 	json_int_t before = target_count(cluster, NODE_W3, "requests");
 	answer_t *answer = http_call(
@@ -61,9 +59,8 @@
 	ck_assert_int_eq(target_count(cluster, NODE_W3, "requests"), before);
 	answer_free(answer);
 }
-END_TEST
 
-START_TEST(directory_names_home_instances_only)
+TEST(directory_names_home_instances_only)
 {
 	answer_t *answer =
 	    http_call(node_url(cluster, NODE_Z1, "/v1/directory"), PARISH_KEY,
@@ -74,13 +71,12 @@
 	ck_assert_ptr_null(strstr(answer->body->str, "\"zapad\""));
 	answer_free(answer);
 }
-END_TEST
 
 /*
  * Guards against an order that runs twice when its caller repeats it at other
  * instances, and against an answer that differs.
  */
-START_TEST(order_runs_once)
+TEST(order_runs_once)
 {
 	json_int_t before = target_count(cluster, NODE_R1, "orders") +
 			    target_count(cluster, NODE_R2, "orders");
@@ -102,9 +98,8 @@
 			     target_count(cluster, NODE_R2, "orders"),
 	    before + 1);
 }
-END_TEST
 
-START_TEST(order_without_ticket_is_not_run)
+TEST(order_without_ticket_is_not_run)
 {
 	answer_t *answer = http_call(
 	    node_url(cluster, NODE_S2, ORDERS), DESK_KEY, NULL, "tag=oak-4");
@@ -114,13 +109,12 @@
 	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"ticket\":\"t1."));
 	answer_free(answer);
 }
-END_TEST
 
 /*
  * Guards against a second send of an order by libcurl when the target closes
  * the connection after it has read the request.
  */
-START_TEST(order_is_sent_once_when_target_closes)
+TEST(order_is_sent_once_when_target_closes)
 {
 	g_autofree char *ticket = NULL;
 	json_int_t before;
@@ -153,25 +147,8 @@
 	node_control(cluster, NODE_R1, "close_orders=0");
 	node_control(cluster, NODE_R2, "close_orders=0");
 }
-END_TEST
 
-/* Guards against a key that reaches a target in any header or the query. */
-START_TEST(targets_never_see_keys)
-{
-	for (int node = NODE_W1; node <= NODE_R2; node++) {
-		json_t *record = target_record(cluster, (node_t)node);
-		const char *headers =
-		    json_string_value(json_object_get(record, "headers"));
-
-		ck_assert_ptr_null(strstr(headers, "demo-"));
-		ck_assert_ptr_null(strcasestr(headers, "authorization"));
-		ck_assert_ptr_null(strcasestr(headers, "cookie"));
-		json_decref(record);
-	}
-}
-END_TEST
-
-START_TEST(key_in_query_is_refused)
+TEST(key_in_query_is_refused)
 {
 	answer_t *answer =
 	    http_call(node_url(cluster, NODE_S1, GENERATE "?api_key=x"),
@@ -181,10 +158,9 @@
 	ck_assert_str_eq(error_code(answer), "key_in_query");
 	answer_free(answer);
 }
-END_TEST
 
 /* Guards against bad input that runs, leaks or harms the next request. */
-START_TEST(bad_input_gets_clear_errors)
+TEST(bad_input_gets_clear_errors)
 {
 	static const struct {
 		const char *path;
@@ -215,9 +191,8 @@
 		answer_free(answer);
 	}
 }
-END_TEST
 
-START_TEST(large_body_is_refused_before_it_is_read)
+TEST(large_body_is_refused_before_it_is_read)
 {
 	g_autofree char *body = g_strnfill((gsize)2 * 1024 * 1024, 'x');
 	answer_t *answer = http_call(
@@ -226,10 +201,24 @@
 	ck_assert_int_eq(answer->status, 413);
 	answer_free(answer);
 }
-END_TEST
+
+/* Guards against a key that reaches a target in any header or the query. */
+TEST(targets_never_see_keys)
+{
+	for (int node = NODE_W1; node <= NODE_R2; node++) {
+		json_t *record = target_record(cluster, (node_t)node);
+		const char *headers =
+		    json_string_value(json_object_get(record, "headers"));
+
+		ck_assert_ptr_null(strstr(headers, "demo-"));
+		ck_assert_ptr_null(strcasestr(headers, "authorization"));
+		ck_assert_ptr_null(strcasestr(headers, "cookie"));
+		json_decref(record);
+	}
+}
 
 /* Guards against a withdrawn key that keeps an open stream running. */
-START_TEST(withdrawn_key_ends_its_stream)
+TEST(withdrawn_key_ends_its_stream)
 {
 	http_task_t *task = http_start(
 	    node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL, STREAM_LONG);
@@ -253,7 +242,6 @@
 	cluster->desk_key_withdrawn = false;
 	cluster_publish_plans(cluster);
 }
-END_TEST
 
 static void
 path_setup(void)
@@ -261,10 +249,4 @@
 	cluster = cluster_create();
 }
 
-CLUSTER_MAIN("path", path_setup, streamed_answer_is_whole,
-    whole_json_answer_arrives, home_region_is_kept,
-    directory_names_home_instances_only, order_runs_once,
-    order_without_ticket_is_not_run, order_is_sent_once_when_target_closes,
-    key_in_query_is_refused, bad_input_gets_clear_errors,
-    large_body_is_refused_before_it_is_read, targets_never_see_keys,
-    withdrawn_key_ends_its_stream)
+CLUSTER_MAIN("path", path_setup)
--- a/tests/process_pause.c
+++ b/tests/process_pause.c
@@ -57,7 +57,7 @@
  * without a lease. Its links are held when it wakes, so that it can't learn of
  * the withdrawal or renew its lease before it decides.
  */
-START_TEST(paused_instance_wakes_without_old_rights)
+TEST(paused_instance_wakes_without_old_rights)
 {
 	http_task_t *running[4];
 	http_task_t *queued[4];
@@ -122,7 +122,6 @@
 	WAIT_UNTIL(request_status(NODE_S1, PARISH_KEY) == 200);
 	WAIT_UNTIL(request_status(NODE_S1, DESK_KEY) == 401);
 }
-END_TEST
 
 static void
 setup(void)
@@ -133,4 +132,4 @@
 	cluster_start(cluster);
 }
 
-CLUSTER_MAIN("pause", setup, paused_instance_wakes_without_old_rights)
+CLUSTER_MAIN("pause", setup)
--- a/tests/process_poison.c
+++ b/tests/process_poison.c
@@ -59,24 +59,22 @@
  * Guards against a request that stops one engine after the other while its
  * caller repeats it at all instances of the home region.
  */
-START_TEST(poison_request_stops_at_most_two_engines)
+TEST(poison_request_stops_at_most_two_engines)
 {
 	static const node_t nodes[] = {NODE_S1, NODE_S2};
 
 	ck_assert_uint_le(
 	    poison_send(PARISH_KEY, "CRASH-THE-ENGINE home", nodes, 2), 2);
 }
-END_TEST
 
 /* The same for a team that any region serves. */
-START_TEST(poison_request_at_two_regions_stops_at_most_two_engines)
+TEST(poison_request_at_two_regions_stops_at_most_two_engines)
 {
 	static const node_t nodes[] = {NODE_S1, NODE_Z1, NODE_S2, NODE_Z2};
 
 	ck_assert_uint_le(
 	    poison_send(DESK_KEY, "CRASH-THE-ENGINE any", nodes, 4), 2);
 }
-END_TEST
 
 static void
 setup(void)
@@ -84,5 +82,4 @@
 	cluster = cluster_create();
 }
 
-CLUSTER_MAIN("poison", setup, poison_request_stops_at_most_two_engines,
-    poison_request_at_two_regions_stops_at_most_two_engines)
+CLUSTER_MAIN("poison", setup)
--- a/tests/process_tls.c
+++ b/tests/process_tls.c
@@ -78,7 +78,7 @@
 }
 
 /* Guards against an instance that serves callers without TLS. */
-START_TEST(only_https_is_served)
+TEST(only_https_is_served)
 {
 	answer_t *answer = http_call(
 	    node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL, STREAM_200);
@@ -94,10 +94,9 @@
 	answer_free(answer);
 	ck_assert_int_eq(status_with(NULL, NODE_S1, "/readyz"), 0);
 }
-END_TEST
 
 /* Guards against a forward that fails, or is not verified, over https. */
-START_TEST(forward_is_verified)
+TEST(forward_is_verified)
 {
 	json_int_t before = target_count(cluster, NODE_R1, "requests");
 	const char *path = "/v1/services/tag-registry/trees/oak";
@@ -118,10 +117,9 @@
 	ck_assert_int_eq(
 	    target_count(cluster, NODE_R1, "requests"), before + 1);
 }
-END_TEST
 
 /* Guards against a broken pair that ends the service. */
-START_TEST(broken_pair_is_refused)
+TEST(broken_pair_is_refused)
 {
 	static const char *const broken[] = {"other.key", "s1.log"};
 
@@ -137,10 +135,9 @@
 	}
 	file_copy("first.key", "tls.key");
 }
-END_TEST
 
 /* Guards against a new certificate that breaks open streams or is not used. */
-START_TEST(new_pair_is_used_by_new_connections)
+TEST(new_pair_is_used_by_new_connections)
 {
 	http_task_t *stream = http_start(
 	    node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL, STREAM_200);
@@ -160,7 +157,6 @@
 	ck_assert_ptr_nonnull(strstr(answer->body->str, "data: [DONE]"));
 	answer_free(answer);
 }
-END_TEST
 
 static void
 tls_cluster_start(void)
@@ -192,6 +188,4 @@
 }
 
 /* One cluster for all: the order of the tests matters. */
-CLUSTER_MAIN("tls", tls_cluster_start, only_https_is_served,
-    forward_is_verified, broken_pair_is_refused,
-    new_pair_is_used_by_new_connections)
+CLUSTER_MAIN("tls", tls_cluster_start)
--- a/tests/test.h
+++ b/tests/test.h
@@ -5,30 +5,94 @@
 #include <stdlib.h>
 
 /*
- * Defines main() for a test program with one suite. fill adds the test cases.
- * Tests run in this process (no fork), so that sanitizers see leaks.
+ * The tests of a program, in the order of the file. Constructors of one file
+ * run in no fixed order.
  */
-#define TEST_MAIN(suite_name, fill)                               \
-	int main(void)                                            \
+typedef struct test_entry test_entry_t;
+struct test_entry {
+	const TTest *test;
+	test_entry_t *next;
+};
+
+static test_entry_t *test_first;
+
+static inline void
+test_enter(test_entry_t *entry)
+{
+	test_entry_t **at = &test_first;
+
+	while (*at != NULL && (*at)->test->line < entry->test->line)
+		at = &(*at)->next;
+	entry->next = *at;
+	*at = entry;
+}
+
+/* Defines a test and enters it. */
+#define TEST(name)                                                \
+	START_TEST(name);                                         \
+	static void __attribute__((constructor)) name##_add(void) \
 	{                                                         \
-		Suite *suite = suite_create(suite_name);          \
-		SRunner *runner;                                  \
-		int failed;                                       \
-		fill(suite);                                      \
-		runner = srunner_create(suite);                   \
-		srunner_set_fork_status(runner, CK_NOFORK);       \
-		srunner_run_all(runner, CK_NORMAL);               \
-		failed = srunner_ntests_failed(runner);           \
-		srunner_free(runner);                             \
-		return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE; \
+		static test_entry_t entry;                        \
+		entry.test = name;                                \
+		test_enter(&entry);                               \
+	}                                                         \
+	static void name##_fn(int _i CK_ATTRIBUTE_UNUSED)
+
+/*
+ * Runs a suite and returns the exit status. Tests run in this process (no
+ * fork), so that sanitizers see leaks.
+ */
+static inline int
+test_suite_run(Suite *suite)
+{
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+/* Runs each test as a case of its own. */
+static inline int
+test_run(const char *name)
+{
+	Suite *suite = suite_create(name);
+
+	for (test_entry_t *entry = test_first; entry; entry = entry->next) {
+		TCase *tcase = tcase_create(entry->test->name);
+
+		tcase_add_test(tcase, entry->test);
+		suite_add_tcase(suite, tcase);
 	}
+	return test_suite_run(suite);
+}
+
+/*
+ * Runs all tests as one case, between setup and teardown (NULL: none), with a
+ * limit for each test. CK_RUN_CASE=name selects the case.
+ */
+static inline int
+test_run_case(const char *name, SFun setup, SFun teardown, int timeout_s)
+{
+	Suite *suite = suite_create(name);
+	TCase *tcase = tcase_create(name);
 
-/* Adds one test function as a case of its own. */
-#define TEST_ADD(suite, function)                        \
-	do {                                             \
-		TCase *tcase_ = tcase_create(#function); \
-		tcase_add_test(tcase_, function);        \
-		suite_add_tcase(suite, tcase_);          \
-	} while (0)
+	tcase_add_unchecked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, timeout_s);
+	for (test_entry_t *entry = test_first; entry; entry = entry->next)
+		tcase_add_test(tcase, entry->test);
+	suite_add_tcase(suite, tcase);
+	return test_suite_run(suite);
+}
+
+/* Defines main() of a program that runs each test as a case of its own. */
+#define TEST_MAIN(name)                \
+	int main(void)                 \
+	{                              \
+		return test_run(name); \
+	}
 
 #endif
--- a/tests/test_body.c
+++ b/tests/test_body.c
@@ -17,7 +17,7 @@
 }
 
 /* Guards against malformed bodies that reach a target. */
-START_TEST(malformed_bodies_are_refused)
+TEST(malformed_bodies_are_refused)
 {
 	static const char *const bodies[] = {"", "{", "[]", "1", "null",
 	    "{} {}", "{\"a\":1,\"a\":2}", "{\"prompt\":\"\xff\"}",
@@ -32,20 +32,18 @@
 		ck_assert_ptr_null(facts.adjusted);
 	}
 }
-END_TEST
 
 /* Guards against nesting that overflows the stack. */
-START_TEST(deep_nesting_is_refused)
+TEST(deep_nesting_is_refused)
 {
 	g_autofree char *open = g_strnfill(200000, '[');
 	body_facts_t facts;
 
 	ck_assert(!reads(open, &facts));
 }
-END_TEST
 
 /* Guards against requests that are charged less than they can use. */
-START_TEST(cost_is_prompt_and_limit)
+TEST(cost_is_prompt_and_limit)
 {
 	body_facts_t facts;
 
@@ -58,10 +56,9 @@
 	ck_assert_int_eq(facts.cost, 1000006);
 	ck_assert(!facts.stream);
 }
-END_TEST
 
 /* Guards against an engine that answers longer than what was reserved. */
-START_TEST(default_limit_is_written_into_the_body)
+TEST(default_limit_is_written_into_the_body)
 {
 	body_facts_t facts;
 	json_t *adjusted;
@@ -77,10 +74,9 @@
 	json_decref(adjusted);
 	free(facts.adjusted);
 }
-END_TEST
 
 /* Guards against prompts with a common start that go to different targets. */
-START_TEST(prefix_decides_the_hash)
+TEST(prefix_decides_the_hash)
 {
 	g_autofree char *start = g_strnfill(256, 'p');
 	g_autofree char *one =
@@ -95,10 +91,9 @@
 	ck_assert(reads("{\"max_tokens\":1,\"prompt\":\"other\"}", &b));
 	ck_assert(a.prefix_hash != b.prefix_hash);
 }
-END_TEST
 
 /* Guards against plain services whose bodies are read as JSON. */
-START_TEST(plain_bodies_are_not_read)
+TEST(plain_bodies_are_not_read)
 {
 	body_facts_t facts;
 
@@ -106,10 +101,9 @@
 	ck_assert_int_eq(facts.cost, 1);
 	ck_assert(body_read("", 0, false, &facts, NULL));
 }
-END_TEST
 
 /* Guards against a resumed stream that starts again. */
-START_TEST(resume_names_the_token)
+TEST(resume_names_the_token)
 {
 	const char *body = "{\"prompt\":\"p\",\"resume_from\":1}";
 	char *text = body_resume(body, strlen(body), 17);
@@ -122,18 +116,5 @@
 	json_decref(object);
 	free(text);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, malformed_bodies_are_refused);
-	TEST_ADD(suite, deep_nesting_is_refused);
-	TEST_ADD(suite, cost_is_prompt_and_limit);
-	TEST_ADD(suite, default_limit_is_written_into_the_body);
-	TEST_ADD(suite, prefix_decides_the_hash);
-	TEST_ADD(suite, plain_bodies_are_not_read);
-	TEST_ADD(suite, resume_names_the_token);
-}
-
-TEST_MAIN("body", fill)
+TEST_MAIN("body")
--- a/tests/test_bucket.c
+++ b/tests/test_bucket.c
@@ -16,7 +16,7 @@
 }
 
 /* Guards against a bucket that admits more than it holds or refills wrongly. */
-START_TEST(level_follows_rate_and_capacity)
+TEST(level_follows_rate_and_capacity)
 {
 	bucket_t *bucket = bucket_full(10, 100);
 	reservation_t r;
@@ -33,10 +33,9 @@
 	ck_assert_int_eq(bucket_withdraw(bucket, T(50), INT64_MAX / 2), T(40));
 	bucket_destroy(bucket);
 }
-END_TEST
 
 /* Guards against rates below one micro-token a microsecond being lost. */
-START_TEST(small_rates_are_exact)
+TEST(small_rates_are_exact)
 {
 	bucket_t *bucket = bucket_create(0);
 
@@ -46,11 +45,10 @@
 	ck_assert_int_eq(bucket_level(bucket, 2 * US_PER_S), 6);
 	bucket_destroy(bucket);
 }
-END_TEST
 
 /* Guards against returned tokens that would have overflowed meanwhile, and
  * against a second return. */
-START_TEST(return_is_once_and_without_overflow)
+TEST(return_is_once_and_without_overflow)
 {
 	bucket_t *bucket = bucket_full(10, 100);
 	reservation_t r, again;
@@ -65,10 +63,9 @@
 	ck_assert_int_eq(bucket_level(bucket, 5 * US_PER_S), 0);
 	bucket_destroy(bucket);
 }
-END_TEST
 
 /* Guards against a ring that overruns: the oldest reservation is given up. */
-START_TEST(full_ring_gives_up_the_oldest)
+TEST(full_ring_gives_up_the_oldest)
 {
 	bucket_t *bucket = bucket_full(0, 5000);
 	reservation_t r[BUCKET_EVENT_LIMIT + 1];
@@ -83,7 +80,6 @@
 	ck_assert_int_eq(bucket_n_open(bucket), 0);
 	bucket_destroy(bucket);
 }
-END_TEST
 
 #define N_OPEN 12
 
@@ -91,7 +87,7 @@
  * Guards against a replay that differs from a bucket charged with the real
  * costs at admission: random reservations, limits, loans and settlements.
  */
-START_TEST(replay_equals_real_costs)
+TEST(replay_equals_real_costs)
 {
 	for (uint32_t seed = 1; seed <= 300; seed++) {
 		GRand *rand = g_rand_new_with_seed(seed);
@@ -134,16 +130,5 @@
 		g_rand_free(rand);
 	}
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, level_follows_rate_and_capacity);
-	TEST_ADD(suite, small_rates_are_exact);
-	TEST_ADD(suite, return_is_once_and_without_overflow);
-	TEST_ADD(suite, full_ring_gives_up_the_oldest);
-	TEST_ADD(suite, replay_equals_real_costs);
-}
-
-TEST_MAIN("bucket", fill)
+TEST_MAIN("bucket")
--- a/tests/test_diff.c
+++ b/tests/test_diff.c
@@ -99,7 +99,7 @@
 }
 
 /* Guards against a team whose loss of access an operator does not see. */
-START_TEST(plans_changes_are_told)
+TEST(plans_changes_are_told)
 {
 	static const change_t rows[] = {
 	    {TEAM_BETA, "", "team beta: removed with keys none\n"},
@@ -126,11 +126,10 @@
 	changes_run(true, plans_text, "version: 3", "version: 4",
 	    "plans: version 3 -> 4\n", rows, G_N_ELEMENTS(rows));
 }
-END_TEST
 
 /* Guards against a change of rates or regions that is not told, or miscounted.
  */
-START_TEST(allowances_changes_are_told)
+TEST(allowances_changes_are_told)
 {
 	static const change_t rows[] = {
 	    {"rate: 500", "rate: 600",
@@ -179,10 +178,9 @@
 	changes_run(false, allowances_text, "version: 5", "version: 6",
 	    "allowances: version 5 -> 6\n", rows, G_N_ELEMENTS(rows));
 }
-END_TEST
 
 /* Guards against a published change that no instance would adopt. */
-START_TEST(version_has_to_rise)
+TEST(version_has_to_rise)
 {
 	g_autofree char *same = text_change(plans_text, "alfa", "gama");
 	g_autofree char *lower = text_change(same, "3", "2");
@@ -207,14 +205,5 @@
 	lines = diff_texts(false, allowances_text, allowances_text);
 	ck_assert_str_eq(lines, "");
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, plans_changes_are_told);
-	TEST_ADD(suite, allowances_changes_are_told);
-	TEST_ADD(suite, version_has_to_rise);
-}
-
-TEST_MAIN("diff", fill)
+TEST_MAIN("diff")
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -48,7 +48,7 @@
 
 /* Guards against callers of one team that meet at different instances, and
  * against teams that all meet at one. */
-START_TEST(teams_spread_and_stay)
+TEST(teams_spread_and_stay)
 {
 	directory_t *directory = directory_new();
 	const instance_t *out[1];
@@ -73,10 +73,9 @@
 	}
 	directory_destroy(directory);
 }
-END_TEST
 
 /* Guards against zones that get teams regardless of their weight. */
-START_TEST(zones_get_teams_by_weight)
+TEST(zones_get_teams_by_weight)
 {
 	directory_t *directory;
 	const instance_t *out[1];
@@ -96,7 +95,6 @@
 	ck_assert_msg(heavy > 3480 && heavy < 3720, "%d of 4000", heavy);
 	directory_destroy(directory);
 }
-END_TEST
 
 static void
 order_check(uint64_t seed, const directory_query_t *query,
@@ -177,18 +175,9 @@
 
 /* Guards against an instance outside the home or the allowed regions, a leaving
  * one, a wrong order and output beyond the bound. */
-START_TEST(random_fleets_keep_rules)
+TEST(random_fleets_keep_rules)
 {
 	RANDOM_SCHEDULES(schedule_run);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, teams_spread_and_stay);
-	TEST_ADD(suite, zones_get_teams_by_weight);
-	TEST_ADD(suite, random_fleets_keep_rules);
-}
-
-TEST_MAIN("directory", fill)
+TEST_MAIN("directory")
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -66,7 +66,7 @@
 
 /* Guards against overlapping or reordered commands of two owners, too many
  * loads at a time, and a desired state that is never reached. */
-START_TEST(invariants_hold_under_faults)
+TEST(invariants_hold_under_faults)
 {
 	const char *only = getenv("TEST_SEED");
 	uint32_t first = only ? (uint32_t)strtoul(only, NULL, 10) : 1;
@@ -93,7 +93,6 @@
 	ck_assert(only != NULL || (totals.whole > N_SCHEDULES / 3 &&
 				      totals.done > 1000 && totals.fenced > 0));
 }
-END_TEST
 
 static bool
 is_expected(const char *seen, const char *violation)
@@ -104,7 +103,7 @@
 
 /* Guards against a checker that can't notice: each rule that is switched off
  * must lead to the violation that the rule prevents. */
-START_TEST(checker_notices_missing_rules)
+TEST(checker_notices_missing_rules)
 {
 	static const struct {
 		const char *rule;
@@ -141,13 +140,5 @@
 		    N_SEARCHED);
 	}
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, invariants_hold_under_faults);
-	TEST_ADD(suite, checker_notices_missing_rules);
-}
-
-TEST_MAIN("engine", fill)
+TEST_MAIN("engine")
--- a/tests/test_envelope.c
+++ b/tests/test_envelope.c
@@ -27,7 +27,7 @@
 }
 
 /* Guards against a field that an attacker can change under a valid MAC. */
-START_TEST(every_field_of_a_call_is_covered)
+TEST(every_field_of_a_call_is_covered)
 {
 	envelope_keys_t keys = keys_make(NEW_SECRET, NULL);
 	const peer_call good = call_make(&keys, 3, 5);
@@ -49,11 +49,10 @@
 		    !envelope_check_call(&keys, PEER_BORROW, &bad[i], NULL),
 		    "change %zu was accepted", i);
 }
-END_TEST
 
 /* Guards against a reply that is taken for the answer to another call, or a
  * call that is taken for a reply. */
-START_TEST(reply_fits_one_call)
+TEST(reply_fits_one_call)
 {
 	envelope_keys_t keys = keys_make(NEW_SECRET, NULL);
 	const peer_call call = call_make(&keys, 3, 5);
@@ -84,11 +83,10 @@
 	ck_assert(
 	    !envelope_check_reply(&keys, PEER_BORROW, &call, &reply, NULL));
 }
-END_TEST
 
 /* Guards against a rotation that refuses instances which are a step behind,
  * and against a withdrawn secret that still works. */
-START_TEST(secrets_rotate)
+TEST(secrets_rotate)
 {
 	envelope_keys_t old = keys_make(OLD_SECRET, NULL);
 	envelope_keys_t both = keys_make(NEW_SECRET, OLD_SECRET);
@@ -101,10 +99,9 @@
 	ck_assert(envelope_check_call(&new, PEER_BORROW, &call, NULL));
 	ck_assert(!envelope_check_call(&old, PEER_BORROW, &call, NULL));
 }
-END_TEST
 
 /* Guards against secrets that protect nothing. */
-START_TEST(bad_secrets_are_refused)
+TEST(bad_secrets_are_refused)
 {
 	const char *const none[] = {NULL};
 	const char *const weak[] = {OLD_SECRET, "short", NULL};
@@ -115,7 +112,6 @@
 	ck_assert(!envelope_keys_init(&keys, weak, NULL));
 	ck_assert(!envelope_keys_init(&keys, three, NULL));
 }
-END_TEST
 
 static replay_verdict_t
 judge(replay_guard_t *guard, const char *sender, uint64_t incarnation,
@@ -133,7 +129,7 @@
 
 /* Guards against a repeat that is accepted, and against a refusal of messages
  * that only came out of order. */
-START_TEST(window_refuses_repeats_only)
+TEST(window_refuses_repeats_only)
 {
 	replay_guard_t *guard = replay_guard_create(4);
 	uint64_t session = 0;
@@ -153,11 +149,10 @@
 	ck_assert_int_eq(judge(guard, "s1", 7, 163, &session), REPLAY_REPEATED);
 	replay_guard_destroy(guard);
 }
-END_TEST
 
 /* Guards against messages recorded before a restart of the receiver, and from
  * another process start of the sender. */
-START_TEST(recorded_session_is_void_after_restart)
+TEST(recorded_session_is_void_after_restart)
 {
 	replay_guard_t *guard = replay_guard_create(4);
 	replay_guard_t *restarted = replay_guard_create(4);
@@ -173,11 +168,10 @@
 	replay_guard_destroy(restarted);
 	replay_guard_destroy(guard);
 }
-END_TEST
 
 /* Guards against unbounded memory, and against a replay of messages whose
  * window was dropped to bound it. */
-START_TEST(dropped_window_stays_refused)
+TEST(dropped_window_stays_refused)
 {
 	replay_guard_t *guard = replay_guard_create(2);
 	uint64_t first = 0;
@@ -197,18 +191,5 @@
 	ck_assert_int_eq(judge(guard, "s0", 1, 2, &recorded), REPLAY_FRESH);
 	replay_guard_destroy(guard);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, every_field_of_a_call_is_covered);
-	TEST_ADD(suite, reply_fits_one_call);
-	TEST_ADD(suite, secrets_rotate);
-	TEST_ADD(suite, bad_secrets_are_refused);
-	TEST_ADD(suite, window_refuses_repeats_only);
-	TEST_ADD(suite, recorded_session_is_void_after_restart);
-	TEST_ADD(suite, dropped_window_stays_refused);
-}
-
-TEST_MAIN("envelope", fill)
+TEST_MAIN("envelope")
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -26,7 +26,7 @@
  * outside a home region, second hops, repeated orders, false "not run"
  * statements, overfull targets, tokens above the rate and spread of poison.
  */
-START_TEST(invariants_hold_in_random_schedules)
+TEST(invariants_hold_in_random_schedules)
 {
 	uint64_t n = number_from("TEST_SCHEDULES", N_SCHEDULES);
 	uint64_t first = number_from("TEST_SLICE", 0) * n + 1;
@@ -58,10 +58,9 @@
 	/* A harness in which nothing is served would pass as well. */
 	ck_assert(n < 10 || world_totals.done * 4 > world_totals.requests);
 }
-END_TEST
 
 /* Guards against checks that can't fail. */
-START_TEST(checks_notice_injected_faults)
+TEST(checks_notice_injected_faults)
 {
 	if (number_from("TEST_SLICE", 0) > 0 || getenv("TEST_SEED") != NULL)
 		return;
@@ -81,13 +80,5 @@
 		    "fault %d (%s) is not noticed", fault, symptom);
 	}
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, invariants_hold_in_random_schedules);
-	TEST_ADD(suite, checks_notice_injected_faults);
-}
-
-TEST_MAIN("gate", fill)
+TEST_MAIN("gate")
--- a/tests/test_histogram.c
+++ b/tests/test_histogram.c
@@ -5,7 +5,7 @@
 #include "test.h"
 
 /* Guards against a slot that reports a value too low or too imprecisely. */
-START_TEST(each_value_is_reported_within_one_in_128)
+TEST(each_value_is_reported_within_one_in_128)
 {
 	for (uint64_t value = 0; value <= HISTOGRAM_MAX;
 	     value += value / 97 + 1) {
@@ -20,10 +20,9 @@
 		histogram_destroy(histogram);
 	}
 }
-END_TEST
 
 /* Guards against a rank that is off by one at small counts. */
-START_TEST(quantiles_are_ranks)
+TEST(quantiles_are_ranks)
 {
 	histogram_t *histogram = histogram_create();
 
@@ -39,10 +38,9 @@
 	ck_assert_double_eq_tol(histogram_mean(histogram), 50.5, 1e-9);
 	histogram_destroy(histogram);
 }
-END_TEST
 
 /* Guards against a merge that differs from recording into one histogram. */
-START_TEST(merge_equals_one_histogram)
+TEST(merge_equals_one_histogram)
 {
 	histogram_t *parts[3] = {
 	    histogram_create(), histogram_create(), histogram_create()};
@@ -66,10 +64,9 @@
 		histogram_destroy(parts[i]);
 	histogram_destroy(whole);
 }
-END_TEST
 
 /* Guards against a write behind the last slot. */
-START_TEST(too_large_value_counts_as_the_maximum)
+TEST(too_large_value_counts_as_the_maximum)
 {
 	histogram_t *histogram = histogram_create();
 
@@ -78,15 +75,5 @@
 	ck_assert_uint_eq(histogram_quantile(histogram, 0.5), HISTOGRAM_MAX);
 	histogram_destroy(histogram);
 }
-END_TEST
 
-static void
-suite_fill(Suite *suite)
-{
-	TEST_ADD(suite, each_value_is_reported_within_one_in_128);
-	TEST_ADD(suite, quantiles_are_ranks);
-	TEST_ADD(suite, merge_equals_one_histogram);
-	TEST_ADD(suite, too_large_value_counts_as_the_maximum);
-}
-
-TEST_MAIN("histogram", suite_fill)
+TEST_MAIN("histogram")
--- a/tests/test_hop.c
+++ b/tests/test_hop.c
@@ -25,7 +25,7 @@
 }
 
 /* Guards against a header that its own fleet does not understand. */
-START_TEST(sealed_header_is_accepted)
+TEST(sealed_header_is_accepted)
 {
 	char text[HOP_TEXT_LIMIT];
 	hop_t hop;
@@ -38,10 +38,9 @@
 	ck_assert_int_eq(hop.wall_s, NOW_S);
 	ck_assert_uint_eq(hop.nonce, 0x1234567890abcdef);
 }
-END_TEST
 
 /* Guards against an outage while the fleet secret is exchanged. */
-START_TEST(each_of_two_secrets_is_accepted)
+TEST(each_of_two_secrets_is_accepted)
 {
 	static const uint8_t foreign[HOP_SECRET_BYTES] = {3};
 	char text[HOP_TEXT_LIMIT];
@@ -53,10 +52,9 @@
 	seal(text, foreign);
 	ck_assert(!accepts(text, &request, NOW_S));
 }
-END_TEST
 
 /* Guards against a header that is used for another request. */
-START_TEST(moved_header_is_refused)
+TEST(moved_header_is_refused)
 {
 	const hop_request_t moved[] = {
 	    {"GET", "/v1/services/e/x", "body", 4},
@@ -74,10 +72,9 @@
 		ck_assert_msg(
 		    !accepts(text, &moved[i], NOW_S), "moved request %zu", i);
 }
-END_TEST
 
 /* Guards against bytes of the header that the MAC does not cover. */
-START_TEST(changed_byte_is_refused)
+TEST(changed_byte_is_refused)
 {
 	char text[HOP_TEXT_LIMIT];
 
@@ -95,10 +92,9 @@
 		text[i] = kept;
 	}
 }
-END_TEST
 
 /* Guards against headers that are used long after they were made. */
-START_TEST(old_and_early_headers_are_refused)
+TEST(old_and_early_headers_are_refused)
 {
 	char text[HOP_TEXT_LIMIT];
 
@@ -108,10 +104,9 @@
 	ck_assert(!accepts(text, &request, NOW_S + HOP_TOLERANCE_S + 1));
 	ck_assert(!accepts(text, &request, NOW_S - HOP_TOLERANCE_S - 1));
 }
-END_TEST
 
 /* Guards against reads past the end and parts that pass for the whole. */
-START_TEST(truncated_header_is_refused)
+TEST(truncated_header_is_refused)
 {
 	char text[HOP_TEXT_LIMIT];
 
@@ -122,10 +117,9 @@
 		    !accepts(text, &request, NOW_S), "first %zu bytes", len);
 	}
 }
-END_TEST
 
 /* Guards against buffers that a long header or a long name overruns. */
-START_TEST(oversized_header_is_refused)
+TEST(oversized_header_is_refused)
 {
 	char text[4 * HOP_TEXT_LIMIT];
 	char name[NAME_LIMIT + 2];
@@ -146,10 +140,9 @@
 	snprintf(text, sizeof(text), "h1.s.%s.1.1.%064d", name + 1, 0);
 	ck_assert(hop_parse(text, &hop));
 }
-END_TEST
 
 /* Guards against the longest names not fitting into a header. */
-START_TEST(longest_names_fit)
+TEST(longest_names_fit)
 {
 	hop_t hop = {.wall_s = NOW_S, .nonce = UINT64_MAX};
 	char text[HOP_TEXT_LIMIT];
@@ -159,10 +152,9 @@
 	hop_seal(&hop, &request, secrets[0], text, sizeof(text));
 	ck_assert(accepts(text, &request, NOW_S));
 }
-END_TEST
 
 /* Guards against fields that are read from the wrong place. */
-START_TEST(other_number_of_fields_is_refused)
+TEST(other_number_of_fields_is_refused)
 {
 	char text[HOP_TEXT_LIMIT];
 	hop_t hop;
@@ -179,20 +171,5 @@
 	ck_assert(hop_parse(text, &hop));
 	ck_assert_str_eq(hop.team, "");
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, sealed_header_is_accepted);
-	TEST_ADD(suite, each_of_two_secrets_is_accepted);
-	TEST_ADD(suite, moved_header_is_refused);
-	TEST_ADD(suite, changed_byte_is_refused);
-	TEST_ADD(suite, old_and_early_headers_are_refused);
-	TEST_ADD(suite, truncated_header_is_refused);
-	TEST_ADD(suite, oversized_header_is_refused);
-	TEST_ADD(suite, longest_names_fit);
-	TEST_ADD(suite, other_number_of_fields_is_refused);
-}
-
-TEST_MAIN("hop", fill)
+TEST_MAIN("hop")
--- a/tests/test_lists.c
+++ b/tests/test_lists.c
@@ -59,7 +59,7 @@
 }
 
 /* Guards against a version that falls or changes its content. */
-START_TEST(only_a_higher_version_is_adopted)
+TEST(only_a_higher_version_is_adopted)
 {
 	lists_t *lists = lists_create("a", fits, NULL);
 	heartbeat_t heartbeat = {.n_load = 3};
@@ -76,10 +76,9 @@
 	ck_assert_uint_eq(heartbeat.n_load, 3);
 	lists_destroy(lists);
 }
-END_TEST
 
 /* Guards against half of a pair in force, and a waiting list that blocks. */
-START_TEST(plans_and_allowances_wait_for_each_other)
+TEST(plans_and_allowances_wait_for_each_other)
 {
 	lists_t *lists = lists_create("a", fits, NULL);
 	lists_offer_t result;
@@ -109,10 +108,9 @@
 	ck_assert_str_eq(view.plans->head.text, "6"); /* still referenced */
 	lists_view_clear(&view);
 }
-END_TEST
 
 /* Guards against two fetches of one version and a retry without a pause. */
-START_TEST(fetches_are_spaced)
+TEST(fetches_are_spaced)
 {
 	lists_t *lists = lists_create("a", fits, NULL);
 	heartbeat_t peer = {.sender = "b"}, other = {.sender = "c"};
@@ -140,10 +138,9 @@
 	    lists_wanted(lists, &other, 12 * US_PER_S).conflict[LIST_FLEET]);
 	lists_destroy(lists);
 }
-END_TEST
 
 /* Guards against serving with old lists, and against never serving. */
-START_TEST(readiness_waits_for_peers_but_not_for_ever)
+TEST(readiness_waits_for_peers_but_not_for_ever)
 {
 	time_us_t start = 100 * US_PER_S;
 	heartbeat_t peer = {.sender = "b"};
@@ -172,10 +169,9 @@
 		lists_destroy(lists);
 	}
 }
-END_TEST
 
 /* Guards against all instances reading again at the same moment. */
-START_TEST(backoff_is_spread)
+TEST(backoff_is_spread)
 {
 	time_us_t least = INT64_MAX, most = 0;
 
@@ -190,7 +186,6 @@
 	}
 	ck_assert(least < 2 * US_PER_S && most > 29 * US_PER_S);
 }
-END_TEST
 
 /*
  * Schedules: the platform publishes versions and is read by instances, but
@@ -454,21 +449,9 @@
 }
 
 /* Guards against any interleaving that reverts, splits a pair or diverges. */
-START_TEST(versions_only_rise_and_agree)
+TEST(versions_only_rise_and_agree)
 {
 	schedule_check("lists", lists_schedule, 4000, FAULT_IMPATIENT);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, only_a_higher_version_is_adopted);
-	TEST_ADD(suite, plans_and_allowances_wait_for_each_other);
-	TEST_ADD(suite, fetches_are_spaced);
-	TEST_ADD(suite, readiness_waits_for_peers_but_not_for_ever);
-	TEST_ADD(suite, backoff_is_spread);
-	TEST_ADD(suite, versions_only_rise_and_agree);
-}
-
-TEST_MAIN("lists", fill)
+TEST_MAIN("lists")
--- a/tests/test_lists_parse.c
+++ b/tests/test_lists_parse.c
@@ -94,7 +94,7 @@
 }
 
 /* Guards against faults in any list that YAML itself lets pass. */
-START_TEST(plans_faults_are_refused)
+TEST(plans_faults_are_refused)
 {
 	static const refusal_case_t rows[] = {
 	    {"version 0", "3", "0", CS_ERROR_INVALID, "f:1: version: "},
@@ -172,10 +172,9 @@
 
 	cases_run(LIST_PLANS, plans_text, rows, G_N_ELEMENTS(rows));
 }
-END_TEST
 
 /* Guards against allowances that would divide by zero or mean nothing. */
-START_TEST(allowances_faults_are_refused)
+TEST(allowances_faults_are_refused)
 {
 	static const refusal_case_t rows[] = {
 	    {"weight 0", "weight: 2", "weight: 0", CS_ERROR_INVALID,
@@ -256,10 +255,9 @@
 
 	cases_run(LIST_ALLOWANCES, allowances_text, rows, G_N_ELEMENTS(rows));
 }
-END_TEST
 
 /* Guards against members that can't be reached or are counted twice. */
-START_TEST(fleet_faults_are_refused)
+TEST(fleet_faults_are_refused)
 {
 	static const refusal_case_t rows[] = {
 	    {"port 0", "10.0.0.1:80", "10.0.0.1:0", CS_ERROR_INVALID,
@@ -308,10 +306,9 @@
 
 	cases_run(LIST_FLEET, fleet_text, rows, G_N_ELEMENTS(rows));
 }
-END_TEST
 
 /* Guards against values that are lost or land in another field. */
-START_TEST(values_arrive_in_their_fields)
+TEST(values_arrive_in_their_fields)
 {
 	plans_t *plans = plans_parse("f", plans_text, strlen(plans_text), NULL);
 	allowances_t *allowances = allowances_parse(
@@ -345,10 +342,9 @@
 	allowances_unref(allowances);
 	fleet_unref(fleet);
 }
-END_TEST
 
 /* Guards against a pair in force in which a team has no plan or no zone. */
-START_TEST(pair_faults_are_refused)
+TEST(pair_faults_are_refused)
 {
 	static const struct {
 		const char *find;
@@ -385,7 +381,6 @@
 	}
 	allowances_unref(allowances);
 }
-END_TEST
 
 /* Returns a plans list of at most limit bytes with as many teams as fit. */
 static GString *
@@ -408,7 +403,7 @@
  * Guards against quadratic checks: a list of the largest size has to be in
  * force within seconds, and the bound leaves room for sanitizers.
  */
-START_TEST(largest_list_is_parsed_quickly)
+TEST(largest_list_is_parsed_quickly)
 {
 	GString *text = plans_fill(FILE_LIMIT);
 	GError *error = NULL;
@@ -429,10 +424,9 @@
 	    &error);
 	g_string_free(text, TRUE);
 }
-END_TEST
 
 /* Guards against a NUL byte that hides the rest of the text. */
-START_TEST(nul_byte_is_refused)
+TEST(nul_byte_is_refused)
 {
 	static const char text[] = "version: 1\nteams: []\n\0teams";
 	GError *error = NULL;
@@ -446,13 +440,12 @@
 			  CS_ERROR_INVALID, "f:1: document: is not a map"},
 	    &error);
 }
-END_TEST
 
 /*
  * Guards against damaged texts that crash, leak or are refused without a
  * reason. The seed is fixed, so that a failure can be repeated.
  */
-START_TEST(damaged_texts_are_handled)
+TEST(damaged_texts_are_handled)
 {
 	static const char *const bases[LIST_COUNT] = {
 	    plans_text, allowances_text, fleet_text};
@@ -476,10 +469,9 @@
 		g_clear_error(&error);
 	}
 }
-END_TEST
 
 /* Guards against demo lists that no longer match the demo's keys. */
-START_TEST(example_keys_belong_to_their_teams)
+TEST(example_keys_belong_to_their_teams)
 {
 	static const char *const keys[][2] = {
 	    {"demo-parish-key", "parish-nitra"},
@@ -505,20 +497,5 @@
 	}
 	plans_unref(plans);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, plans_faults_are_refused);
-	TEST_ADD(suite, allowances_faults_are_refused);
-	TEST_ADD(suite, fleet_faults_are_refused);
-	TEST_ADD(suite, values_arrive_in_their_fields);
-	TEST_ADD(suite, pair_faults_are_refused);
-	TEST_ADD(suite, largest_list_is_parsed_quickly);
-	TEST_ADD(suite, nul_byte_is_refused);
-	TEST_ADD(suite, damaged_texts_are_handled);
-	TEST_ADD(suite, example_keys_belong_to_their_teams);
-}
-
-TEST_MAIN("lists_parse", fill)
+TEST_MAIN("lists_parse")
--- a/tests/test_loan.c
+++ b/tests/test_loan.c
@@ -29,7 +29,7 @@
 }
 
 /* Guards against a repeated, late or returned grant that counts again. */
-START_TEST(grant_counts_once)
+TEST(grant_counts_once)
 {
 	loans_t *loans = loans_create(1);
 	loan_grant_t grant = grant_of(7, 100, 50);
@@ -50,11 +50,10 @@
 	ck_assert(!loan_accept(loans, &grant, 50 + LOAN_US));
 	loans_destroy(loans);
 }
-END_TEST
 
 /* Guards against a lender that takes its share back before the borrower's
  * count ends, with a request that was long under way and a fast clock. */
-START_TEST(lender_outlasts_borrower)
+TEST(lender_outlasts_borrower)
 {
 	loans_t *loans = loans_create(1);
 	loan_request_t request = request_of(3, 0);
@@ -73,11 +72,10 @@
 	ck_assert(!loan_exists(loans, "t"));
 	loans_destroy(loans);
 }
-END_TEST
 
 /* Guards against a repeated return, or one meant for an earlier process of the
  * lender, that gives a share back twice. */
-START_TEST(return_counts_once)
+TEST(return_counts_once)
 {
 	loans_t *before = loans_create(1000);
 	loans_t *loans = loans_create(77);
@@ -94,10 +92,9 @@
 	loans_destroy(before);
 	loans_destroy(loans);
 }
-END_TEST
 
 /* Guards against a renewal that shortens a loan or revives an ended one. */
-START_TEST(renewal_extends_a_running_loan)
+TEST(renewal_extends_a_running_loan)
 {
 	loans_t *loans = loans_create(1);
 	loan_grant_t late = grant_of(7, 100, 4000);
@@ -112,15 +109,5 @@
 	ck_assert_uint_eq(loan_borrowed(loans, "t"), 100);
 	loans_destroy(loans);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, grant_counts_once);
-	TEST_ADD(suite, lender_outlasts_borrower);
-	TEST_ADD(suite, return_counts_once);
-	TEST_ADD(suite, renewal_extends_a_running_loan);
-}
-
-TEST_MAIN("loan", fill)
+TEST_MAIN("loan")
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -26,7 +26,7 @@
 }
 
 /* Guards against a caller's value that forges a second line or field. */
-START_TEST(hostile_value_stays_one_field)
+TEST(hostile_value_stays_one_field)
 {
 	char line[512];
 
@@ -35,22 +35,13 @@
 	    strstr(line, "value=\"x\\x0aevent=forged a=\\\"b\\\\\" n=-3\n"));
 	ck_assert_ptr_eq(strchr(line, '\n'), line + strlen(line) - 1);
 }
-END_TEST
 
-START_TEST(empty_value_is_quoted)
+TEST(empty_value_is_quoted)
 {
 	char line[512];
 
 	line_capture("", line, sizeof(line));
 	ck_assert_ptr_nonnull(strstr(line, "value=\"\" n=-3\n"));
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, hostile_value_stays_one_field);
-	TEST_ADD(suite, empty_value_is_quoted);
-}
-
-TEST_MAIN("log", fill)
+TEST_MAIN("log")
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -81,7 +81,7 @@
 
 /* Guards against a start that holds a share while its predecessor's loans may
  * run, and against a fleet that never starts. */
-START_TEST(new_fleet_holds_after_loan_time)
+TEST(new_fleet_holds_after_loan_time)
 {
 	trio_t t;
 
@@ -98,11 +98,10 @@
 	ck_assert(membership_is_settled(t.m[0], LIST_PLANS, 1));
 	trio_stop(&t);
 }
-END_TEST
 
 /* Guards against a share that is used without a lease, and a lease taken from
  * a reply that answers no request. */
-START_TEST(share_ends_with_the_lease)
+TEST(share_ends_with_the_lease)
 {
 	heartbeat_t request = {0}, reply = {0};
 	trio_t t;
@@ -119,11 +118,10 @@
 	ck_assert_uint_eq(membership_share(t.m[0], t.now), 0);
 	trio_stop(&t);
 }
-END_TEST
 
 /* Guards against a share that grows before the lost member is fenced, and
  * against a lone survivor that never gets the lost member's share. */
-START_TEST(survivor_grows_after_the_fence)
+TEST(survivor_grows_after_the_fence)
 {
 	trio_t t;
 
@@ -138,11 +136,10 @@
 	ck_assert_uint_eq(membership_share(t.m[0], t.now), SHARE_ONE);
 	trio_stop(&t);
 }
-END_TEST
 
 /* Guards against an acknowledgement of a later version that is taken for one
  * of a version its sender skipped: there c's share would be larger. */
-START_TEST(skipped_version_is_not_acknowledged)
+TEST(skipped_version_is_not_acknowledged)
 {
 	trio_t t;
 
@@ -161,7 +158,6 @@
 	    SHARE_ONE);
 	trio_stop(&t);
 }
-END_TEST
 
 static share_t
 lent_most(void *context)
@@ -170,7 +166,7 @@
 }
 
 /* Guards against an acknowledgement while more is lent than the new share. */
-START_TEST(acknowledgement_waits_for_loans)
+TEST(acknowledgement_waits_for_loans)
 {
 	share_t lent = SHARE_ONE / 2;
 	heartbeat_t out = {0};
@@ -191,11 +187,10 @@
 	ck_assert_uint_eq(membership_share(t.m[0], t.now), SHARE_ONE);
 	trio_stop(&t);
 }
-END_TEST
 
 /* Guards against a zone's part that rises before all have acknowledged, and
  * against memory for teams whose part didn't rise. */
-START_TEST(part_rises_when_all_acknowledged)
+TEST(part_rises_when_all_acknowledged)
 {
 	static const uint32_t heavier[] = {3, 1, 4};
 	trio_t t;
@@ -219,10 +214,9 @@
 	ck_assert_uint_eq(membership_n_lowered(t.m[0]), 0);
 	trio_stop(&t);
 }
-END_TEST
 
 /* Guards against two lists of one version that are taken for the same. */
-START_TEST(other_text_is_no_acknowledgement)
+TEST(other_text_is_no_acknowledgement)
 {
 	fleet_t *other = fleet_of(2, "ac");
 	trio_t t;
@@ -236,10 +230,9 @@
 	ck_assert(!membership_is_settled(t.m[0], LIST_FLEET, 2));
 	trio_stop(&t);
 }
-END_TEST
 
 /* Guards against slots that are counted twice or not at all. */
-START_TEST(slots_are_divided)
+TEST(slots_are_divided)
 {
 	target_t target = {.name = "w1", .zone = "z0", .slots = 7};
 	trio_t t;
@@ -253,19 +246,5 @@
 	ck_assert_uint_eq(membership_slots(t.m[2], &target, t.now), 0);
 	trio_stop(&t);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, new_fleet_holds_after_loan_time);
-	TEST_ADD(suite, share_ends_with_the_lease);
-	TEST_ADD(suite, survivor_grows_after_the_fence);
-	TEST_ADD(suite, skipped_version_is_not_acknowledged);
-	TEST_ADD(suite, acknowledgement_waits_for_loans);
-	TEST_ADD(suite, part_rises_when_all_acknowledged);
-	TEST_ADD(suite, other_text_is_no_acknowledgement);
-	TEST_ADD(suite, slots_are_divided);
-}
-
-TEST_MAIN("membership", fill)
+TEST_MAIN("membership")
--- a/tests/test_messages.c
+++ b/tests/test_messages.c
@@ -8,7 +8,7 @@
 
 /* Guards against a field that is lost or exchanged on the wire, and against a
  * heartbeat that doesn't fit the call limit. */
-START_TEST(heartbeat_survives_the_wire)
+TEST(heartbeat_survives_the_wire)
 {
 	const heartbeat_t in = heartbeat_sample();
 	heartbeat_t out;
@@ -21,11 +21,10 @@
 	ck_assert(heartbeat_equal(&in, &out));
 	g_bytes_unref(bytes);
 }
-END_TEST
 
 /* Guards against a decoder that reads past a cut message or accepts one that
  * carries more than itself. */
-START_TEST(cut_and_padded_messages_are_refused)
+TEST(cut_and_padded_messages_are_refused)
 {
 	const heartbeat_t in = heartbeat_sample();
 	heartbeat_t out = {.incarnation = 99};
@@ -49,10 +48,9 @@
 	g_free(copy);
 	g_bytes_unref(bytes);
 }
-END_TEST
 
 /* Guards against values that the core relies on being impossible. */
-START_TEST(invalid_heartbeats_are_refused)
+TEST(invalid_heartbeats_are_refused)
 {
 	heartbeat_t bad[7];
 
@@ -73,10 +71,9 @@
 		ck_assert(g_error_matches(error, CS_ERROR, CS_ERROR_INVALID));
 	}
 }
-END_TEST
 
 /* Guards against a hostile peer that encodes what our encoder refuses. */
-START_TEST(invalid_loans_are_refused_on_decode)
+TEST(invalid_loans_are_refused_on_decode)
 {
 	borrow_request_t request = {"parish-nitra", SHARE_ONE / 8, 500, 42};
 	borrow_request_t out;
@@ -103,9 +100,8 @@
 	memset(data, 0xff, 20);
 	ck_assert(!borrow_reply_decode(data, 20, &reply, NULL));
 }
-END_TEST
 
-START_TEST(return_survives_the_wire)
+TEST(return_survives_the_wire)
 {
 	const return_t in = {"t", 5, SHARE_ONE};
 	return_t out;
@@ -118,11 +114,10 @@
 	ck_assert_uint_eq(out.share, SHARE_ONE);
 	g_bytes_unref(bytes);
 }
-END_TEST
 
 /* Guards against a list kind that indexes past a table, a text that ends early
  * at a NUL byte, and a limit below what the platform may hold. */
-START_TEST(list_text_is_bounded)
+TEST(list_text_is_bounded)
 {
 	fetch_reply_t in = {LIST_FLEET, 3, NULL, PEER_LIST_TEXT_LIMIT};
 	fetch_reply_t out;
@@ -150,17 +145,5 @@
 	ck_assert_ptr_null(fetch_reply_encode(&in, NULL));
 	g_free(in.text);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, heartbeat_survives_the_wire);
-	TEST_ADD(suite, cut_and_padded_messages_are_refused);
-	TEST_ADD(suite, invalid_heartbeats_are_refused);
-	TEST_ADD(suite, invalid_loans_are_refused_on_decode);
-	TEST_ADD(suite, return_survives_the_wire);
-	TEST_ADD(suite, list_text_is_bounded);
-}
-
-TEST_MAIN("messages", fill)
+TEST_MAIN("messages")
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -32,7 +32,7 @@
 }
 
 /* Guards against tickets that another team or a forger can use. */
-START_TEST(ticket_is_bound_to_team_and_fields)
+TEST(ticket_is_bound_to_team_and_fields)
 {
 	order_table_t *table = table_new("s.1", 4, 100);
 	char text[ORDER_TICKET_SIZE], changed[ORDER_TICKET_SIZE + 1];
@@ -62,10 +62,9 @@
 	ck_assert_ptr_null(order_table_create("a b", 1, mac_key, 1, 1));
 	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a repeat that runs, or that gets another order's answer. */
-START_TEST(repeat_gets_the_recorded_outcome)
+TEST(repeat_gets_the_recorded_outcome)
 {
 	order_table_t *table = table_new("s1", 4, 100);
 	char text[ORDER_TICKET_SIZE];
@@ -96,10 +95,9 @@
 	    REFUSAL_TICKET_INVALID);
 	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a clock set back that revives a ticket already dropped. */
-START_TEST(expired_ticket_never_runs)
+TEST(expired_ticket_never_runs)
 {
 	order_table_t *table = table_new("s1", 1, 100);
 	char text[ORDER_TICKET_SIZE], other[ORDER_TICKET_SIZE];
@@ -119,10 +117,9 @@
 	ck_assert_int_eq(begin(table, other, 10).action, ORDER_RUN);
 	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against unbounded answers and against a body that takes its state. */
-START_TEST(old_answers_lose_their_body_only)
+TEST(old_answers_lose_their_body_only)
 {
 	order_table_t *table = table_new("s1", 8, 70000);
 	static const char body[ORDER_ANSWER_LIMIT + 1];
@@ -146,10 +143,9 @@
 	}
 	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a team that has the orders of all others refused. */
-START_TEST(one_team_gets_half_of_the_table)
+TEST(one_team_gets_half_of_the_table)
 {
 	order_table_t *table = table_new("s1", 8, 100);
 	char text[ORDER_TICKET_SIZE];
@@ -166,10 +162,9 @@
 	}
 	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a second hop and against a delegated order that runs twice. */
-START_TEST(foreign_tickets_are_passed_on_once)
+TEST(foreign_tickets_are_passed_on_once)
 {
 	order_table_t *issuer = table_new("s1", 4, 100);
 	order_table_t *other = table_new("s2", 4, 100);
@@ -194,7 +189,6 @@
 	order_table_destroy(issuer);
 	order_table_destroy(other);
 }
-END_TEST
 
 /*
  * Schedules: callers repeat orders at several instances; requests are
@@ -476,22 +470,9 @@
 }
 
 /* Guards against any interleaving that runs an order twice or denies it. */
-START_TEST(orders_run_at_most_once)
+TEST(orders_run_at_most_once)
 {
 	schedule_check("order", order_schedule, 5000, FAULT_REPEAT);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, ticket_is_bound_to_team_and_fields);
-	TEST_ADD(suite, repeat_gets_the_recorded_outcome);
-	TEST_ADD(suite, expired_ticket_never_runs);
-	TEST_ADD(suite, old_answers_lose_their_body_only);
-	TEST_ADD(suite, one_team_gets_half_of_the_table);
-	TEST_ADD(suite, foreign_tickets_are_passed_on_once);
-	TEST_ADD(suite, orders_run_at_most_once);
-}
-
-TEST_MAIN("order", fill)
+TEST_MAIN("order")
--- a/tests/test_part.c
+++ b/tests/test_part.c
@@ -32,7 +32,7 @@
 }
 
 /* Guards against a new team that is refused until all have acknowledged. */
-START_TEST(added_team_is_in_force_at_once)
+TEST(added_team_is_in_force_at_once)
 {
 	parts_t *parts = parts_start("z0");
 
@@ -41,13 +41,12 @@
 	ck_assert_uint_eq(parts_n_lowered(parts), 0);
 	parts_destroy(parts);
 }
-END_TEST
 
 /*
  * Guards against parts that add to more than one: another instance may hold a
  * part under the version that this one skipped.
  */
-START_TEST(skipped_version_holds_an_added_team_back)
+TEST(skipped_version_holds_an_added_team_back)
 {
 	parts_t *at_two = parts_start("z0");
 	parts_t *at_three = parts_start("z1");
@@ -63,10 +62,9 @@
 	parts_destroy(at_two);
 	parts_destroy(at_three);
 }
-END_TEST
 
 /* The same where either list may have come alone at another instance. */
-START_TEST(change_of_both_lists_holds_an_added_team_back)
+TEST(change_of_both_lists_holds_an_added_team_back)
 {
 	parts_t *parts = parts_start("z0");
 
@@ -74,10 +72,9 @@
 	ck_assert_uint_eq(parts_lowest(parts, "u"), 0);
 	parts_destroy(parts);
 }
-END_TEST
 
 /* The same where the pair before is not agreed. */
-START_TEST(pending_agreement_holds_an_added_team_back)
+TEST(pending_agreement_holds_an_added_team_back)
 {
 	parts_t *parts = parts_start("z0");
 
@@ -87,15 +84,5 @@
 	ck_assert_uint_eq(parts_lowest(parts, "v"), 0);
 	parts_destroy(parts);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, added_team_is_in_force_at_once);
-	TEST_ADD(suite, skipped_version_holds_an_added_team_back);
-	TEST_ADD(suite, change_of_both_lists_holds_an_added_team_back);
-	TEST_ADD(suite, pending_agreement_holds_an_added_team_back);
-}
-
-TEST_MAIN("part", fill)
+TEST_MAIN("part")
--- a/tests/test_peer_rpc.c
+++ b/tests/test_peer_rpc.c
@@ -264,7 +264,7 @@
 }
 
 /* Guards against a call whose argument or result is lost or mixed up. */
-START_TEST(each_call_makes_the_round_trip)
+TEST(each_call_makes_the_round_trip)
 {
 	seen_t seen;
 	outcome_t outcome;
@@ -302,10 +302,9 @@
 	peer_client_destroy(client);
 	peer_server_destroy(server);
 }
-END_TEST
 
 /* Guards against traffic that is counted at one end only, or twice. */
-START_TEST(bytes_are_counted_at_both_ends)
+TEST(bytes_are_counted_at_both_ends)
 {
 	counter_t *in = counter_get("peer_bytes", "direction", "in");
 	counter_t *out = counter_get("peer_bytes", "direction", "out");
@@ -327,11 +326,10 @@
 	ck_assert_int_eq(
 	    counter_read(in) - in_before, counter_read(out) - out_before);
 }
-END_TEST
 
 /* Guards against a stranger who reaches a handler, and against a rotation that
  * locks out an instance which already signs with the new secret. */
-START_TEST(only_the_fleet_secret_is_accepted)
+TEST(only_the_fleet_secret_is_accepted)
 {
 	seen_t seen;
 	outcome_t outcome;
@@ -351,11 +349,10 @@
 	peer_client_destroy(rotating);
 	peer_server_destroy(server);
 }
-END_TEST
 
 /* Guards against a recorded call that runs again, on the same server or on one
  * that was started anew, and against a heartbeat that speaks for another. */
-START_TEST(replays_and_false_senders_run_nothing)
+TEST(replays_and_false_senders_run_nothing)
 {
 	seen_t seen, seen_later;
 	peer_server_t *server = server_make(&seen);
@@ -401,11 +398,10 @@
 	peer_server_destroy(later);
 	peer_server_destroy(server);
 }
-END_TEST
 
 /* Guards against bytes of a stranger that stop the server, take its memory or
  * are not counted. */
-START_TEST(garbage_is_refused_and_counted)
+TEST(garbage_is_refused_and_counted)
 {
 	static const struct {
 		const char *bytes;
@@ -440,11 +436,10 @@
 	peer_client_destroy(client);
 	peer_server_destroy(server);
 }
-END_TEST
 
 /* Guards against a connection with half a record, or one that doesn't read its
  * replies, that delays the answers to others. */
-START_TEST(slow_peers_block_nobody)
+TEST(slow_peers_block_nobody)
 {
 	const fetch_t fetch = {LIST_PLANS, 1};
 	seen_t seen;
@@ -487,10 +482,9 @@
 	peer_client_destroy(client);
 	peer_server_destroy(server);
 }
-END_TEST
 
 /* Guards against strangers that take all connections from the fleet. */
-START_TEST(strangers_leave_room_for_peers)
+TEST(strangers_leave_room_for_peers)
 {
 	enum { STRANGERS = PEER_CONNECTION_LIMIT + 8 };
 	struct rlimit files;
@@ -524,7 +518,6 @@
 	peer_client_destroy(client);
 	peer_server_destroy(server);
 }
-END_TEST
 
 /* A peer that accepts connections and never answers. */
 static int
@@ -544,7 +537,7 @@
 
 /* Guards against a mute peer that blocks its client for longer than the limit,
  * or blocks clients of other peers. */
-START_TEST(mute_peer_times_out_alone)
+TEST(mute_peer_times_out_alone)
 {
 	char address[32];
 	int mute = mute_listen(address, sizeof(address));
@@ -571,7 +564,6 @@
 	peer_server_destroy(server);
 	close(mute);
 }
-END_TEST
 
 /* Makes a client whose thread waits for the mute peer's answer. *fd is the
  * peer's end. */
@@ -593,7 +585,7 @@
 }
 
 /* Guards against old heartbeats that are sent before newer ones. */
-START_TEST(newer_heartbeat_replaces_queued_one)
+TEST(newer_heartbeat_replaces_queued_one)
 {
 	char address[32];
 	int fd, mute = mute_listen(address, sizeof(address));
@@ -611,11 +603,10 @@
 	close(fd);
 	close(mute);
 }
-END_TEST
 
 /* Guards against a queue without a bound, a heartbeat that finds no room, and a
  * destroy that hangs or forgets a callback. */
-START_TEST(destroy_completes_pending_calls)
+TEST(destroy_completes_pending_calls)
 {
 	char address[32];
 	int fd, mute = mute_listen(address, sizeof(address));
@@ -639,11 +630,10 @@
 	close(fd);
 	close(mute);
 }
-END_TEST
 
 /* Guards against a client that doesn't find a peer again after its restart, or
  * that hammers it meanwhile. */
-START_TEST(client_reconnects_after_restart)
+TEST(client_reconnects_after_restart)
 {
 	seen_t seen;
 	outcome_t outcome;
@@ -671,22 +661,5 @@
 	peer_client_destroy(client);
 	peer_server_destroy(server);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, each_call_makes_the_round_trip);
-	TEST_ADD(suite, bytes_are_counted_at_both_ends);
-	TEST_ADD(suite, only_the_fleet_secret_is_accepted);
-	TEST_ADD(suite, replays_and_false_senders_run_nothing);
-	TEST_ADD(suite, garbage_is_refused_and_counted);
-	TEST_ADD(suite, slow_peers_block_nobody);
-	TEST_ADD(suite, strangers_leave_room_for_peers);
-	TEST_ADD(suite, mute_peer_times_out_alone);
-	TEST_ADD(suite, newer_heartbeat_replaces_queued_one);
-	TEST_ADD(suite, destroy_completes_pending_calls);
-	TEST_ADD(suite, client_reconnects_after_restart);
-}
-
-TEST_MAIN("peer_rpc", fill)
+TEST_MAIN("peer_rpc")
--- a/tests/test_platform_reader.c
+++ b/tests/test_platform_reader.c
@@ -243,7 +243,7 @@
 
 /* Guards against a watch that misses a change, reports an unchanged value again
  * or has more than one call outstanding for a list. */
-START_TEST(change_is_seen_and_304_is_not_a_value)
+TEST(change_is_seen_and_304_is_not_a_value)
 {
 	platform_t platform;
 	platform_reader_t *reader;
@@ -265,10 +265,9 @@
 	ck_assert_int_eq(platform.most_outstanding, 1);
 	platform_clear(&platform);
 }
-END_TEST
 
 /* Guards against a reader that stays with a dead base or gives up. */
-START_TEST(reader_survives_failures)
+TEST(reader_survives_failures)
 {
 	platform_t platform;
 	platform_reader_t *reader;
@@ -288,11 +287,10 @@
 	ck_assert_uint_eq(platform.seen_len[LIST_PLANS], 300);
 	platform_clear(&platform);
 }
-END_TEST
 
 /* Guards against a value above the limit, announced or not, that is taken or
  * fills memory; and against a refusal at the limit. */
-START_TEST(oversized_value_is_refused)
+TEST(oversized_value_is_refused)
 {
 	platform_t platform;
 	platform_reader_t *reader;
@@ -314,11 +312,10 @@
 	ck_assert_uint_eq(platform.seen_len[LIST_PLANS], PLATFORM_VALUE_LIMIT);
 	platform_clear(&platform);
 }
-END_TEST
 
 /* Guards against one slow answer that delays the other lists, waits without a
  * limit or delays a stop. */
-START_TEST(slow_answer_delays_nothing_else)
+TEST(slow_answer_delays_nothing_else)
 {
 	platform_t platform;
 	platform_reader_t *reader;
@@ -337,11 +334,10 @@
 	ck_assert_uint_eq(platform.seen_revision[LIST_PLANS], 0);
 	platform_clear(&platform);
 }
-END_TEST
 
 /* Guards against a platform that doesn't wait being asked without a pause, and
  * against the same value being reported each time. */
-START_TEST(platform_that_does_not_wait_is_not_flooded)
+TEST(platform_that_does_not_wait_is_not_flooded)
 {
 	platform_t platform;
 	platform_reader_t *reader;
@@ -359,16 +355,5 @@
 		ck_assert_uint_eq(platform.seen_revision[i], 1);
 	platform_clear(&platform);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, change_is_seen_and_304_is_not_a_value);
-	TEST_ADD(suite, reader_survives_failures);
-	TEST_ADD(suite, oversized_value_is_refused);
-	TEST_ADD(suite, platform_that_does_not_wait_is_not_flooded);
-	TEST_ADD(suite, slow_answer_delays_nothing_else);
-}
-
-TEST_MAIN("platform_reader", fill)
+TEST_MAIN("platform_reader")
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -26,7 +26,7 @@
 }
 
 /* Guards against a third target, and against a body refused for ever. */
-START_TEST(second_loss_refuses_for_ten_minutes)
+TEST(second_loss_refuses_for_ten_minutes)
 {
 	poison_table_t *table = poison_table_create("z", 8);
 
@@ -43,10 +43,9 @@
 	ck_assert_uint_eq(poison_count(table), 0);
 	poison_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a loss counted twice because two instances report it. */
-START_TEST(one_loss_seen_twice_counts_once)
+TEST(one_loss_seen_twice_counts_once)
 {
 	poison_table_t *a = poison_table_create("z1", 8);
 	poison_table_t *b = poison_table_create("z1", 8);
@@ -72,10 +71,9 @@
 	poison_table_destroy(b);
 	poison_table_destroy(c);
 }
-END_TEST
 
 /* Guards against stamps that keep an entry alive by going round. */
-START_TEST(entries_do_not_outlive_their_time)
+TEST(entries_do_not_outlive_their_time)
 {
 	poison_table_t *tables[3];
 	time_us_t now = 0;
@@ -97,10 +95,9 @@
 	}
 	ck_assert_uint_eq(left, 0);
 }
-END_TEST
 
 /* Guards against growth, and against a flood that frees a refused body. */
-START_TEST(table_is_bounded_and_keeps_refused_bodies)
+TEST(table_is_bounded_and_keeps_refused_bodies)
 {
 	poison_table_t *table = poison_table_create("z", 8);
 	heartbeat_t heartbeat = {0};
@@ -123,10 +120,9 @@
 	ck_assert_int_ne(poison_refused_until(table, digest, 201), 0);
 	poison_table_destroy(table);
 }
-END_TEST
 
 /* Guards against digests that can be computed without the key. */
-START_TEST(digest_depends_on_key_service_and_body)
+TEST(digest_depends_on_key_service_and_body)
 {
 	uint8_t key[POISON_KEY_BYTES] = {1};
 	uint8_t one[DIGEST_BYTES], two[DIGEST_BYTES];
@@ -138,7 +134,6 @@
 	poison_digest(key, "a", "bc", 2, two);
 	ck_assert_mem_ne(one, two, DIGEST_BYTES);
 }
-END_TEST
 
 /*
  * Schedules: four instances in two zones send one body to the targets of their
@@ -238,21 +233,9 @@
 }
 
 /* Guards against any order of notices and stamps that doubles one loss. */
-START_TEST(one_loss_never_refuses)
+TEST(one_loss_never_refuses)
 {
 	schedule_check("poison", poison_schedule, 5000, FAULT_ONE_ZONE);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, second_loss_refuses_for_ten_minutes);
-	TEST_ADD(suite, one_loss_seen_twice_counts_once);
-	TEST_ADD(suite, entries_do_not_outlive_their_time);
-	TEST_ADD(suite, table_is_bounded_and_keeps_refused_bodies);
-	TEST_ADD(suite, digest_depends_on_key_service_and_body);
-	TEST_ADD(suite, one_loss_never_refuses);
-}
-
-TEST_MAIN("poison", fill)
+TEST_MAIN("poison")
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -39,7 +39,7 @@
 
 /* Guards against shares by number of requests instead of by tokens, and against
  * a team that gains by having more requests waiting. */
-START_TEST(teams_share_by_tokens)
+TEST(teams_share_by_tokens)
 {
 	queue_t *queue = queue_create(1000);
 	int64_t started[2] = {0};
@@ -56,10 +56,9 @@
 	ck_assert_int_lt(llabs(started[0] - started[1]), 8000);
 	queue_destroy(queue);
 }
-END_TEST
 
 /* Guards against a full queue in which a flooding team locks others out. */
-START_TEST(full_queue_evicts_newest_of_largest_team)
+TEST(full_queue_evicts_newest_of_largest_team)
 {
 	queue_t *queue = queue_create(4);
 	int items[6];
@@ -80,11 +79,10 @@
 	ck_assert_uint_eq(queue_length(queue), 4);
 	queue_destroy(queue);
 }
-END_TEST
 
 /* Guards against work that is queued although it must miss its deadline, and
  * against a Retry-After that does not follow the drain rate. */
-START_TEST(drain_rate_decides_about_deadlines)
+TEST(drain_rate_decides_about_deadlines)
 {
 	queue_t *queue = queue_create(1000);
 	queue_request_t request = {
@@ -112,10 +110,9 @@
 	ck_assert_int_lt(queue_expected_wait(queue, &request, now), US_PER_S);
 	queue_destroy(queue);
 }
-END_TEST
 
 /* Guards against a queue that refuses for ever after targets stood still. */
-START_TEST(standstill_does_not_lock_the_queue)
+TEST(standstill_does_not_lock_the_queue)
 {
 	queue_t *queue = queue_create(10);
 	queue_request_t request = {.team = "a", .cost = 1};
@@ -130,10 +127,9 @@
 	    queue_push(queue, &request, now).verdict, QUEUE_QUEUED);
 	queue_destroy(queue);
 }
-END_TEST
 
 /* Guards against late work: an expired request is never started. */
-START_TEST(expired_request_is_not_started)
+TEST(expired_request_is_not_started)
 {
 	queue_t *queue = queue_create(10);
 	queue_request_t request = {.team = "a", .cost = 1, .deadline = 10};
@@ -150,11 +146,10 @@
 	ck_assert(queue_pop(queue, start_any, NULL, 10, &item));
 	queue_destroy(queue);
 }
-END_TEST
 
 /* Guards against a request that cannot start and holds up other teams, or
  * gains by being asked in vain. */
-START_TEST(skipped_request_blocks_nobody)
+TEST(skipped_request_blocks_nobody)
 {
 	queue_t *queue = queue_create(10);
 	int items[3];
@@ -169,7 +164,6 @@
 	ck_assert(queue_pop(queue, start_one, &items[0], 0, &item));
 	queue_destroy(queue);
 }
-END_TEST
 
 typedef struct {
 	handle_t handle; /* HANDLE_NONE: ended */
@@ -364,22 +358,9 @@
 
 /* Guards against requests that are lost or end twice, wrong counts, and a team
  * or class that waits longer than the bound in queue.h. */
-START_TEST(random_schedules_end_each_request_once)
+TEST(random_schedules_end_each_request_once)
 {
 	RANDOM_SCHEDULES(schedule_run);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, teams_share_by_tokens);
-	TEST_ADD(suite, full_queue_evicts_newest_of_largest_team);
-	TEST_ADD(suite, drain_rate_decides_about_deadlines);
-	TEST_ADD(suite, standstill_does_not_lock_the_queue);
-	TEST_ADD(suite, expired_request_is_not_started);
-	TEST_ADD(suite, skipped_request_blocks_nobody);
-	TEST_ADD(suite, random_schedules_end_each_request_once);
-}
-
-TEST_MAIN("queue", fill)
+TEST_MAIN("queue")
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -23,7 +23,7 @@
 }
 
 /* Guards against each kind of retry that must not happen. */
-START_TEST(each_fact_that_forbids_a_retry)
+TEST(each_fact_that_forbids_a_retry)
 {
 	retry_facts_t facts = retriable;
 
@@ -46,10 +46,9 @@
 	for (int i = 0; i < RETRY_REASON_COUNT; i++)
 		ck_assert_ptr_nonnull(retry_reason_name((retry_reason_t)i));
 }
-END_TEST
 
 /* Guards against a retry that is decided before the loss is counted. */
-START_TEST(loss_is_counted_before_a_retry)
+TEST(loss_is_counted_before_a_retry)
 {
 	static const uint8_t digest[DIGEST_BYTES] = {1};
 	poison_table_t *table = poison_table_create("z", 4);
@@ -67,7 +66,6 @@
 	ck_assert_int_eq(decide(facts), RETRY_POISON);
 	poison_table_destroy(table);
 }
-END_TEST
 
 /* Runs 200 first tries a second, one in `fails_in` fails; returns retries. */
 static int64_t
@@ -92,7 +90,7 @@
 }
 
 /* Guards against retries that multiply the load when a target is dead. */
-START_TEST(retries_stay_within_a_tenth)
+TEST(retries_stay_within_a_tenth)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		for (int64_t first = 10; first <= 10000; first *= 10) {
@@ -108,10 +106,9 @@
 	/* Few failures are all retried. */
 	ck_assert_int_ge(retries_granted(10000, 20, 1), 450);
 }
-END_TEST
 
 /* Guards against a gateway with little traffic that never retries. */
-START_TEST(floor_gives_one_retry_in_ten_seconds)
+TEST(floor_gives_one_retry_in_ten_seconds)
 {
 	retry_budget_t budget;
 	retry_facts_t facts = retriable;
@@ -125,15 +122,5 @@
 	}
 	ck_assert_int_eq(granted, 10);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, each_fact_that_forbids_a_retry);
-	TEST_ADD(suite, loss_is_counted_before_a_retry);
-	TEST_ADD(suite, retries_stay_within_a_tenth);
-	TEST_ADD(suite, floor_gives_one_retry_in_ten_seconds);
-}
-
-TEST_MAIN("retry", fill)
+TEST_MAIN("retry")
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -58,7 +58,7 @@
 }
 
 /* Guards against a prefix that wanders while its target has room. */
-START_TEST(prefix_keeps_its_target_until_bound)
+TEST(prefix_keeps_its_target_until_bound)
 {
 	route_t *route = route_new(ROUTE_AFFINITY_BOUNDED, 4);
 	handle_t first = pick(route, 99, 0);
@@ -75,10 +75,9 @@
 	ck_assert_int_eq(on_first, 3);
 	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a list change that moves prefixes of other targets. */
-START_TEST(removed_target_moves_only_its_prefixes)
+TEST(removed_target_moves_only_its_prefixes)
 {
 	route_t *route = route_new(ROUTE_AFFINITY, 5);
 	handle_t gone = route_find(route, "w4");
@@ -94,10 +93,9 @@
 	}
 	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a retry on the target that just failed. */
-START_TEST(excluded_target_is_not_picked)
+TEST(excluded_target_is_not_picked)
 {
 	route_t *route = route_new(ROUTE_LEAST_LOADED, 1);
 	handle_t only = pick(route, 0, 0);
@@ -113,11 +111,10 @@
 	ck_assert_int_eq(choice.verdict, ROUTE_ALL_FULL);
 	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a dead target that keeps receiving more than single probes,
  * and against a flood on its cold cache once it is back. */
-START_TEST(dead_target_is_probed_then_warmed)
+TEST(dead_target_is_probed_then_warmed)
 {
 	route_t *route = route_new(ROUTE_LEAST_LOADED, 1);
 	handle_t only = pick(route, 0, 0);
@@ -145,11 +142,10 @@
 	ck_assert_uint_eq(view.usable, 4);
 	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a flood on a cold target, and against a queue in front of it
  * while it is the only one with free slots. */
-START_TEST(warm_up_gives_way_when_all_others_are_full)
+TEST(warm_up_gives_way_when_all_others_are_full)
 {
 	route_t *route = route_new(ROUTE_LEAST_LOADED, 1);
 	handle_t warm = route_find(route, "w0");
@@ -170,11 +166,10 @@
 	ck_assert(pick(route, 0, 0) == HANDLE_NONE);
 	route_destroy(route);
 }
-END_TEST
 
 /* Guards against load of other instances that is ignored, counted twice or
  * believed for ever. */
-START_TEST(reported_load_is_discounted)
+TEST(reported_load_is_discounted)
 {
 	route_t *route = route_new(ROUTE_LEAST_LOADED, 2);
 	handle_t a = route_find(route, "w0");
@@ -191,10 +186,9 @@
 	ck_assert_uint_eq(view.load_milli, 1000);
 	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a policy that prefers one target when all are equal. */
-START_TEST(policies_spread_requests)
+TEST(policies_spread_requests)
 {
 	for (int policy = 0; policy < ROUTE_POLICY_COUNT; policy++) {
 		route_t *route = route_new((route_policy_t)policy, 4);
@@ -214,7 +208,6 @@
 		route_destroy(route);
 	}
 }
-END_TEST
 
 /* Model of one target in a random schedule, by its handle. */
 typedef struct {
@@ -346,23 +339,9 @@
 
 /* Guards against counts that a list change loses, work above the own slots and
  * new work on a leaving or delisted target. */
-START_TEST(random_schedules_keep_counts)
+TEST(random_schedules_keep_counts)
 {
 	RANDOM_SCHEDULES(schedule_run);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, prefix_keeps_its_target_until_bound);
-	TEST_ADD(suite, removed_target_moves_only_its_prefixes);
-	TEST_ADD(suite, excluded_target_is_not_picked);
-	TEST_ADD(suite, dead_target_is_probed_then_warmed);
-	TEST_ADD(suite, warm_up_gives_way_when_all_others_are_full);
-	TEST_ADD(suite, reported_load_is_discounted);
-	TEST_ADD(suite, policies_spread_requests);
-	TEST_ADD(suite, random_schedules_keep_counts);
-}
-
-TEST_MAIN("route", fill)
+TEST_MAIN("route")
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -34,7 +34,7 @@
 }
 
 /* Guards against defaults that differ from cyclamensail-settings(5). */
-START_TEST(defaults_apply)
+TEST(defaults_apply)
 {
 	settings_t *settings = parse(required_text, NULL);
 
@@ -57,10 +57,9 @@
 	ck_assert_int_eq(settings->log_level, LOG_INFO);
 	settings_free(settings);
 }
-END_TEST
 
 /* Guards against values that are lost or land in another field. */
-START_TEST(values_arrive_in_their_fields)
+TEST(values_arrive_in_their_fields)
 {
 	g_autofree char *text = text_change(
 	    required_text, "fleet_secrets: [" SECRET_A "]\n", optional_text);
@@ -82,10 +81,9 @@
 	ck_assert_int_eq(settings->log_level, LOG_DEBUG);
 	settings_free(settings);
 }
-END_TEST
 
 /* Guards against an instance that starts with settings that can't work. */
-START_TEST(faults_are_refused)
+TEST(faults_are_refused)
 {
 	static const refusal_case_t rows[] = {
 	    {"zone left out", "zone: n1\n", "", CS_ERROR_INVALID,
@@ -141,10 +139,9 @@
 		refusal_check(&rows[i], &error);
 	}
 }
-END_TEST
 
 /* Guards against secrets in messages, which end up in logs. */
-START_TEST(message_shows_no_secret)
+TEST(message_shows_no_secret)
 {
 	g_autofree char *text =
 	    text_change(required_text, SECRET_A, "hidden" SECRET_A);
@@ -155,10 +152,9 @@
 	ck_assert_ptr_null(strstr(error->message, "0011"));
 	g_clear_error(&error);
 }
-END_TEST
 
 /* Guards against a read that blocks, or reports another fault. */
-START_TEST(paths_that_are_no_files_are_refused)
+TEST(paths_that_are_no_files_are_refused)
 {
 	static const struct {
 		const char *path;
@@ -180,16 +176,5 @@
 		g_clear_error(&error);
 	}
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, defaults_apply);
-	TEST_ADD(suite, values_arrive_in_their_fields);
-	TEST_ADD(suite, faults_are_refused);
-	TEST_ADD(suite, message_shows_no_secret);
-	TEST_ADD(suite, paths_that_are_no_files_are_refused);
-}
-
-TEST_MAIN("settings", fill)
+TEST_MAIN("settings")
--- a/tests/test_share_load.c
+++ b/tests/test_share_load.c
@@ -116,7 +116,7 @@
 
 /* Guards against wrongful refusals above the goal of 1% in steady skewed
  * load. The other figures are printed only. */
-START_TEST(refusals_within_rate)
+TEST(refusals_within_rate)
 {
 	static const char *const names[] = {
 	    "even", "one instance", "one zone cut", "one instance lost"};
@@ -134,12 +134,5 @@
 	}
 	ck_assert_msg(skewed < 1, "%.2f%% refused", skewed);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, refusals_within_rate);
-}
-
-TEST_MAIN("share_load", fill)
+TEST_MAIN("share_load")
--- a/tests/test_share_schedule.c
+++ b/tests/test_share_schedule.c
@@ -68,7 +68,7 @@
 
 /* Guards against shares that add up to more than one, and admissions above
  * rate x time + burst, under any mix of faults. */
-START_TEST(shares_never_exceed_one)
+TEST(shares_never_exceed_one)
 {
 	uint32_t first = number_from("TEST_SLICE", 0) * N_SCHEDULES + 1;
 	uint32_t n = number_from("TEST_SCHEDULES", N_SCHEDULES);
@@ -88,10 +88,9 @@
 	/* A fleet that never holds anything would pass as well. */
 	ck_assert(n < 10 || held / n > 0.2);
 }
-END_TEST
 
 /* Guards against faults that schedules have found before. */
-START_TEST(earlier_failures_stay_fixed)
+TEST(earlier_failures_stay_fixed)
 {
 	static const uint32_t seeds[] = {
 	    35142, /* fenced at once where nobody else had to refuse */
@@ -103,7 +102,6 @@
 		ck_assert(
 		    !schedule_fails(seeds[i], knobs_of(seeds[i]), true, &held));
 }
-END_TEST
 
 /* Number of schedules until a fault is noticed; 0: it is not. */
 static uint32_t
@@ -120,7 +118,7 @@
 
 /* Guards against a checker that can't notice: each rule that is switched off
  * must lead to a violation. */
-START_TEST(checker_notices_missing_rules)
+TEST(checker_notices_missing_rules)
 {
 	/* One slice is enough. */
 	if (number_from("TEST_SLICE", 0) > 0)
@@ -146,14 +144,5 @@
 		ck_assert_msg(n > 0, "%s is not noticed", names[i]);
 	}
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, shares_never_exceed_one);
-	TEST_ADD(suite, earlier_failures_stay_fixed);
-	TEST_ADD(suite, checker_notices_missing_rules);
-}
-
-TEST_MAIN("share_schedule", fill)
+TEST_MAIN("share_schedule")
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -5,7 +5,7 @@
 #include "test.h"
 
 /* Guards against a refusal reason that was added without its description. */
-START_TEST(every_refusal_is_described)
+TEST(every_refusal_is_described)
 {
 	for (int i = 0; i < REFUSAL_COUNT; i++) {
 		const refusal_info_t *info = refusal_info((refusal_t)i);
@@ -15,7 +15,6 @@
 		ck_assert_int_ge(info->status, 200);
 	}
 }
-END_TEST
 
 static plans_t *
 plans_build(void)
@@ -36,7 +35,7 @@
 }
 
 /* Guards against a key that resolves to another team, and against leaks. */
-START_TEST(key_finds_its_team)
+TEST(key_finds_its_team)
 {
 	plans_t *plans = plans_build();
 	uint8_t hash[KEY_HASH_BYTES] = {0};
@@ -48,13 +47,5 @@
 	plans_unref(plans_ref(plans));
 	plans_unref(plans);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, every_refusal_is_described);
-	TEST_ADD(suite, key_finds_its_team);
-}
-
-TEST_MAIN("snapshot", fill)
+TEST_MAIN("snapshot")
--- a/tests/test_spill.c
+++ b/tests/test_spill.c
@@ -48,7 +48,7 @@
 }
 
 /* Guards against a request that crosses regions while its own has room. */
-START_TEST(own_region_comes_first)
+TEST(own_region_comes_first)
 {
 	spill_t *spill = spill_create(settings);
 
@@ -62,10 +62,9 @@
 	ck_assert_int_eq(decide(spill, LONG_WAIT, 0).verdict, SPILL_STAY);
 	spill_destroy(spill);
 }
-END_TEST
 
 /* Guards against requests that alternate between staying and leaving. */
-START_TEST(spilling_has_hysteresis)
+TEST(spilling_has_hysteresis)
 {
 	spill_t *spill = spill_create(settings);
 
@@ -79,11 +78,10 @@
 	ck_assert_int_eq(decide(spill, 340 * US_PER_MS, 0).verdict, SPILL_STAY);
 	spill_destroy(spill);
 }
-END_TEST
 
 /* Guards against forwards to a zone that has not been heard from, that is not
  * ready, or behind a link that is already full. */
-START_TEST(stale_or_congested_way_is_not_taken)
+TEST(stale_or_congested_way_is_not_taken)
 {
 	spill_t *spill = spill_create(settings);
 	spill_query_t query = query_new(LONG_WAIT);
@@ -107,7 +105,6 @@
 	    decide(spill, LONG_WAIT, 5 * US_PER_S).verdict, SPILL_STAY);
 	spill_destroy(spill);
 }
-END_TEST
 
 typedef struct {
 	time_us_t at;
@@ -190,19 +187,9 @@
 
 /* Guards against data that leaves its home or the allowed regions, and against
  * more forwards than an instance reported free slots. */
-START_TEST(random_reports_keep_rules)
+TEST(random_reports_keep_rules)
 {
 	RANDOM_SCHEDULES(schedule_run);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, own_region_comes_first);
-	TEST_ADD(suite, spilling_has_hysteresis);
-	TEST_ADD(suite, stale_or_congested_way_is_not_taken);
-	TEST_ADD(suite, random_reports_keep_rules);
-}
-
-TEST_MAIN("spill", fill)
+TEST_MAIN("spill")
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -44,16 +44,15 @@
 }
 
 /* Guards against events that depend on how the target's bytes arrive. */
-START_TEST(split_at_each_byte)
+TEST(split_at_each_byte)
 {
 	const char *stream = "data: a\n\nevent: x\ndata: b\n\ndata: [DONE]\n\n";
 
 	check_split(stream, stream, 2);
 }
-END_TEST
 
 /* Guards against engines that end lines with CR LF. */
-START_TEST(carriage_returns_are_accepted)
+TEST(carriage_returns_are_accepted)
 {
 	const char *stream =
 	    "data: a\r\n\r\ndata: b\r\n\r\ndata: [DONE]\r\n\r\n";
@@ -62,10 +61,9 @@
 	check_split(
 	    "data: a\r\n\ndata: b\n\r\n", "data: a\r\n\ndata: b\n\r\n", 2);
 }
-END_TEST
 
 /* Guards against an incomplete event that reaches the caller as whole. */
-START_TEST(missing_last_blank_line)
+TEST(missing_last_blank_line)
 {
 	sse_t sse = {0};
 
@@ -79,18 +77,16 @@
 	ck_assert(g_str_has_prefix(sse.pending->str, "data: b"));
 	sse_clear(&sse);
 }
-END_TEST
 
 /* Guards against a final marker that counts as a token. */
-START_TEST(done_is_no_token)
+TEST(done_is_no_token)
 {
 	check_split("data: [DONE]\n\n", "data: [DONE]\n\n", 0);
 	check_split("data: [DON]\n\n", "data: [DON]\n\n", 1);
 }
-END_TEST
 
 /* Guards against bytes that are held twice when the buffer is full. */
-START_TEST(undo_takes_back_the_last_bytes)
+TEST(undo_takes_back_the_last_bytes)
 {
 	sse_t sse = {0};
 
@@ -101,11 +97,10 @@
 	ck_assert_uint_eq(sse_append(&sse, "\n\ndata", 6), 9);
 	sse_clear(&sse);
 }
-END_TEST
 
 /* Guards against memory that grows with the length of one event, and against
  * an end that is lost where the event was cut. */
-START_TEST(oversized_event_is_passed_on)
+TEST(oversized_event_is_passed_on)
 {
 	g_autofree char *data = g_strnfill(LONG_EVENT_BYTES, 'x');
 	g_autofree char *stream =
@@ -121,10 +116,9 @@
 		    tokens == 2, "split at %zu: %ld", at, (long)tokens);
 	}
 }
-END_TEST
 
 /* Guards against tokens taken from answers that don't state them. */
-START_TEST(usage_of_whole_answers)
+TEST(usage_of_whole_answers)
 {
 	static const char *const without[] = {"", "{", "[]", "{\"usage\":1}",
 	    "{\"usage\":{\"output_tokens\":\"7\"}}"};
@@ -135,18 +129,5 @@
 		ck_assert_int_eq(
 		    answer_tokens(without[i], strlen(without[i]), 5), -1);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, split_at_each_byte);
-	TEST_ADD(suite, carriage_returns_are_accepted);
-	TEST_ADD(suite, missing_last_blank_line);
-	TEST_ADD(suite, done_is_no_token);
-	TEST_ADD(suite, undo_takes_back_the_last_bytes);
-	TEST_ADD(suite, oversized_event_is_passed_on);
-	TEST_ADD(suite, usage_of_whole_answers);
-}
-
-TEST_MAIN("sse", fill)
+TEST_MAIN("sse")
