cyclamensailctl: check the bounds of bench by a table

bounds_fault() was a chain of eleven conditions, each with a return. It is a table of conditions and messages in the same order now.

Ruled out: a table of pointers, types and limits. Four of the eleven rules relate several options or have a limit on one side only.

Each rule was broken once by hand (fourteen command lines, NaN and negative values among them), each with the message of its rule; process_ctl passes 4 of 4.

--- a/cyclamensailctl/bench.c
+++ b/cyclamensailctl/bench.c
@@ -90,33 +90,43 @@
 	return command_parse(argc, argv, "URL...", description, entries);
 }
 
-/* Returns what is wrong with the numbers, or NULL. */
+/* Returns what is wrong with the options, or NULL. */
 static const char *
 bounds_fault(const options_t *o)
 {
-	if (o->requests < 0 || o->requests > REQUESTS_LIMIT)
-		return "--requests must be from 1 to 10000000";
-	if (!(o->duration >= 0 && o->duration <= SECONDS_LIMIT))
-		return "--duration must be up to 3600 seconds";
-	if (o->requests == 0 && o->duration <= 0)
-		return "the run has no bound; give --requests or --duration";
-	if (o->concurrency < 1 || o->concurrency > CONCURRENCY_LIMIT)
-		return "--concurrency must be from 1 to 10000";
-	if (!(o->rate >= 0 && o->rate <= RATE_LIMIT))
-		return "--rate must be from 0 to 1000000 a second";
-	if (!(o->timeout >= 0.001 && o->timeout <= SECONDS_LIMIT))
-		return "--timeout must be from 0.001 to 3600 seconds";
-	if (!(o->hold >= 0 && o->hold <= SECONDS_LIMIT))
-		return "--hold must be from 0 to 3600 seconds";
-	if (o->body_size < 0 || o->body_size > BODY_LIMIT)
-		return "--body-size must be from 1 to 16777216";
-	if (o->max_tokens < 1)
-		return "--max-tokens must be at least 1";
-	if ((o->body != NULL) + (o->body_file != NULL) + (o->body_size > 0) > 1)
-		return "give one of --body, --body-file and --body-size";
-	if (o->tickets && o->body == NULL && o->body_file == NULL &&
-	    o->body_size == 0)
-		return "--tickets needs a body, because an order is a POST";
+	int bodies =
+	    (o->body != NULL) + (o->body_file != NULL) + (o->body_size > 0);
+	/* Each comparison is false for NaN. */
+	const struct {
+		bool ok;
+		const char *fault;
+	} rules[] = {
+	    {o->requests >= 0 && o->requests <= REQUESTS_LIMIT,
+		"--requests must be from 1 to 10000000"},
+	    {o->duration >= 0 && o->duration <= SECONDS_LIMIT,
+		"--duration must be up to 3600 seconds"},
+	    {o->requests != 0 || o->duration > 0,
+		"the run has no bound; give --requests or --duration"},
+	    {o->concurrency >= 1 && o->concurrency <= CONCURRENCY_LIMIT,
+		"--concurrency must be from 1 to 10000"},
+	    {o->rate >= 0 && o->rate <= RATE_LIMIT,
+		"--rate must be from 0 to 1000000 a second"},
+	    {o->timeout >= 0.001 && o->timeout <= SECONDS_LIMIT,
+		"--timeout must be from 0.001 to 3600 seconds"},
+	    {o->hold >= 0 && o->hold <= SECONDS_LIMIT,
+		"--hold must be from 0 to 3600 seconds"},
+	    {o->body_size >= 0 && o->body_size <= BODY_LIMIT,
+		"--body-size must be from 1 to 16777216"},
+	    {o->max_tokens >= 1, "--max-tokens must be at least 1"},
+	    {bodies <= 1, "give one of --body, --body-file and --body-size"},
+	    {!o->tickets || bodies > 0,
+		"--tickets needs a body, because an order is a POST"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rules); i++) {
+		if (!rules[i].ok)
+			return rules[i].fault;
+	}
 	return NULL;
 }
 
