--- a/tests/process_ctl.c
+++ b/tests/process_ctl.c
@@ -1,10 +1,10 @@
-#include <arpa/inet.h>
 #include <glib.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "sockets.h"
 #include "test.h"
 
 /*
@@ -65,7 +65,7 @@
 	    row->guards, errors);
 }
 
-START_TEST(exit_status_and_streams)
+TEST(exit_status_and_streams)
 {
 	static const run_case_t rows[] = {
 	    {"no command", "", "", 2, "", "usage: cyclamensailctl COMMAND"},
@@ -122,7 +122,6 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
 		case_run(&rows[i]);
 }
-END_TEST
 
 /* A server that takes one connection, keeps the request and answers. */
 typedef struct {
@@ -156,21 +155,14 @@
 static void
 call_run(const run_case_t *row, const char *answer, const char *request_line)
 {
-	struct sockaddr_in address = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(address);
-	stand_in_t server = {.answer = answer};
+	int port;
+	stand_in_t server = {loopback_listen(1, &port), answer, ""};
 	g_autofree char *args = NULL;
 	run_case_t full = *row;
 	pthread_t thread;
 
-	server.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	ck_assert_int_eq(bind(server.fd, (struct sockaddr *)&address, len), 0);
-	ck_assert_int_eq(listen(server.fd, 1), 0);
-	getsockname(server.fd, (struct sockaddr *)&address, &len);
 	pthread_create(&thread, NULL, stand_in_run, &server);
-	args = g_strdup_printf(
-	    "%s http://127.0.0.1:%d", row->args, ntohs(address.sin_port));
+	args = g_strdup_printf("%s http://127.0.0.1:%d", row->args, port);
 	full.args = args;
 	case_run(&full);
 	pthread_join(thread, NULL);
@@ -179,7 +171,7 @@
 	    "%s: sent %s", row->guards, server.request);
 }
 
-START_TEST(answers_of_an_instance)
+TEST(answers_of_an_instance)
 {
 	call_run(
 	    &(const run_case_t){"wrong path", "counters", "", 0, "a 1\n", ""},
@@ -199,9 +191,8 @@
 	    "Content-Length: 0\r\n\r\n",
 	    "POST /v1/drain HTTP/1.1\r\n");
 }
-END_TEST
 
-START_TEST(bench_answers)
+TEST(bench_answers)
 {
 	call_run(&(const run_case_t){"error codes that are not counted",
 		     "bench -n 1 -b {}", "", 1, "error queue_full: 1\n", ""},
@@ -215,29 +206,23 @@
 	    "data: 1\r\n\r\nevent: error\ndata: {\"code\":\"target_lost\"}\n\n",
 	    "GET / HTTP/1.1\r\n");
 }
-END_TEST
 
 /*
  * Guards against coordinated omission: a request that waits for one before it
  * counts from the time at which it was due. The socket never answers.
  */
-START_TEST(bench_counts_from_the_scheduled_time)
+TEST(bench_counts_from_the_scheduled_time)
 {
-	struct sockaddr_in address = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int port;
+	int fd = loopback_listen(8, &port);
 	g_autofree char *args = NULL;
 	g_autofree char *output = NULL;
 	const char *total;
 	const char *max;
 
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, len), 0);
-	ck_assert_int_eq(listen(fd, 8), 0);
-	getsockname(fd, (struct sockaddr *)&address, &len);
 	args = g_strdup_printf("%s bench -j -n 2 -r 1000 --timeout 0.2 "
 			       "http://127.0.0.1:%d",
-	    program, ntohs(address.sin_port));
+	    program, port);
 	ck_assert(g_spawn_command_line_sync(args, &output, NULL, NULL, NULL));
 	close(fd);
 	ck_assert_ptr_nonnull(strstr(output, "\"late\":1,"));
@@ -246,26 +231,12 @@
 	max = strstr(total, "\"max\":");
 	ck_assert_int_ge(strtol(max + strlen("\"max\":"), NULL, 10), 380000);
 }
-END_TEST
 
 int
 main(int argc, char **argv)
 {
-	Suite *suite = suite_create("ctl");
-	SRunner *runner;
-	int failed;
-
 	if (argc != 2)
 		return EXIT_FAILURE;
 	program = argv[1];
-	TEST_ADD(suite, exit_status_and_streams);
-	TEST_ADD(suite, answers_of_an_instance);
-	TEST_ADD(suite, bench_answers);
-	TEST_ADD(suite, bench_counts_from_the_scheduled_time);
-	runner = srunner_create(suite);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return test_run("ctl");
 }
