--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -9,6 +9,7 @@
 #include <sys/types.h>
 
 #include "tcp_relay.h"
+#include "test.h"
 
 /*
  * Separate processes on loopback for the process tests: a stand-in platform,
@@ -21,6 +22,7 @@
  */
 
 #define WAIT_LIMIT_MS 20000
+#define CASE_TIMEOUT_S 120
 
 typedef enum {
 	NODE_S1,
@@ -36,6 +38,9 @@
 	NODE_COUNT
 } node_t;
 
+/* Index in versions. */
+typedef enum { PLANS, ALLOWANCES, FLEET } list_index_t;
+
 #define NODE_INSTANCES 4 /* the first nodes are entry instances */
 
 typedef struct {
@@ -135,6 +140,7 @@
 answer_t *http_call(
     const char *url, const char *key, const char *ticket, const char *body);
 void answer_free(answer_t *answer);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(answer_t, answer_free)
 
 /* The same in a thread of its own; http_join() returns the answer. */
 typedef struct http_task http_task_t;
@@ -157,6 +163,16 @@
 json_t *target_record(cluster_t *cluster, node_t node);
 json_int_t target_count(cluster_t *cluster, node_t node, const char *name);
 
+/* Fails when one of the engines has counted anything under this name. */
+void engines_check_none(cluster_t *cluster, const char *name);
+
+/* Status of a short request. */
+long probe_status(cluster_t *cluster, node_t node, const char *key);
+
+/* Whether an instance, or all, have adopted the list as last published. */
+bool node_has_list(cluster_t *cluster, node_t node, list_index_t list);
+bool cluster_has_list(cluster_t *cluster, list_index_t list);
+
 /* Memory of a process in KiB (VmRSS). */
 long node_rss_kb(cluster_t *cluster, node_t node);
 
@@ -259,25 +275,19 @@
 #define GENERATE "/v1/services/epitaph-writer/generate"
 #define ORDERS "/v1/services/tag-registry/orders"
 
-/* Adds one case whose tests share a cluster that setup starts. */
-void cluster_case_add(Suite *suite, const char *name, SFun setup, SFun teardown,
-    const TTest *const *tests, size_t n);
-
 /*
  * Defines main() of a program whose tests share the file's variable cluster,
- * which setup starts. The tests follow in the order in which they run.
+ * which setup starts. They run in the order of the file.
  */
-#define CLUSTER_MAIN(name, setup, ...)                                        \
-	static void cluster_teardown(void)                                    \
-	{                                                                     \
-		cluster_destroy(cluster);                                     \
-	}                                                                     \
-	static void cluster_fill(Suite *suite)                                \
-	{                                                                     \
-		const TTest *const tests[] = {__VA_ARGS__};                   \
-		cluster_case_add(suite, name, setup, cluster_teardown, tests, \
-		    G_N_ELEMENTS(tests));                                     \
-	}                                                                     \
-	TEST_MAIN(name, cluster_fill)
+#define CLUSTER_MAIN(name, setup)                                   \
+	static void cluster_teardown(void)                          \
+	{                                                           \
+		cluster_destroy(cluster);                           \
+	}                                                           \
+	int main(void)                                              \
+	{                                                           \
+		return test_run_case(                               \
+		    name, setup, cluster_teardown, CASE_TIMEOUT_S); \
+	}
 
 #endif
--- a/tests/process_cut.c
+++ b/tests/process_cut.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "cluster.h"
-#include "test.h"
 
 #define RATE 2000
 #define BURST 4000
@@ -18,17 +17,6 @@
 
 static cluster_t *cluster;
 
-static long
-request_status(node_t node, const char *key)
-{
-	answer_t *answer = http_call(node_url(cluster, node, GENERATE), key,
-	    NULL, "{\"prompt\":\"probe\",\"max_tokens\":1}");
-	long status = answer->status;
-
-	answer_free(answer);
-	return status;
-}
-
 static double
 seconds_since(gint64 at)
 {
@@ -44,18 +32,6 @@
 	}
 }
 
-static bool
-versions_reached(void)
-{
-	for (int node = 0; node < NODE_INSTANCES; node++) {
-		if (instance_counter(cluster, (node_t)node,
-			"list_version{list=\"plans\"}") !=
-		    (long long)cluster->versions[0])
-			return false;
-	}
-	return true;
-}
-
 static void
 key_set_withdrawn(bool withdrawn)
 {
@@ -75,7 +51,8 @@
 	double slowest = 0;
 
 	for (int node = 0; node < NODE_INSTANCES; node++) {
-		WAIT_UNTIL(request_status((node_t)node, DESK_KEY) == 200);
+		WAIT_UNTIL(
+		    probe_status(cluster, (node_t)node, DESK_KEY) == 200);
 		tasks[node] =
 		    http_start(node_url(cluster, (node_t)node, GENERATE),
 			DESK_KEY, NULL, STREAM_LONG);
@@ -92,7 +69,8 @@
 		slowest = MAX(slowest,
 		    (double)(answer->last_byte_at - published_at) / 1e6);
 		answer_free(answer);
-		ck_assert_int_eq(request_status((node_t)node, DESK_KEY), 401);
+		ck_assert_int_eq(
+		    probe_status(cluster, (node_t)node, DESK_KEY), 401);
 	}
 	printf("withdrawal, %s: %.2f s\n", what, slowest);
 	ck_assert_double_lt(slowest, limit_s);
@@ -100,85 +78,36 @@
 }
 
 /* Guards against a withdrawn key that is served on: target 2 s. */
-START_TEST(withdrawal_with_the_platform)
+TEST(withdrawal_with_the_platform)
 {
 	withdrawal_takes_at_most(2, "platform reachable");
 }
-END_TEST
-
-/*
- * Guards against a zone that serves a withdrawn key on because it can't read
- * the platform: target 5 s through the instances of the other zone.
- */
-START_TEST(withdrawal_through_peers)
-{
-	static const tcp_relay_mode_t modes[] = {RELAY_DROP, RELAY_HOLD};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
-		platform_links(1U << NODE_Z1 | 1U << NODE_Z2, modes[i]);
-		withdrawal_takes_at_most(
-		    5, i ? "one zone's reads hang" : "one zone can't read");
-		WAIT_UNTIL(versions_reached());
-	}
-	platform_links(0xf, RELAY_PASS);
-}
-END_TEST
-
-/* Guards against instances that need the platform to serve. */
-START_TEST(instances_serve_without_the_platform)
-{
-	static const char *const modes[] = {"mode=down", "mode=stale"};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
-		load_spec_t spec = {
-		    DESK_KEY, "no-platform", 0xf, 8, 50, 5, false};
-		GArray *results;
-		load_t *load;
-
-		node_control(cluster, NODE_PLATFORM, modes[i]);
-		load = load_start(cluster, &spec);
-		WAIT_UNTIL(load_count(load) >= 200);
-		results = load_stop(load);
-		for (guint k = 0; k < results->len; k++)
-			ck_assert_msg(
-			    g_array_index(results, load_result_t, k).whole,
-			    "%s: %s", modes[i],
-			    g_array_index(results, load_result_t, k).code);
-		g_array_free(results, TRUE);
-	}
-	platform_links(0xf, RELAY_HOLD);
-	node_control(cluster, NODE_PLATFORM, "mode=ok");
-	for (int node = 0; node < NODE_INSTANCES; node++)
-		ck_assert_int_eq(request_status((node_t)node, DESK_KEY), 200);
-	platform_links(0xf, RELAY_PASS);
-}
-END_TEST
 
 /* Guards against a platform that was reset and puts an old list in force. */
-START_TEST(older_list_is_ignored_and_counted)
+TEST(older_list_is_ignored_and_counted)
 {
 	static const char id[] = "list_offers{result=\"list_reverted\"}";
 	uint64_t newest;
 	long long before[NODE_INSTANCES];
 
 	key_set_withdrawn(true);
-	newest = cluster->versions[0];
-	WAIT_UNTIL(versions_reached());
+	newest = cluster->versions[PLANS];
+	WAIT_UNTIL(cluster_has_list(cluster, PLANS));
 	for (int node = 0; node < NODE_INSTANCES; node++)
 		before[node] = instance_counter(cluster, (node_t)node, id);
-	cluster->versions[0] = newest - 2;
+	cluster->versions[PLANS] = newest - 2;
 	key_set_withdrawn(false);
 	for (int node = 0; node < NODE_INSTANCES; node++) {
 		WAIT_UNTIL(
 		    instance_counter(cluster, (node_t)node, id) > before[node]);
-		ck_assert_int_eq(request_status((node_t)node, DESK_KEY), 401);
+		ck_assert_int_eq(
+		    probe_status(cluster, (node_t)node, DESK_KEY), 401);
 	}
-	cluster->versions[0] = newest;
-	ck_assert(versions_reached());
+	cluster->versions[PLANS] = newest;
+	ck_assert(cluster_has_list(cluster, PLANS));
 	key_set_withdrawn(false);
-	WAIT_UNTIL(versions_reached());
+	WAIT_UNTIL(cluster_has_list(cluster, PLANS));
 }
-END_TEST
 
 static unsigned int
 whole_count(const GArray *results, gint64 from, gint64 to)
@@ -198,7 +127,7 @@
  * Guards against two zones that each use the whole rate while they can't see
  * each other, a zone that serves nobody, and requests that run in circles.
  */
-START_TEST(zones_cut_from_each_other)
+TEST(zones_cut_from_each_other)
 {
 	static const tcp_relay_mode_t modes[] = {RELAY_DROP, RELAY_HOLD};
 	/* Callers at all instances ask for about four times the rate. */
@@ -207,7 +136,7 @@
 	    {GUEST_KEY, "cut-z", 0xc, 20, 200, REQUEST_TOKENS, false}};
 	load_t *loads[2];
 	GArray *results[2];
-	GHashTable *arrivals;
+	g_autoptr(GHashTable) arrivals = NULL;
 	gint64 cut_at = 0;
 	gint64 healed_at = 0;
 	double excess;
@@ -257,9 +186,54 @@
 		results_check_not_run(cluster, results[side]);
 		g_array_free(results[side], TRUE);
 	}
-	g_hash_table_destroy(arrivals);
 }
-END_TEST
+
+/*
+ * Guards against a zone that serves a withdrawn key on because it can't read
+ * the platform: target 5 s through the instances of the other zone. It runs
+ * late: after an outage reads start again with a delay up to 30 s.
+ */
+TEST(withdrawal_through_peers)
+{
+	static const tcp_relay_mode_t modes[] = {RELAY_DROP, RELAY_HOLD};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		platform_links(1U << NODE_Z1 | 1U << NODE_Z2, modes[i]);
+		withdrawal_takes_at_most(
+		    5, i ? "one zone's reads hang" : "one zone can't read");
+		WAIT_UNTIL(cluster_has_list(cluster, PLANS));
+	}
+	platform_links(0xf, RELAY_PASS);
+}
+
+/* Guards against instances that need the platform to serve. */
+TEST(instances_serve_without_the_platform)
+{
+	static const char *const modes[] = {"mode=down", "mode=stale"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		load_spec_t spec = {
+		    DESK_KEY, "no-platform", 0xf, 8, 50, 5, false};
+		g_autoptr(GArray) results = NULL;
+		load_t *load;
+
+		node_control(cluster, NODE_PLATFORM, modes[i]);
+		load = load_start(cluster, &spec);
+		WAIT_UNTIL(load_count(load) >= 200);
+		results = load_stop(load);
+		for (guint k = 0; k < results->len; k++)
+			ck_assert_msg(
+			    g_array_index(results, load_result_t, k).whole,
+			    "%s: %s", modes[i],
+			    g_array_index(results, load_result_t, k).code);
+	}
+	platform_links(0xf, RELAY_HOLD);
+	node_control(cluster, NODE_PLATFORM, "mode=ok");
+	for (int node = 0; node < NODE_INSTANCES; node++)
+		ck_assert_int_eq(
+		    probe_status(cluster, (node_t)node, DESK_KEY), 200);
+	platform_links(0xf, RELAY_PASS);
+}
 
 static void
 setup(void)
@@ -272,8 +246,4 @@
 	cluster_start(cluster);
 }
 
-/* Withdrawal through peers runs late: after an outage reads start again with a
- * delay up to 30 s. */
-CLUSTER_MAIN("cut", setup, withdrawal_with_the_platform,
-    older_list_is_ignored_and_counted, zones_cut_from_each_other,
-    withdrawal_through_peers, instances_serve_without_the_platform)
+CLUSTER_MAIN("cut", setup)
--- a/tests/process_engine.c
+++ b/tests/process_engine.c
@@ -3,9 +3,7 @@
 #include <string.h>
 
 #include "cluster.h"
-#include "test.h"
 
-#define GENERATE "/v1/services/epitaph-writer/generate"
 /* A new owner waits about 40 s for the fence and 20 s for commands. */
 #define REACH_LIMIT_US ((gint64)150 * G_USEC_PER_SEC)
 
@@ -145,15 +143,13 @@
 		"engine_commands{result=\"done\"}"),
 	    0);
 	node_signal(cluster, owner, SIGCONT);
-	WAIT_UNTIL(
-	    instance_counter(cluster, owner, "list_version{list=\"fleet\"}") ==
-	    (long long)cluster->versions[2]);
+	WAIT_UNTIL(node_has_list(cluster, owner, FLEET));
 	engines_wait("v3");
 	ck_assert_int_eq(engine_number(NODE_W1, "most_running"), 1);
 	ck_assert_int_eq(engine_number(NODE_W2, "most_running"), 1);
 }
 
-START_TEST(engines_follow_the_list)
+TEST(engines_follow_the_list)
 {
 	cluster = cluster_create();
 	for (int node = NODE_W1; node <= NODE_W3; node++)
@@ -162,16 +158,9 @@
 	frozen_owner_is_replaced();
 	cluster_destroy(cluster);
 }
-END_TEST
 
-static void
-fill(Suite *suite)
+int
+main(void)
 {
-	TCase *tcase = tcase_create("engine");
-
-	tcase_set_timeout(tcase, 230);
-	tcase_add_test(tcase, engines_follow_the_list);
-	suite_add_tcase(suite, tcase);
+	return test_run_case("engine", NULL, NULL, 230);
 }
-
-TEST_MAIN("engine", fill)
--- a/tests/process_kill.c
+++ b/tests/process_kill.c
@@ -3,7 +3,6 @@
 #include <sys/wait.h>
 
 #include "cluster.h"
-#include "test.h"
 
 #define STREAM_TOKENS 800
 #define STREAM "{\"prompt\":\"%s\",\"max_tokens\":%d,\"stream\":true}"
@@ -28,34 +27,22 @@
 	return n;
 }
 
-static bool
-request_succeeds(node_t node)
-{
-	answer_t *answer = http_call(node_url(cluster, node, GENERATE),
-	    DESK_KEY, NULL, "{\"prompt\":\"probe\",\"max_tokens\":1}");
-	bool ok = answer->status == 200;
-
-	answer_free(answer);
-	return ok;
-}
-
 static void
 order_repeat_is_unknown(node_t node, const char *ticket, const char *body)
 {
-	answer_t *answer =
+	g_autoptr(answer_t) answer =
 	    http_call(node_url(cluster, node, ORDERS), DESK_KEY, ticket, body);
 
 	ck_assert_int_eq(answer->status, 409);
 	ck_assert_str_eq(error_code(answer), "outcome_unknown");
 	ck_assert_str_eq(error_ran(answer), "unknown");
-	answer_free(answer);
 }
 
 /*
  * Guards against a killed instance that ends the streams of others, stays
  * before others in the directory, or whose orders run again at a replacement.
  */
-START_TEST(killed_instance_harms_no_other)
+TEST(killed_instance_harms_no_other)
 {
 	g_autofree char *done = ticket_take(cluster, NODE_S1);
 	g_autofree char *held = ticket_take(cluster, NODE_S1);
@@ -89,7 +76,7 @@
 		order_repeat_is_unknown((node_t)node, done, "tag=done");
 		order_repeat_is_unknown((node_t)node, held, "tag=held");
 		WAIT_UNTIL(directory_names_last(cluster, (node_t)node, "s1"));
-		ck_assert(request_succeeds((node_t)node));
+		ck_assert(probe_status(cluster, (node_t)node, DESK_KEY) == 200);
 	}
 	answer = http_join(other);
 	ck_assert(stream_is_whole(answer, STREAM_TOKENS));
@@ -97,7 +84,7 @@
 
 	node_start(cluster, NODE_S1);
 	node_wait_ready(cluster, NODE_S1);
-	WAIT_UNTIL(request_succeeds(NODE_S1));
+	WAIT_UNTIL(probe_status(cluster, NODE_S1, DESK_KEY) == 200);
 	for (int node = NODE_S1; node <= NODE_Z2; node++) {
 		order_repeat_is_unknown((node_t)node, done, "tag=done");
 		order_repeat_is_unknown((node_t)node, held, "tag=held");
@@ -106,10 +93,9 @@
 	ck_assert_uint_eq(arrivals_now("tag=held"), 1);
 	node_control(cluster, NODE_R1, "order_ms=0");
 }
-END_TEST
 
 /* Guards against tokens lost or doubled when a stream changes its target. */
-START_TEST(stream_goes_on_when_its_target_is_killed)
+TEST(stream_goes_on_when_its_target_is_killed)
 {
 	http_task_t *task =
 	    stream_start(NODE_S2, PARISH_KEY, "resumed", STREAM_TOKENS);
@@ -131,10 +117,9 @@
 	node_start(cluster, busy);
 	node_wait_ready(cluster, busy);
 }
-END_TEST
 
 /* Guards against an order that is sent to a second target or called not run. */
-START_TEST(order_of_a_killed_target_is_unknown)
+TEST(order_of_a_killed_target_is_unknown)
 {
 	g_autofree char *ticket = ticket_take(cluster, NODE_S2);
 	http_task_t *order;
@@ -160,7 +145,6 @@
 	node_start(cluster, NODE_R1);
 	node_wait_ready(cluster, NODE_R1);
 }
-END_TEST
 
 static void
 setup(void)
@@ -168,6 +152,4 @@
 	cluster = cluster_create();
 }
 
-CLUSTER_MAIN("kill", setup, killed_instance_harms_no_other,
-    stream_goes_on_when_its_target_is_killed,
-    order_of_a_killed_target_is_unknown)
+CLUSTER_MAIN("kill", setup)
--- a/tests/process_tls.c
+++ b/tests/process_tls.c
@@ -2,10 +2,7 @@
 #include <string.h>
 
 #include "cluster.h"
-#include "test.h"
 
-#define GENERATE "/v1/services/epitaph-writer/generate"
-#define ORDERS "/v1/services/tag-registry/orders"
 #define STREAM_200 "{\"prompt\":\"x\",\"max_tokens\":200,\"stream\":true}"
 #define SHORT "{\"prompt\":\"x\",\"max_tokens\":5}"
 
@@ -80,7 +77,7 @@
 }
 
 /* Guards against an instance that serves callers without TLS. */
-START_TEST(only_https_is_served)
+TEST(only_https_is_served)
 {
 	answer_t *answer = http_call(
 	    node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL, STREAM_200);
@@ -96,10 +93,9 @@
 	answer_free(answer);
 	ck_assert_int_eq(status_with(NULL, NODE_S1, "/readyz"), 0);
 }
-END_TEST
 
 /* Guards against a forward that fails, or is not verified, over https. */
-START_TEST(forward_is_verified)
+TEST(forward_is_verified)
 {
 	json_int_t before = target_count(cluster, NODE_R1, "requests");
 	const char *path = "/v1/services/tag-registry/trees/oak";
@@ -120,10 +116,9 @@
 	ck_assert_int_eq(
 	    target_count(cluster, NODE_R1, "requests"), before + 1);
 }
-END_TEST
 
 /* Guards against a broken pair that ends the service. */
-START_TEST(broken_pair_is_refused)
+TEST(broken_pair_is_refused)
 {
 	static const char *const broken[] = {"other.key", "s1.log"};
 
@@ -139,14 +134,13 @@
 	}
 	file_copy("first.key", "tls.key");
 }
-END_TEST
 
 /* Guards against a new certificate that breaks open streams or is not used. */
-START_TEST(new_pair_is_used_by_new_connections)
+TEST(new_pair_is_used_by_new_connections)
 {
 	http_task_t *stream = http_start(
 	    node_url(cluster, NODE_S1, GENERATE), DESK_KEY, NULL, STREAM_200);
-	answer_t *answer;
+	g_autoptr(answer_t) answer = NULL;
 
 	WAIT_UNTIL(http_task_bytes(stream) > 0);
 	ck_assert_int_eq(status_with("other.pem", NODE_S1, "/readyz"), 0);
@@ -160,9 +154,7 @@
 	ck_assert(answer->whole);
 	ck_assert_ptr_nonnull(strstr(answer->body->str, "\"index\":199"));
 	ck_assert_ptr_nonnull(strstr(answer->body->str, "data: [DONE]"));
-	answer_free(answer);
 }
-END_TEST
 
 static void
 tls_cluster_start(void)
@@ -193,25 +185,5 @@
 	}
 }
 
-static void
-cluster_stop(void)
-{
-	cluster_destroy(cluster);
-}
-
-static void
-fill(Suite *suite)
-{
-	TCase *tcase = tcase_create("tls");
-
-	/* One cluster for all: the order of the tests matters. */
-	tcase_add_unchecked_fixture(tcase, tls_cluster_start, cluster_stop);
-	tcase_set_timeout(tcase, 120);
-	tcase_add_test(tcase, only_https_is_served);
-	tcase_add_test(tcase, forward_is_verified);
-	tcase_add_test(tcase, broken_pair_is_refused);
-	tcase_add_test(tcase, new_pair_is_used_by_new_connections);
-	suite_add_tcase(suite, tcase);
-}
-
-TEST_MAIN("tls", fill)
+/* One cluster for all: the order of the tests matters. */
+CLUSTER_MAIN("tls", tls_cluster_start)
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -5,6 +5,8 @@
 #include "random.h"
 #include "test.h"
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(directory_t, directory_destroy)
+
 #define N_INSTANCES 12
 
 /* Regions r0..r2; r0 has the zones z0 and z1, r1 has z2 and r2 has z3. */
@@ -48,9 +50,9 @@
 
 /* Guards against callers of one team that meet at different instances, and
  * against teams that all meet at one. */
-START_TEST(teams_spread_and_stay)
+TEST(teams_spread_and_stay)
 {
-	directory_t *directory = directory_new();
+	g_autoptr(directory_t) directory = directory_new();
 	const instance_t *out[1];
 	int first[N_INSTANCES] = {0};
 	char team[16];
@@ -71,14 +73,12 @@
 			    "%s comes first for %d of 6000 teams", names[i],
 			    first[i]);
 	}
-	directory_destroy(directory);
 }
-END_TEST
 
 /* Guards against zones that get teams regardless of their weight. */
-START_TEST(zones_get_teams_by_weight)
+TEST(zones_get_teams_by_weight)
 {
-	directory_t *directory;
+	g_autoptr(directory_t) directory = NULL;
 	const instance_t *out[1];
 	int heavy = 0;
 	char team[16];
@@ -94,9 +94,7 @@
 	}
 	zones[1].weight = 1;
 	ck_assert_msg(heavy > 3480 && heavy < 3720, "%d of 4000", heavy);
-	directory_destroy(directory);
 }
-END_TEST
 
 static void
 order_check(uint64_t seed, const directory_query_t *query,
@@ -177,18 +175,9 @@
 
 /* Guards against an instance outside the home or the allowed regions, a leaving
  * one, a wrong order and output beyond the bound. */
-START_TEST(random_fleets_keep_rules)
+TEST(random_fleets_keep_rules)
 {
 	RANDOM_SCHEDULES(schedule_run);
 }
-END_TEST
-
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, teams_spread_and_stay);
-	TEST_ADD(suite, zones_get_teams_by_weight);
-	TEST_ADD(suite, random_fleets_keep_rules);
-}
 
-TEST_MAIN("directory", fill)
+TEST_MAIN("directory")
--- a/tests/test_messages.c
+++ b/tests/test_messages.c
@@ -8,28 +8,26 @@
 
 /* Guards against a field that is lost or exchanged on the wire, and against a
  * heartbeat that doesn't fit the call limit. */
-START_TEST(heartbeat_survives_the_wire)
+TEST(heartbeat_survives_the_wire)
 {
 	const heartbeat_t in = heartbeat_sample();
 	heartbeat_t out;
-	GBytes *bytes = heartbeat_encode(&in, NULL);
+	g_autoptr(GBytes) bytes = heartbeat_encode(&in, NULL);
 	size_t len;
 	const void *data = g_bytes_get_data(bytes, &len);
 
 	ck_assert_uint_le(len, PEER_CALL_BYTES);
 	ck_assert(heartbeat_decode(data, len, &out, NULL));
 	ck_assert(heartbeat_equal(&in, &out));
-	g_bytes_unref(bytes);
 }
-END_TEST
 
 /* Guards against a decoder that reads past a cut message or accepts one that
  * carries more than itself. */
-START_TEST(cut_and_padded_messages_are_refused)
+TEST(cut_and_padded_messages_are_refused)
 {
 	const heartbeat_t in = heartbeat_sample();
 	heartbeat_t out = {.incarnation = 99};
-	GBytes *bytes = heartbeat_encode(&in, NULL);
+	g_autoptr(GBytes) bytes = heartbeat_encode(&in, NULL);
 	size_t len;
 	const uint8_t *data = g_bytes_get_data(bytes, &len);
 	uint8_t *copy = g_malloc0(len + 4);
@@ -47,12 +45,10 @@
 	ck_assert(!heartbeat_decode(copy, len + 4, &out, NULL));
 	ck_assert_uint_eq(out.incarnation, 99);
 	g_free(copy);
-	g_bytes_unref(bytes);
 }
-END_TEST
 
 /* Guards against values that the core relies on being impossible. */
-START_TEST(invalid_heartbeats_are_refused)
+TEST(invalid_heartbeats_are_refused)
 {
 	heartbeat_t bad[7];
 
@@ -73,10 +69,9 @@
 		ck_assert(g_error_matches(error, CS_ERROR, CS_ERROR_INVALID));
 	}
 }
-END_TEST
 
 /* Guards against a hostile peer that encodes what our encoder refuses. */
-START_TEST(invalid_loans_are_refused_on_decode)
+TEST(invalid_loans_are_refused_on_decode)
 {
 	borrow_request_t request = {"parish-nitra", SHARE_ONE / 8, 500, 42};
 	borrow_request_t out;
@@ -103,26 +98,23 @@
 	memset(data, 0xff, 20);
 	ck_assert(!borrow_reply_decode(data, 20, &reply, NULL));
 }
-END_TEST
 
-START_TEST(return_survives_the_wire)
+TEST(return_survives_the_wire)
 {
 	const return_t in = {"t", 5, SHARE_ONE};
 	return_t out;
-	GBytes *bytes = return_encode(&in, NULL);
+	g_autoptr(GBytes) bytes = return_encode(&in, NULL);
 
 	ck_assert(return_decode(g_bytes_get_data(bytes, NULL),
 	    g_bytes_get_size(bytes), &out, NULL));
 	ck_assert_str_eq(out.team, "t");
 	ck_assert_uint_eq(out.loan_id, 5);
 	ck_assert_uint_eq(out.share, SHARE_ONE);
-	g_bytes_unref(bytes);
 }
-END_TEST
 
 /* Guards against a list kind that indexes past a table, a text that ends early
  * at a NUL byte, and a limit below what the platform may hold. */
-START_TEST(list_text_is_bounded)
+TEST(list_text_is_bounded)
 {
 	fetch_reply_t in = {LIST_FLEET, 3, NULL, PEER_LIST_TEXT_LIMIT};
 	fetch_reply_t out;
@@ -150,17 +142,5 @@
 	ck_assert_ptr_null(fetch_reply_encode(&in, NULL));
 	g_free(in.text);
 }
-END_TEST
-
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, heartbeat_survives_the_wire);
-	TEST_ADD(suite, cut_and_padded_messages_are_refused);
-	TEST_ADD(suite, invalid_heartbeats_are_refused);
-	TEST_ADD(suite, invalid_loans_are_refused_on_decode);
-	TEST_ADD(suite, return_survives_the_wire);
-	TEST_ADD(suite, list_text_is_bounded);
-}
 
-TEST_MAIN("messages", fill)
+TEST_MAIN("messages")
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -5,6 +5,8 @@
 #include "schedule.h"
 #include "test.h"
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(order_table_t, order_table_destroy)
+
 #define TEAM "parish-nitra"
 
 static const uint8_t mac_key[ORDER_MAC_KEY_BYTES] = {1};
@@ -32,9 +34,9 @@
 }
 
 /* Guards against tickets that another team or a forger can use. */
-START_TEST(ticket_is_bound_to_team_and_fields)
+TEST(ticket_is_bound_to_team_and_fields)
 {
-	order_table_t *table = table_new("s.1", 4, 100);
+	g_autoptr(order_table_t) table = table_new("s.1", 4, 100);
 	char text[ORDER_TICKET_SIZE], changed[ORDER_TICKET_SIZE + 1];
 	order_ticket_t ticket;
 
@@ -60,14 +62,12 @@
 	ck_assert(!order_ticket_parse("", &ticket));
 	ck_assert(!order_ticket_parse("t1....", &ticket));
 	ck_assert_ptr_null(order_table_create("a b", 1, mac_key, 1, 1));
-	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a repeat that runs, or that gets another order's answer. */
-START_TEST(repeat_gets_the_recorded_outcome)
+TEST(repeat_gets_the_recorded_outcome)
 {
-	order_table_t *table = table_new("s1", 4, 100);
+	g_autoptr(order_table_t) table = table_new("s1", 4, 100);
 	char text[ORDER_TICKET_SIZE];
 	order_begin_t run, again;
 
@@ -94,14 +94,12 @@
 	ck_assert_int_eq(order_ran(table, TEAM, text, 0), RAN_COMPLETED);
 	refused(order_begin(table, TEAM, text, digest_b, ORDER_FROM_CALLER, 1),
 	    REFUSAL_TICKET_INVALID);
-	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a clock set back that revives a ticket already dropped. */
-START_TEST(expired_ticket_never_runs)
+TEST(expired_ticket_never_runs)
 {
-	order_table_t *table = table_new("s1", 1, 100);
+	g_autoptr(order_table_t) table = table_new("s1", 1, 100);
 	char text[ORDER_TICKET_SIZE], other[ORDER_TICKET_SIZE];
 	order_begin_t run;
 
@@ -117,14 +115,12 @@
 	refused(begin(table, text, 10), REFUSAL_TICKET_UNKNOWN);
 	ck_assert_int_eq(order_ran(table, TEAM, text, 10), RAN_UNKNOWN);
 	ck_assert_int_eq(begin(table, other, 10).action, ORDER_RUN);
-	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against unbounded answers and against a body that takes its state. */
-START_TEST(old_answers_lose_their_body_only)
+TEST(old_answers_lose_their_body_only)
 {
-	order_table_t *table = table_new("s1", 8, 70000);
+	g_autoptr(order_table_t) table = table_new("s1", 8, 70000);
 	static const char body[ORDER_ANSWER_LIMIT + 1];
 	char text[3][ORDER_TICKET_SIZE];
 	size_t len[3] = {40000, ORDER_ANSWER_LIMIT + 1, 40000};
@@ -144,14 +140,12 @@
 		ck_assert((run.replay.body != NULL) == (i == 2));
 		g_bytes_unref(run.replay.body);
 	}
-	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a team that has the orders of all others refused. */
-START_TEST(one_team_gets_half_of_the_table)
+TEST(one_team_gets_half_of_the_table)
 {
-	order_table_t *table = table_new("s1", 8, 100);
+	g_autoptr(order_table_t) table = table_new("s1", 8, 100);
 	char text[ORDER_TICKET_SIZE];
 
 	for (int i = 0; i < 6; i++) {
@@ -164,15 +158,13 @@
 				     .action,
 		    i == 4 ? ORDER_REFUSE : ORDER_RUN);
 	}
-	order_table_destroy(table);
 }
-END_TEST
 
 /* Guards against a second hop and against a delegated order that runs twice. */
-START_TEST(foreign_tickets_are_passed_on_once)
+TEST(foreign_tickets_are_passed_on_once)
 {
 	order_table_t *issuer = table_new("s1", 4, 100);
-	order_table_t *other = table_new("s2", 4, 100);
+	g_autoptr(order_table_t) other = table_new("s2", 4, 100);
 	char text[ORDER_TICKET_SIZE];
 	order_begin_t result;
 
@@ -192,9 +184,7 @@
 	issuer = order_table_create("s1", 8, mac_key, 4, 100);
 	refused(begin(issuer, text, 0), REFUSAL_TICKET_UNKNOWN);
 	order_table_destroy(issuer);
-	order_table_destroy(other);
 }
-END_TEST
 
 /*
  * Schedules: callers repeat orders at several instances; requests are
@@ -476,22 +466,9 @@
 }
 
 /* Guards against any interleaving that runs an order twice or denies it. */
-START_TEST(orders_run_at_most_once)
+TEST(orders_run_at_most_once)
 {
 	schedule_check("order", order_schedule, 5000, FAULT_REPEAT);
 }
-END_TEST
-
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, ticket_is_bound_to_team_and_fields);
-	TEST_ADD(suite, repeat_gets_the_recorded_outcome);
-	TEST_ADD(suite, expired_ticket_never_runs);
-	TEST_ADD(suite, old_answers_lose_their_body_only);
-	TEST_ADD(suite, one_team_gets_half_of_the_table);
-	TEST_ADD(suite, foreign_tickets_are_passed_on_once);
-	TEST_ADD(suite, orders_run_at_most_once);
-}
 
-TEST_MAIN("order", fill)
+TEST_MAIN("order")
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -5,6 +5,8 @@
 #include "random.h"
 #include "test.h"
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(route_t, route_destroy)
+
 #define N_TARGETS 6
 #define SERVICE "writer"
 
@@ -58,9 +60,9 @@
 }
 
 /* Guards against a prefix that wanders while its target has room. */
-START_TEST(prefix_keeps_its_target_until_bound)
+TEST(prefix_keeps_its_target_until_bound)
 {
-	route_t *route = route_new(ROUTE_AFFINITY_BOUNDED, 4);
+	g_autoptr(route_t) route = route_new(ROUTE_AFFINITY_BOUNDED, 4);
 	handle_t first = pick(route, 99, 0);
 	int on_first = 0;
 
@@ -73,14 +75,12 @@
 	}
 	/* 1.25 x mean of 8 requests on 4 targets is 2.5, rounded up. */
 	ck_assert_int_eq(on_first, 3);
-	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a list change that moves prefixes of other targets. */
-START_TEST(removed_target_moves_only_its_prefixes)
+TEST(removed_target_moves_only_its_prefixes)
 {
-	route_t *route = route_new(ROUTE_AFFINITY, 5);
+	g_autoptr(route_t) route = route_new(ROUTE_AFFINITY, 5);
 	handle_t gone = route_find(route, "w4");
 	handle_t before[200];
 
@@ -92,14 +92,12 @@
 		if (before[i] != gone)
 			ck_assert(pick(route, i + 1, 0) == before[i]);
 	}
-	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a retry on the target that just failed. */
-START_TEST(excluded_target_is_not_picked)
+TEST(excluded_target_is_not_picked)
 {
-	route_t *route = route_new(ROUTE_LEAST_LOADED, 1);
+	g_autoptr(route_t) route = route_new(ROUTE_LEAST_LOADED, 1);
 	handle_t only = pick(route, 0, 0);
 	route_choice_t choice = route_pick(route, SERVICE, 0, only, 1, 0);
 
@@ -111,15 +109,13 @@
 	ck_assert(!route_start(route, only, 0));
 	choice = route_pick(route, SERVICE, 0, HANDLE_NONE, 1, 0);
 	ck_assert_int_eq(choice.verdict, ROUTE_ALL_FULL);
-	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a dead target that keeps receiving more than single probes,
  * and against a flood on its cold cache once it is back. */
-START_TEST(dead_target_is_probed_then_warmed)
+TEST(dead_target_is_probed_then_warmed)
 {
-	route_t *route = route_new(ROUTE_LEAST_LOADED, 1);
+	g_autoptr(route_t) route = route_new(ROUTE_LEAST_LOADED, 1);
 	handle_t only = pick(route, 0, 0);
 	time_us_t now = ROUTE_EJECT_US;
 	route_view_t view;
@@ -143,15 +139,13 @@
 	ck_assert_uint_eq(view.usable, 2);
 	route_view(route, only, now + ROUTE_WARM_UP_US, &view);
 	ck_assert_uint_eq(view.usable, 4);
-	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a flood on a cold target, and against a queue in front of it
  * while it is the only one with free slots. */
-START_TEST(warm_up_gives_way_when_all_others_are_full)
+TEST(warm_up_gives_way_when_all_others_are_full)
 {
-	route_t *route = route_new(ROUTE_LEAST_LOADED, 1);
+	g_autoptr(route_t) route = route_new(ROUTE_LEAST_LOADED, 1);
 	handle_t warm = route_find(route, "w0");
 	handle_t cold;
 
@@ -168,15 +162,13 @@
 		ck_assert(route_start(route, cold, 0));
 	}
 	ck_assert(pick(route, 0, 0) == HANDLE_NONE);
-	route_destroy(route);
 }
-END_TEST
 
 /* Guards against load of other instances that is ignored, counted twice or
  * believed for ever. */
-START_TEST(reported_load_is_discounted)
+TEST(reported_load_is_discounted)
 {
-	route_t *route = route_new(ROUTE_LEAST_LOADED, 2);
+	g_autoptr(route_t) route = route_new(ROUTE_LEAST_LOADED, 2);
 	handle_t a = route_find(route, "w0");
 	route_view_t view;
 
@@ -189,15 +181,13 @@
 	ck_assert_uint_eq(view.load_milli, 2000);
 	route_view(route, a, ROUTE_REPORT_LIFE_US, &view);
 	ck_assert_uint_eq(view.load_milli, 1000);
-	route_destroy(route);
 }
-END_TEST
 
 /* Guards against a policy that prefers one target when all are equal. */
-START_TEST(policies_spread_requests)
+TEST(policies_spread_requests)
 {
 	for (int policy = 0; policy < ROUTE_POLICY_COUNT; policy++) {
-		route_t *route = route_new((route_policy_t)policy, 4);
+		g_autoptr(route_t) route = route_new((route_policy_t)policy, 4);
 		int count[4] = {0};
 
 		for (uint64_t i = 1; i <= 4000; i++) {
@@ -211,10 +201,8 @@
 			    "%s: target %d got %d of 4000",
 			    route_policy_name((route_policy_t)policy), i,
 			    count[i]);
-		route_destroy(route);
 	}
 }
-END_TEST
 
 /* Model of one target in a random schedule, by its handle. */
 typedef struct {
@@ -346,23 +334,9 @@
 
 /* Guards against counts that a list change loses, work above the own slots and
  * new work on a leaving or delisted target. */
-START_TEST(random_schedules_keep_counts)
+TEST(random_schedules_keep_counts)
 {
 	RANDOM_SCHEDULES(schedule_run);
 }
-END_TEST
-
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, prefix_keeps_its_target_until_bound);
-	TEST_ADD(suite, removed_target_moves_only_its_prefixes);
-	TEST_ADD(suite, excluded_target_is_not_picked);
-	TEST_ADD(suite, dead_target_is_probed_then_warmed);
-	TEST_ADD(suite, warm_up_gives_way_when_all_others_are_full);
-	TEST_ADD(suite, reported_load_is_discounted);
-	TEST_ADD(suite, policies_spread_requests);
-	TEST_ADD(suite, random_schedules_keep_counts);
-}
 
-TEST_MAIN("route", fill)
+TEST_MAIN("route")
--- a/tests/test_share_load.c
+++ b/tests/test_share_load.c
@@ -174,8 +174,8 @@
 load_measure(load_t load, double use)
 {
 	static const char *const names[LOAD_COUNT] = {"even", "one instance",
-	    "moved to one instance", "started at one instance", "calmed",
-	    "one zone cut", "one instance lost"};
+	    "moved to one", "started at one", "calmed", "one zone cut",
+	    "one instance lost"};
 	counts_t counts = {0};
 	double percent[2];
 
@@ -183,7 +183,7 @@
 		load_run(load, use, seed, &counts);
 	for (int i = 0; i < 2; i++)
 		percent[i] = 100.0 * counts.refused[i] / counts.arrived[i];
-	printf("%-23s at %.0f%% of the rate: refused %.2f%% in the first %d s, "
+	printf("%-17s at %.0f%% of the rate: refused %.2f%% in the first %d s, "
 	       "%.2f%% after them\n",
 	    names[load], 100 * use, percent[0], RAMP_S, percent[1]);
 	return percent[1];
@@ -193,7 +193,7 @@
  * Guards against wrongful refusals above the goal of 1% under steady load
  * without faults. At 90% of the rate and with faults they are printed only.
  */
-START_TEST(refusals_within_rate)
+TEST(refusals_within_rate)
 {
 	for (int load = LOAD_EVEN; load < LOAD_COUNT; load++) {
 		double low = load_measure((load_t)load, 0.8);
@@ -203,12 +203,5 @@
 			ck_assert_double_lt(low, 1);
 	}
 }
-END_TEST
 
-static void
-fill(Suite *suite)
-{
-	TEST_ADD(suite, refusals_within_rate);
-}
-
-TEST_MAIN("share_load", fill)
+TEST_MAIN("share_load")
