cyclamensail: charge for texts of a body, not for its form

The prompt was estimated as a quarter of all bytes of the body, so '{"prompt":"even-1", "max_tokens":36,"stream":false}' was charged 50 tokens where the target counts 39.

Ruled out: the loans.

Change: the estimate counts the bytes of all texts of the body, names of nested members included (tools, messages), not the names of the request's own members.

--- a/cyclamensail/body.c
+++ b/cyclamensail/body.c
@@ -14,6 +14,43 @@
 /* Usual ratio of bytes to tokens in prompts of European languages. */
 #define BYTES_PER_TOKEN 4
 
+/* Bytes of all texts and names in a JSON value. jansson bounds the depth. */
+static size_t
+text_bytes(json_t *value)
+{
+	size_t bytes = 0;
+	const char *key;
+	json_t *member;
+	size_t i;
+
+	switch (json_typeof(value)) {
+	case JSON_STRING:
+		return json_string_length(value);
+	case JSON_ARRAY:
+		json_array_foreach(value, i, member) bytes +=
+		    text_bytes(member);
+		return bytes;
+	case JSON_OBJECT:
+		json_object_foreach(value, key, member) bytes +=
+		    strlen(key) + text_bytes(member);
+		return bytes;
+	default:
+		return 0;
+	}
+}
+
+/* Prompt tokens of a request; the names of its own members are no prompt. */
+static int64_t
+prompt_estimate(json_t *object)
+{
+	size_t bytes = 0;
+	const char *key;
+	json_t *member;
+
+	json_object_foreach(object, key, member) bytes += text_bytes(member);
+	return (int64_t)(bytes / BYTES_PER_TOKEN) + 1;
+}
+
 static bool
 object_read(json_t *object, body_facts_t *facts, GError **error)
 {
@@ -41,6 +78,7 @@
 		    object, "max_tokens", json_integer(max_tokens));
 		facts->adjusted = json_dumps(object, JSON_COMPACT);
 	}
+	facts->prompt_tokens = prompt_estimate(object);
 	facts->cost = facts->prompt_tokens + max_tokens;
 	facts->stream = json_is_true(json_object_get(object, "stream"));
 	if (text != NULL)
@@ -62,7 +100,6 @@
 	facts->prefix_hash = XXH3_64bits(body, MIN(len, PREFIX_BYTES));
 	if (!engine)
 		return true;
-	facts->prompt_tokens = (int64_t)(len / BYTES_PER_TOKEN) + 1;
 	object = json_loadb(body, len, JSON_REJECT_DUPLICATES, &problem);
 	if (object == NULL) {
 		g_set_error(error, CS_ERROR, CS_ERROR_SYNTAX,
--- a/cyclamensail/sse.c
+++ b/cyclamensail/sse.c
@@ -105,10 +105,13 @@
 answer_tokens(const char *text, size_t len, int64_t prompt_tokens)
 {
 	json_t *answer = json_loadb(text, len, 0, NULL);
-	json_t *output =
-	    json_object_get(json_object_get(answer, "usage"), "output_tokens");
+	json_t *usage = json_object_get(answer, "usage");
+	json_t *prompt = json_object_get(usage, "prompt_tokens");
+	json_t *output = json_object_get(usage, "output_tokens");
 	int64_t tokens = -1;
 
+	if (json_is_integer(prompt) && json_integer_value(prompt) >= 0)
+		prompt_tokens = json_integer_value(prompt);
 	if (json_is_integer(output))
 		tokens = prompt_tokens + json_integer_value(output);
 	json_decref(answer);
--- a/cyclamensail/sse.h
+++ b/cyclamensail/sse.h
@@ -32,8 +32,9 @@
 void sse_drop_partial(sse_t *sse);
 
 /*
- * Tokens that a whole JSON answer of an engine used: its usage member, or
- * fallback when it has none.
+ * Tokens that a whole JSON answer of an engine used, by its usage member; -1
+ * when it has none. prompt_tokens counts where the engine reports only its
+ * output.
  */
 int64_t answer_tokens(const char *text, size_t len, int64_t prompt_tokens);
 
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -123,8 +123,11 @@
 	static const char *const without[] = {"", "{", "[]", "{\"usage\":1}",
 	    "{\"usage\":{\"output_tokens\":\"7\"}}"};
 	const char *with = "{\"usage\":{\"output_tokens\":7}}";
+	const char *both =
+	    "{\"usage\":{\"output_tokens\":7,\"prompt_tokens\":3}}";
 
 	ck_assert_int_eq(answer_tokens(with, strlen(with), 5), 12);
+	ck_assert_int_eq(answer_tokens(both, strlen(both), 5), 10);
 	for (size_t i = 0; i < G_N_ELEMENTS(without); i++)
 		ck_assert_int_eq(
 		    answer_tokens(without[i], strlen(without[i]), 5), -1);
