core: ask for another instance also while requests wait

Cause: the gate asked core/spill only while its queue was empty, when the expected wait is 0, and put every other request into the queue at once.

Ruled out: core/spill itself and queue_expected_wait, which give the documented answers when asked (tests/test_spill.c, tests/test_queue.c).

Change: a request that arrives while others wait and all targets are full is offered to core/spill first. What may never be passed on stays as it was: requests that came from another instance, that have written bytes, or whose plan or home forbids it.

--- a/core/gate_submit.c
+++ b/core/gate_submit.c
@@ -222,12 +222,30 @@
 		    actions);
 }
 
+/*
+ * Passes the flight on if another instance serves it sooner. After a written
+ * attempt it stays here: another instance doesn't know of the attempt and would
+ * refuse with "not run". local: targets of this zone can take it later.
+ */
+static bool
+flight_spill(
+    gate_t *gate, flight_t *flight, bool local, time_us_t now, GArray *actions)
+{
+	char instance[NAME_LIMIT + 1];
+
+	if (flight->forwarded || flight->written ||
+	    !gate_spill(gate, flight, local, now, instance))
+		return false;
+	flight_forward(
+	    gate, flight, instance, forward_cause(gate, instance), actions);
+	return true;
+}
+
 void
 gate_dispatch(gate_t *gate, flight_t *flight, time_us_t now, GArray *actions)
 {
 	route_choice_t choice = {ROUTE_NO_TARGET, HANDLE_NONE};
 	bool local = region_allowed(gate, flight, gate->region);
-	char instance[NAME_LIMIT + 1];
 
 	if (!flight_recheck(gate, flight, now, actions) ||
 	    !flight_check_poison(gate, flight, now, actions))
@@ -239,17 +257,9 @@
 	if (choice.verdict == ROUTE_PICKED &&
 	    flight_send(gate, flight, choice.target, now, actions))
 		return;
-	/*
-	 * After a written attempt the request stays here: another instance
-	 * doesn't know of the attempt and would refuse with "not run".
-	 */
-	if (!flight->forwarded && !flight->written &&
-	    gate_spill(gate, flight, local && choice.verdict != ROUTE_NO_TARGET,
-		now, instance)) {
-		flight_forward(gate, flight, instance,
-		    forward_cause(gate, instance), actions);
+	if (flight_spill(gate, flight,
+		local && choice.verdict != ROUTE_NO_TARGET, now, actions))
 		return;
-	}
 	if (choice.verdict == ROUTE_NO_TARGET)
 		gate_refuse(
 		    gate, flight, REFUSAL_NO_TARGET, US_PER_S, now, actions);
@@ -257,10 +267,20 @@
 		flight_enqueue(gate, flight, now, actions);
 }
 
+/* Whether all targets that could take the flight are full. */
+static bool
+flight_is_blocked(const gate_t *gate, const flight_t *flight, time_us_t now)
+{
+	return route_pick(gate->route, flight->service,
+		   flight->body.prefix_hash, flight->last_target, 0, now)
+		   .verdict == ROUTE_ALL_FULL;
+}
+
 /*
  * Sends a flight for the first time. Those that already wait for the service
  * come before it, so that a newcomer can't take the slot that became free. One
- * that yields waits as well.
+ * that yields waits as well. Only while requests wait is there a wait to
+ * compare with the way to another instance, so that is asked for here too.
  */
 static void
 flight_start(gate_t *gate, flight_t *flight, time_us_t now, GArray *actions)
@@ -274,6 +294,9 @@
 		gate_dispatch(gate, flight, now, actions);
 		return;
 	}
+	if (flight_is_blocked(gate, flight, now) &&
+	    flight_spill(gate, flight, true, now, actions))
+		return;
 	g_strlcpy(service, flight->service, sizeof(service));
 	flight_enqueue(gate, flight, now, actions);
 	gate_pump(gate, service, now, actions);
--- a/tests/test_gate_start.c
+++ b/tests/test_gate_start.c
@@ -244,11 +244,28 @@
 }
 END_TEST
 
+/* Guards against requests that wait behind others while another region has
+ * free slots. */
+START_TEST(long_wait_is_passed_on)
+{
+	world_t *w = world_new(3);
+
+	for (int i = 0; i < SLOTS; i++)
+		ck_assert(got(w, submit(w, i % 2), ACTION_SEND));
+	ck_assert(!got(w, submit(w, 1), ACTION_FORWARD));
+	time_pass(w, US_PER_S);
+	/* Nothing has started for 1 s; the way there and back takes 160 ms. */
+	ck_assert(got(w, submit(w, 1), ACTION_FORWARD));
+	world_free(w);
+}
+END_TEST
+
 static void
 fill(Suite *suite)
 {
 	TEST_ADD(suite, team_above_rate_leaves_last_slots);
 	TEST_ADD(suite, team_above_rate_queues_one_class_below);
+	TEST_ADD(suite, long_wait_is_passed_on);
 }
 
 TEST_MAIN("gate_start", fill)
