--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -4,12 +4,14 @@
 #include <jansson.h>
 #include <stdint.h>
 
-/* Each appends one table to tables. The first four are in virtual time and
- * depend on the seed alone. */
+/* Each appends its tables. The first six are in virtual time and depend on the
+ * seed alone. */
 void experiment_policies(json_t *tables, uint64_t seed);
 void experiment_isolation(json_t *tables, uint64_t seed);
+void experiment_priorities(json_t *tables, uint64_t seed);
 void experiment_overload(json_t *tables, uint64_t seed);
 void experiment_recovery(json_t *tables, uint64_t seed);
+void experiment_spill(json_t *tables, uint64_t seed);
 
 /* Wall-clock figures of one core. */
 void speed_route(json_t *tables, uint64_t seed);
--- a/bench/model.c
+++ b/bench/model.c
@@ -3,10 +3,21 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/bucket.h"
+#include "core/gate.h"
+#include "core/spill.h"
 #include "random.h"
 
 #define SERVICE "writer"
-#define ZONE "zone"
+
+/* As the gate assumes it for a request and its answer. */
+#define BYTES_PER_TOKEN 4
+
+static zone_t zones[MODEL_REGIONS_MAX] = {
+    {"zone0", "region0", 1}, {"zone1", "region1", 1}};
+static const allowances_t allowances = {
+    .zones = zones, .n_zones = MODEL_REGIONS_MAX};
+static char *regions[] = {"region0", "region1", NULL};
 
 /* Speed of a target. */
 #define PROMPT_TOKENS_PER_S 12000
@@ -17,22 +28,32 @@
 typedef struct {
 	time_us_t arrived_at;
 	time_us_t deadline;
+	time_us_t yield_until;
+	reservation_t reservation;
 	int team;
 	int instance;
+	bool forwarded;
 	uint32_t prefix;
 	int32_t output;
 	handle_t target;
 	uint32_t target_index;
 } request_t;
 
-typedef enum { EVENT_ARRIVAL, EVENT_FINISH, EVENT_REPORT, EVENT_LIST } kind_t;
+typedef enum {
+	EVENT_ARRIVAL,
+	EVENT_HOP, /* a request arrives at the other region */
+	EVENT_FINISH,
+	EVENT_REPORT,
+	EVENT_HEARTBEAT,
+	EVENT_LIST
+} kind_t;
 
 typedef struct {
 	time_us_t at;
 	uint64_t sequence; /* order of events at the same time */
 	kind_t kind;
 	int team;	    /* arrival */
-	request_t *request; /* finish */
+	request_t *request; /* hop, finish */
 } event_t;
 
 typedef struct {
@@ -50,6 +71,7 @@
 	int index;
 	route_t *route;
 	queue_t *queue;
+	spill_t *spill;
 	GQueue fifo; /* request_t */
 } instance_model_t;
 
@@ -65,8 +87,7 @@
 	model_target_t targets[MODEL_TARGETS_MAX];
 	target_t listed[MODEL_TARGETS_MAX];
 	instance_model_t instances[MODEL_INSTANCES_MAX];
-	double tokens[MODEL_TEAMS_MAX]; /* of the rate limit, in requests */
-	time_us_t filled_at[MODEL_TEAMS_MAX];
+	bucket_t *buckets[MODEL_TEAMS_MAX]; /* a token for each request */
 } world_t;
 
 /* Event heap. */
@@ -164,29 +185,45 @@
 		cache_drop_oldest(target);
 }
 
+static int
+region_count(const model_settings_t *settings)
+{
+	return MAX(settings->n_regions, 1);
+}
+
 static bool
 request_counts(const world_t *world, const request_t *request)
 {
 	return request->arrived_at >= world->settings->warm_up;
 }
 
+/* begin_at is when the target begins the prompt. */
 static void
-result_add(world_t *world, const request_t *request, time_us_t first_at,
-    bool hit, int computed)
+result_add(world_t *world, const request_t *request, time_us_t begin_at,
+    time_us_t first_at, bool hit, int computed)
 {
 	model_result_t *result = world->result;
-	double ms = (double)(first_at - request->arrived_at) / 1000;
+	time_us_t back = request->forwarded ? SPILL_REGION_DELAY_US : 0;
+	double ms = (double)(first_at + back - request->arrived_at) / 1000;
+	model_parts_t parts = {.all_ms = ms,
+	    .slot_ms = (double)(world->now - request->arrived_at) / 1000,
+	    .turn_ms = (double)(begin_at - world->now) / 1000,
+	    .prompt_ms = (double)(first_at - begin_at) / 1000,
+	    .team = request->team,
+	    .hit = hit};
 
 	if (!request_counts(world, request))
 		return;
+	g_array_append_val(result->parts, parts);
 	result->started++;
+	result->forwarded += request->forwarded;
 	result->hits += hit;
 	result->computed += computed;
 	g_array_append_val(result->first_token, ms);
 	g_array_append_val(result->by_team[request->team], ms);
 	if (request->target_index == 0)
 		g_array_append_val(result->on_target_0, ms);
-	if (first_at - request->arrived_at <= MODEL_GOAL_US)
+	if (first_at + back - request->arrived_at <= MODEL_GOAL_US)
 		result->in_time[request->team]++;
 }
 
@@ -207,7 +244,7 @@
 	    (time_us_t)((double)computed * US_PER_S / PROMPT_TOKENS_PER_S *
 			(1 + PROMPT_SLOWDOWN * others));
 	first = target->prompt_free_at + (time_us_t)step;
-	result_add(world, request, first, hit, computed);
+	result_add(world, request, begin, first, hit, computed);
 	event_add(
 	    world, (event_t){.at = first + (time_us_t)(step * request->output),
 		       .kind = EVENT_FINISH,
@@ -234,17 +271,36 @@
 	return true;
 }
 
+static bool
+request_yields(const world_t *world, const request_t *request)
+{
+	return world->now < request->yield_until &&
+	       route_nearly_full(world->instances[request->instance].route,
+		   SERVICE, world->now);
+}
+
 static queue_answer_t
 request_can_start(queue_item_t item, void *context)
 {
+	if (request_yields(context, item.item))
+		return QUEUE_SKIP;
 	return request_try(context, item.item) ? QUEUE_START : QUEUE_STOP;
 }
 
+static void
+request_settle(world_t *world, request_t *request, int64_t used)
+{
+	bucket_settle(world->buckets[request->team], &request->reservation,
+	    used, world->now);
+}
+
+/* As in the gate, a request that did not run gets its tokens back. */
 static void
 request_refuse(world_t *world, request_t *request)
 {
 	if (request_counts(world, request))
 		world->result->refused++;
+	request_settle(world, request, 0);
 	g_free(request);
 }
 
@@ -263,15 +319,63 @@
 		request_run(world, item.item);
 }
 
-static void
-instance_enqueue(world_t *world, instance_model_t *instance, request_t *request)
+static bool
+instance_is_full(
+    world_t *world, instance_model_t *instance, const request_t *request)
 {
-	char team[16];
-	queue_request_t entry = {.team = team,
-	    .priority = 1,
+	return route_pick(instance->route, SERVICE, request->prefix + 1,
+		   HANDLE_NONE, 0, world->now)
+		   .verdict == ROUTE_ALL_FULL;
+}
+
+/* The team's name is written to team. */
+static queue_request_t
+queue_request(const world_t *world, request_t *request, char team[16])
+{
+	snprintf(team, 16, "t%d", request->team);
+	return (queue_request_t){.team = team,
+	    .priority = world->settings->priority[request->team] +
+			(request->yield_until != 0),
 	    .cost = MODEL_PREFIX_TOKENS + MODEL_SUFFIX_TOKENS + request->output,
 	    .deadline = request->deadline,
 	    .item = request};
+}
+
+/* Sends the request to the other region if core/spill says so. */
+static bool
+request_spill(world_t *world, instance_model_t *instance, request_t *request)
+{
+	char team[16];
+	queue_request_t entry = queue_request(world, request, team);
+	spill_query_t query = {.service = SERVICE,
+	    .zone = zones[instance->index % region_count(world->settings)].name,
+	    .regions = regions,
+	    .bytes = entry.cost * BYTES_PER_TOKEN};
+	spill_choice_t choice;
+
+	if (!world->settings->spill || request->forwarded)
+		return false;
+	query.local_wait =
+	    queue_expected_wait(instance->queue, &entry, world->now);
+	choice = spill_decide(instance->spill, &allowances, &query,
+	    random_next(&world->random), world->now);
+	if (choice.verdict == SPILL_STAY)
+		return false;
+	request->forwarded = true;
+	request->instance = atoi(choice.instance + 1);
+	event_add(world,
+	    (event_t){
+		.at = world->now + MAX(choice.cost - SPILL_REGION_DELAY_US, 0),
+		.kind = EVENT_HOP,
+		.request = request});
+	return true;
+}
+
+static void
+instance_enqueue(world_t *world, instance_model_t *instance, request_t *request)
+{
+	char team[16];
+	queue_request_t entry = queue_request(world, request, team);
 	queue_push_t push;
 
 	if (world->settings->fifo) {
@@ -281,7 +385,6 @@
 			g_queue_push_tail(&instance->fifo, request);
 		return;
 	}
-	snprintf(team, sizeof(team), "t%d", request->team);
 	push = queue_push(instance->queue, &entry, world->now);
 	if (push.evicted.handle != HANDLE_NONE)
 		request_refuse(world, push.evicted.item);
@@ -323,49 +426,78 @@
 
 /* Takes one request from the team's rate limit. */
 static bool
-limit_take(world_t *world, int team)
+limit_take(world_t *world, request_t *request)
 {
-	double rate = world->settings->limit;
-	double *tokens = &world->tokens[team];
-	time_us_t passed = world->now - world->filled_at[team];
+	bucket_t *bucket = world->buckets[request->team];
+	bool low = bucket_is_low(bucket, world->now);
 
-	if (rate <= 0)
+	if (world->settings->limit <= 0)
 		return true;
-	*tokens = MIN(*tokens + rate * (double)passed / US_PER_S,
-	    rate * MODEL_LIMIT_BURST_S);
-	world->filled_at[team] = world->now;
-	if (*tokens < 1)
+	if (!bucket_reserve(
+		bucket, TOKEN_MICRO, world->now, &request->reservation))
 		return false;
-	*tokens -= 1;
+	if (low && world->settings->yields)
+		request->yield_until = world->now + YIELD_LIMIT_US;
 	return true;
 }
 
+static int
+instance_draw(world_t *world)
+{
+	const model_settings_t *settings = world->settings;
+	int n_regions = region_count(settings);
+	int region = 0;
+	int n = settings->n_instances / n_regions;
+
+	if (n_regions > 1 && random_unit(&world->random) > settings->in_region)
+		region = 1;
+	return region +
+	       n_regions * (int)(random_next(&world->random) % (uint64_t)n);
+}
+
+/* As flight_start() of the gate. */
+static void
+request_start(world_t *world, request_t *request)
+{
+	instance_model_t *instance = &world->instances[request->instance];
+	bool waits = request_yields(world, request) ||
+		     queue_length(instance->queue) > 0 ||
+		     instance->fifo.length > 0;
+
+	if (!waits && request_try(world, request)) {
+		request_run(world, request);
+		return;
+	}
+	if (instance_is_full(world, instance, request) &&
+	    request_spill(world, instance, request))
+		return;
+	instance_enqueue(world, instance, request);
+	instance_dispatch(world, instance);
+}
+
 static void
 on_arrival(world_t *world, int team)
 {
-	request_t *request;
-	instance_model_t *instance;
+	const model_settings_t *settings = world->settings;
+	request_t *request = g_new0(request_t, 1);
 
 	arrival_schedule(world, team);
-	if (!limit_take(world, team))
-		return;
-	request = g_new0(request_t, 1);
 	request->arrived_at = world->now;
-	request->deadline = world->now + MODEL_START_US;
+	request->deadline =
+	    world->now + (settings->start_limit > 0 ? settings->start_limit
+						    : MODEL_START_US);
 	request->team = team;
+	if (!limit_take(world, request)) {
+		g_free(request);
+		return;
+	}
 	request->prefix = prefix_draw(world);
 	request->output = 1 + (int32_t)random_exponential(
 				  &world->random, MODEL_OUTPUT_TOKENS - 1);
-	request->instance = (int)(random_next(&world->random) %
-				  (uint64_t)world->settings->n_instances);
-	instance = &world->instances[request->instance];
+	request->instance = instance_draw(world);
 	if (request_counts(world, request))
 		world->result->arrived[team]++;
-	if (queue_length(instance->queue) == 0 && instance->fifo.length == 0 &&
-	    request_try(world, request))
-		request_run(world, request);
-	else
-		instance_enqueue(world, instance, request);
+	request_start(world, request);
 }
 
 static void
@@ -375,6 +507,7 @@
 
 	world->targets[request->target_index].running--;
 	route_finish(instance->route, request->target, ROUTE_OK, world->now);
+	request_settle(world, request, TOKEN_MICRO);
 	g_free(request);
 	instance_dispatch(world, instance);
 }
@@ -403,12 +536,44 @@
 			       .kind = EVENT_REPORT});
 }
 
+/* Tells each instance the load of those in the other region. */
+static void
+on_heartbeat(world_t *world)
+{
+	const model_settings_t *settings = world->settings;
+	int n_regions = region_count(settings);
+
+	for (int i = 0; i < settings->n_instances; i++) {
+		instance_model_t *sender = &world->instances[i];
+		heartbeat_t heartbeat = {.ready = true, .n_load = 1};
+		service_load_t *load = &heartbeat.load[0];
+
+		snprintf(heartbeat.sender, sizeof(heartbeat.sender), "i%d", i);
+		g_strlcpy(heartbeat.zone, zones[i % n_regions].name,
+		    sizeof(heartbeat.zone));
+		g_strlcpy(load->service, SERVICE, sizeof(load->service));
+		route_service_load(
+		    sender->route, SERVICE, &load->in_flight, &load->slots);
+		load->queued = queue_length(sender->queue);
+		for (int k = 0; k < settings->n_instances; k++) {
+			if (k % n_regions != i % n_regions)
+				spill_observe(world->instances[k].spill,
+				    &heartbeat, world->now);
+		}
+	}
+	if (world->now < settings->duration)
+		event_add(world,
+		    (event_t){.at = world->now + MODEL_HEARTBEAT_EVERY_US,
+			.kind = EVENT_HEARTBEAT});
+}
+
 static uint32_t
 own_slots(const target_t *target, void *context)
 {
 	const model_settings_t *settings = context;
 
-	return target->slots / (uint32_t)settings->n_instances;
+	return target->slots * (uint32_t)region_count(settings) /
+	       (uint32_t)settings->n_instances;
 }
 
 static void
@@ -428,7 +593,8 @@
 		    sizeof(world->targets[0].url));
 	}
 	for (int i = 0; i < settings->n_instances; i++)
-		route_sync(world->instances[i].route, &fleet, ZONE, own_slots,
+		route_sync(world->instances[i].route, &fleet,
+		    zones[i % region_count(settings)].name, own_slots,
 		    (void *)settings, world->now);
 }
 
@@ -461,7 +627,7 @@
 		snprintf(target->name, sizeof(target->name), "w%d", i);
 		g_strlcpy(target->url, "first", sizeof(target->url));
 		world->listed[i] = (target_t){.name = target->name,
-		    .zone = ZONE,
+		    .zone = zones[i % region_count(settings)].name,
 		    .service = SERVICE,
 		    .url = target->url,
 		    .slots = MODEL_SLOTS,
@@ -473,11 +639,22 @@
 		instance->index = i;
 		instance->route = route_create(settings->route);
 		instance->queue = queue_create(settings->queue_limit);
+		instance->spill =
+		    spill_create((spill_settings_t){SPILL_ZONE_DELAY_US,
+			SPILL_REGION_DELAY_US, SPILL_REGION_BANDWIDTH});
 	}
 	on_list(world);
-	for (int i = 0; i < settings->n_teams; i++)
+	for (int i = 0; i < settings->n_teams; i++) {
+		int64_t rate = (int64_t)(settings->limit * TOKEN_MICRO);
+
+		world->buckets[i] = bucket_create(0);
+		bucket_set_limits(
+		    world->buckets[i], rate, rate * MODEL_LIMIT_BURST_S, 0);
 		arrival_schedule(world, i);
+	}
 	event_add(world, (event_t){.kind = EVENT_REPORT});
+	if (settings->spill)
+		event_add(world, (event_t){.kind = EVENT_HEARTBEAT});
 	if (settings->lost_at != 0) {
 		event_add(world,
 		    (event_t){.at = settings->lost_at, .kind = EVENT_LIST});
@@ -493,12 +670,18 @@
 	case EVENT_ARRIVAL:
 		on_arrival(world, event->team);
 		break;
+	case EVENT_HOP:
+		request_start(world, event->request);
+		break;
 	case EVENT_FINISH:
 		on_finish(world, event->request);
 		break;
 	case EVENT_REPORT:
 		on_report(world);
 		break;
+	case EVENT_HEARTBEAT:
+		on_heartbeat(world);
+		break;
 	case EVENT_LIST:
 		on_list(world);
 		break;
@@ -520,7 +703,10 @@
 			    world, g_queue_pop_head(&instance->fifo));
 		route_destroy(instance->route);
 		queue_destroy(instance->queue);
+		spill_destroy(instance->spill);
 	}
+	for (int i = 0; i < world->settings->n_teams; i++)
+		bucket_destroy(world->buckets[i]);
 	g_array_free(world->events, TRUE);
 	g_free(world);
 }
@@ -548,6 +734,7 @@
 
 	memset(result, 0, sizeof(*result));
 	result->first_token = g_array_new(FALSE, FALSE, sizeof(double));
+	result->parts = g_array_new(FALSE, FALSE, sizeof(model_parts_t));
 	result->on_target_0 = g_array_new(FALSE, FALSE, sizeof(double));
 	for (int i = 0; i < MODEL_TEAMS_MAX; i++)
 		result->by_team[i] = g_array_new(FALSE, FALSE, sizeof(double));
@@ -563,6 +750,7 @@
 model_result_clear(model_result_t *result)
 {
 	g_array_free(result->first_token, TRUE);
+	g_array_free(result->parts, TRUE);
 	g_array_free(result->on_target_0, TRUE);
 	for (int i = 0; i < MODEL_TEAMS_MAX; i++)
 		g_array_free(result->by_team[i], TRUE);
--- a/bench/policy.c
+++ b/bench/policy.c
@@ -12,8 +12,10 @@
 {
 	experiment_policies(tables, seed);
 	experiment_isolation(tables, seed);
+	experiment_priorities(tables, seed);
 	experiment_overload(tables, seed);
 	experiment_recovery(tables, seed);
+	experiment_spill(tables, seed);
 	speed_route(tables, seed);
 	speed_queue(tables, seed);
 	speed_directory(tables, seed);
