tests: check the deadline of a request that is pushed

Cause: two rules of queue_push had no test that fails without them: a request at its deadline is refused, and while nothing starts the past wait counts as the expected one. With either taken out, all 7 tests passed.

Ruled out: the other deadline rules. Without the check of the expected wait drain_rate_decides_about_deadlines fails, without the check in queue_pop or with a later queue_expire expired_request_is_not_started does, and without a repair of the heap the random schedules do.

Change: two tests, passed_deadline_is_refused_at_once and standstill_decides_about_deadlines.

Without `now >= request->deadline`: 88%: Checks: 9, Failures: 1 test_queue.c:125: passed_deadline_is_refused_at_once With 0 instead of the past wait where nothing was started: 88%: Checks: 9, Failures: 1 test_queue.c:144: standstill_decides_about_deadlines With both rules in place: 100%, 9 checks.

Conclusion: each deadline rule of core/queue.c has a test that notices its loss. `./scripts/lint build` is clean.

--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -114,6 +114,42 @@
 }
 END_TEST
 
+/* Guards against a request that is queued at or past its deadline, which only
+ * the queue's next expiry would end. */
+START_TEST(passed_deadline_is_refused_at_once)
+{
+	queue_t *queue = queue_create(10);
+	queue_request_t request = {
+	    .team = "a", .cost = 1, .deadline = US_PER_S};
+
+	ck_assert_int_eq(queue_push(queue, &request, US_PER_S).verdict,
+	    QUEUE_DEADLINE_UNREACHABLE);
+	ck_assert_uint_eq(queue_length(queue), 0);
+	ck_assert_int_eq(
+	    queue_push(queue, &request, US_PER_S - 1).verdict, QUEUE_QUEUED);
+	queue_destroy(queue);
+}
+END_TEST
+
+/* Guards against work that is queued although nothing has started for longer
+ * than its deadline is away. */
+START_TEST(standstill_decides_about_deadlines)
+{
+	queue_t *queue = queue_create(10);
+	queue_request_t request = {.team = "b", .cost = 1};
+	time_us_t now = US_PER_S;
+
+	push(queue, "a", 0, 1, NULL);
+	request.deadline = now + US_PER_S - 1;
+	ck_assert_int_eq(queue_push(queue, &request, now).verdict,
+	    QUEUE_DEADLINE_UNREACHABLE);
+	request.deadline = now + US_PER_S;
+	ck_assert_int_eq(
+	    queue_push(queue, &request, now).verdict, QUEUE_QUEUED);
+	queue_destroy(queue);
+}
+END_TEST
+
 /* Guards against a queue that refuses for ever after targets stood still. */
 START_TEST(standstill_does_not_lock_the_queue)
 {
@@ -376,6 +412,8 @@
 	TEST_ADD(suite, teams_share_by_tokens);
 	TEST_ADD(suite, full_queue_evicts_newest_of_largest_team);
 	TEST_ADD(suite, drain_rate_decides_about_deadlines);
+	TEST_ADD(suite, passed_deadline_is_refused_at_once);
+	TEST_ADD(suite, standstill_decides_about_deadlines);
 	TEST_ADD(suite, standstill_does_not_lock_the_queue);
 	TEST_ADD(suite, expired_request_is_not_started);
 	TEST_ADD(suite, skipped_request_blocks_nobody);
