--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -110,6 +110,40 @@
 	ck_assert_int_lt(queue_expected_wait(queue, &request, now), US_PER_S);
 }
 
+/* Guards against a request that is queued at or past its deadline, which only
+ * the queue's next expiry would end. */
+TEST(passed_deadline_is_refused_at_once)
+{
+	queue_t *queue = queue_create(10);
+	queue_request_t request = {
+	    .team = "a", .cost = 1, .deadline = US_PER_S};
+
+	ck_assert_int_eq(queue_push(queue, &request, US_PER_S).verdict,
+	    QUEUE_DEADLINE_UNREACHABLE);
+	ck_assert_uint_eq(queue_length(queue), 0);
+	ck_assert_int_eq(
+	    queue_push(queue, &request, US_PER_S - 1).verdict, QUEUE_QUEUED);
+	queue_destroy(queue);
+}
+
+/* Guards against work that is queued although nothing has started for longer
+ * than its deadline is away. */
+TEST(standstill_decides_about_deadlines)
+{
+	queue_t *queue = queue_create(10);
+	queue_request_t request = {.team = "b", .cost = 1};
+	time_us_t now = US_PER_S;
+
+	push(queue, "a", 0, 1, NULL);
+	request.deadline = now + US_PER_S - 1;
+	ck_assert_int_eq(queue_push(queue, &request, now).verdict,
+	    QUEUE_DEADLINE_UNREACHABLE);
+	request.deadline = now + US_PER_S;
+	ck_assert_int_eq(
+	    queue_push(queue, &request, now).verdict, QUEUE_QUEUED);
+	queue_destroy(queue);
+}
+
 /* Guards against a queue that refuses for ever after targets stood still. */
 TEST(standstill_does_not_lock_the_queue)
 {
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -164,6 +164,34 @@
 	ck_assert(pick(route, 0, 0) == HANDLE_NONE);
 }
 
+/* Guards against a reserve that a small or idle service can never leave, that
+ * a large one doesn't have, or that counts slots of an ejected target. */
+TEST(nearly_full_keeps_a_part_of_the_slots)
+{
+	route_t *route = route_new(ROUTE_ROUND_ROBIN, 5);
+
+	ck_assert(!route_nearly_full(route, SERVICE, 0));
+	ck_assert(!route_nearly_full(route, "other", 0));
+	/* Of 20 slots 2 are the last ones. */
+	for (int i = 0; i < 18; i++) {
+		ck_assert(!route_nearly_full(route, SERVICE, 0));
+		ck_assert(route_start(route, pick(route, 0, 0), 0));
+	}
+	ck_assert(route_nearly_full(route, SERVICE, 0));
+	route_destroy(route);
+
+	route = route_new(ROUTE_ROUND_ROBIN, 2);
+	for (int i = 0; i < 3; i++)
+		route_start(route, route_find(route, "w0"), 0);
+	ck_assert(!route_nearly_full(route, SERVICE, 0));
+	for (int i = 0; i < ROUTE_EJECT_FAILURES; i++) {
+		route_start(route, route_find(route, "w1"), 0);
+		route_finish(route, route_find(route, "w1"), ROUTE_FAILED, 0);
+	}
+	ck_assert(route_nearly_full(route, SERVICE, 0));
+	route_destroy(route);
+}
+
 /* Guards against load of other instances that is ignored, counted twice or
  * believed for ever. */
 TEST(reported_load_is_discounted)
