tests: wait until the directory knows s1 before it is killed

Others hear that s1 is ready with its next heartbeat, and the check didn't wait for it.

Ruled out: s1 that stays unreachable: in four trial runs that waited, eleven of twelve checks passed at once and one after 41 ms.

Change: the check waits, like the other ones, and still fails when s1 stays last.

Conclusion: the precondition no longer depends on the moment.

--- a/tests/process_kill.c
+++ b/tests/process_kill.c
@@ -64,8 +64,9 @@
 	http_task_t *order;
 	answer_t *answer;
 
+	/* That s1 is ready reaches the others with its next heartbeat. */
 	for (int node = NODE_S2; node <= NODE_Z2; node++)
-		ck_assert(!directory_names_last(cluster, (node_t)node, "s1"));
+		WAIT_UNTIL(!directory_names_last(cluster, (node_t)node, "s1"));
 	answer = http_call(
 	    node_url(cluster, NODE_S1, ORDERS), DESK_KEY, done, "tag=done");
 	ck_assert_int_eq(answer->status, 201);
