--- a/cyclamensail/peers.c
+++ b/cyclamensail/peers.c
@@ -20,6 +20,7 @@
 	peer_sender_t self;
 	envelope_keys_t keys;
 	peer_server_t *server;
+	peer_loop_t *loop;    /* of the clients */
 	bool synced;	      /* used by the timer thread only, like fleet */
 	uint64_t fleet;	      /* version of the fleet list that links go by */
 	pthread_mutex_t lock; /* of links */
@@ -152,7 +153,8 @@
 	pthread_mutex_init(&peers->lock, NULL);
 	peers->links = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, link_destroy);
-	if (!keys_init(peers, error)) {
+	if (!keys_init(peers, error) ||
+	    (peers->loop = peer_loop_create(error)) == NULL) {
 		peers_destroy(peers);
 		return NULL;
 	}
@@ -167,17 +169,6 @@
 	return NULL;
 }
 
-void
-peers_destroy(peers_t *peers)
-{
-	if (peers == NULL)
-		return;
-	peer_server_destroy(peers->server);
-	g_hash_table_destroy(peers->links);
-	pthread_mutex_destroy(&peers->lock);
-	g_free(peers);
-}
-
 static const gate_peer_t *
 peer_find(const GArray *wanted, const char *name)
 {
@@ -214,12 +205,32 @@
 	return removed;
 }
 
+void
+peers_destroy(peers_t *peers)
+{
+	g_autoptr(GArray) none = g_array_new(FALSE, FALSE, sizeof(gate_peer_t));
+	GPtrArray *removed;
+
+	if (peers == NULL)
+		return;
+	peer_server_destroy(peers->server);
+	pthread_mutex_lock(&peers->lock);
+	removed = links_remove(peers, none);
+	pthread_mutex_unlock(&peers->lock);
+	/* Waits for callbacks, which may take the lock. */
+	g_ptr_array_free(removed, TRUE);
+	peer_loop_destroy(peers->loop);
+	g_hash_table_destroy(peers->links);
+	pthread_mutex_destroy(&peers->lock);
+	g_free(peers);
+}
+
 static void
 link_add(peers_t *peers, const gate_peer_t *peer)
 {
 	g_autoptr(GError) error = NULL;
 	peer_client_t *client = peer_client_create(
-	    peer->address, &peers->self, &peers->keys, &error);
+	    peers->loop, peer->address, &peers->self, &peers->keys, &error);
 	link_t *link;
 
 	if (client == NULL) {
@@ -261,7 +272,7 @@
 			link_add(peers, peer);
 	}
 	pthread_mutex_unlock(&peers->lock);
-	/* Waits for the clients' threads, so not under the lock. */
+	/* Waits for callbacks, which may take the lock. */
 	g_ptr_array_free(removed, TRUE);
 }
 
--- a/include/common/thread.h
+++ b/include/common/thread.h
@@ -6,8 +6,8 @@
 
 /*
  * Starts a thread with all signals blocked. Signals for the process then go to
- * the main thread, and a write to a closed socket by a library that doesn't
- * use MSG_NOSIGNAL (libtirpc) doesn't end the process with SIGPIPE.
+ * the main thread, and a write to a closed socket by a library that
+ * doesn't use MSG_NOSIGNAL doesn't end the process with SIGPIPE.
  * Returns 0 or an error number, like pthread_create(3).
  */
 static inline int
--- a/include/peer/client.h
+++ b/include/peer/client.h
@@ -8,8 +8,11 @@
 #include "peer/messages.h"
 
 /*
- * Calls one other instance. Each client has its own thread, connection and
- * bounded queue, so that a slow or dead peer delays only the calls to itself.
+ * Calls other instances. One thread of a loop serves all its clients with
+ * non-blocking sockets; each client has its own connection and bounded queue
+ * and one call in progress, so that a slow or dead peer delays only the calls
+ * to itself. Replies with a list are checked and completed on a second thread,
+ * because parsing a list takes up to 250 ms (docs/CAPACITY.md).
  *
  * The connection is opened on demand (1 s limit) and kept. After a failure, the
  * next attempt waits a random time up to a limit that doubles from
@@ -17,7 +20,8 @@
  * once, so that the caller can ask another peer. A call fails when no byte
  * came for 1 s. The limit is one on silence, not on the whole reply, because a
  * 1 MiB list between distant regions takes longer than 1 s on a fresh
- * connection.
+ * connection. It also fails after PEER_CALL_US, so that a reply that trickles
+ * doesn't keep its peer's queue waiting for ever.
  *
  * A call that fails after it was sent may have run. No call is sent twice,
  * except when the peer answered with a challenge, which says that it wasn't
@@ -30,6 +34,7 @@
 
 #define PEER_QUEUE_LIMIT 64
 #define PEER_TIMEOUT_S 1
+#define PEER_CALL_US (10 * US_PER_S)
 #define PEER_QUEUE_US (2 * US_PER_S) /* longest wait in the queue */
 #define PEER_BACKOFF_MIN_US (100 * US_PER_MS)
 #define PEER_BACKOFF_MAX_US (2 * US_PER_S)
@@ -62,18 +67,27 @@
 } peer_result_t;
 
 /*
- * Called exactly once for each accepted call, on the client's thread. result is
- * NULL when error is set. Both are valid during the call only. It may call
- * peer_client_send, but not peer_client_destroy.
+ * Called exactly once for each accepted call, on a thread of the loop, and for
+ * one client never twice at a time. result is NULL when error is set. Both are
+ * valid during the call only. It may call peer_client_send, but not
+ * peer_client_destroy. It delays the other clients: only that of a
+ * PEER_CALL_FETCH with a result may take long.
  */
 typedef void (*peer_done_t)(
     const peer_result_t *result, const GError *error, void *user);
 
+typedef struct peer_loop peer_loop_t;
 typedef struct peer_client peer_client_t;
 
-/* Starts the thread; doesn't connect. Returns NULL and sets error on failure.
- */
-peer_client_t *peer_client_create(const char *address,
+/* Starts the threads. Returns NULL and sets error on failure. */
+peer_loop_t *peer_loop_create(GError **error);
+
+/* Joins the threads. All clients must have been destroyed. */
+void peer_loop_destroy(peer_loop_t *loop);
+
+/* self and keys are copied. Doesn't connect. Returns NULL and sets error when
+ * the address is none. */
+peer_client_t *peer_client_create(peer_loop_t *loop, const char *address,
     const peer_sender_t *self, const envelope_keys_t *keys, GError **error);
 
 /*
@@ -86,8 +100,8 @@
 bool peer_client_send(peer_client_t *client, const peer_call_t *call,
     peer_done_t done, void *user, GError **error);
 
-/* Breaks the call that is running, completes pending ones with an error, and
- * joins the thread. */
+/* Breaks the call that is running and completes pending ones with an error;
+ * returns after the last callback. */
 void peer_client_destroy(peer_client_t *client);
 
 #endif
--- a/peer/client.c
+++ b/peer/client.c
@@ -1,292 +1,477 @@
 #include "peer/client.h"
 
-#include <pthread.h>
+#include <errno.h>
 #include <sodium.h>
 #include <string.h>
+#include <sys/epoll.h>
 
 #include "common/clock.h"
 #include "common/counter.h"
 #include "common/error.h"
-#include "common/thread.h"
+#include "exchange.h"
+#include "job.h"
 #include "link.h"
+#include "loop.h"
 
-typedef struct {
-	peer_call_kind_t kind;
-	GBytes *body;
-	fetch_t fetch;	   /* PEER_CALL_FETCH */
-	time_us_t sent_at; /* PEER_CALL_HEARTBEAT */
-	time_us_t queued_at;
-	const char *dropped; /* reason, when it must not be sent */
-	peer_done_t done;
-	void *user;
-} job_t;
+/* A challenge is repeated only when the peer dropped a window meanwhile. */
+#define CHALLENGE_LIMIT 3
+
+typedef enum {
+	CLIENT_IDLE,
+	CLIENT_CONNECTING,
+	CLIENT_CALLING,
+	CLIENT_JUDGING, /* the worker has the job and the record */
+} client_state_t;
 
 struct peer_client {
-	pthread_t thread;
-	pthread_mutex_t lock;
-	pthread_cond_t wake;
+	loop_item_t item; /* first, so that it can be cast */
+	peer_loop_t *loop;
+	peer_sender_t self;
+	envelope_keys_t keys;
+
+	/* Guarded by the loop's lock. */
 	GQueue queue;	/* jobs to send */
 	GQueue dropped; /* jobs to complete with an error */
 	bool stopping;
-	link_t *link; /* only its link_break is called by other threads */
-	/* Used by the thread only. */
+	bool judged; /* the worker is done */
+	bool ended;
+
+	/* Used by the loop's threads only. */
+	client_state_t state;
+	link_t *link;
+	job_t *job; /* the call in progress */
+	exchange_t exchange;
+	GByteArray *record; /* its reply, from its end to the verdict */
+	exchange_verdict_t verdict;
+	int challenges;
+	time_us_t call_at;
+	uint32_t xid;
+	uint64_t session; /* kept over connections */
 	unsigned failures;
 	time_us_t retry_at;
 };
 
 static void
-job_free(job_t *job)
+client_failed(peer_client_t *client)
 {
-	g_bytes_unref(job->body);
-	g_free(job);
+	time_us_t limit = PEER_BACKOFF_MIN_US << MIN(client->failures, 10U);
+
+	limit = MIN(limit, PEER_BACKOFF_MAX_US);
+	client->failures++;
+	client->retry_at =
+	    clock_now() + (time_us_t)randombytes_uniform((uint32_t)limit) + 1;
 }
 
-static GBytes *
-call_encode(const peer_call_t *call, GError **error)
+static const char *
+error_result(const GError *error)
 {
-	switch (call->kind) {
-	case PEER_CALL_HEARTBEAT:
-		return heartbeat_encode(&call->heartbeat, error);
-	case PEER_CALL_FETCH:
-		return fetch_encode(&call->fetch, error);
-	case PEER_CALL_BORROW:
-		return borrow_request_encode(&call->borrow, error);
-	case PEER_CALL_RETURN:
-		return return_encode(&call->give_back, error);
-	}
-	g_set_error(error, CS_ERROR, CS_ERROR_INVALID,
-	    "no peer call has kind %d; use one of peer_call_kind_t",
-	    (int)call->kind);
-	return NULL;
+	if (g_error_matches(error, CS_ERROR, CS_ERROR_TIMEOUT))
+		return "timeout";
+	if (g_error_matches(error, CS_ERROR, CS_ERROR_AUTH))
+		return "refused";
+	return "failed";
 }
 
-static job_t *
-job_create(
-    const peer_call_t *call, peer_done_t done, void *user, GError **error)
+static void
+client_close(peer_client_t *client)
 {
-	GBytes *body = call_encode(call, error);
-	job_t *job;
-
-	if (body == NULL)
-		return NULL;
-	job = g_new0(job_t, 1);
-	job->kind = call->kind;
-	job->body = body;
-	job->queued_at = clock_now();
-	job->done = done;
-	job->user = user;
-	if (call->kind == PEER_CALL_FETCH)
-		job->fetch = call->fetch;
-	if (call->kind == PEER_CALL_HEARTBEAT)
-		job->sent_at = call->heartbeat.sent_at;
-	return job;
+	loop_unwatch(client->loop, &client->item);
+	link_close(client->link);
 }
 
+/* Is ready for the next job, which comes after the other clients' work. */
 static void
-job_complete(job_t *job, const peer_result_t *result, const GError *error)
+client_idle(peer_client_t *client)
 {
-	if (job->done != NULL)
-		job->done(result, error, job->user);
-	job_free(job);
+	client->state = CLIENT_IDLE;
+	client->job = NULL;
+	loop_set_deadline(client->loop, &client->item, 0);
+	loop_lock(client->loop);
+	loop_announce(client->loop, &client->item);
+	loop_unlock(client->loop);
 }
 
-/* Completes a job that was never sent. */
+/* Ends the attempt to connect for the job; takes error. */
 static void
-job_drop(job_t *job, const char *reason, const GError *cause)
+client_unreachable(peer_client_t *client, GError *error)
 {
-	g_autoptr(GError) error = NULL;
+	job_t *job = client->job;
 
-	counter_count("peer_dropped", "reason", reason);
-	if (cause == NULL) {
-		g_set_error(&error, CS_ERROR, CS_ERROR_IO,
-		    "call to the peer was not sent (%s); ask another peer or "
-		    "try later",
-		    reason);
-		cause = error;
-	}
-	job_complete(job, NULL, cause);
+	client_close(client);
+	client_failed(client);
+	client_idle(client);
+	job_drop(job, "unreachable", error);
+	g_error_free(error);
 }
 
-static bool
-fetch_matches(const job_t *job, const fetch_reply_t *reply)
+/* Ends the call in progress; takes error. */
+static void
+client_fail(peer_client_t *client, GError *error)
 {
-	return reply->kind == job->fetch.kind &&
-	       (reply->version == 0 ||
-		   reply->version >= job->fetch.min_version);
+	job_t *job = client->job;
+
+	counter_count("peer_calls", "result", error_result(error));
+	client_close(client);
+	client_failed(client);
+	client_idle(client);
+	job_complete(job, NULL, error);
+	g_error_free(error);
 }
 
-static bool
-heartbeat_matches(const job_t *job, const peer_result_t *result)
+static GError *
+client_error(const peer_client_t *client, cs_error_t code, const char *what)
 {
-	return strcmp(result->heartbeat.sender, result->from.name) == 0 &&
-	       result->heartbeat.incarnation == result->from.incarnation &&
-	       result->heartbeat.sent_at == job->sent_at;
+	return g_error_new(CS_ERROR, code,
+	    "call to peer %s failed: %s; try again later or ask another peer",
+	    link_address(client->link), what);
 }
 
-static bool
-result_mismatch(GError **error)
+/* The deadline moves with each byte up to the limit of the whole call. */
+static void
+client_set_call_deadline(peer_client_t *client)
 {
-	g_set_error(error, CS_ERROR, CS_ERROR_INVALID,
-	    "reply of the peer doesn't fit the call; run the same version of "
-	    "the program on both instances");
-	return false;
+	time_us_t silent =
+	    link_active_at(client->link) + PEER_TIMEOUT_S * US_PER_S;
+
+	loop_set_deadline(client->loop, &client->item,
+	    MIN(silent, client->call_at + PEER_CALL_US));
 }
 
-/* Fills result from an authentic reply body. */
-static bool
-result_decode(
-    const job_t *job, GBytes *body, peer_result_t *result, GError **error)
+/* Waits for the socket as the connection needs it now. */
+static void
+client_wait(peer_client_t *client)
 {
-	size_t len;
-	const void *data = g_bytes_get_data(body, &len);
-
-	switch (job->kind) {
-	case PEER_CALL_HEARTBEAT:
-		return heartbeat_decode(data, len, &result->heartbeat, error) &&
-		       (heartbeat_matches(job, result) ||
-			   result_mismatch(error));
-	case PEER_CALL_FETCH:
-		return fetch_reply_decode(data, len, &result->fetch, error) &&
-		       (fetch_matches(job, &result->fetch) ||
-			   result_mismatch(error));
-	case PEER_CALL_BORROW:
-		return borrow_reply_decode(data, len, &result->borrow, error);
-	case PEER_CALL_RETURN:
-		return len == 0 || result_mismatch(error);
+	uint32_t events = link_is_sending(client->link) ? EPOLLOUT : EPOLLIN;
+
+	if (!loop_watch(
+		client->loop, &client->item, link_fd(client->link), events)) {
+		client_fail(client,
+		    client_error(client, CS_ERROR_IO, g_strerror(errno)));
+		return;
 	}
-	return result_mismatch(error);
+	client_set_call_deadline(client);
 }
 
+/* Sends the job, for the first time or after a challenge. */
 static void
-client_failed(peer_client_t *client)
+client_call(peer_client_t *client)
 {
-	time_us_t limit = PEER_BACKOFF_MIN_US << MIN(client->failures, 10U);
+	GError *error = NULL;
+	GByteArray *record = exchange_seal(&client->exchange, client->job->kind,
+	    ++client->xid, client->session, &client->self, &client->keys,
+	    client->job->body, &error);
+	bool sent;
+
+	client->state = CLIENT_CALLING;
+	if (record == NULL) {
+		client_fail(client, error);
+		return;
+	}
+	sent = link_send(client->link, record->data, record->len);
+	g_byte_array_unref(record);
+	if (sent)
+		client_wait(client);
+	else
+		client_fail(client,
+		    client_error(client, CS_ERROR_IO, "connection was closed"));
+}
 
-	limit = MIN(limit, PEER_BACKOFF_MAX_US);
-	client->failures++;
-	client->retry_at =
-	    clock_now() + (time_us_t)randombytes_uniform((uint32_t)limit) + 1;
+static void
+client_connected(peer_client_t *client)
+{
+	client->call_at = clock_now();
+	client->challenges = 0;
+	client_call(client);
 }
 
-static const char *
-error_result(const GError *error)
+/* Starts to connect for the job. */
+static void
+client_connect(peer_client_t *client)
 {
-	if (g_error_matches(error, CS_ERROR, CS_ERROR_TIMEOUT))
-		return "timeout";
-	if (g_error_matches(error, CS_ERROR, CS_ERROR_AUTH))
-		return "refused";
-	return "failed";
+	GError *error = NULL;
+
+	if (!link_open(client->link, &error)) {
+		client_unreachable(client, error);
+		return;
+	}
+	client->state = CLIENT_CONNECTING;
+	if (loop_watch(
+		client->loop, &client->item, link_fd(client->link), EPOLLOUT)) {
+		loop_set_deadline(client->loop, &client->item,
+		    clock_now() + PEER_TIMEOUT_S * US_PER_S);
+		return;
+	}
+	link_set_error(client->link, errno, &error);
+	client_unreachable(client, error);
 }
 
 static void
-client_call(peer_client_t *client, job_t *job)
+client_begin(peer_client_t *client, job_t *job)
+{
+	time_us_t now = clock_now();
+	const char *dropped = job->dropped;
+
+	if (dropped == NULL && now - job->queued_at > PEER_QUEUE_US)
+		dropped = "expired";
+	if (dropped == NULL && !link_is_open(client->link) &&
+	    now < client->retry_at)
+		dropped = "backoff";
+	if (dropped != NULL) {
+		job_drop(job, dropped, NULL);
+		return;
+	}
+	client->job = job;
+	if (link_is_open(client->link))
+		client_connected(client);
+	else
+		client_connect(client);
+}
+
+/*
+ * Checks the reply in the record and completes the job, unless the peer
+ * answered with a challenge. Runs on the worker in state CLIENT_JUDGING.
+ */
+static void
+client_judge(peer_client_t *client)
 {
 	g_autoptr(GError) error = NULL;
-	peer_result_t result = {.kind = job->kind};
-	GBytes *body = link_call(
-	    client->link, (uint32_t)job->kind, job->body, &result.from, &error);
-	bool ok = body != NULL && result_decode(job, body, &result, &error);
-
-	counter_count(
-	    "peer_calls", "result", ok ? "done" : error_result(error));
-	if (ok) {
+	peer_result_t result = {.kind = client->job->kind};
+	exchange_reply_t reply;
+
+	client->verdict = exchange_open(&client->exchange, &client->keys,
+	    link_address(client->link), client->record->data,
+	    client->record->len, &reply, &error);
+	g_byte_array_unref(client->record);
+	client->record = NULL;
+	if (client->verdict != EXCHANGE_FAILED)
+		client->session = reply.session;
+	if (client->verdict == EXCHANGE_CHALLENGE)
+		return;
+	result.from = reply.from;
+	if (client->verdict == EXCHANGE_DONE &&
+	    !job_decode(client->job, reply.body, &result, &error))
+		client->verdict = EXCHANGE_FAILED;
+	counter_count("peer_calls", "result",
+	    client->verdict == EXCHANGE_DONE ? "done" : error_result(error));
+	if (reply.body != NULL)
+		g_bytes_unref(reply.body);
+	job_complete(client->job,
+	    client->verdict == EXCHANGE_DONE ? &result : NULL, error);
+	client->job = NULL;
+	if (result.kind == PEER_CALL_FETCH)
+		fetch_reply_clear(&result.fetch);
+}
+
+static void
+client_judged(peer_client_t *client)
+{
+	switch (client->verdict) {
+	case EXCHANGE_DONE:
 		client->failures = 0;
-	} else {
-		link_close(client->link);
+		client_idle(client);
+		return;
+	case EXCHANGE_FAILED:
+		client_close(client);
 		client_failed(client);
+		client_idle(client);
+		return;
+	case EXCHANGE_CHALLENGE:
+		break;
 	}
-	if (body != NULL)
-		g_bytes_unref(body);
-	job_complete(job, ok ? &result : NULL, error);
-	if (result.kind == PEER_CALL_FETCH)
-		fetch_reply_clear(&result.fetch);
+	if (++client->challenges >= CHALLENGE_LIMIT)
+		client_fail(
+		    client, client_error(client, CS_ERROR_AUTH,
+				"the peer doesn't accept its own session"));
+	else if (!link_is_open(client->link))
+		client_fail(client,
+		    client_error(client, CS_ERROR_IO, "connection was closed"));
+	else
+		client_call(client);
 }
 
 static void
-client_handle(peer_client_t *client, job_t *job)
+client_on_work(loop_item_t *item)
 {
-	g_autoptr(GError) error = NULL;
-	time_us_t now = clock_now();
+	peer_client_t *client = (peer_client_t *)item;
+
+	client_judge(client);
+	loop_lock(client->loop);
+	client->judged = true;
+	loop_announce(client->loop, item);
+	loop_unlock(client->loop);
+}
+
+/* Takes the reply that the connection holds. */
+static void
+client_reply(peer_client_t *client)
+{
+	GByteArray *record = link_take_record(client->link);
 
-	if (now - job->queued_at > PEER_QUEUE_US) {
-		job_drop(job, "expired", NULL);
+	/* As libtirpc did, a reply to an earlier call is passed over. */
+	if (exchange_is_other(&client->exchange, record->data, record->len)) {
+		g_byte_array_unref(record);
+		client_wait(client);
+		return;
+	}
+	client->record = record;
+	if (client->job->kind == PEER_CALL_FETCH) {
+		client->state = CLIENT_JUDGING;
+		loop_set_deadline(client->loop, &client->item, 0);
+		loop_work(client->loop, &client->item);
 		return;
 	}
-	if (!link_is_open(client->link)) {
-		if (now < client->retry_at) {
-			job_drop(job, "backoff", NULL);
-			return;
-		}
-		if (!link_open(client->link, &error)) {
-			client_failed(client);
-			job_drop(job, "unreachable", error);
-			return;
-		}
+	client_judge(client);
+	client_judged(client);
+}
+
+static void
+client_receive(peer_client_t *client)
+{
+	GError *error = NULL;
+
+	switch (link_serve(
+	    client->link, exchange_reply_limit(client->job->kind), &error)) {
+	case LINK_WAIT:
+		client_wait(client);
+		break;
+	case LINK_RECORD:
+		client_reply(client);
+		break;
+	case LINK_FAILED:
+		client_fail(client, error);
+		break;
 	}
-	client_call(client, job);
 }
 
-/* Waits for a job. Returns NULL when stopping and nothing is left. */
+static void
+client_on_socket(loop_item_t *item)
+{
+	peer_client_t *client = (peer_client_t *)item;
+	GError *error = NULL;
+
+	switch (client->state) {
+	case CLIENT_CONNECTING:
+		if (link_finish(client->link, &error))
+			client_connected(client);
+		else
+			client_unreachable(client, error);
+		break;
+	case CLIENT_CALLING:
+		client_receive(client);
+		break;
+	case CLIENT_IDLE:
+	case CLIENT_JUDGING:
+		/* Between calls the peer sends nothing; what comes is an end.
+		 */
+		client_close(client);
+		break;
+	}
+}
+
+static void
+client_on_deadline(loop_item_t *item)
+{
+	peer_client_t *client = (peer_client_t *)item;
+	GError *error = NULL;
+
+	if (client->state == CLIENT_CONNECTING) {
+		link_set_error(client->link, ETIMEDOUT, &error);
+		client_unreachable(client, error);
+	} else {
+		client_fail(client,
+		    client_error(client, CS_ERROR_TIMEOUT, "timed out"));
+	}
+}
+
+/* Completes what is left and ends the client. */
+static void
+client_stop(peer_client_t *client)
+{
+	job_t *job;
+
+	if (client->state == CLIENT_CALLING)
+		client_fail(client,
+		    client_error(client, CS_ERROR_IO, "the client stops"));
+	else if (client->job != NULL)
+		job_drop(client->job, "stopped", NULL);
+	client_close(client);
+	loop_set_deadline(client->loop, &client->item, 0);
+	loop_lock(client->loop);
+	while ((job = g_queue_pop_head(&client->dropped)) != NULL ||
+	       (job = g_queue_pop_head(&client->queue)) != NULL) {
+		loop_unlock(client->loop);
+		job_drop(job, job->dropped ? job->dropped : "stopped", NULL);
+		loop_lock(client->loop);
+	}
+	client->ended = true;
+	loop_end(client->loop, &client->item);
+	loop_unlock(client->loop);
+}
+
+/* Takes the next job that can be handled now, if any. */
 static job_t *
 client_next(peer_client_t *client)
 {
 	job_t *job;
 
-	pthread_mutex_lock(&client->lock);
-	while (!client->stopping && g_queue_is_empty(&client->queue) &&
-	       g_queue_is_empty(&client->dropped))
-		pthread_cond_wait(&client->wake, &client->lock);
+	/* The worker may be in a callback of this client. */
+	if (client->state == CLIENT_JUDGING)
+		return NULL;
 	job = g_queue_pop_head(&client->dropped);
-	if (job == NULL) {
+	if (job == NULL && client->state == CLIENT_IDLE)
 		job = g_queue_pop_head(&client->queue);
-		if (job != NULL && client->stopping)
-			job->dropped = "stopped";
-	}
-	pthread_mutex_unlock(&client->lock);
+	/* One job a turn, so that a long queue holds up no other client. */
+	if (job != NULL)
+		loop_announce(client->loop, &client->item);
 	return job;
 }
 
-static void *
-client_run(void *arg)
+static void
+client_on_ready(loop_item_t *item)
 {
-	peer_client_t *client = arg;
-	job_t *job;
+	peer_client_t *client = (peer_client_t *)item;
+	job_t *job = NULL;
+	bool judged;
+	bool stopping;
 
-	while ((job = client_next(client)) != NULL) {
-		if (job->dropped != NULL)
-			job_drop(job, job->dropped, NULL);
-		else
-			client_handle(client, job);
-	}
-	link_close(client->link);
-	return NULL;
+	loop_lock(client->loop);
+	judged = client->judged;
+	client->judged = false;
+	stopping = client->stopping;
+	if (!stopping && !judged)
+		job = client_next(client);
+	loop_unlock(client->loop);
+	if (judged)
+		client_judged(client);
+	/* The worker announces the client again. */
+	if (stopping && client->state != CLIENT_JUDGING)
+		client_stop(client);
+	else if (job != NULL)
+		client_begin(client, job);
 }
 
+static const loop_handlers_t client_handlers = {
+    client_on_ready, client_on_socket, client_on_deadline, client_on_work};
+
 peer_client_t *
-peer_client_create(const char *address, const peer_sender_t *self,
-    const envelope_keys_t *keys, GError **error)
+peer_client_create(peer_loop_t *loop, const char *address,
+    const peer_sender_t *self, const envelope_keys_t *keys, GError **error)
 {
-	link_t *link = link_create(address, self, keys, error);
+	link_t *link = link_create(address, error);
 	peer_client_t *client;
-	int failed;
 
 	if (link == NULL)
 		return NULL;
 	client = g_new0(peer_client_t, 1);
+	loop_item_init(&client->item, &client_handlers);
+	client->loop = loop;
+	client->self = *self;
+	client->keys = *keys;
 	client->link = link;
-	pthread_mutex_init(&client->lock, NULL);
-	pthread_cond_init(&client->wake, NULL);
+	client->xid = randombytes_random();
 	g_queue_init(&client->queue);
 	g_queue_init(&client->dropped);
-	failed = thread_start(&client->thread, client_run, client);
-	if (failed == 0)
-		return client;
-	g_set_error(error, CS_ERROR, CS_ERROR_IO,
-	    "can't start a peer client: %s; raise the limits of the process",
-	    g_strerror(failed));
-	link_destroy(link);
-	g_free(client);
-	return NULL;
+	return client;
 }
 
 /* Returns the queued call that a new heartbeat replaces: an older heartbeat, or
@@ -343,13 +528,14 @@
 
 	if (job == NULL)
 		return false;
-	pthread_mutex_lock(&client->lock);
+	loop_lock(client->loop);
 	if (client->stopping)
 		reason = "stopped";
 	else if (!queue_add(client, job))
 		reason = "queue_full";
-	pthread_cond_signal(&client->wake);
-	pthread_mutex_unlock(&client->lock);
+	else
+		loop_announce(client->loop, &client->item);
+	loop_unlock(client->loop);
 	if (reason == NULL)
 		return true;
 	counter_count("peer_dropped", "reason", reason);
@@ -366,14 +552,13 @@
 {
 	if (client == NULL)
 		return;
-	pthread_mutex_lock(&client->lock);
+	loop_lock(client->loop);
 	client->stopping = true;
-	pthread_cond_signal(&client->wake);
-	pthread_mutex_unlock(&client->lock);
-	link_break(client->link);
-	pthread_join(client->thread, NULL);
-	pthread_mutex_destroy(&client->lock);
-	pthread_cond_destroy(&client->wake);
+	loop_announce(client->loop, &client->item);
+	while (!client->ended)
+		loop_wait_end(client->loop);
+	loop_unlock(client->loop);
 	link_destroy(client->link);
+	sodium_memzero(&client->keys, sizeof(client->keys));
 	g_free(client);
 }
--- a/peer/connection.c
+++ b/peer/connection.c
@@ -26,8 +26,8 @@
 {
 	close(connection->fd);
 	g_byte_array_unref(connection->record);
-	if (connection->reply != NULL)
-		g_byte_array_unref(connection->reply);
+	if (connection->out != NULL)
+		g_byte_array_unref(connection->out);
 	g_free(connection);
 }
 
@@ -103,8 +103,11 @@
 connection_read(connection_t *connection, size_t limit, time_us_t now)
 {
 	connection_state_t state;
+	int reads = 0;
 
 	do {
+		if (reads++ == CONNECTION_READS)
+			return CONNECTION_OPEN;
 		if (connection->mark_len < sizeof(connection->mark))
 			state = mark_read(connection, limit, now);
 		else
@@ -117,27 +120,27 @@
 }
 
 connection_state_t
-connection_reply(
+connection_send(
     connection_t *connection, const void *data, size_t len, time_us_t now)
 {
 	uint32_t mark = g_htonl((uint32_t)len | LAST_FRAGMENT);
 
-	connection->reply = g_byte_array_sized_new((guint)(len + sizeof(mark)));
+	connection->out = g_byte_array_sized_new((guint)(len + sizeof(mark)));
 	g_byte_array_append(
-	    connection->reply, (const guint8 *)&mark, sizeof(mark));
-	g_byte_array_append(connection->reply, data, (guint)len);
-	connection->reply_sent = 0;
-	connection->reply_at = now;
+	    connection->out, (const guint8 *)&mark, sizeof(mark));
+	g_byte_array_append(connection->out, data, (guint)len);
+	connection->out_sent = 0;
+	connection->out_at = now;
 	return connection_write(connection, now);
 }
 
 connection_state_t
 connection_write(connection_t *connection, time_us_t now)
 {
-	while (connection->reply_sent < connection->reply->len) {
+	while (connection->out_sent < connection->out->len) {
 		ssize_t n = send(connection->fd,
-		    connection->reply->data + connection->reply_sent,
-		    connection->reply->len - connection->reply_sent,
+		    connection->out->data + connection->out_sent,
+		    connection->out->len - connection->out_sent,
 		    MSG_DONTWAIT | MSG_NOSIGNAL);
 
 		if (n < 0 && errno == EINTR)
@@ -148,9 +151,9 @@
 			return CONNECTION_CLOSED;
 		traffic_out(n);
 		connection->active_at = now;
-		connection->reply_sent += (size_t)n;
+		connection->out_sent += (size_t)n;
 	}
-	g_byte_array_unref(connection->reply);
-	connection->reply = NULL;
+	g_byte_array_unref(connection->out);
+	connection->out = NULL;
 	return connection->close_after ? CONNECTION_CLOSED : CONNECTION_OPEN;
 }
--- a/peer/server.c
+++ b/peer/server.c
@@ -65,8 +65,8 @@
 		const connection_t *connection =
 		    g_ptr_array_index(server->connections, i);
 
-		if (connection->reply != NULL)
-			sum += connection->reply->len;
+		if (connection->out != NULL)
+			sum += connection->out->len;
 	}
 	return sum;
 }
@@ -111,7 +111,7 @@
 		g_byte_array_unref(result.reply);
 		return false;
 	}
-	state = connection_reply(
+	state = connection_send(
 	    connection, result.reply->data, result.reply->len, now);
 	g_byte_array_unref(result.reply);
 	return state == CONNECTION_OPEN;
@@ -124,7 +124,7 @@
 	connection_state_t state;
 	const char *reason;
 
-	if (connection->reply != NULL)
+	if (connection->out != NULL)
 		return connection_write(connection, now) == CONNECTION_OPEN;
 	state = connection_read(connection, DISPATCH_RECORD_BYTES, now);
 	if (state == CONNECTION_RECORD)
@@ -141,9 +141,9 @@
 connection_deadline(const connection_t *connection, const char **reason)
 {
 	*reason = NULL;
-	if (connection->reply != NULL) {
+	if (connection->out != NULL) {
 		*reason = "slow_reader";
-		return connection->reply_at + PEER_WRITE_US;
+		return connection->out_at + PEER_WRITE_US;
 	}
 	if (connection->record_at != 0) {
 		*reason = "truncated";
@@ -231,7 +231,7 @@
 		    g_ptr_array_index(server->connections, i);
 
 		fds[POLL_FIXED + i] = (struct pollfd){connection->fd,
-		    connection->reply != NULL ? POLLOUT : POLLIN, 0};
+		    connection->out != NULL ? POLLOUT : POLLIN, 0};
 	}
 	return POLL_FIXED + server->connections->len;
 }
--- a/tests/fuzz_peer_messages.c
+++ b/tests/fuzz_peer_messages.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "dispatch.h"
+#include "exchange.h"
 #include "generated/peer.h"
 #include "peer/envelope.h"
 #include "peer/messages.h"
@@ -24,6 +25,7 @@
 	KIND_FETCH_REPLY,
 	KIND_RECORD,	    /* a call record as it comes from a stranger */
 	KIND_SEALED_RECORD, /* the body of an authentic call */
+	KIND_REPLY,	    /* a reply record as it comes from a stranger */
 	KIND_COUNT
 };
 
@@ -99,6 +101,19 @@
 	record_run((const uint8_t *)record, len);
 }
 
+static void
+reply_run(const uint8_t *data, size_t len)
+{
+	const exchange_t exchange = {
+	    .kind = PEER_CALL_RETURN, .xid = 1, .call = {.sequence = 1}};
+	exchange_reply_t reply;
+
+	if (!exchange_is_other(&exchange, data, len) &&
+	    exchange_open(&exchange, &dispatch.keys, "", data, len, &reply,
+		NULL) == EXCHANGE_DONE)
+		g_bytes_unref(reply.body);
+}
+
 /* What was decoded must encode, and decode again to what encodes the same.
  * Bytes are compared, because the structs have padding. */
 #define ROUND_TRIP(type, decode, encode)                          \
@@ -157,6 +172,9 @@
 	case KIND_RECORD:
 		record_run(data, len);
 		break;
+	case KIND_REPLY:
+		reply_run(data, len);
+		break;
 	default:
 		sealed_run(data, len);
 	}
@@ -185,6 +203,24 @@
 	g_bytes_unref(bytes);
 }
 
+/* Encodes a reply record with fixed values, so that runs are alike. */
+static size_t
+reply_make(char *record, size_t size)
+{
+	peer_reply reply = {
+	    .sender = (char *)"s1", .incarnation = 4, .sequence = 1};
+	struct rpc_msg msg = {.rm_xid = 1, .rm_direction = REPLY};
+	XDR xdr;
+
+	msg.acpted_rply.ar_verf = _null_auth;
+	msg.acpted_rply.ar_results.where = (char *)&reply;
+	msg.acpted_rply.ar_results.proc = (xdrproc_t)xdr_peer_reply;
+	xdrmem_create(&xdr, record, (u_int)size, XDR_ENCODE);
+	if (!xdr_replymsg(&xdr, &msg))
+		abort();
+	return xdr_getpos(&xdr);
+}
+
 static void
 seeds_write(void)
 {
@@ -209,6 +245,7 @@
 	seed_take(KIND_FETCH_REPLY, fetch_reply_encode(&text, NULL));
 	seed_write(KIND_RECORD, record, len);
 	seed_write(KIND_SEALED_RECORD, borrow_body, 8);
+	seed_write(KIND_REPLY, record, reply_make(record, sizeof(record)));
 }
 
 static void
--- a/tests/test_peer_rpc.c
+++ b/tests/test_peer_rpc.c
@@ -11,6 +11,7 @@
 #include "common/clock.h"
 #include "common/counter.h"
 #include "common/error.h"
+#include "connection.h"
 #include "generated/peer.h"
 #include "peer/client.h"
 #include "peer/server.h"
@@ -26,6 +27,8 @@
 	gint heartbeats;
 	gint returns;
 	gint borrows;
+	gint misordered; /* borrow calls whose request id doesn't rise */
+	uint64_t last_id;
 	size_t text_len;
 	heartbeat_t heartbeat;
 	return_t returned;
@@ -78,6 +81,9 @@
 	seen_t *seen = user;
 
 	seen->from = *from;
+	if (in->request_id <= seen->last_id)
+		g_atomic_int_inc(&seen->misordered);
+	seen->last_id = in->request_id;
 	g_atomic_int_inc(&seen->borrows);
 	*reply = (borrow_reply_t){in->share / 2, in->tokens / 2, 77};
 }
@@ -107,17 +113,32 @@
 	return server;
 }
 
+/* All clients share one loop, as in an instance. It ends with the last one. */
+static peer_loop_t *loop;
+static int clients;
+
 static peer_client_t *
 client_make(const char *address, const char *first, const char *second)
 {
 	envelope_keys_t keys = keys_make(first, second);
-	peer_client_t *client =
-	    peer_client_create(address, &client_self, &keys, NULL);
+	peer_client_t *client;
 
+	if (clients++ == 0)
+		loop = peer_loop_create(NULL);
+	ck_assert_ptr_nonnull(loop);
+	client = peer_client_create(loop, address, &client_self, &keys, NULL);
 	ck_assert_ptr_nonnull(client);
 	return client;
 }
 
+static void
+client_end(peer_client_t *client)
+{
+	peer_client_destroy(client);
+	if (--clients == 0)
+		peer_loop_destroy(loop);
+}
+
 static void
 outcome_init(outcome_t *outcome)
 {
@@ -153,19 +174,27 @@
 	pthread_mutex_unlock(&outcome->lock);
 }
 
-static void
-outcome_wait(outcome_t *outcome, int done)
+/* Waits for a number of ends. Returns false when they don't come in time. */
+static bool
+outcome_reached(outcome_t *outcome, int done, int seconds)
 {
 	struct timespec limit;
+	int failed = 0;
 
 	clock_gettime(CLOCK_REALTIME, &limit);
-	limit.tv_sec += WAIT_S;
+	limit.tv_sec += seconds;
 	pthread_mutex_lock(&outcome->lock);
-	while (outcome->done < done)
-		ck_assert_int_eq(pthread_cond_timedwait(
-				     &outcome->wake, &outcome->lock, &limit),
-		    0);
+	while (outcome->done < done && failed == 0)
+		failed = pthread_cond_timedwait(
+		    &outcome->wake, &outcome->lock, &limit);
 	pthread_mutex_unlock(&outcome->lock);
+	return failed == 0;
+}
+
+static void
+outcome_wait(outcome_t *outcome, int done)
+{
+	ck_assert(outcome_reached(outcome, done, WAIT_S));
 }
 
 /* Sends one call and waits for its end. Returns whether it succeeded. */
@@ -185,6 +214,19 @@
 	    .kind = PEER_CALL_BORROW, .borrow = {"parish-nitra", 1000, 600, 1}};
 }
 
+/* Checks that calls succeed without waiting for the time limits of others. */
+static void
+ck_quick(peer_client_t *client)
+{
+	time_us_t start = clock_now();
+	peer_call_t call = borrow_make();
+	outcome_t outcome;
+
+	for (int i = 0; i < 5; i++)
+		ck_assert(call_run(client, &call, &outcome));
+	ck_assert_int_lt(clock_now() - start, US_PER_S * PEER_TIMEOUT_S);
+}
+
 static int64_t
 refused(const char *reason)
 {
@@ -299,7 +341,7 @@
 	ck_assert(call_run(client, &call, &outcome));
 	ck_assert_uint_eq(outcome.result.fetch.version, 0);
 	g_free(outcome.text);
-	peer_client_destroy(client);
+	client_end(client);
 	peer_server_destroy(server);
 }
 END_TEST
@@ -320,7 +362,7 @@
 
 	ck_assert(call_run(client, &call, &outcome));
 	g_free(outcome.text);
-	peer_client_destroy(client);
+	client_end(client);
 	peer_server_destroy(server);
 	ck_assert_int_ge(
 	    counter_read(in) - in_before, (int64_t)PEER_LIST_TEXT_LIMIT);
@@ -347,8 +389,8 @@
 	ck_assert_int_eq(refused("unauthentic"), before + 1);
 	ck_assert_int_eq(g_atomic_int_get(&seen.borrows), 0);
 	ck_assert(call_run(rotating, &call, &outcome));
-	peer_client_destroy(stranger);
-	peer_client_destroy(rotating);
+	client_end(stranger);
+	client_end(rotating);
 	peer_server_destroy(server);
 }
 END_TEST
@@ -437,7 +479,7 @@
 		    "case %zu was not counted as %s", i, cases[i].reason);
 	}
 	ck_assert(call_run(client, &call, &outcome));
-	peer_client_destroy(client);
+	client_end(client);
 	peer_server_destroy(server);
 }
 END_TEST
@@ -484,7 +526,7 @@
 	ck_assert_int_eq(refused("slow_reader"), slow + 1);
 	close(deaf);
 	g_bytes_unref(body);
-	peer_client_destroy(client);
+	client_end(client);
 	peer_server_destroy(server);
 }
 END_TEST
@@ -521,14 +563,14 @@
 	ck_assert_int_eq(refused("connections"), before + 9);
 	for (int i = 0; i < STRANGERS; i++)
 		close(fds[i]);
-	peer_client_destroy(client);
+	client_end(client);
 	peer_server_destroy(server);
 }
 END_TEST
 
 /* A peer that accepts connections and never answers. */
 static int
-mute_listen(char *address, size_t size)
+mute_listen(char *address, size_t size, int backlog)
 {
 	struct sockaddr_in at = {
 	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
@@ -536,7 +578,7 @@
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	ck_assert_int_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
-	ck_assert_int_eq(listen(fd, 8), 0);
+	ck_assert_int_eq(listen(fd, backlog), 0);
 	getsockname(fd, (struct sockaddr *)&at, &len);
 	g_snprintf(address, size, "127.0.0.1:%d", ntohs(at.sin_port));
 	return fd;
@@ -547,7 +589,7 @@
 START_TEST(mute_peer_times_out_alone)
 {
 	char address[32];
-	int mute = mute_listen(address, sizeof(address));
+	int mute = mute_listen(address, sizeof(address), 8);
 	seen_t seen;
 	outcome_t slow, quick;
 	peer_server_t *server = server_make(&seen);
@@ -564,10 +606,10 @@
 	ck_assert_int_eq(slow.last_code, CS_ERROR_TIMEOUT);
 	ck_assert_int_ge(clock_now() - start, US_PER_S * PEER_TIMEOUT_S);
 	ck_assert_int_lt(clock_now() - start, 5 * US_PER_S * PEER_TIMEOUT_S);
-	/* libtirpc writes without MSG_NOSIGNAL. */
+	/* Signals are for the main thread; thread_start blocks them. */
 	ck_assert(slow.sigpipe_blocked);
-	peer_client_destroy(blocked);
-	peer_client_destroy(client);
+	client_end(blocked);
+	client_end(client);
 	peer_server_destroy(server);
 	close(mute);
 }
@@ -596,7 +638,7 @@
 START_TEST(newer_heartbeat_replaces_queued_one)
 {
 	char address[32];
-	int fd, mute = mute_listen(address, sizeof(address));
+	int fd, mute = mute_listen(address, sizeof(address), 8);
 	outcome_t outcome, beats;
 	peer_client_t *client = busy_client_make(mute, address, &outcome, &fd);
 	peer_call_t beat = {
@@ -605,7 +647,7 @@
 	outcome_init(&beats);
 	ck_assert(peer_client_send(client, &beat, on_done, &beats, NULL));
 	ck_assert(peer_client_send(client, &beat, on_done, &beats, NULL));
-	peer_client_destroy(client);
+	client_end(client);
 	ck_assert_int_eq(beats.done, 2);
 	ck_assert_int_eq(beats.superseded, 1);
 	close(fd);
@@ -618,7 +660,7 @@
 START_TEST(destroy_completes_pending_calls)
 {
 	char address[32];
-	int fd, mute = mute_listen(address, sizeof(address));
+	int fd, mute = mute_listen(address, sizeof(address), 8);
 	outcome_t outcome, beats;
 	peer_client_t *client = busy_client_make(mute, address, &outcome, &fd);
 	peer_call_t call = borrow_make();
@@ -631,7 +673,7 @@
 		ck_assert_int_le(++queued, 1 + PEER_QUEUE_LIMIT);
 	ck_assert_int_eq(queued, 1 + PEER_QUEUE_LIMIT);
 	ck_assert(peer_client_send(client, &beat, on_done, &beats, NULL));
-	peer_client_destroy(client);
+	client_end(client);
 	ck_assert_int_eq(outcome.errors, queued);
 	ck_assert_int_eq(outcome.done, queued);
 	ck_assert_int_eq(outcome.superseded, 1);
@@ -668,11 +710,289 @@
 	ck_assert_ptr_nonnull(server);
 	while (!call_run(client, &call, &outcome))
 		ck_assert_int_lt(clock_now(), limit);
-	peer_client_destroy(client);
+	client_end(client);
 	peer_server_destroy(server);
 }
 END_TEST
 
+/* Takes a client's call at a listening socket and its connection. */
+static int
+call_accept(int listener)
+{
+	struct pollfd pfd = {listener, POLLIN, 0};
+
+	ck_assert_int_eq(poll(&pfd, 1, WAIT_S * 1000), 1);
+	return accept(listener, NULL, NULL);
+}
+
+/* Reads a call and answers it with a share of 1 under another call's xid, then
+ * with a share of 2. */
+static void
+answer_twice(int fd)
+{
+	envelope_keys_t keys = keys_make(SECRET, NULL);
+	char bytes[1024], cred[MAX_AUTH_BYTES], verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg = {0};
+	peer_call call = {0};
+	uint32_t mark;
+	XDR xdr;
+
+	msg.rm_call.cb_cred.oa_base = cred;
+	msg.rm_call.cb_verf.oa_base = verf;
+	ck_assert_int_eq(recv(fd, &mark, 4, MSG_WAITALL), 4);
+	mark = ntohl(mark) & 0x7fffffff;
+	ck_assert_uint_le(mark, sizeof(bytes));
+	ck_assert_int_eq(recv(fd, bytes, mark, MSG_WAITALL), (ssize_t)mark);
+	xdrmem_create(&xdr, bytes, mark, XDR_DECODE);
+	ck_assert(xdr_callmsg(&xdr, &msg) && xdr_peer_call(&xdr, &call));
+	for (share_t share = 1; share <= 2; share++) {
+		const borrow_reply_t lent = {share, 0, 7};
+		GBytes *body = borrow_reply_encode(&lent, NULL);
+		peer_reply reply = {.sender = (char *)"s1",
+		    .incarnation = 11,
+		    .sequence = call.sequence,
+		    .body = {(u_int)g_bytes_get_size(body),
+			(char *)g_bytes_get_data(body, NULL)}};
+		struct rpc_msg out = {.rm_direction = REPLY};
+
+		out.rm_xid = msg.rm_xid - 2 + share;
+		out.acpted_rply.ar_verf = _null_auth;
+		out.acpted_rply.ar_results.where = (char *)&reply;
+		out.acpted_rply.ar_results.proc = (xdrproc_t)xdr_peer_reply;
+		envelope_seal_reply(&keys, PEER_BORROW, &call, &reply);
+		xdrmem_create(&xdr, bytes + 4, sizeof(bytes) - 4, XDR_ENCODE);
+		ck_assert(xdr_replymsg(&xdr, &out));
+		mark = htonl(0x80000000U | xdr_getpos(&xdr));
+		memcpy(bytes, &mark, 4);
+		ck_assert_int_eq(write(fd, bytes, 4 + xdr_getpos(&xdr)),
+		    (ssize_t)(4 + xdr_getpos(&xdr)));
+		g_bytes_unref(body);
+	}
+	xdr_free((xdrproc_t)xdr_peer_call, &call);
+}
+
+/* Guards against a reply to an earlier call that is taken for that of the call
+ * in progress. */
+START_TEST(reply_to_another_call_is_passed_over)
+{
+	char address[32];
+	int mute = mute_listen(address, sizeof(address), 8);
+	peer_client_t *client = client_make(address, SECRET, NULL);
+	peer_call_t call = borrow_make();
+	outcome_t outcome;
+	int fd;
+
+	outcome_init(&outcome);
+	ck_assert(peer_client_send(client, &call, on_done, &outcome, NULL));
+	fd = call_accept(mute);
+	answer_twice(fd);
+	outcome_wait(&outcome, 1);
+	ck_assert_int_eq(outcome.errors, 0);
+	ck_assert_uint_eq(outcome.result.borrow.share, 2);
+	client_end(client);
+	close(fd);
+	close(mute);
+}
+END_TEST
+
+/* Guards against a reply that takes memory without a bound, and against a call
+ * that waits for the end of such a reply. */
+START_TEST(oversized_reply_is_refused_at_once)
+{
+	static const struct {
+		peer_call_t call;
+		uint32_t len;
+	} cases[] = {
+	    {{.kind = PEER_CALL_BORROW, .borrow = {"t", 1, 1, 1}},
+		PEER_CALL_BYTES + 513},
+	    {{.kind = PEER_CALL_FETCH, .fetch = {LIST_PLANS, 1}},
+		PEER_REPLY_BYTES + 513},
+	};
+	char address[32];
+	int mute = mute_listen(address, sizeof(address), 8);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		peer_client_t *client = client_make(address, SECRET, NULL);
+		uint32_t mark = htonl(0x80000000U | cases[i].len);
+		outcome_t outcome;
+		int fd;
+
+		outcome_init(&outcome);
+		ck_assert(peer_client_send(
+		    client, &cases[i].call, on_done, &outcome, NULL));
+		fd = call_accept(mute);
+		ck_assert_int_eq(write(fd, &mark, 4), 4);
+		outcome_wait(&outcome, 1);
+		ck_assert_int_eq(outcome.last_code, CS_ERROR_SYNTAX);
+		client_end(client);
+		close(fd);
+	}
+	close(mute);
+}
+END_TEST
+
+/* Answers with a byte each 100 ms, until the client has closed. */
+static void *
+trickle(void *arg)
+{
+	static const uint8_t mark[4] = {0x80, 0, 0x10, 0};
+	int fd = call_accept(*(int *)arg);
+	struct pollfd pfd = {fd, POLLRDHUP, 0};
+
+	for (size_t i = 0; poll(&pfd, 1, 100) == 0; i++) {
+		if (send(fd, i < 4 ? &mark[i] : mark, 1, MSG_NOSIGNAL) != 1)
+			break;
+	}
+	close(fd);
+	return NULL;
+}
+
+/* Guards against a connect that hangs or a reply that trickles byte by byte and
+ * delays calls to other peers or, for ever, those to its own. */
+START_TEST(hanging_peers_delay_no_other)
+{
+	char full_address[32], slow_address[32];
+	int full = mute_listen(full_address, sizeof(full_address), 0);
+	int slow = mute_listen(slow_address, sizeof(slow_address), 8);
+	int filling = socket_to(full_address); /* a backlog of 0 holds one */
+	seen_t seen;
+	outcome_t hung, trickled;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *hanging = client_make(full_address, SECRET, NULL);
+	peer_client_t *trickling = client_make(slow_address, SECRET, NULL);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_call_t call = borrow_make();
+	time_us_t start = clock_now();
+	pthread_t thread;
+
+	ck_assert_int_eq(pthread_create(&thread, NULL, trickle, &slow), 0);
+	outcome_init(&hung);
+	outcome_init(&trickled);
+	ck_assert(peer_client_send(hanging, &call, on_done, &hung, NULL));
+	ck_assert(peer_client_send(trickling, &call, on_done, &trickled, NULL));
+	ck_quick(client);
+	outcome_wait(&hung, 1);
+	ck_assert_int_eq(hung.last_code, CS_ERROR_TIMEOUT);
+	/* The limit on silence is over, and the trickle goes on. */
+	ck_assert_int_eq(trickled.done, 0);
+	ck_quick(client);
+	outcome_wait(&trickled, 1);
+	ck_assert_int_eq(trickled.last_code, CS_ERROR_TIMEOUT);
+	ck_assert_int_ge(clock_now() - start, PEER_CALL_US);
+	pthread_join(thread, NULL);
+	client_end(hanging);
+	client_end(trickling);
+	client_end(client);
+	peer_server_destroy(server);
+	close(filling);
+	close(full);
+	close(slow);
+}
+END_TEST
+
+/* Returns after another client's call, as a long parse would. */
+static void
+on_list(const peer_result_t *result, const GError *error, void *user)
+{
+	on_done(result, error, user);
+	outcome_reached(user, 2, WAIT_S / 2);
+}
+
+/* Guards against a list whose parsing delays calls to other peers. */
+START_TEST(long_callback_of_a_list_delays_no_other)
+{
+	seen_t seen;
+	outcome_t list;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *fetching =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_call_t call = {.kind = PEER_CALL_FETCH, .fetch = {LIST_PLANS, 4}};
+
+	outcome_init(&list);
+	ck_assert(peer_client_send(fetching, &call, on_list, &list, NULL));
+	outcome_wait(&list, 1);
+	ck_quick(client);
+	pthread_mutex_lock(&list.lock);
+	list.done++;
+	pthread_cond_signal(&list.wake);
+	pthread_mutex_unlock(&list.lock);
+	client_end(fetching);
+	ck_assert_int_eq(list.errors, 0);
+	g_free(list.text);
+	client_end(client);
+	peer_server_destroy(server);
+}
+END_TEST
+
+/* Guards against a number of threads that grows with that of the peers, and
+ * against calls to one peer that overtake each other. */
+START_TEST(clients_share_threads_and_keep_the_order)
+{
+	enum { CLIENTS = 32, CALLS = 20 };
+	seen_t seen;
+	outcome_t outcome;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *many[CLIENTS];
+	peer_call_t call = borrow_make();
+	GDir *threads;
+	int n = 0;
+
+	for (int i = 0; i < CLIENTS; i++) {
+		many[i] =
+		    client_make(peer_server_address(server), SECRET, NULL);
+		ck_assert(call_run(many[i], &call, &outcome));
+	}
+	threads = g_dir_open("/proc/self/task", 0, NULL);
+	while (g_dir_read_name(threads) != NULL)
+		n++;
+	g_dir_close(threads);
+	ck_assert_int_lt(n, CLIENTS);
+	outcome_init(&outcome);
+	g_atomic_int_set(&seen.misordered, 0);
+	for (int i = 0; i < CALLS; i++) {
+		call.borrow.request_id = 2 + (uint64_t)i;
+		ck_assert(
+		    peer_client_send(many[0], &call, on_done, &outcome, NULL));
+	}
+	outcome_wait(&outcome, CALLS);
+	ck_assert_int_eq(outcome.errors, 0);
+	ck_assert_int_eq(g_atomic_int_get(&seen.misordered), 0);
+	for (int i = 0; i < CLIENTS; i++)
+		client_end(many[i]);
+	peer_server_destroy(server);
+}
+END_TEST
+
+/* Guards against a record of tiny fragments that holds up the thread until its
+ * end. */
+START_TEST(one_read_takes_a_bounded_number_of_fragments)
+{
+	enum { FRAGMENTS = 2 * CONNECTION_READS };
+	static const uint8_t fragment[5] = {0, 0, 0, 1, 'x'};
+	static const uint8_t last[5] = {0x80, 0, 0, 1, 'x'};
+	connection_state_t state = CONNECTION_OPEN;
+	connection_t *connection;
+	int fds[2];
+	int turns = 0;
+
+	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, fds), 0);
+	for (int i = 0; i < FRAGMENTS; i++)
+		ck_assert_int_eq(
+		    write(fds[1], i < FRAGMENTS - 1 ? fragment : last, 5), 5);
+	connection = connection_create(fds[0], 1);
+	for (; state == CONNECTION_OPEN && turns < FRAGMENTS; turns++)
+		state = connection_read(connection, FRAGMENTS, 1);
+	ck_assert_int_eq(state, CONNECTION_RECORD);
+	ck_assert_uint_eq(connection->record->len, FRAGMENTS);
+	ck_assert_int_ge(turns, 2 * FRAGMENTS / CONNECTION_READS);
+	connection_destroy(connection);
+	close(fds[1]);
+}
+END_TEST
+
 static void
 fill(Suite *suite)
 {
@@ -687,6 +1007,12 @@
 	TEST_ADD(suite, newer_heartbeat_replaces_queued_one);
 	TEST_ADD(suite, destroy_completes_pending_calls);
 	TEST_ADD(suite, client_reconnects_after_restart);
+	TEST_ADD(suite, reply_to_another_call_is_passed_over);
+	TEST_ADD(suite, oversized_reply_is_refused_at_once);
+	TEST_ADD(suite, hanging_peers_delay_no_other);
+	TEST_ADD(suite, long_callback_of_a_list_delays_no_other);
+	TEST_ADD(suite, clients_share_threads_and_keep_the_order);
+	TEST_ADD(suite, one_read_takes_a_bounded_number_of_fragments);
 }
 
 TEST_MAIN("peer_rpc", fill)
