--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,4 @@
 
 bench: packages build/build.ninja
 	./scripts/bench build
+	./scripts/bench-peers
