--- a/tests/test_peer_rpc.c
+++ b/tests/test_peer_rpc.c
@@ -1,23 +1,23 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "common/clock.h"
 #include "common/counter.h"
 #include "common/error.h"
+#include "connection.h"
 #include "generated/peer.h"
 #include "peer/client.h"
 #include "peer/server.h"
 #include "peer_samples.h"
-#include "sockets.h"
 #include "test.h"
 
-G_DEFINE_AUTOPTR_CLEANUP_FUNC(peer_client_t, peer_client_destroy)
-G_DEFINE_AUTOPTR_CLEANUP_FUNC(peer_server_t, peer_server_destroy)
-
 #define SECRET "the fleet secret of the tests"
 #define OTHER_SECRET "another secret of the tests"
 #define WAIT_S 20 /* a failed wait ends the test; it isn't a measure */
@@ -27,6 +27,8 @@
 	gint heartbeats;
 	gint returns;
 	gint borrows;
+	gint misordered; /* borrow calls whose request id doesn't rise */
+	uint64_t last_id;
 	size_t text_len;
 	heartbeat_t heartbeat;
 	return_t returned;
@@ -79,6 +81,9 @@
 	seen_t *seen = user;
 
 	seen->from = *from;
+	if (in->request_id <= seen->last_id)
+		g_atomic_int_inc(&seen->misordered);
+	seen->last_id = in->request_id;
 	g_atomic_int_inc(&seen->borrows);
 	*reply = (borrow_reply_t){in->share / 2, in->tokens / 2, 77};
 }
@@ -108,21 +113,30 @@
 	return server;
 }
 
+/* All clients share one loop, as in an instance. It ends with the last one. */
+static peer_loop_t *loop;
+static int clients;
+
 static peer_client_t *
 client_make(const char *address, const char *first, const char *second)
 {
 	envelope_keys_t keys = keys_make(first, second);
-	peer_client_t *client =
-	    peer_client_create(address, &client_self, &keys, NULL);
+	peer_client_t *client;
 
+	if (clients++ == 0)
+		loop = peer_loop_create(NULL);
+	ck_assert_ptr_nonnull(loop);
+	client = peer_client_create(loop, address, &client_self, &keys, NULL);
 	ck_assert_ptr_nonnull(client);
 	return client;
 }
 
-static peer_client_t *
-client_to(const peer_server_t *server)
+static void
+client_end(peer_client_t *client)
 {
-	return client_make(peer_server_address(server), SECRET, NULL);
+	peer_client_destroy(client);
+	if (--clients == 0)
+		peer_loop_destroy(loop);
 }
 
 static void
@@ -160,19 +174,27 @@
 	pthread_mutex_unlock(&outcome->lock);
 }
 
-static void
-outcome_wait(outcome_t *outcome, int done)
+/* Waits for a number of ends. Returns false when they don't come in time. */
+static bool
+outcome_reached(outcome_t *outcome, int done, int seconds)
 {
 	struct timespec limit;
+	int failed = 0;
 
 	clock_gettime(CLOCK_REALTIME, &limit);
-	limit.tv_sec += WAIT_S;
+	limit.tv_sec += seconds;
 	pthread_mutex_lock(&outcome->lock);
-	while (outcome->done < done)
-		ck_assert_int_eq(pthread_cond_timedwait(
-				     &outcome->wake, &outcome->lock, &limit),
-		    0);
+	while (outcome->done < done && failed == 0)
+		failed = pthread_cond_timedwait(
+		    &outcome->wake, &outcome->lock, &limit);
 	pthread_mutex_unlock(&outcome->lock);
+	return failed == 0;
+}
+
+static void
+outcome_wait(outcome_t *outcome, int done)
+{
+	ck_assert(outcome_reached(outcome, done, WAIT_S));
 }
 
 /* Sends one call and waits for its end. Returns whether it succeeded. */
@@ -192,6 +214,19 @@
 	    .kind = PEER_CALL_BORROW, .borrow = {"parish-nitra", 1000, 600, 1}};
 }
 
+/* Checks that calls succeed without waiting for the time limits of others. */
+static void
+ck_quick(peer_client_t *client)
+{
+	time_us_t start = clock_now();
+	peer_call_t call = borrow_make();
+	outcome_t outcome;
+
+	for (int i = 0; i < 5; i++)
+		ck_assert(call_run(client, &call, &outcome));
+	ck_assert_int_lt(clock_now() - start, US_PER_S * PEER_TIMEOUT_S);
+}
+
 static int64_t
 refused(const char *reason)
 {
@@ -201,7 +236,14 @@
 static int
 socket_to(const char *address)
 {
-	return loopback_connect(atoi(strchr(address, ':') + 1));
+	const char *colon = strchr(address, ':');
+	struct sockaddr_in to = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)atoi(colon + 1)),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	return fd;
 }
 
 /* Waits until the server closes the connection; returns the bytes before. */
@@ -268,8 +310,9 @@
 {
 	seen_t seen;
 	outcome_t outcome;
-	g_autoptr(peer_server_t) server = server_make(&seen);
-	g_autoptr(peer_client_t) client = client_to(server);
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
 	peer_call_t call = {
 	    .kind = PEER_CALL_HEARTBEAT, .heartbeat = heartbeat_sample()};
 
@@ -298,6 +341,8 @@
 	ck_assert(call_run(client, &call, &outcome));
 	ck_assert_uint_eq(outcome.result.fetch.version, 0);
 	g_free(outcome.text);
+	client_end(client);
+	peer_server_destroy(server);
 }
 
 /* Guards against traffic that is counted at one end only, or twice. */
@@ -310,12 +355,13 @@
 	seen_t seen;
 	outcome_t outcome;
 	peer_server_t *server = server_make(&seen);
-	peer_client_t *client = client_to(server);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
 	peer_call_t call = {.kind = PEER_CALL_FETCH, .fetch = {LIST_PLANS, 4}};
 
 	ck_assert(call_run(client, &call, &outcome));
 	g_free(outcome.text);
-	peer_client_destroy(client);
+	client_end(client);
 	peer_server_destroy(server);
 	ck_assert_int_ge(
 	    counter_read(in) - in_before, (int64_t)PEER_LIST_TEXT_LIMIT);
@@ -329,12 +375,10 @@
 {
 	seen_t seen;
 	outcome_t outcome;
-	g_autoptr(peer_server_t) server = server_make(&seen);
+	peer_server_t *server = server_make(&seen);
 	const char *address = peer_server_address(server);
-	g_autoptr(peer_client_t) stranger =
-	    client_make(address, OTHER_SECRET, NULL);
-	g_autoptr(peer_client_t) rotating =
-	    client_make(address, SECRET, OTHER_SECRET);
+	peer_client_t *stranger = client_make(address, OTHER_SECRET, NULL);
+	peer_client_t *rotating = client_make(address, SECRET, OTHER_SECRET);
 	peer_call_t call = borrow_make();
 	int64_t before = refused("unauthentic");
 
@@ -343,6 +387,9 @@
 	ck_assert_int_eq(refused("unauthentic"), before + 1);
 	ck_assert_int_eq(g_atomic_int_get(&seen.borrows), 0);
 	ck_assert(call_run(rotating, &call, &outcome));
+	client_end(stranger);
+	client_end(rotating);
+	peer_server_destroy(server);
 }
 
 /* Guards against a recorded call that runs again, on the same server or on one
@@ -350,12 +397,12 @@
 TEST(replays_and_false_senders_run_nothing)
 {
 	seen_t seen, seen_later;
-	g_autoptr(peer_server_t) server = server_make(&seen);
-	g_autoptr(peer_server_t) later = server_make(&seen_later);
+	peer_server_t *server = server_make(&seen);
+	peer_server_t *later = server_make(&seen_later);
 	const return_t message = {"parish-nitra", 1, 1};
 	const heartbeat_t beat = heartbeat_sample();
-	g_autoptr(GBytes) body = return_encode(&message, NULL);
-	g_autoptr(GBytes) beat_body = heartbeat_encode(&beat, NULL);
+	GBytes *body = return_encode(&message, NULL);
+	GBytes *beat_body = heartbeat_encode(&beat, NULL);
 	char record[PEER_CALL_BYTES + 516];
 	size_t len = record_make(record, PEER_RETURN, "s9", 1, 0, body);
 	int fd = socket_to(peer_server_address(server));
@@ -388,6 +435,10 @@
 	socket_drain(fd);
 	ck_assert_int_eq(refused("sender"), false_sender + 1);
 	ck_assert_int_eq(g_atomic_int_get(&seen.heartbeats), 0);
+	g_bytes_unref(body);
+	g_bytes_unref(beat_body);
+	peer_server_destroy(later);
+	peer_server_destroy(server);
 }
 
 /* Guards against bytes of a stranger that stop the server, take its memory or
@@ -407,8 +458,9 @@
 	};
 	seen_t seen;
 	outcome_t outcome;
-	g_autoptr(peer_server_t) server = server_make(&seen);
-	g_autoptr(peer_client_t) client = client_to(server);
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
 	peer_call_t call = borrow_make();
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -423,6 +475,8 @@
 		    "case %zu was not counted as %s", i, cases[i].reason);
 	}
 	ck_assert(call_run(client, &call, &outcome));
+	client_end(client);
+	peer_server_destroy(server);
 }
 
 /* Guards against a connection with half a record, or one that doesn't read its
@@ -432,9 +486,10 @@
 	const fetch_t fetch = {LIST_PLANS, 1};
 	seen_t seen;
 	outcome_t outcome;
-	g_autoptr(peer_server_t) server = server_make(&seen);
-	g_autoptr(peer_client_t) client = client_to(server);
-	g_autoptr(GBytes) body = fetch_encode(&fetch, NULL);
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	GBytes *body = fetch_encode(&fetch, NULL);
 	char record[PEER_CALL_BYTES + 516];
 	size_t len = record_make(record, PEER_FETCH_LIST, "s9", 1, 0, body);
 	int half = socket_to(peer_server_address(server));
@@ -465,6 +520,9 @@
 		ck_assert(call_run(client, &call, &outcome));
 	ck_assert_int_eq(refused("slow_reader"), slow + 1);
 	close(deaf);
+	g_bytes_unref(body);
+	client_end(client);
+	peer_server_destroy(server);
 }
 
 /* Guards against strangers that take all connections from the fleet. */
@@ -475,8 +533,9 @@
 	static int fds[STRANGERS];
 	seen_t seen;
 	outcome_t outcome;
-	g_autoptr(peer_server_t) server = server_make(&seen);
-	g_autoptr(peer_client_t) client = client_to(server);
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
 	peer_call_t call = borrow_make();
 	int64_t before = refused("connections");
 	time_us_t limit = clock_now() + WAIT_S * US_PER_S;
@@ -498,16 +557,23 @@
 	ck_assert_int_eq(refused("connections"), before + 9);
 	for (int i = 0; i < STRANGERS; i++)
 		close(fds[i]);
+	client_end(client);
+	peer_server_destroy(server);
 }
 
 /* A peer that accepts connections and never answers. */
 static int
-mute_listen(char *address, size_t size)
+mute_listen(char *address, size_t size, int backlog)
 {
-	int port;
-	int fd = loopback_listen(8, &port);
-
-	g_snprintf(address, size, "127.0.0.1:%d", port);
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	ck_assert_int_eq(listen(fd, backlog), 0);
+	getsockname(fd, (struct sockaddr *)&at, &len);
+	g_snprintf(address, size, "127.0.0.1:%d", ntohs(at.sin_port));
 	return fd;
 }
 
@@ -516,12 +582,13 @@
 TEST(mute_peer_times_out_alone)
 {
 	char address[32];
-	int mute = mute_listen(address, sizeof(address));
+	int mute = mute_listen(address, sizeof(address), 8);
 	seen_t seen;
 	outcome_t slow, quick;
 	peer_server_t *server = server_make(&seen);
 	peer_client_t *blocked = client_make(address, SECRET, NULL);
-	peer_client_t *client = client_to(server);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
 	peer_call_t call = borrow_make();
 	time_us_t start = clock_now();
 
@@ -532,10 +599,10 @@
 	ck_assert_int_eq(slow.last_code, CS_ERROR_TIMEOUT);
 	ck_assert_int_ge(clock_now() - start, US_PER_S * PEER_TIMEOUT_S);
 	ck_assert_int_lt(clock_now() - start, 5 * US_PER_S * PEER_TIMEOUT_S);
-	/* libtirpc writes without MSG_NOSIGNAL. */
+	/* Signals are for the main thread; thread_start blocks them. */
 	ck_assert(slow.sigpipe_blocked);
-	peer_client_destroy(blocked);
-	peer_client_destroy(client);
+	client_end(blocked);
+	client_end(client);
 	peer_server_destroy(server);
 	close(mute);
 }
@@ -563,7 +630,7 @@
 TEST(newer_heartbeat_replaces_queued_one)
 {
 	char address[32];
-	int fd, mute = mute_listen(address, sizeof(address));
+	int fd, mute = mute_listen(address, sizeof(address), 8);
 	outcome_t outcome, beats;
 	peer_client_t *client = busy_client_make(mute, address, &outcome, &fd);
 	peer_call_t beat = {
@@ -572,7 +639,7 @@
 	outcome_init(&beats);
 	ck_assert(peer_client_send(client, &beat, on_done, &beats, NULL));
 	ck_assert(peer_client_send(client, &beat, on_done, &beats, NULL));
-	peer_client_destroy(client);
+	client_end(client);
 	ck_assert_int_eq(beats.done, 2);
 	ck_assert_int_eq(beats.superseded, 1);
 	close(fd);
@@ -584,7 +651,7 @@
 TEST(destroy_completes_pending_calls)
 {
 	char address[32];
-	int fd, mute = mute_listen(address, sizeof(address));
+	int fd, mute = mute_listen(address, sizeof(address), 8);
 	outcome_t outcome, beats;
 	peer_client_t *client = busy_client_make(mute, address, &outcome, &fd);
 	peer_call_t call = borrow_make();
@@ -597,7 +664,7 @@
 		ck_assert_int_le(++queued, 1 + PEER_QUEUE_LIMIT);
 	ck_assert_int_eq(queued, 1 + PEER_QUEUE_LIMIT);
 	ck_assert(peer_client_send(client, &beat, on_done, &beats, NULL));
-	peer_client_destroy(client);
+	client_end(client);
 	ck_assert_int_eq(outcome.errors, queued);
 	ck_assert_int_eq(outcome.done, queued);
 	ck_assert_int_eq(outcome.superseded, 1);
@@ -633,8 +700,280 @@
 	ck_assert_ptr_nonnull(server);
 	while (!call_run(client, &call, &outcome))
 		ck_assert_int_lt(clock_now(), limit);
-	peer_client_destroy(client);
+	client_end(client);
+	peer_server_destroy(server);
+}
+
+/* Takes a client's call at a listening socket and its connection. */
+static int
+call_accept(int listener)
+{
+	struct pollfd pfd = {listener, POLLIN, 0};
+
+	ck_assert_int_eq(poll(&pfd, 1, WAIT_S * 1000), 1);
+	return accept(listener, NULL, NULL);
+}
+
+/* Reads a call and answers it with a share of 1 under another call's xid, then
+ * with a share of 2. */
+static void
+answer_twice(int fd)
+{
+	envelope_keys_t keys = keys_make(SECRET, NULL);
+	char bytes[1024], cred[MAX_AUTH_BYTES], verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg = {0};
+	peer_call call = {0};
+	uint32_t mark;
+	XDR xdr;
+
+	msg.rm_call.cb_cred.oa_base = cred;
+	msg.rm_call.cb_verf.oa_base = verf;
+	ck_assert_int_eq(recv(fd, &mark, 4, MSG_WAITALL), 4);
+	mark = ntohl(mark) & 0x7fffffff;
+	ck_assert_uint_le(mark, sizeof(bytes));
+	ck_assert_int_eq(recv(fd, bytes, mark, MSG_WAITALL), (ssize_t)mark);
+	xdrmem_create(&xdr, bytes, mark, XDR_DECODE);
+	ck_assert(xdr_callmsg(&xdr, &msg) && xdr_peer_call(&xdr, &call));
+	for (share_t share = 1; share <= 2; share++) {
+		const borrow_reply_t lent = {share, 0, 7};
+		GBytes *body = borrow_reply_encode(&lent, NULL);
+		peer_reply reply = {.sender = (char *)"s1",
+		    .incarnation = 11,
+		    .sequence = call.sequence,
+		    .body = {(u_int)g_bytes_get_size(body),
+			(char *)g_bytes_get_data(body, NULL)}};
+		struct rpc_msg out = {.rm_direction = REPLY};
+
+		out.rm_xid = msg.rm_xid - 2 + share;
+		out.acpted_rply.ar_verf = _null_auth;
+		out.acpted_rply.ar_results.where = (char *)&reply;
+		out.acpted_rply.ar_results.proc = (xdrproc_t)xdr_peer_reply;
+		envelope_seal_reply(&keys, PEER_BORROW, &call, &reply);
+		xdrmem_create(&xdr, bytes + 4, sizeof(bytes) - 4, XDR_ENCODE);
+		ck_assert(xdr_replymsg(&xdr, &out));
+		mark = htonl(0x80000000U | xdr_getpos(&xdr));
+		memcpy(bytes, &mark, 4);
+		ck_assert_int_eq(write(fd, bytes, 4 + xdr_getpos(&xdr)),
+		    (ssize_t)(4 + xdr_getpos(&xdr)));
+		g_bytes_unref(body);
+	}
+	xdr_free((xdrproc_t)xdr_peer_call, &call);
+}
+
+/* Guards against a reply to an earlier call that is taken for that of the call
+ * in progress. */
+TEST(reply_to_another_call_is_passed_over)
+{
+	char address[32];
+	int mute = mute_listen(address, sizeof(address), 8);
+	peer_client_t *client = client_make(address, SECRET, NULL);
+	peer_call_t call = borrow_make();
+	outcome_t outcome;
+	int fd;
+
+	outcome_init(&outcome);
+	ck_assert(peer_client_send(client, &call, on_done, &outcome, NULL));
+	fd = call_accept(mute);
+	answer_twice(fd);
+	outcome_wait(&outcome, 1);
+	ck_assert_int_eq(outcome.errors, 0);
+	ck_assert_uint_eq(outcome.result.borrow.share, 2);
+	client_end(client);
+	close(fd);
+	close(mute);
+}
+
+/* Guards against a reply that takes memory without a bound, and against a call
+ * that waits for the end of such a reply. */
+TEST(oversized_reply_is_refused_at_once)
+{
+	static const struct {
+		peer_call_t call;
+		uint32_t len;
+	} cases[] = {
+	    {{.kind = PEER_CALL_BORROW, .borrow = {"t", 1, 1, 1}},
+		PEER_CALL_BYTES + 513},
+	    {{.kind = PEER_CALL_FETCH, .fetch = {LIST_PLANS, 1}},
+		PEER_REPLY_BYTES + 513},
+	};
+	char address[32];
+	int mute = mute_listen(address, sizeof(address), 8);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		peer_client_t *client = client_make(address, SECRET, NULL);
+		uint32_t mark = htonl(0x80000000U | cases[i].len);
+		outcome_t outcome;
+		int fd;
+
+		outcome_init(&outcome);
+		ck_assert(peer_client_send(
+		    client, &cases[i].call, on_done, &outcome, NULL));
+		fd = call_accept(mute);
+		ck_assert_int_eq(write(fd, &mark, 4), 4);
+		outcome_wait(&outcome, 1);
+		ck_assert_int_eq(outcome.last_code, CS_ERROR_SYNTAX);
+		client_end(client);
+		close(fd);
+	}
+	close(mute);
+}
+
+/* Answers with a byte each 100 ms, until the client has closed. */
+static void *
+trickle(void *arg)
+{
+	static const uint8_t mark[4] = {0x80, 0, 0x10, 0};
+	int fd = call_accept(*(int *)arg);
+	struct pollfd pfd = {fd, POLLRDHUP, 0};
+
+	for (size_t i = 0; poll(&pfd, 1, 100) == 0; i++) {
+		if (send(fd, i < 4 ? &mark[i] : mark, 1, MSG_NOSIGNAL) != 1)
+			break;
+	}
+	close(fd);
+	return NULL;
+}
+
+/* Guards against a connect that hangs or a reply that trickles byte by byte and
+ * delays calls to other peers or, for ever, those to its own. */
+TEST(hanging_peers_delay_no_other)
+{
+	char full_address[32], slow_address[32];
+	int full = mute_listen(full_address, sizeof(full_address), 0);
+	int slow = mute_listen(slow_address, sizeof(slow_address), 8);
+	int filling = socket_to(full_address); /* a backlog of 0 holds one */
+	seen_t seen;
+	outcome_t hung, trickled;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *hanging = client_make(full_address, SECRET, NULL);
+	peer_client_t *trickling = client_make(slow_address, SECRET, NULL);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_call_t call = borrow_make();
+	time_us_t start = clock_now();
+	pthread_t thread;
+
+	ck_assert_int_eq(pthread_create(&thread, NULL, trickle, &slow), 0);
+	outcome_init(&hung);
+	outcome_init(&trickled);
+	ck_assert(peer_client_send(hanging, &call, on_done, &hung, NULL));
+	ck_assert(peer_client_send(trickling, &call, on_done, &trickled, NULL));
+	ck_quick(client);
+	outcome_wait(&hung, 1);
+	ck_assert_int_eq(hung.last_code, CS_ERROR_TIMEOUT);
+	/* The limit on silence is over, and the trickle goes on. */
+	ck_assert_int_eq(trickled.done, 0);
+	ck_quick(client);
+	outcome_wait(&trickled, 1);
+	ck_assert_int_eq(trickled.last_code, CS_ERROR_TIMEOUT);
+	ck_assert_int_ge(clock_now() - start, PEER_CALL_US);
+	pthread_join(thread, NULL);
+	client_end(hanging);
+	client_end(trickling);
+	client_end(client);
 	peer_server_destroy(server);
+	close(filling);
+	close(full);
+	close(slow);
+}
+
+/* Returns after another client's call, as a long parse would. */
+static void
+on_list(const peer_result_t *result, const GError *error, void *user)
+{
+	on_done(result, error, user);
+	outcome_reached(user, 2, WAIT_S / 2);
+}
+
+/* Guards against a list whose parsing delays calls to other peers. */
+TEST(long_callback_of_a_list_delays_no_other)
+{
+	seen_t seen;
+	outcome_t list;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *fetching =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_client_t *client =
+	    client_make(peer_server_address(server), SECRET, NULL);
+	peer_call_t call = {.kind = PEER_CALL_FETCH, .fetch = {LIST_PLANS, 4}};
+
+	outcome_init(&list);
+	ck_assert(peer_client_send(fetching, &call, on_list, &list, NULL));
+	outcome_wait(&list, 1);
+	ck_quick(client);
+	pthread_mutex_lock(&list.lock);
+	list.done++;
+	pthread_cond_signal(&list.wake);
+	pthread_mutex_unlock(&list.lock);
+	client_end(fetching);
+	ck_assert_int_eq(list.errors, 0);
+	g_free(list.text);
+	client_end(client);
+	peer_server_destroy(server);
+}
+
+/* Guards against a number of threads that grows with that of the peers, and
+ * against calls to one peer that overtake each other. */
+TEST(clients_share_threads_and_keep_the_order)
+{
+	enum { CLIENTS = 32, CALLS = 20 };
+	seen_t seen;
+	outcome_t outcome;
+	peer_server_t *server = server_make(&seen);
+	peer_client_t *many[CLIENTS];
+	peer_call_t call = borrow_make();
+	GDir *threads;
+	int n = 0;
+
+	for (int i = 0; i < CLIENTS; i++) {
+		many[i] =
+		    client_make(peer_server_address(server), SECRET, NULL);
+		ck_assert(call_run(many[i], &call, &outcome));
+	}
+	threads = g_dir_open("/proc/self/task", 0, NULL);
+	while (g_dir_read_name(threads) != NULL)
+		n++;
+	g_dir_close(threads);
+	ck_assert_int_lt(n, CLIENTS);
+	outcome_init(&outcome);
+	g_atomic_int_set(&seen.misordered, 0);
+	for (int i = 0; i < CALLS; i++) {
+		call.borrow.request_id = 2 + (uint64_t)i;
+		ck_assert(
+		    peer_client_send(many[0], &call, on_done, &outcome, NULL));
+	}
+	outcome_wait(&outcome, CALLS);
+	ck_assert_int_eq(outcome.errors, 0);
+	ck_assert_int_eq(g_atomic_int_get(&seen.misordered), 0);
+	for (int i = 0; i < CLIENTS; i++)
+		client_end(many[i]);
+	peer_server_destroy(server);
+}
+
+/* Guards against a record of tiny fragments that holds up the thread until its
+ * end. */
+TEST(one_read_takes_a_bounded_number_of_fragments)
+{
+	enum { FRAGMENTS = 2 * CONNECTION_READS };
+	static const uint8_t fragment[5] = {0, 0, 0, 1, 'x'};
+	static const uint8_t last[5] = {0x80, 0, 0, 1, 'x'};
+	connection_state_t state = CONNECTION_OPEN;
+	connection_t *connection;
+	int fds[2];
+	int turns = 0;
+
+	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, fds), 0);
+	for (int i = 0; i < FRAGMENTS; i++)
+		ck_assert_int_eq(
+		    write(fds[1], i < FRAGMENTS - 1 ? fragment : last, 5), 5);
+	connection = connection_create(fds[0], 1);
+	for (; state == CONNECTION_OPEN && turns < FRAGMENTS; turns++)
+		state = connection_read(connection, FRAGMENTS, 1);
+	ck_assert_int_eq(state, CONNECTION_RECORD);
+	ck_assert_uint_eq(connection->record->len, FRAGMENTS);
+	ck_assert_int_ge(turns, 2 * FRAGMENTS / CONNECTION_READS);
+	connection_destroy(connection);
+	close(fds[1]);
 }
 
 TEST_MAIN("peer_rpc")
