core: agree on the pair of lists by statements of zones

A rise of a zone's part waited until one instance had heard from all others. It was also unsafe: an acknowledgement was counted although its sender had started again with older lists, as requests and replies of any age counted.

An instance that has heard all members of a zone states so for the three lists that its heartbeat names; instances with the same lists pass it on. A statement counts for LOAN_US from its date, only replies are dated, and a new process takes no reply to a request of its hold time. Those whose answer is missing are asked at growing intervals. Heartbeats that don't follow the clock leave out the load. Becoming ready is told at once: others learned of it with the agreement before. Comparisons between instances are of stamps.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -17,11 +17,9 @@
 #include "core/gate.h"
 #include "core/lists.h"
 #include "core/order.h"
+#include "lists.h"
 #include "peer/messages.h"
 
-#define ZONES 26
-#define REGIONS 7
-#define SERVICES 29
 #define REPEATS 200
 #define TICK_US (50 * US_PER_MS)
 
@@ -42,98 +40,6 @@
 	return info.uordblks + info.hblkhd;
 }
 
-/* Zones as in the plan of sizes, or fewer for a small fleet. */
-static int
-zones_of(int instances)
-{
-	return MIN(ZONES, MAX(3, instances / 3));
-}
-
-static char *
-fleet_text(int instances, uint64_t version)
-{
-	GString *text = g_string_new(NULL);
-	int zones = zones_of(instances);
-
-	g_string_printf(
-	    text, "version: %" G_GUINT64_FORMAT "\ninstances:\n", version);
-	for (int i = 0; i < instances; i++)
-		g_string_append_printf(text,
-		    "  - { name: i%d, zone: zone-%d, http: 10.0.%d.%d:80, "
-		    "peer: 10.1.%d.%d:81, state: live }\n",
-		    i, i % zones, i / 250, i % 250 + 1, i / 250, i % 250 + 1);
-	g_string_append(text, "targets:\n");
-	for (int i = 0; i < instances * 670 / 400; i++)
-		g_string_append_printf(text,
-		    "  - { name: t%d, zone: zone-%d, service: model-%d, url: "
-		    "\"http://10.2.%d.%d:90\", slots: 32, state: live }\n",
-		    i, i % zones, i % SERVICES, i / 250, i % 250 + 1);
-	return g_string_free(text, FALSE);
-}
-
-static char *
-allowances_text(int instances)
-{
-	GString *text = g_string_new("version: 1\nzones:\n");
-	int zones = zones_of(instances);
-
-	for (int i = 0; i < zones; i++)
-		g_string_append_printf(text,
-		    "  - { name: zone-%d, region: region-%d, weight: 1 }\n", i,
-		    i % REGIONS);
-	g_string_append(text, "services:\n");
-	for (int i = 0; i < SERVICES; i++)
-		g_string_append_printf(
-		    text, "  - { name: model-%d, kind: engine }\n", i);
-	g_string_append(text,
-	    "plans:\n  - name: basic\n    rate: 100000\n    burst: 1000000\n"
-	    "    priority: 1\n    use:\n");
-	for (int i = 0; i < SERVICES; i++) {
-		g_string_append_printf(
-		    text, "      - { service: model-%d, regions: [", i);
-		for (int r = 0; r < MIN(REGIONS, zones); r++)
-			g_string_append_printf(
-			    text, "%sregion-%d", r ? ", " : "", r);
-		g_string_append(text, "] }\n");
-	}
-	return g_string_free(text, FALSE);
-}
-
-static char *
-plans_text(int teams, int instances, uint64_t version)
-{
-	GString *text = g_string_new(NULL);
-	int regions = MIN(REGIONS, zones_of(instances));
-
-	g_string_printf(
-	    text, "version: %" G_GUINT64_FORMAT "\nteams:\n", version);
-	for (int i = 0; i < teams; i++) {
-		g_autofree char *name = g_strdup_printf("team-%d", i);
-		g_autofree char *hash =
-		    g_compute_checksum_for_string(G_CHECKSUM_SHA256, name, -1);
-
-		g_string_append_printf(
-		    text, "  - name: %s\n    plan: basic\n", name);
-		/* A third of the requests are bound to a home. */
-		if (i % 3 == 0)
-			g_string_append_printf(
-			    text, "    home: region-%d\n", i % regions);
-		g_string_append_printf(
-		    text, "    keys: [{ id: k, sha256: %s }]\n", hash);
-	}
-	return g_string_free(text, FALSE);
-}
-
-/* Stops on lists that the parser refuses: the figures would mean nothing. */
-static void *
-parsed(void *list, const GError *error)
-{
-	if (list != NULL)
-		return list;
-	fprintf(stderr, "capacity_bench: %s\n", error->message);
-	exit(EXIT_FAILURE);
-}
-
 typedef struct {
 	fleet_t *fleet;
 	allowances_t *allowances;
@@ -142,36 +48,11 @@
 	allotment_t *allotment;
 } subject_t;
 
-static fleet_t *
-fleet_make(int instances, uint64_t version)
-{
-	g_autofree char *text = fleet_text(instances, version);
-	GError *error = NULL;
-	fleet_t *fleet = fleet_parse("fleet", text, strlen(text), &error);
-
-	return parsed(fleet, error);
-}
-
-static plans_t *
-plans_make(int teams, int instances, uint64_t version)
-{
-	g_autofree char *text = plans_text(teams, instances, version);
-	GError *error = NULL;
-	plans_t *plans = plans_parse("plans", text, strlen(text), &error);
-
-	return parsed(plans, error);
-}
-
 static void
 subject_create(subject_t *subject, int instances, int teams)
 {
-	g_autofree char *text = allowances_text(instances);
-	GError *error = NULL;
-
 	subject->fleet = fleet_make(instances, 1);
-	subject->allowances =
-	    allowances_parse("allowances", text, strlen(text), &error);
-	parsed(subject->allowances, error);
+	subject->allowances = allowances_make(instances, 1, false);
 	subject->plans = plans_make(teams, instances, 1);
 	subject->membership = membership_create("i0", "zone-0", 1, 1);
 	subject->allotment = allotment_create(subject->membership, "i0", 1);
@@ -203,8 +84,8 @@
 	beat.incarnation = 100 + (uint64_t)index;
 	for (int i = 0; i < LIST_COUNT; i++)
 		beat.acked[i] = beat.adopted[i].version;
-	beat.n_load = SERVICES;
-	for (int i = 0; i < SERVICES; i++)
+	beat.n_load = BENCH_SERVICES;
+	for (int i = 0; i < BENCH_SERVICES; i++)
 		snprintf(beat.load[i].service, sizeof(beat.load[i].service),
 		    "model-%d", i);
 	return beat;
--- a/core/gate.c
+++ b/core/gate.c
@@ -86,6 +86,10 @@
 	g_queue_init(&gate->token_waiters);
 	gate->zone_sizes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	gate->loads_at =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	/* Instances start their turns with different members of a zone. */
+	gate->far_turn = g_str_hash(gate->name) % 1024;
 	gate->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return gate;
@@ -97,6 +101,7 @@
 	if (gate == NULL)
 		return;
 	g_hash_table_destroy(gate->zone_sizes);
+	g_hash_table_destroy(gate->loads_at);
 	g_hash_table_destroy(gate->peers);
 	g_queue_clear_full(&gate->token_waiters, g_free);
 	g_array_free(gate->free_slots, TRUE);
--- a/core/gate_heartbeat.c
+++ b/core/gate_heartbeat.c
@@ -6,9 +6,14 @@
  * When and to whom heartbeats go. Up to FAN_OUT_ALL other instances all of them
  * get each one. In a larger fleet the bytes a second would grow with its
  * square: then those of the own zone get one every few seconds, which a lease
- * of 30 s allows, and of each other zone one instance in turn. Agreements still
- * reach everybody, because one peer that knows of them is enough. An instance
+ * of 30 s allows, and of each other zone one instance in turn. An instance
  * without a share has to hear many to get one and asks all.
+ *
+ * While the pair of lists is not agreed, those whose answers are missing are
+ * asked besides (membership.h): members of the own zone, and then one instance
+ * of each zone whose statement is missing. A request that tells something
+ * missing is answered with a request to its sender, as only a reply can be
+ * dated. Heartbeats that don't follow the clock leave out the load.
  */
 #define FAN_OUT_ALL 16
 
@@ -20,11 +25,22 @@
 /* Progress of an agreement is told at once, but not more often than this. */
 #define HEARTBEAT_SOONEST_US (100 * US_PER_MS)
 
+/*
+ * Between two rounds of asking: doubled while nothing new is heard, so that a
+ * zone that can't be reached for an hour costs little.
+ */
+#define ASK_SOONEST_US (500 * US_PER_MS)
+#define ASK_LATEST_US (15 * US_PER_S)
+
+/* Load is told to a zone once in each turn of a large fleet. */
+#define LOAD_SOONEST_US (HEARTBEAT_FAR_LARGE_US - US_PER_S)
+
 /* One round of heartbeats. */
 typedef struct {
 	bool near;	   /* to the own zone */
 	bool far;	   /* to other zones */
 	bool all;	   /* to all of them, not one of each */
+	time_us_t floor;   /* only to those who are missing since; 0: any */
 	GHashTable *ranks; /* zone -> instances of it seen so far */
 } beat_round_t;
 
@@ -64,11 +80,15 @@
 {
 	if (strcmp(instance->name, gate->name) == 0)
 		return false;
-	if (strcmp(instance->zone, gate->zone) == 0)
-		return round->near;
-	if (!round->far)
+	if (strcmp(instance->zone, gate->zone) == 0) {
+		if (!round->near)
+			return false;
+	} else if (!round->far ||
+		   (!round->all && !turn_comes(gate, instance, round))) {
 		return false;
-	return round->all || turn_comes(gate, instance, round);
+	}
+	return round->floor == 0 ||
+	       membership_lacks(gate->membership, instance, round->floor);
 }
 
 static void
@@ -141,6 +161,62 @@
 	}
 }
 
+/* Asks for what is missing until the pair of lists is agreed. */
+static void
+asks_tick(gate_t *gate, time_us_t now, GArray *actions)
+{
+	time_us_t floor = membership_ask_floor(gate->membership, now);
+	uint64_t n_heard = membership_n_heard(gate->membership);
+	bool stated;
+	beat_round_t round = {.near = true, .far = true, .floor = floor};
+
+	if (floor == 0) {
+		gate->ask_at = gate->ask_wait = 0;
+		gate->zone_stated = false;
+		return;
+	}
+	stated = membership_zone_is_stated(gate->membership, floor);
+	if (gate->ask_wait == 0 || n_heard != gate->n_heard) {
+		time_us_t soon = now + ASK_SOONEST_US;
+
+		gate->ask_at =
+		    gate->ask_wait == 0 ? soon : MIN(gate->ask_at, soon);
+		gate->ask_wait = ASK_SOONEST_US;
+		gate->n_heard = n_heard;
+	}
+	/* The others are about as far: their statements can be asked for. */
+	if (stated && !gate->zone_stated)
+		gate->ask_at = now;
+	gate->zone_stated = stated;
+	if (now < gate->ask_at)
+		return;
+	round_send(gate, &round, actions);
+	gate->ask_at = now + gate->ask_wait;
+	gate->ask_wait = MIN(2 * gate->ask_wait, ASK_LATEST_US);
+}
+
+void
+gate_ask_back(
+    gate_t *gate, const heartbeat_t *request, time_us_t now, GArray *actions)
+{
+	if (membership_asks_back(gate->membership, request, now))
+		beat_add(gate, request->sender, actions);
+}
+
+bool
+gate_load_is_due(gate_t *gate, const char *zone, time_us_t now)
+{
+	const time_us_t *at = g_hash_table_lookup(gate->loads_at, zone);
+
+	if (gate->view.fleet == NULL || fan_out_is_full(gate))
+		return true;
+	if (at != NULL && now < *at + LOAD_SOONEST_US)
+		return false;
+	g_hash_table_insert(
+	    gate->loads_at, g_strdup(zone), g_memdup2(&now, sizeof(now)));
+	return true;
+}
+
 typedef struct {
 	gate_t *gate;
 	time_us_t now;
@@ -172,9 +248,18 @@
 	    membership_progressed(gate->membership, gate->progress)) {
 		gate->heartbeat_soonest_at = now + HEARTBEAT_SOONEST_US;
 		gate->heartbeat_near_at = 0;
+		if (gate->view.fleet == NULL || fan_out_is_full(gate))
+			gate->heartbeat_far_at = 0;
+	}
+	/* Others name this instance last until they know that it is ready. */
+	if (!gate->ready_told && gate_is_ready(gate, now)) {
+		gate->ready_told = true;
+		gate->heartbeat_near_at = 0;
 		gate->heartbeat_far_at = 0;
 	}
 	heartbeats_tick(gate, now, actions);
+	if (gate->view.fleet != NULL)
+		asks_tick(gate, now, actions);
 	if (now >= gate->loans_at) {
 		gate->loans_at = now + LOAN_RETRY_US;
 		allotment_each(gate->allotment, team_visit, &visit);
--- a/core/gate_internal.h
+++ b/core/gate_internal.h
@@ -111,8 +111,13 @@
 	time_us_t heartbeat_near_at;
 	time_us_t heartbeat_far_at;
 	time_us_t heartbeat_soonest_at;
+	time_us_t ask_at, ask_wait; /* 0: nothing is missing */
+	uint64_t n_heard;	    /* when last looked at */
+	bool zone_stated;
+	bool ready_told;
 	size_t far_turn;	/* whose turn it is in other zones */
 	GHashTable *zone_sizes; /* zone -> number of instances */
+	GHashTable *loads_at;	/* zone -> time it was told loads, boxed */
 	share_t routed_share;	/* share that the target table goes by */
 	uint64_t progress[MEMBERSHIP_PROGRESS];
 	time_us_t loans_at;
@@ -212,6 +217,14 @@
 void gate_tick_engines(gate_t *gate, time_us_t now, GArray *actions);
 
 /* Sends heartbeats now. Of those that wait for a peer one is sent. */
+/* Sends a heartbeat to the sender of a request that told what is missing. */
+void gate_ask_back(
+    gate_t *gate, const heartbeat_t *request, time_us_t now, GArray *actions);
+
+/* Whether a heartbeat to another zone is to tell the load. Notes that it does.
+ */
+bool gate_load_is_due(gate_t *gate, const char *zone, time_us_t now);
+
 void gate_hasten_heartbeats(gate_t *gate, time_us_t now, GArray *actions);
 
 /* Returns the wait queue of a service, created on first use. */
--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -226,7 +226,7 @@
 	out->draining = gate_is_draining(gate);
 	out->n_load = 0;
 	/* Only other zones forward requests, so only they need the load. */
-	if (!peer_in_zone(gate, peer))
+	if (!out->brief && !peer_in_zone(gate, peer))
 		load_fill(gate, out);
 	out->n_poison = 0;
 	/* A digest of a home region's content doesn't leave it either. */
@@ -240,9 +240,17 @@
 gate_heartbeat_fill(
     gate_t *gate, const char *peer, heartbeat_t *out, time_us_t now)
 {
+	const instance_t *instance;
+
 	memset(out, 0, sizeof(*out));
 	membership_fill(gate->membership, out, now);
 	lists_fill(gate->lists, out);
+	instance = gate->view.fleet == NULL
+		       ? NULL
+		       : fleet_find_instance(gate->view.fleet, peer);
+	out->brief = instance != NULL &&
+		     strcmp(instance->zone, gate->zone) != 0 &&
+		     !gate_load_is_due(gate, instance->zone, now);
 	state_fill(gate, peer, out, now);
 }
 
@@ -282,7 +290,9 @@
 {
 	peer_note(gate, in->sender, in, now, actions);
 	membership_on_heartbeat(gate->membership, in, reply, now);
+	gate_ask_back(gate, in, now, actions);
 	lists_fill(gate->lists, reply);
+	reply->brief = in->brief;
 	state_fill(gate, in->sender, reply, now);
 }
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -11,6 +11,8 @@
 	g_hash_table_destroy(view->live);
 	g_hash_table_destroy(view->listed);
 	g_ptr_array_free(view->zone, TRUE);
+	g_hash_table_destroy(view->zone_ranks);
+	g_free(view->stated_at);
 	fleet_unref(view->fleet);
 	g_free(view);
 }
@@ -21,6 +23,30 @@
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
+static void
+view_rank_zones(view_t *view)
+{
+	GPtrArray *zones = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	view->zone_ranks = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_iter_init(&iter, view->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const instance_t *instance = value;
+
+		if (g_hash_table_add(view->zone_ranks, instance->zone))
+			g_ptr_array_add(zones, instance->zone);
+	}
+	g_ptr_array_sort(zones, name_order);
+	for (size_t i = 0; i < zones->len; i++)
+		g_hash_table_insert(view->zone_ranks,
+		    g_ptr_array_index(zones, i), GSIZE_TO_POINTER(i));
+	view->n_zones = zones->len;
+	view->stated_at = g_new0(time_us_t, zones->len + 1);
+	g_ptr_array_free(zones, TRUE);
+}
+
 static view_t *
 view_create(const membership_t *m, fleet_t *fleet)
 {
@@ -46,6 +72,7 @@
 			view->self_live = true;
 	}
 	g_ptr_array_sort(view->zone, name_order);
+	view_rank_zones(view);
 	return view;
 }
 
@@ -104,9 +131,9 @@
 }
 
 bool
-peer_is_at(const membership_t *m, const peer_t *peer, list_kind_t kind)
+stamp_is_ours(
+    const membership_t *m, const list_stamp_t *stamp, list_kind_t kind)
 {
-	const list_stamp_t *stamp = &peer->adopted[kind];
 	const view_t *view = membership_newest(m);
 	const list_head_t *ours = NULL;
 
@@ -126,6 +153,12 @@
 	       memcmp(stamp->digest, ours->digest, DIGEST_BYTES) == 0;
 }
 
+bool
+peer_is_at(const membership_t *m, const peer_t *peer, list_kind_t kind)
+{
+	return stamp_is_ours(m, &peer->adopted[kind], kind);
+}
+
 static bool
 name_retired(const membership_t *m, const char *name)
 {
@@ -208,6 +241,7 @@
 	g_hash_table_iter_init(&iter, m->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((peer_t *)value)->same_at = 0;
+	pair_forget(m);
 }
 
 static void
@@ -253,6 +287,8 @@
 		m->allowances = allowances_ref(allowances);
 		newer = true;
 	}
+	if (newer)
+		pair_forget(m);
 	if (newer && m->plans != NULL && m->allowances != NULL)
 		parts_adopt(m->parts, m->plans, m->allowances, now);
 }
@@ -302,7 +338,7 @@
 }
 
 static void
-state_write(const membership_t *m, heartbeat_t *out)
+state_write(const membership_t *m, heartbeat_t *out, time_us_t now)
 {
 	const view_t *view = membership_newest(m);
 
@@ -323,6 +359,7 @@
 	out->n_former = 0;
 	former_write(m, out, true);
 	former_write(m, out, false);
+	pair_write(m, out, now);
 }
 
 static void
@@ -359,7 +396,7 @@
 
 	lease_check(m, now);
 	membership_advance(m, now);
-	state_write(m, out);
+	state_write(m, out, now);
 	out->sent_at = now;
 	out->wants_lease = view != NULL && view->self_live;
 	sent_record(m, now);
@@ -440,7 +477,7 @@
 	message_take(m, request);
 	membership_advance(m, now);
 	granted = view != NULL && lease_grant(m, request);
-	state_write(m, reply);
+	state_write(m, reply, now);
 	reply->sent_at = request->sent_at;
 	reply->lease_granted = granted;
 	/* An instance that our list doesn't name must not count us, as we
@@ -449,6 +486,7 @@
 	    !g_hash_table_contains(view->listed, request->sender)) {
 		memset(reply->acked, 0, sizeof(reply->acked));
 		memset(reply->agreed, 0, sizeof(reply->agreed));
+		reply->n_stated = 0;
 	}
 }
 
@@ -479,7 +517,6 @@
 	    reply->sent_at < peer->same_at)
 		return;
 	peer->same_at = reply->sent_at;
-	peer->names_former = reply->n_former > 0;
 	peer->names_ours = names_former_of(reply, m->zone);
 }
 
@@ -495,6 +532,7 @@
 	if (peer == NULL)
 		return;
 	answer_take(m, peer, reply);
+	pair_take_reply(m, peer, reply);
 	if (reply->lease_granted)
 		lease_renew(m, now);
 	membership_advance(m, now);
@@ -679,11 +717,10 @@
 membership_progressed(
     const membership_t *m, uint64_t progress[MEMBERSHIP_PROGRESS])
 {
-	bool changed =
-	    memcmp(progress, m->acked, sizeof(m->acked)) != 0 ||
-	    memcmp(progress + LIST_COUNT, m->agreed, sizeof(m->agreed)) != 0;
+	bool changed = memcmp(progress, m->acked, sizeof(m->acked)) != 0 ||
+		       progress[LIST_COUNT] != m->agreed[LIST_FLEET];
 
 	memcpy(progress, m->acked, sizeof(m->acked));
-	memcpy(progress + LIST_COUNT, m->agreed, sizeof(m->agreed));
+	progress[LIST_COUNT] = m->agreed[LIST_FLEET];
 	return changed;
 }
--- a/core/membership_agree.c
+++ b/core/membership_agree.c
@@ -53,7 +53,7 @@
 	return peer->agreed[LIST_FLEET] > 0;
 }
 
-static size_t
+size_t
 former_in_zone(const membership_t *m, const char *zone)
 {
 	GHashTableIter iter;
@@ -205,73 +205,6 @@
 	lease_renew(m, now);
 }
 
-static bool
-peer_acked_pair(const membership_t *m, const peer_t *peer)
-{
-	return peer_is_at(m, peer, LIST_PLANS) &&
-	       peer_is_at(m, peer, LIST_ALLOWANCES) &&
-	       peer->acked[LIST_PLANS] == m->plans->head.version &&
-	       peer->acked[LIST_ALLOWANCES] == m->allowances->head.version;
-}
-
-static bool
-peer_agreed_pair(const membership_t *m, const peer_t *peer)
-{
-	return peer_acked_pair(m, peer) &&
-	       peer->agreed[LIST_PLANS] == m->plans->head.version &&
-	       peer->agreed[LIST_ALLOWANCES] == m->allowances->head.version;
-}
-
-/*
- * The pair binds all zones, so the fleet list has to be agreed in each of them
- * first: former members hold nothing then. Those of a zone without live members
- * are known to whoever has adopted a list that named them.
- */
-static bool
-pair_is_agreed(const membership_t *m, const view_t *view)
-{
-	bool all = g_hash_table_size(m->former) == 0;
-	GHashTableIter iter;
-	gpointer name;
-
-	if (m->faults.no_ack)
-		return true;
-	g_hash_table_iter_init(&iter, view->live);
-	while (g_hash_table_iter_next(&iter, &name, NULL)) {
-		const peer_t *peer = membership_peer(m, name);
-
-		if (g_str_equal(name, m->name))
-			continue;
-		if (peer != NULL && peer_agreed_pair(m, peer))
-			return true;
-		all = all && peer != NULL && peer_agreed_fleet(m, peer) &&
-		      peer_acked_pair(m, peer) && peer->same_at > 0 &&
-		      !peer->names_former;
-	}
-	return all;
-}
-
-static void
-pair_advance(membership_t *m, time_us_t now)
-{
-	const view_t *view = membership_newest(m);
-
-	if (m->plans == NULL || m->allowances == NULL ||
-	    (m->agreed[LIST_PLANS] == m->plans->head.version &&
-		m->agreed[LIST_ALLOWANCES] == m->allowances->head.version) ||
-	    m->acked[LIST_PLANS] != m->plans->head.version ||
-	    m->acked[LIST_ALLOWANCES] != m->allowances->head.version ||
-	    m->agreed[LIST_FLEET] != view->fleet->head.version)
-		return;
-	if (!pair_is_agreed(m, view))
-		return;
-	m->agreed[LIST_PLANS] = m->plans->head.version;
-	m->agreed[LIST_ALLOWANCES] = m->allowances->head.version;
-	if (!parts_are_agreed(m->parts))
-		m->raised_at = now;
-	parts_agree(m->parts, now);
-}
-
 static bool
 lent_fits(const membership_t *m)
 {
--- /dev/null
+++ b/core/membership_pair.c
@@ -0,0 +1,318 @@
+#include <string.h>
+
+#include "core/membership_private.h"
+
+/*
+ * When the pair of lists is agreed: each zone has said within LOAN_US that all
+ * its members obey it. The argument is in membership.h. All comparisons between
+ * instances are of stamps, version and digest: a version alone need not name
+ * one text.
+ */
+
+#define STATEMENTS_RENEW_US (500 * US_PER_MS)
+
+/* Oldest statement that counts. */
+static time_us_t
+statement_floor(const membership_t *m, time_us_t now)
+{
+	if (m->faults.any_age)
+		return 1;
+	return MAX(now - LOAN_US, m->held_until);
+}
+
+static bool
+pair_is_shown(const membership_t *m, const heartbeat_t *message)
+{
+	return stamp_is_ours(m, &message->adopted[LIST_PLANS], LIST_PLANS) &&
+	       stamp_is_ours(
+		   m, &message->adopted[LIST_ALLOWANCES], LIST_ALLOWANCES) &&
+	       message->acked[LIST_PLANS] ==
+		   message->adopted[LIST_PLANS].version &&
+	       message->acked[LIST_ALLOWANCES] ==
+		   message->adopted[LIST_ALLOWANCES].version;
+}
+
+/* Whether the sender knew that our pair is agreed. */
+static bool
+agreement_is_shown(const membership_t *m, const heartbeat_t *message)
+{
+	return pair_is_shown(m, message) &&
+	       message->agreed[LIST_PLANS] ==
+		   message->adopted[LIST_PLANS].version &&
+	       message->agreed[LIST_ALLOWANCES] ==
+		   message->adopted[LIST_ALLOWANCES].version;
+}
+
+/*
+ * Whether the sender obeyed our lists, in a zone where our fleet list is
+ * agreed, and knew of no former member that may hold a share.
+ */
+static bool
+obedience_is_shown(const membership_t *m, const heartbeat_t *message)
+{
+	const list_stamp_t *fleet = &message->adopted[LIST_FLEET];
+
+	return pair_is_shown(m, message) &&
+	       stamp_is_ours(m, fleet, LIST_FLEET) &&
+	       message->acked[LIST_FLEET] == fleet->version &&
+	       message->agreed[LIST_FLEET] == fleet->version &&
+	       message->n_former == 0;
+}
+
+/* Whether the statements of a message hold for our lists. */
+static bool
+statements_fit(const membership_t *m, const heartbeat_t *message)
+{
+	if (m->faults.any_lists)
+		return true;
+	for (int kind = 0; kind < LIST_COUNT; kind++) {
+		if (!stamp_is_ours(
+			m, &message->adopted[kind], (list_kind_t)kind))
+			return false;
+	}
+	return true;
+}
+
+static bool
+pair_is_settled(const membership_t *m)
+{
+	return m->plans == NULL || m->allowances == NULL ||
+	       (m->agreed[LIST_PLANS] == m->plans->head.version &&
+		   m->agreed[LIST_ALLOWANCES] == m->allowances->head.version);
+}
+
+/* Whether this instance obeys its lists, as others have to show it. */
+static bool
+self_obeys(const membership_t *m)
+{
+	uint64_t fleet = membership_newest(m)->fleet->head.version;
+
+	return m->acked[LIST_PLANS] == m->plans->head.version &&
+	       m->acked[LIST_ALLOWANCES] == m->allowances->head.version &&
+	       m->acked[LIST_FLEET] == fleet && m->agreed[LIST_FLEET] == fleet;
+}
+
+void
+pair_take_reply(membership_t *m, peer_t *peer, const heartbeat_t *reply)
+{
+	view_t *view = membership_newest(m);
+
+	if (agreement_is_shown(m, reply))
+		m->told_at = MAX(m->told_at, reply->sent_at);
+	if (obedience_is_shown(m, reply)) {
+		m->n_heard += peer->obeyed_at == 0;
+		m->statements_due = true;
+		peer->obeyed_at = MAX(peer->obeyed_at, reply->sent_at);
+	}
+	if (!statements_fit(m, reply))
+		return;
+	for (size_t i = 0; i < MIN(view->n_zones, reply->n_stated); i++) {
+		time_us_t age = reply->stated[i] * STATEMENT_UNIT_US;
+
+		if (reply->stated[i] == STATEMENT_NONE)
+			continue;
+		m->n_heard += view->stated_at[i] == 0;
+		view->stated_at[i] =
+		    MAX(view->stated_at[i], reply->sent_at - age);
+	}
+}
+
+void
+pair_forget(membership_t *m)
+{
+	view_t *view = membership_newest(m);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((peer_t *)value)->obeyed_at = 0;
+	m->told_at = 0;
+	m->statements_due = true;
+	for (size_t i = 0; view != NULL && i < view->n_zones; i++)
+		view->stated_at[i] = 0;
+}
+
+void
+pair_write(const membership_t *m, heartbeat_t *out, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+
+	out->n_stated = 0;
+	if (view == NULL || pair_is_settled(m))
+		return;
+	out->n_stated = MIN(view->n_zones, HEARTBEAT_ZONE_LIMIT);
+	for (size_t i = 0; i < out->n_stated; i++) {
+		time_us_t age = now - view->stated_at[i];
+
+		out->stated[i] = view->stated_at[i] == 0 || age > LOAN_US
+				     ? STATEMENT_NONE
+				     : (uint8_t)((age + STATEMENT_UNIT_US - 1) /
+						 STATEMENT_UNIT_US);
+	}
+}
+
+/*
+ * Makes the statement of each zone whose members were all heard. Without news
+ * only the date of this instance changes, which can wait.
+ */
+static void
+statements_make(membership_t *m, view_t *view, time_us_t now)
+{
+	bool obeys = self_obeys(m) && g_hash_table_size(m->former) == 0;
+	time_us_t *dates;
+	GHashTableIter iter;
+	gpointer name;
+
+	if (!m->statements_due && obeys == m->statements_self &&
+	    now < m->statements_at + STATEMENTS_RENEW_US)
+		return;
+	m->statements_due = false;
+	m->statements_self = obeys;
+	m->statements_at = now;
+	dates = g_new(time_us_t, view->n_zones + 1);
+	for (size_t i = 0; i < view->n_zones; i++)
+		dates[i] = now;
+	g_hash_table_iter_init(&iter, view->live);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		const peer_t *peer = membership_peer(m, name);
+		size_t zone = view_zone(view, name);
+		time_us_t date = peer == NULL ? 0 : peer->obeyed_at;
+
+		if (g_str_equal(name, m->name))
+			date = obeys ? now : 0;
+		dates[zone] = MIN(dates[zone], date);
+	}
+	for (size_t i = 0; i < view->n_zones; i++) {
+		m->n_heard += view->stated_at[i] == 0 && dates[i] > 0;
+		view->stated_at[i] = MAX(view->stated_at[i], dates[i]);
+	}
+	g_free(dates);
+}
+
+/*
+ * The pair binds all zones, so the fleet list has to be agreed in each of them
+ * first: former members hold nothing then. Those of a zone without live members
+ * are known to whoever has adopted a list that named them.
+ */
+static bool
+pair_is_agreed(const membership_t *m, const view_t *view, time_us_t now)
+{
+	time_us_t floor = statement_floor(m, now);
+	time_us_t told = m->faults.any_age ? 1 : m->held_until;
+
+	if (m->faults.no_ack || m->told_at >= told)
+		return true;
+	for (size_t i = 0; i < view->n_zones; i++) {
+		if (view->stated_at[i] < floor)
+			return false;
+	}
+	return g_hash_table_size(m->former) == 0;
+}
+
+void
+pair_advance(membership_t *m, time_us_t now)
+{
+	view_t *view = membership_newest(m);
+
+	if (pair_is_settled(m))
+		return;
+	statements_make(m, view, now);
+	if (!self_obeys(m) || !pair_is_agreed(m, view, now))
+		return;
+	m->agreed[LIST_PLANS] = m->plans->head.version;
+	m->agreed[LIST_ALLOWANCES] = m->allowances->head.version;
+	if (!parts_are_agreed(m->parts))
+		m->raised_at = now;
+	parts_agree(m->parts, now);
+}
+
+static bool
+own_zone_stated(const membership_t *m, const view_t *view, time_us_t floor)
+{
+	return !view->self_live ||
+	       view->stated_at[view_zone(view, m->name)] >= floor;
+}
+
+/* Whether all members of the own zone and all other zones were heard once. */
+static bool
+all_heard(const membership_t *m, const view_t *view)
+{
+	for (size_t i = 0; i < view->n_zones; i++) {
+		if (view->stated_at[i] == 0)
+			return false;
+	}
+	return true;
+}
+
+time_us_t
+membership_ask_floor(const membership_t *m, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+
+	if (view == NULL || now < m->held_until ||
+	    (pair_is_settled(m) && g_hash_table_size(m->former) == 0))
+		return 0;
+	/* While a zone has not spoken at all, others need not repeat it. */
+	return all_heard(m, view) ? statement_floor(m, now) : 1;
+}
+
+bool
+membership_lacks(
+    const membership_t *m, const instance_t *instance, time_us_t floor)
+{
+	const view_t *view = membership_newest(m);
+	const peer_t *peer = membership_peer(m, instance->name);
+	bool own = g_str_equal(instance->zone, m->zone);
+
+	if (peer == NULL || floor == 0)
+		return false;
+	if (!own && former_in_zone(m, instance->zone) > 0)
+		return true;
+	if (pair_is_settled(m) || instance->state != MEMBER_LIVE)
+		return false;
+	if (own)
+		return !own_zone_stated(m, view, floor) &&
+		       peer->obeyed_at < floor;
+	return own_zone_stated(m, view, floor) &&
+	       view->stated_at[view_zone(view, instance->name)] < floor;
+}
+
+bool
+membership_asks_back(
+    const membership_t *m, const heartbeat_t *request, time_us_t now)
+{
+	const view_t *view = membership_newest(m);
+	const peer_t *peer = membership_peer(m, request->sender);
+	time_us_t floor = statement_floor(m, now);
+
+	if (view == NULL || peer == NULL || now < m->held_until ||
+	    pair_is_settled(m))
+		return false;
+	if (agreement_is_shown(m, request))
+		return true;
+	if (g_str_equal(request->zone, m->zone) &&
+	    obedience_is_shown(m, request) &&
+	    !own_zone_stated(m, view, floor) && peer->obeyed_at < floor)
+		return true;
+	if (!statements_fit(m, request))
+		return false;
+	for (size_t i = 0; i < MIN(view->n_zones, request->n_stated); i++) {
+		if (request->stated[i] != STATEMENT_NONE &&
+		    view->stated_at[i] < floor)
+			return true;
+	}
+	return false;
+}
+
+bool
+membership_zone_is_stated(const membership_t *m, time_us_t floor)
+{
+	return own_zone_stated(m, membership_newest(m), floor);
+}
+
+uint64_t
+membership_n_heard(const membership_t *m)
+{
+	return m->n_heard;
+}
--- a/core/spill.c
+++ b/core/spill.c
@@ -101,6 +101,8 @@
 		spill_forget(spill, heartbeat->sender);
 		return;
 	}
+	if (heartbeat->brief)
+		return;
 	peer = peer_find(spill, heartbeat->sender);
 	if (peer == NULL) {
 		peer = g_new0(peer_t, 1);
--- a/include/core/heartbeat.h
+++ b/include/core/heartbeat.h
@@ -9,6 +9,11 @@
 #define HEARTBEAT_FORMER_LIMIT 32
 #define HEARTBEAT_POISON_LIMIT 16
 #define HEARTBEAT_LOAD_LIMIT 32
+#define HEARTBEAT_ZONE_LIMIT 64
+
+/* Ages of zone statements are told in this unit, rounded up. */
+#define STATEMENT_UNIT_US (50 * US_PER_MS)
+#define STATEMENT_NONE UINT8_MAX
 
 /* Version and content of a list that an instance has adopted; version 0: none.
  */
@@ -62,6 +67,15 @@
 	bool lease_granted; /* reply only */
 	former_member_t former[HEARTBEAT_FORMER_LIMIT];
 	size_t n_former;
+	/*
+	 * Zone statements: the age of each in STATEMENT_UNIT_US, or
+	 * STATEMENT_NONE. They hold for exactly the three lists in adopted; the
+	 * zones are those with live members in that fleet list, by name. None
+	 * are told once the sender knows that its pair is agreed.
+	 */
+	uint8_t stated[HEARTBEAT_ZONE_LIMIT];
+	size_t n_stated;
+	bool brief; /* load is left out, what was told before still counts */
 	poison_stamp_t poison[HEARTBEAT_POISON_LIMIT]; /* same region only */
 	size_t n_poison;
 	service_load_t load[HEARTBEAT_LOAD_LIMIT];
--- a/include/core/membership.h
+++ b/include/core/membership.h
@@ -14,6 +14,36 @@
  * agreed fleet version to the newest adopted one. So all shares obey the newest
  * version that any instance knows to be agreed, and their sum is at most
  * SHARE_ONE. docs/PROOFS.md and spec/share.pml have the argument.
+ *
+ * The pair of lists binds all zones. It is agreed when each zone with live
+ * members has a statement about exactly the three lists in force, versions and
+ * digests: since the date of the statement, every live member of the zone under
+ * this fleet list has shown that it had adopted and acknowledged all three,
+ * knew the fleet list to be agreed in its zone, and knew of no former member.
+ * Whoever has heard this from all members makes the statement, and instances
+ * with the same three lists pass it on. A heartbeat carries statements about
+ * the lists that it names as adopted, so that a statement always comes with
+ * what it holds for.
+ *
+ * A statement is about a time that is past, so it stays true when its members
+ * move on, and it stays useful: a member that acknowledged the pair obeys it
+ * until it knows a newer pair to be agreed. That one needed an acknowledgement
+ * of whoever counts the statement, who is then no longer at the older pair.
+ * Two things would break this, and each has a rule.
+ *
+ * First, a member may start again with older lists. Its successor knows nothing
+ * of the acknowledgement and takes up an older pair if others still know that
+ * one to be agreed. So a statement counts for LOAN_US from its date, and a new
+ * process takes nothing that was shown in the first DRIFT_MARGIN(LOAN_US) after
+ * its start. If its predecessor's acknowledgement was counted for a pair, all
+ * others had acknowledged that pair before this time was over, and what they
+ * show later is about that pair or a newer one.
+ *
+ * Second, an old message may arrive late. So only replies count, with the date
+ * of their request, less the age that the sender tells. A request can't be
+ * dated; one that tells something missing is answered with a request.
+ *
+ * spec/agree.pml is a model of this part.
  */
 typedef struct membership membership_t;
 
@@ -45,6 +75,8 @@
 	bool short_fence; /* fences former members at once */
 	bool ignore_lent; /* acknowledges while too much is lent */
 	bool no_lease;	  /* uses the share without a lease */
+	bool any_age;	  /* counts zone statements of any age */
+	bool any_lists;	  /* counts zone statements about other lists */
 } membership_faults_t;
 
 /*
@@ -154,14 +186,37 @@
 uint64_t membership_epoch(membership_t *m, time_us_t now);
 
 /*
- * Tells whether the versions that this instance has acknowledged or knows to be
- * agreed differ from those in progress, and stores them there. The others wait
- * for them, so a change is worth a heartbeat at once.
+ * Tells whether the versions that this instance has acknowledged, or the fleet
+ * version that it knows to be agreed, differ from those in progress, and stores
+ * them there. The zone waits for them, so a change is worth a heartbeat at
+ * once. An agreed pair is not: those who lack it ask.
  */
-#define MEMBERSHIP_PROGRESS ((size_t)2 * LIST_COUNT)
+#define MEMBERSHIP_PROGRESS ((size_t)LIST_COUNT + 1)
 bool membership_progressed(
     const membership_t *m, uint64_t progress[MEMBERSHIP_PROGRESS]);
 
+/*
+ * Asking for what is missing while the pair is not agreed, or while former
+ * members are not released. The floor is 0 when nothing is missing. An instance
+ * is worth a heartbeat when this one lacks what its answer can show.
+ */
+time_us_t membership_ask_floor(const membership_t *m, time_us_t now);
+bool membership_lacks(
+    const membership_t *m, const instance_t *instance, time_us_t floor);
+
+/*
+ * Whether a request, which can't be dated, tells what this instance lacks, so
+ * that a heartbeat to its sender is worth its bytes.
+ */
+bool membership_asks_back(
+    const membership_t *m, const heartbeat_t *request, time_us_t now);
+
+/* Whether all members of the own zone were heard since the floor. */
+bool membership_zone_is_stated(const membership_t *m, time_us_t floor);
+
+/* Counts the acknowledgements and statements that were heard first. */
+uint64_t membership_n_heard(const membership_t *m);
+
 /* Number of teams whose part rose and waits for acknowledgements. */
 size_t membership_n_lowered(const membership_t *m);
 
--- a/include/core/membership_private.h
+++ b/include/core/membership_private.h
@@ -25,12 +25,16 @@
 	/* Newest of our requests answered. */
 	time_us_t answered_at;
 	/*
-	 * Newest of our requests whose reply showed our fleet version, whether
-	 * that reply named former members, and any of our zone.
+	 * Newest of our requests whose reply showed our fleet version, and
+	 * whether that reply named former members of our zone.
 	 */
 	time_us_t same_at;
-	bool names_former;
 	bool names_ours;
+	/*
+	 * Newest of our requests whose reply showed that the peer obeys our
+	 * three lists; 0: none since we adopted them.
+	 */
+	time_us_t obeyed_at;
 } peer_t;
 
 /* One adopted fleet version. */
@@ -41,6 +45,11 @@
 	GPtrArray *zone;    /* names of the live members of our zone, sorted */
 	size_t n_other;	    /* live instances of other zones */
 	bool self_live;
+	/* Zones with live members, by name, and the time for which the newest
+	 * statement of each holds under our lists; 0: none. */
+	GHashTable *zone_ranks; /* zone -> rank */
+	time_us_t *stated_at;
+	size_t n_zones;
 } view_t;
 
 struct membership {
@@ -71,7 +80,13 @@
 	time_us_t newest_since;
 	time_us_t blocked_since; /* 0: former members may renew a lease */
 	uint64_t epoch;
-	time_us_t raised_at;	    /* when the share of all teams rose */
+	/* Newest of our requests whose reply knew our pair to be agreed. */
+	time_us_t told_at;
+	time_us_t statements_at; /* when statements were made last */
+	bool statements_due;	 /* something was heard since */
+	bool statements_self;	 /* this instance obeyed then */
+	uint64_t n_heard;    /* first statements and acknowledgements taken */
+	time_us_t raised_at; /* when the share of all teams rose */
 	time_us_t sent[SENT_LIMIT]; /* ring of sent_at, rising */
 	size_t n_sent;
 	membership_lent_t lent;
@@ -95,6 +110,20 @@
 	return g_hash_table_lookup(m->peers, name);
 }
 
+/* Rank of the zone of a live instance. */
+static inline size_t
+view_zone(const view_t *view, const char *name)
+{
+	const instance_t *instance = g_hash_table_lookup(view->live, name);
+
+	return GPOINTER_TO_SIZE(
+	    g_hash_table_lookup(view->zone_ranks, instance->zone));
+}
+
+/* Tells whether a stamp names our version and text of a list. */
+bool stamp_is_ours(
+    const membership_t *m, const list_stamp_t *stamp, list_kind_t kind);
+
 /* Tells whether a peer has adopted our version and text of a list. */
 bool peer_is_at(const membership_t *m, const peer_t *peer, list_kind_t kind);
 
@@ -113,5 +142,13 @@
 
 /* membership_agree.c */
 void membership_advance(membership_t *m, time_us_t now);
+size_t former_in_zone(const membership_t *m, const char *zone);
+
+/* membership_pair.c */
+void pair_advance(membership_t *m, time_us_t now);
+void pair_take_reply(membership_t *m, peer_t *peer, const heartbeat_t *reply);
+void pair_write(const membership_t *m, heartbeat_t *out, time_us_t now);
+/* Drops what was heard about other lists than those in force. */
+void pair_forget(membership_t *m);
 
 #endif
--- a/peer/messages.c
+++ b/peer/messages.c
@@ -12,6 +12,7 @@
 G_STATIC_ASSERT(PEER_FORMER == HEARTBEAT_FORMER_LIMIT);
 G_STATIC_ASSERT(PEER_POISON == HEARTBEAT_POISON_LIMIT);
 G_STATIC_ASSERT(PEER_LOAD == HEARTBEAT_LOAD_LIMIT);
+G_STATIC_ASSERT(PEER_ZONES == HEARTBEAT_ZONE_LIMIT);
 G_STATIC_ASSERT(PEER_TEXT_BYTES == PEER_LIST_TEXT_LIMIT);
 
 static bool
@@ -98,7 +99,8 @@
 		return invalid(error, "heartbeat", "a negative time");
 	if (heartbeat->n_former > HEARTBEAT_FORMER_LIMIT ||
 	    heartbeat->n_poison > HEARTBEAT_POISON_LIMIT ||
-	    heartbeat->n_load > HEARTBEAT_LOAD_LIMIT)
+	    heartbeat->n_load > HEARTBEAT_LOAD_LIMIT ||
+	    heartbeat->n_stated > HEARTBEAT_ZONE_LIMIT)
 		return invalid(error, "heartbeat", "a count");
 	for (int i = 0; i < LIST_COUNT; i++) {
 		if (heartbeat->acked[i] > heartbeat->adopted[i].version)
@@ -150,6 +152,8 @@
 	    .draining = heartbeat->draining,
 	    .wants_lease = heartbeat->wants_lease,
 	    .lease_granted = heartbeat->lease_granted,
+	    .brief = heartbeat->brief,
+	    .stated = {(u_int)heartbeat->n_stated, (char *)heartbeat->stated},
 	};
 
 	if (!heartbeat_check(heartbeat, error))
@@ -207,6 +211,10 @@
 	out->draining = wire->draining != 0;
 	out->wants_lease = wire->wants_lease != 0;
 	out->lease_granted = wire->lease_granted != 0;
+	out->brief = wire->brief != 0;
+	out->n_stated = wire->stated.stated_len;
+	if (out->n_stated > 0)
+		memcpy(out->stated, wire->stated.stated_val, out->n_stated);
 	for (int i = 0; i < LIST_COUNT; i++) {
 		out->adopted[i].version = wire->adopted[i].list_version;
 		memcpy(out->adopted[i].digest, wire->adopted[i].digest,
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -14,7 +14,8 @@
 const PEER_FORMER = 32;
 const PEER_POISON = 16;
 const PEER_LOAD = 32;
-const PEER_CALL_BYTES = 16384;    /* the longest heartbeat takes 7,680 */
+const PEER_ZONES = 64;
+const PEER_CALL_BYTES = 16384;    /* the longest heartbeat takes 7,752 */
 const PEER_TEXT_BYTES = 1048576;  /* the platform's limit for a value */
 const PEER_REPLY_BYTES = 1049600; /* text and 1,024 for the fields around it */
 
@@ -78,6 +79,8 @@
 	bool draining;
 	bool wants_lease;
 	bool lease_granted;
+	bool brief;
+	opaque stated<PEER_ZONES>;
 	wire_former former<PEER_FORMER>;
 	wire_poison poison<PEER_POISON>;
 	wire_load load<PEER_LOAD>;
--- a/tests/peer_samples.h
+++ b/tests/peer_samples.h
@@ -54,7 +54,9 @@
 	    .wants_lease = true,
 	    .n_former = HEARTBEAT_FORMER_LIMIT,
 	    .n_poison = HEARTBEAT_POISON_LIMIT,
-	    .n_load = HEARTBEAT_LOAD_LIMIT};
+	    .n_load = HEARTBEAT_LOAD_LIMIT,
+	    .n_stated = HEARTBEAT_ZONE_LIMIT,
+	    .brief = true};
 
 	for (int i = 0; i < LIST_COUNT; i++) {
 		beat.adopted[i].version = 10 + (uint64_t)i;
@@ -66,6 +68,8 @@
 		memset(beat.former[i].name, 'f', NAME_LIMIT);
 		memset(beat.former[i].zone, 'z', NAME_LIMIT);
 	}
+	for (size_t i = 0; i < HEARTBEAT_ZONE_LIMIT; i++)
+		beat.stated[i] = (uint8_t)(STATEMENT_NONE - i);
 	for (size_t i = 0; i < HEARTBEAT_POISON_LIMIT; i++)
 		beat.poison[i].targets_lost = (uint32_t)i;
 	for (size_t i = 0; i < HEARTBEAT_LOAD_LIMIT; i++) {
@@ -89,6 +93,8 @@
 	       memcmp(a->adopted, b->adopted, sizeof(a->adopted)) == 0 &&
 	       memcmp(a->acked, b->acked, sizeof(a->acked)) == 0 &&
 	       memcmp(a->agreed, b->agreed, sizeof(a->agreed)) == 0 &&
+	       a->brief == b->brief && a->n_stated == b->n_stated &&
+	       memcmp(a->stated, b->stated, sizeof(a->stated)) == 0 &&
 	       a->n_former == b->n_former && a->n_poison == b->n_poison &&
 	       a->n_load == b->n_load &&
 	       memcmp(a->former, b->former, sizeof(a->former)) == 0 &&
--- a/tests/share_world.c
+++ b/tests/share_world.c
@@ -289,7 +289,7 @@
 static void
 process_catch_up(world_t *w, process_t *p, const heartbeat_t *message)
 {
-	if (chance(w) < 0.6)
+	if (!w->knobs.slow_lists && chance(w) < 0.6)
 		process_adopt(w, p,
 		    (int)message->adopted[LIST_FLEET].version - 1,
 		    pair_index(w, message));
@@ -370,10 +370,14 @@
 	for (int name = 0; name < WORLD_NAMES; name++) {
 		int far = name_zone(name) != name_zone(p->name);
 
+		if (far && w->knobs.one_of_zone &&
+		    name / WORLD_ZONES != p->turn % (WORLD_NAMES / WORLD_ZONES))
+			continue;
 		if (due[far] && name != p->name &&
 		    w->listed[p->fleet][name] != WORLD_UNLISTED)
 			message_send(w, &message, index, w->current[name]);
 	}
+	p->turn += due[1];
 	if (due[0])
 		p->beat_at[0] = w->now + w->knobs.zone_beat;
 	if (due[1])
@@ -556,7 +560,7 @@
 	int fleet = w->n_fleets - 1;
 	int pair = w->n_pairs - 1;
 
-	if (p->fleet >= 0 && chance(w) > 0.3)
+	if (p->fleet >= 0 && chance(w) > (w->knobs.slow_lists ? 0.03 : 0.3))
 		return;
 	if (chance(w) < w->knobs.stale) {
 		fleet -= below(w, MIN(fleet + 1, 4));
--- a/tests/share_world.h
+++ b/tests/share_world.h
@@ -19,6 +19,8 @@
 /* Probabilities are for each step, those of messages for each message. */
 typedef struct {
 	membership_faults_t faults;
+	bool one_of_zone;  /* heartbeats to one member of each other zone */
+	bool slow_lists;   /* few reads, and no lists between instances */
 	bool double_count; /* a repeated grant counts as another loan */
 	time_us_t step;	   /* 0: random, 0.1 to 0.9 s */
 	time_us_t zone_beat, other_beat;
@@ -60,6 +62,7 @@
 	int fleet, pair; /* adopted, indexes; -1: none */
 	time_us_t beat_at[2];
 	int next_lender;
+	int turn; /* whose turn it is in other zones */
 } process_t;
 
 typedef struct {
--- a/tests/test_share_schedule.c
+++ b/tests/test_share_schedule.c
@@ -25,12 +25,27 @@
     .demand = 0.4,
 };
 
-/* Odd seeds run with all faults, even ones with few, so that shares grow. */
+/* Restarts with older lists, while pairs change and few instances read them. */
+static const world_knobs_t restarts = {
+    .slow_lists = true,
+    .zone_beat = US_PER_S,
+    .other_beat = US_PER_S,
+    .lose = 0.3,
+    .repeat = 0.05,
+    .pair = 0.006,
+    .crash = 0.004,
+    .stale = 0.8,
+    .demand = 0.4,
+};
+
+/* Odd seeds run with all faults, even ones with few, so that shares grow. Half
+ * of each talk to one member of another zone at a time, as large fleets do. */
 static world_knobs_t
 knobs_of(uint32_t seed)
 {
 	world_knobs_t knobs = harsh;
 
+	knobs.one_of_zone = seed % 4 < 2;
 	if (seed % 2 == 1)
 		return knobs;
 	knobs.lose = knobs.late = 0.02;
@@ -125,8 +140,8 @@
 	/* One slice is enough. */
 	if (number_from("TEST_SLICE", 0) > 0)
 		return;
-	static const char *const names[] = {
-	    "no_ack", "short_fence", "ignore_lent", "no_lease", "double_count"};
+	static const char *const names[] = {"no_ack", "short_fence",
+	    "ignore_lent", "no_lease", "double_count", "any_age", "any_lists"};
 	world_knobs_t knobs[G_N_ELEMENTS(names)];
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
@@ -139,6 +154,11 @@
 	knobs[3].cut = knobs[3].list = knobs[3].lose = knobs[3].late = 0;
 	knobs[3].crash = 0;
 	knobs[4].double_count = true;
+	knobs[5] = restarts;
+	knobs[5].faults.any_age = true;
+	knobs[6].one_of_zone = true;
+	knobs[6].faults.any_lists = true;
+	knobs[6].crash = knobs[6].pause = knobs[6].list = 0;
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
 		uint32_t n = schedules_until_failure(knobs[i]);
 
