tests: check the decisions of the allotment, search three instances

core/allotment had no unit test, and three instances with a loan were searched only in part.

tests/test_allotment.c checks lend, borrow, return, renewal, end and settlement.

--- a/spec/share.pml
+++ b/spec/share.pml
@@ -18,7 +18,8 @@
  * With LISTS 1 and 2 three instances take part, with LISTS 3 two, which keeps
  * the whole state space small enough for a list that changes twice.
  *
- * LISTS and VERSIONS select the lists; LOANS and CRASH add these steps. The
+ * LISTS and VERSIONS select the lists; LOANS and CRASH add these steps. TICKS
+ * limits the steps of the clock, for a whole search with three instances. The
  * other switches remove one rule each and must lead to a violation. ONE_GRANT
  * is a lease that any one other instance renews, with a fence by time alone.
  */
@@ -76,6 +77,9 @@
 instance m[N];
 byte witness_window = 2;  /* versions that the witness has adopted */
 bool crashed;
+#ifdef TICKS
+byte ticks;
+#endif
 
 /* The loan: its parties, and the grant and the return that are under way. */
 byte lender = NONE;
@@ -495,6 +499,10 @@
 	:: atomic { step(2); assert(SAFE) }
 #endif
 	:: d_step {
+#ifdef TICKS
+		ticks < TICKS;
+		ticks++;
+#endif
 		tick_instance(0);
 		tick_instance(1);
 		tick_instance(2);
--- /dev/null
+++ b/tests/test_allotment.c
@@ -0,0 +1,248 @@
+#include "core/allotment.h"
+#include "share_lists.h"
+#include "test.h"
+
+#define RATE 1000
+#define BURST 2000
+#define HALF (SHARE_ONE / 2)
+
+/* Two instances of one zone, with half of the rate each. */
+typedef struct {
+	membership_t *m[2];
+	allotment_t *a[2];
+	time_us_t now;
+} pair_case_t;
+
+enum { LENDER, BORROWER };
+
+static const char *const names[] = {"l", "b"};
+
+/* Keeps the leases. */
+static void
+case_run(pair_case_t *t, int seconds)
+{
+	for (int s = 0; s < seconds; s++) {
+		t->now += US_PER_S;
+		for (int i = 0; i < 2; i++) {
+			heartbeat_t request = {0}, reply = {0};
+
+			membership_fill(t->m[i], &request, t->now);
+			membership_on_heartbeat(
+			    t->m[1 - i], &request, &reply, t->now);
+			membership_on_reply(t->m[i], &reply, t->now);
+		}
+		for (int i = 0; i < 2; i++)
+			allotment_sweep(t->a[i], t->now);
+	}
+}
+
+static pair_case_t
+case_create(void)
+{
+	static const uint32_t weights[] = {1};
+	pair_case_t t = {.now = US_PER_S};
+	fleet_t *fleet = fleet_build(1, 2);
+	plans_t *plans = plans_build(1, "t:-");
+	allowances_t *allowances =
+	    allowances_build(1, weights, 1, 1, RATE, BURST);
+
+	for (int i = 0; i < 2; i++)
+		fleet_put(fleet, names[i], "z0", MEMBER_LIVE);
+	for (int i = 0; i < 2; i++) {
+		t.m[i] = membership_create(names[i], "z0", 1, t.now);
+		t.a[i] = allotment_create(t.m[i], names[i], 1);
+		allotment_adopt(t.a[i], fleet, plans, allowances, t.now);
+	}
+	fleet_unref(fleet);
+	plans_unref(plans);
+	allowances_unref(allowances);
+	case_run(&t, 14);
+	return t;
+}
+
+static void
+case_destroy(pair_case_t *t)
+{
+	for (int i = 0; i < 2; i++) {
+		allotment_destroy(t->a[i]);
+		membership_destroy(t->m[i]);
+	}
+}
+
+static allotment_result_t
+reserve(pair_case_t *t, int who, int64_t tokens)
+{
+	return allotment_reserve(t->a[who], "t", tokens, true, t->now);
+}
+
+static uint64_t
+in_use(pair_case_t *t)
+{
+	return (uint64_t)allotment_in_use(t->a[LENDER], "t", t->now) +
+	       allotment_in_use(t->a[BORROWER], "t", t->now);
+}
+
+/* The borrower asks for what one request lacks, and gets it. */
+static loan_grant_t
+borrow(pair_case_t *t)
+{
+	loan_ask_t ask;
+	loan_grant_t grant;
+
+	ck_assert(reserve(t, BORROWER, BURST * 3 / 4).needs_loan);
+	ck_assert(allotment_wants_loan(t->a[BORROWER], "t", t->now, &ask));
+	allotment_lend(t->a[LENDER], &ask.request, t->now, &grant);
+	allotment_on_grant(t->a[BORROWER], &grant, t->now);
+	return grant;
+}
+
+/* Guards against tokens above an instance's own share, a wait that is too short
+ * or endless, and a settlement that keeps what was not used. */
+START_TEST(own_share_bounds_what_is_admitted)
+{
+	pair_case_t t = case_create();
+	allotment_result_t result = reserve(&t, LENDER, BURST / 2);
+	allotment_result_t next;
+
+	ck_assert_int_eq(result.verdict, ALLOTMENT_ADMITTED);
+	next = reserve(&t, LENDER, 100);
+	ck_assert_int_eq(next.verdict, ALLOTMENT_WAIT);
+	ck_assert_int_eq(next.ready_at, t.now + US_PER_S / 5);
+	allotment_settle(
+	    t.a[LENDER], "t", &result.reservation, BURST / 2 - 100, t.now);
+	ck_assert_int_eq(reserve(&t, LENDER, 101).verdict, ALLOTMENT_WAIT);
+	ck_assert_int_eq(reserve(&t, LENDER, 100).verdict, ALLOTMENT_ADMITTED);
+	ck_assert_int_eq(
+	    reserve(&t, LENDER, BURST + 1).verdict, ALLOTMENT_NEVER);
+	ck_assert_int_eq(
+	    allotment_reserve(t.a[LENDER], "u", 1, true, t.now).verdict,
+	    ALLOTMENT_NEVER);
+	case_destroy(&t);
+}
+END_TEST
+
+/* Guards against a loan that adds share, counts twice, or brings no tokens. */
+START_TEST(loan_moves_share_once)
+{
+	pair_case_t t = case_create();
+	loan_grant_t grant = borrow(&t);
+	share_t own = allotment_in_use(t.a[BORROWER], "t", t.now);
+
+	ck_assert_uint_gt(grant.share, 0);
+	ck_assert_uint_eq(own, HALF + grant.share);
+	ck_assert_uint_eq(in_use(&t), SHARE_ONE);
+	allotment_on_grant(t.a[BORROWER], &grant, t.now);
+	ck_assert_uint_eq(allotment_in_use(t.a[BORROWER], "t", t.now), own);
+	ck_assert_int_eq(
+	    reserve(&t, BORROWER, BURST * 3 / 4).verdict, ALLOTMENT_ADMITTED);
+	ck_assert_int_eq(
+	    reserve(&t, LENDER, BURST / 2).verdict, ALLOTMENT_WAIT);
+	case_destroy(&t);
+}
+END_TEST
+
+/* Guards against a lender that gives away what its own callers need. */
+START_TEST(lender_keeps_its_demand)
+{
+	pair_case_t t = case_create();
+	loan_ask_t ask;
+	loan_grant_t grant;
+
+	for (int i = 0; i < 20; i++) {
+		case_run(&t, 1);
+		reserve(&t, LENDER, RATE / 2);
+	}
+	reserve(&t, BORROWER, BURST);
+	ck_assert(allotment_wants_loan(t.a[BORROWER], "t", t.now, &ask));
+	allotment_lend(t.a[LENDER], &ask.request, t.now, &grant);
+	ck_assert_uint_eq(grant.loan_id, 0);
+	allotment_on_grant(t.a[BORROWER], &grant, t.now);
+	ck_assert(!allotment_wants_loan(t.a[BORROWER], "t", t.now, &ask));
+	t.now += LOAN_RETRY_US;
+	ck_assert(allotment_wants_loan(t.a[BORROWER], "t", t.now, &ask));
+	case_destroy(&t);
+}
+END_TEST
+
+/* Guards against a loan that comes back late, twice or not at all. */
+START_TEST(loan_goes_back_when_not_needed)
+{
+	pair_case_t t = case_create();
+	loan_return_t message;
+
+	borrow(&t);
+	ck_assert(!allotment_return(t.a[BORROWER], "t", NULL, t.now, &message));
+	case_run(&t, 8);
+	ck_assert(allotment_return(t.a[BORROWER], "t", NULL, t.now, &message));
+	ck_assert_uint_eq(allotment_borrowed(t.a[BORROWER], "t", t.now), 0);
+	ck_assert_uint_lt(in_use(&t), SHARE_ONE);
+	allotment_on_return(t.a[LENDER], &message, t.now);
+	allotment_on_return(t.a[LENDER], &message, t.now);
+	ck_assert_uint_eq(in_use(&t), SHARE_ONE);
+	ck_assert(!allotment_return(t.a[BORROWER], "t", NULL, t.now, &message));
+	case_destroy(&t);
+}
+END_TEST
+
+/* Guards against a lender that uses its share again before the borrower's loan
+ * is over, and against one that never does. */
+START_TEST(loan_ends_at_the_borrower_first)
+{
+	pair_case_t t = case_create();
+
+	borrow(&t);
+	case_run(&t, 9);
+	ck_assert_uint_eq(in_use(&t), SHARE_ONE);
+	case_run(&t, 1);
+	ck_assert_uint_eq(allotment_borrowed(t.a[BORROWER], "t", t.now), 0);
+	ck_assert_uint_gt(allotment_lent(t.a[LENDER], "t", t.now), 0);
+	case_run(&t, 1);
+	ck_assert_uint_eq(allotment_lent(t.a[LENDER], "t", t.now), 0);
+	ck_assert_uint_eq(in_use(&t), SHARE_ONE);
+	case_destroy(&t);
+}
+END_TEST
+
+/* Guards against a renewal that asks another lender, adds share, or is granted
+ * though the lender needs its share. */
+START_TEST(loan_is_renewed_while_needed)
+{
+	pair_case_t t = case_create();
+	loan_grant_t first = borrow(&t), grant;
+	loan_ask_t ask;
+
+	for (int i = 0; i < 7; i++) {
+		reserve(&t, BORROWER, RATE);
+		case_run(&t, 1);
+	}
+	ck_assert(allotment_wants_loan(t.a[BORROWER], "t", t.now, &ask));
+	ck_assert_str_eq(ask.lender, "l");
+	ck_assert_uint_eq(ask.request.request_id, first.request_id);
+	allotment_lend(t.a[LENDER], &ask.request, t.now, &grant);
+	ck_assert_uint_eq(grant.loan_id, first.loan_id);
+	allotment_on_grant(t.a[BORROWER], &grant, t.now);
+	ck_assert_uint_eq(in_use(&t), SHARE_ONE);
+	case_run(&t, 5);
+	ck_assert_uint_eq(
+	    allotment_borrowed(t.a[BORROWER], "t", t.now), first.share);
+	for (int i = 0; i < 8; i++)
+		reserve(&t, LENDER, BURST / 2);
+	ask.request.requested_at = t.now;
+	allotment_lend(t.a[LENDER], &ask.request, t.now, &grant);
+	ck_assert_uint_eq(grant.loan_id, 0);
+	case_destroy(&t);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, own_share_bounds_what_is_admitted);
+	TEST_ADD(suite, loan_moves_share_once);
+	TEST_ADD(suite, lender_keeps_its_demand);
+	TEST_ADD(suite, loan_goes_back_when_not_needed);
+	TEST_ADD(suite, loan_ends_at_the_borrower_first);
+	TEST_ADD(suite, loan_is_renewed_while_needed);
+}
+
+TEST_MAIN("allotment", fill)
