config, core: read plans lists in parts

Cause: the plans list of the planned 16,000 teams has 2.2 MB; the platform's values hold 1 MB (docs/CAPACITY.md).

Ruled out: parts by ranges of names, which need a table that changes; a version for the whole beside those of the parts, which operators would have to raise in two places.

Change: a plans list may have part and parts. A team belongs to part XXH64(name) mod parts; a part with a team of another one is refused with file, line, key and the part that it belongs to. plans_combine() makes the whole, whose version is the sum of the parts' versions and whose digest is a hash over theirs. lists_check_parts() finds keys in two parts, plans_check_rise() versions that no instance would take. The allowances list may tell the number of parts. A list without these keys is part 0 of 1.

Before: unknown key.

Conclusion: no change for lists in one piece.

--- a/config/allowances.c
+++ b/config/allowances.c
@@ -387,6 +387,7 @@
 	const node_t *plans;
 	const node_t *retired;
 	const node_t *store;
+	const node_t *parts;
 	const map_field_t fields[] = {
 	    {"version", true, &version},
 	    {"zones", true, &zones},
@@ -394,7 +395,9 @@
 	    {"plans", true, &plans},
 	    {"retired", false, &retired},
 	    {"weight_store", false, &store},
+	    {"plans_parts", false, &parts},
 	};
+	int64_t n_parts = 1;
 	g_autoptr(GHashTable) region_names = seen_create();
 	g_autoptr(GHashTable) service_names = seen_create();
 	g_autoptr(GHashTable) plan_names = seen_create();
@@ -405,8 +408,11 @@
 	    !zones_read(allowances, zones, &seen, error) ||
 	    !services_read(allowances, services, &seen, error) ||
 	    !plan_list_read(allowances, plans, &seen, error) ||
-	    (store != NULL && !store_read(allowances, store, &seen, error)))
+	    (store != NULL && !store_read(allowances, store, &seen, error)) ||
+	    (parts != NULL &&
+		!node_integer(parts, 1, PLANS_PART_LIMIT, &n_parts, error)))
 		return false;
+	allowances->plans_parts = (uint32_t)n_parts;
 	if (retired == NULL) {
 		allowances->retired = g_new0(char *, 1);
 		return true;
--- a/config/diff.c
+++ b/config/diff.c
@@ -92,11 +92,13 @@
 {
 	bool changed;
 
-	if (!list_head_check_rise(
-		&before->head, &after->head, "plans", &changed, error))
+	if (!plans_check_rise(before, after, &changed, error))
 		return false;
 	if (!changed)
 		return true;
+	if (plans_parts(before) != plans_parts(after))
+		g_string_append_printf(lines, "plans: parts %u -> %u\n",
+		    plans_parts(before), plans_parts(after));
 	g_string_append_printf(lines,
 	    "plans: version %" G_GUINT64_FORMAT " -> %" G_GUINT64_FORMAT "\n",
 	    before->head.version, after->head.version);
--- a/config/pair.c
+++ b/config/pair.c
@@ -13,14 +13,14 @@
 }
 
 static bool
-team_check(const plans_t *plans, size_t index, GHashTable *plan_table,
-    GHashTable *regions, GError **error)
+team_check(const plans_t *plans, const char *file, size_t index,
+    GHashTable *plan_table, GHashTable *regions, GError **error)
 {
 	const team_t *team = &plans->teams[index];
 	const plan_t *plan = g_hash_table_lookup(plan_table, team->plan);
 
 	if (plan == NULL)
-		return list_head_refuse(&plans->head, "plans", "teams", index,
+		return list_head_refuse(&plans->head, file, "teams", index,
 		    "plan", error,
 		    "plan %s of team %s is not in the allowances list; add the "
 		    "plan there or write another one",
@@ -28,13 +28,13 @@
 	if (team->home == NULL)
 		return true;
 	if (!g_hash_table_contains(regions, team->home))
-		return list_head_refuse(&plans->head, "plans", "teams", index,
+		return list_head_refuse(&plans->head, file, "teams", index,
 		    "home", error,
 		    "no zone of the allowances list is in home region %s of "
 		    "team %s; add a zone or write another region",
 		    team->home, team->name);
 	if (!plan_allows(plan, team->home))
-		return list_head_refuse(&plans->head, "plans", "teams", index,
+		return list_head_refuse(&plans->head, file, "teams", index,
 		    "home", error,
 		    "plan %s allows no service in home region %s of team %s; "
 		    "add the region to a use of the plan or write another "
@@ -52,13 +52,15 @@
 	g_autoptr(GHashTable) regions =
 	    g_hash_table_new(g_str_hash, g_str_equal);
 
+	g_autofree char *file = plans_name(plans);
+
 	for (size_t i = 0; i < allowances->n_plans; i++)
 		g_hash_table_insert(plan_table, allowances->plans[i].name,
 		    &allowances->plans[i]);
 	for (size_t i = 0; i < allowances->n_zones; i++)
 		g_hash_table_add(regions, allowances->zones[i].region);
 	for (size_t i = 0; i < plans->n_teams; i++) {
-		if (!team_check(plans, i, plan_table, regions, error))
+		if (!team_check(plans, file, i, plan_table, regions, error))
 			return false;
 	}
 	return true;
--- a/config/plans.c
+++ b/config/plans.c
@@ -7,6 +7,41 @@
 	GHashTable *hashes; /* in lower case */
 } plans_seen_t;
 
+/* A list without these keys is part 0 of 1. */
+static bool
+part_read(
+    plans_t *plans, const node_t *part, const node_t *parts, GError **error)
+{
+	int64_t number = 0;
+	int64_t count = 1;
+
+	if ((part == NULL) != (parts == NULL))
+		return node_refuse(part ? part : parts, error, CS_ERROR_INVALID,
+		    "stands alone; write both part and parts, or none for a "
+		    "list in one piece");
+	if (parts != NULL &&
+	    (!node_integer(parts, 1, PLANS_PART_LIMIT, &count, error) ||
+		!node_integer(part, 0, count - 1, &number, error)))
+		return false;
+	plans->part = (uint32_t)number;
+	plans->parts = (uint32_t)count;
+	return true;
+}
+
+static bool
+team_check_part(const plans_t *plans, const team_t *team, const node_t *name,
+    GError **error)
+{
+	uint32_t part = plans_part_of(team->name, plans->parts);
+
+	if (part == plans->part)
+		return true;
+	return node_refuse(name, error, CS_ERROR_CONFLICT,
+	    "team %s belongs to part %u of %u, this is part %u; move the team "
+	    "there or run cyclamensailctl split",
+	    team->name, part, plans->parts, plans->part);
+}
+
 static bool
 key_read(team_key_t *key, const node_t *node, plans_seen_t *seen,
     GHashTable *ids, GError **error)
@@ -45,7 +80,8 @@
 }
 
 static bool
-team_read(team_t *team, const node_t *node, plans_seen_t *seen, GError **error)
+team_read(plans_t *plans, team_t *team, const node_t *node, plans_seen_t *seen,
+    GError **error)
 {
 	const node_t *name;
 	const node_t *plan;
@@ -61,6 +97,7 @@
 	return map_read(node, fields, G_N_ELEMENTS(fields), error) &&
 	       node_name(name, &team->name, error) &&
 	       seen_add(seen->names, name, team->name, error) &&
+	       team_check_part(plans, team, name, error) &&
 	       node_name(plan, &team->plan, error) &&
 	       (home == NULL || node_name(home, &team->home, error)) &&
 	       keys_read(team, keys, seen, error);
@@ -71,9 +108,13 @@
     GError **error)
 {
 	const node_t *version;
+	const node_t *part;
+	const node_t *parts;
 	const node_t *teams;
 	const map_field_t fields[] = {
 	    {"version", true, &version},
+	    {"part", false, &part},
+	    {"parts", false, &parts},
 	    {"teams", true, &teams},
 	};
 	g_autoptr(GHashTable) names = seen_create();
@@ -82,12 +123,14 @@
 
 	if (!map_read(root, fields, G_N_ELEMENTS(fields), error) ||
 	    !list_head_read(&plans->head, version, text, len, error) ||
+	    !part_read(plans, part, parts, error) ||
 	    !node_list(teams, 0, error))
 		return false;
 	plans->teams = g_new0(team_t, teams->n_children);
 	plans->n_teams = teams->n_children;
 	for (const node_t *item = teams->first; item; item = item->next) {
-		if (!team_read(&plans->teams[item->index], item, &seen, error))
+		if (!team_read(
+			plans, &plans->teams[item->index], item, &seen, error))
 			return false;
 	}
 	plans_index(plans);
--- a/core/snapshot.c
+++ b/core/snapshot.c
@@ -2,6 +2,7 @@
 
 #include <sodium.h>
 #include <string.h>
+#include <xxhash.h>
 
 static guint
 key_hash_bucket(gconstpointer hash)
@@ -44,11 +45,9 @@
 	return plans;
 }
 
-void
-plans_unref(plans_t *plans)
+static void
+plans_clear_teams(plans_t *plans)
 {
-	if (plans == NULL || !g_atomic_int_dec_and_test(&plans->head.refs))
-		return;
 	for (size_t i = 0; i < plans->n_teams; i++) {
 		team_t *team = &plans->teams[i];
 
@@ -59,6 +58,20 @@
 		g_free(team->plan);
 		g_free(team->home);
 	}
+}
+
+void
+plans_unref(plans_t *plans)
+{
+	if (plans == NULL || !g_atomic_int_dec_and_test(&plans->head.refs))
+		return;
+	if (plans->whole == NULL) {
+		plans_clear_teams(plans);
+	} else {
+		for (uint32_t i = 0; i < plans->parts; i++)
+			plans_unref(plans->whole[i]);
+		g_free(plans->whole);
+	}
 	g_free(plans->teams);
 	if (plans->by_name != NULL)
 		g_hash_table_destroy(plans->by_name);
@@ -192,6 +205,76 @@
 	}
 }
 
+uint32_t
+plans_parts(const plans_t *plans)
+{
+	return MAX(plans->parts, 1);
+}
+
+uint32_t
+plans_part_of(const char *team, uint32_t parts)
+{
+	return (uint32_t)(XXH64(team, strlen(team), 0) % parts);
+}
+
+static void
+whole_digest(plans_t *whole)
+{
+	crypto_generichash_state state;
+
+	crypto_generichash_init(&state, NULL, 0, sizeof(whole->head.digest));
+	for (uint32_t i = 0; i < whole->parts; i++)
+		crypto_generichash_update(&state, whole->whole[i]->head.digest,
+		    sizeof(whole->head.digest));
+	crypto_generichash_final(
+	    &state, whole->head.digest, sizeof(whole->head.digest));
+}
+
+plans_t *
+plans_combine(plans_t *const *parts, uint32_t n)
+{
+	plans_t *whole;
+	size_t at = 0;
+
+	if (n == 1)
+		return plans_ref(parts[0]);
+	whole = g_new0(plans_t, 1);
+	whole->head.refs = 1;
+	whole->parts = n;
+	whole->whole = g_new(plans_t *, n);
+	for (uint32_t i = 0; i < n; i++) {
+		whole->whole[i] = plans_ref(parts[i]);
+		whole->head.version += parts[i]->head.version;
+		whole->n_teams += parts[i]->n_teams;
+	}
+	whole->teams = g_new(team_t, whole->n_teams);
+	for (uint32_t i = 0; i < n; i++) {
+		if (parts[i]->n_teams > 0)
+			memcpy(whole->teams + at, parts[i]->teams,
+			    parts[i]->n_teams * sizeof(team_t));
+		at += parts[i]->n_teams;
+	}
+	whole_digest(whole);
+	plans_index(whole);
+	return whole;
+}
+
+bool
+plans_share_key(const plans_t *a, const plans_t *b)
+{
+	GHashTableIter iter;
+	gpointer hash;
+
+	if (a->by_hash == NULL || b->by_hash == NULL)
+		return false;
+	g_hash_table_iter_init(&iter, a->by_hash);
+	while (g_hash_table_iter_next(&iter, &hash, NULL)) {
+		if (g_hash_table_contains(b->by_hash, hash))
+			return true;
+	}
+	return false;
+}
+
 const team_t *
 plans_find_team(const plans_t *plans, const char *name)
 {
--- a/include/config/diff.h
+++ b/include/config/diff.h
@@ -12,6 +12,14 @@
  * version does not rise is a CS_ERROR_CONFLICT, with the list's kind as file in
  * the message.
  */
+/*
+ * Checks that changed parts have higher versions, or after a change of the
+ * division all parts versions above the sum of the old ones. *changed tells
+ * whether anything differs.
+ */
+bool plans_check_rise(
+    const plans_t *before, const plans_t *after, bool *changed, GError **error);
+
 bool diff_plans(const plans_t *before, const plans_t *after, GString *lines,
     GError **error);
 
--- a/include/config/lists.h
+++ b/include/config/lists.h
@@ -22,10 +22,22 @@
 fleet_t *fleet_parse(
     const char *file, const char *text, size_t len, GError **error);
 
+/* Name of a list or a part at the platform. The caller frees it. */
+char *plans_name(const plans_t *plans);
+
+/*
+ * Checks that the lists are different parts of one division, though not that
+ * all are there, and that no key is in two of them. files are their names for
+ * messages.
+ */
+bool lists_check_parts(
+    plans_t *const *parts, const char *const *files, size_t n, GError **error);
+
 /*
  * Checks that the plan of each team exists, and that each home region has a
  * zone and is allowed by at least one use of the team's plan. The error is
- * CS_ERROR_CONFLICT and names the line in the plans list, with "plans" as file.
+ * CS_ERROR_CONFLICT and names the line in the plans list, with plans_name() as
+ * file.
  */
 bool lists_check_pair(
     const plans_t *plans, const allowances_t *allowances, GError **error);
--- a/include/core/snapshot.h
+++ b/include/core/snapshot.h
@@ -42,13 +42,25 @@
 	size_t n_keys;
 } team_t;
 
-typedef struct {
+/* Most parts of a plans list. */
+#define PLANS_PART_LIMIT 256
+
+/*
+ * A plans list, one part of it as published, or the whole made of its parts by
+ * plans_combine(). The whole of several parts has no text; its teams belong to
+ * the parts, to which it holds references.
+ */
+typedef struct plans plans_t;
+struct plans {
 	list_head_t head;
+	uint32_t part;	 /* of a published list; 0 .. parts - 1 */
+	uint32_t parts;	 /* 0 counts as 1 */
+	plans_t **whole; /* the parts of a whole; NULL: a published list */
 	team_t *teams;
 	size_t n_teams;
 	GHashTable *by_name; /* name -> team_t */
 	GHashTable *by_hash; /* hash bytes -> key_owner_t */
-} plans_t;
+};
 
 /* The team and the key that a key hash belongs to. */
 typedef struct {
@@ -110,6 +122,7 @@
 	char **retired; /* NULL-terminated names of instances that are gone */
 	char *store_region;   /* of the weight store, or NULL */
 	uint32_t store_loads; /* at a time over the fleet; 0: no limit */
+	uint32_t plans_parts; /* that the platform holds; 0 counts as 1 */
 } allowances_t;
 
 typedef enum { MEMBER_LIVE, MEMBER_LEAVING } member_state_t;
@@ -169,6 +182,23 @@
 /* Fills by_name and by_hash of a list whose teams are complete. */
 void plans_index(plans_t *plans);
 
+/* Number of parts of the list that this is, or is a part of; at least 1. */
+uint32_t plans_parts(const plans_t *plans);
+
+/* The part that a team belongs to: a stable hash of its name modulo parts. */
+uint32_t plans_part_of(const char *team, uint32_t parts);
+
+/*
+ * Returns the whole of a list from all its parts, with one reference: version
+ * is the sum of the parts' versions, and digest a hash over their digests. The
+ * whole of one part is that part. The keys must occur only once. Cost:
+ * O(teams).
+ */
+plans_t *plans_combine(plans_t *const *parts, uint32_t n);
+
+/* Whether a key hash of one list is also in the other one. */
+bool plans_share_key(const plans_t *a, const plans_t *b);
+
 /*
  * Sets text (copied), its length and its digest (BLAKE2b of the text) in a list
  * that is being built.
--- a/tests/fuzz_lists.c
+++ b/tests/fuzz_lists.c
@@ -35,10 +35,13 @@
 	result_check(plans, error);
 	if (plans == NULL)
 		return;
+	if (plans->part >= plans->parts || plans->parts > PLANS_PART_LIMIT)
+		abort();
 	for (size_t i = 0; i < plans->n_teams; i++) {
 		const team_t *team = &plans->teams[i];
 
-		if (plans_find_team(plans, team->name) != team)
+		if (plans_find_team(plans, team->name) != team ||
+		    plans_part_of(team->name, plans->parts) != plans->part)
 			abort();
 		for (size_t k = 0; k < team->n_keys; k++) {
 			if (plans_find_key(plans, team->keys[k].hash)->team !=
--- a/tests/test_lists_parse.c
+++ b/tests/test_lists_parse.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <time.h>
 
+#include "config/diff.h"
 #include "config/file.h"
 #include "config/lists.h"
 #include "config_case.h"
@@ -108,6 +109,22 @@
 		"f:1: document: key version is missing"},
 	    {"list in place of a number", "3", "[3]", CS_ERROR_INVALID,
 		"f:1: version: "},
+	    {"part without its count", "version: 3\n", "version: 3\npart: 0\n",
+		CS_ERROR_INVALID, "f:2: part: stands alone; write both"},
+	    {"count without a part", "version: 3\n", "version: 3\nparts: 2\n",
+		CS_ERROR_INVALID, "f:2: parts: stands alone; write both"},
+	    {"part past the last one", "version: 3\n",
+		"version: 3\npart: 2\nparts: 2\n", CS_ERROR_INVALID,
+		"f:2: part: "},
+	    {"no part", "version: 3\n", "version: 3\npart: 0\nparts: 0\n",
+		CS_ERROR_INVALID, "f:3: parts: "},
+	    {"more parts than the tables hold", "version: 3\n",
+		"version: 3\npart: 0\nparts: 257\n", CS_ERROR_INVALID,
+		"f:3: parts: "},
+	    {"team in a part where nobody looks for it", "version: 3\n",
+		"version: 3\npart: 0\nparts: 2\n", CS_ERROR_CONFLICT,
+		"f:5: teams[0].name: team alfa belongs to part 1 of 2, this is "
+		"part 0; move the team there"},
 	    {"misspelt key", "home:", "hom:", CS_ERROR_INVALID,
 		"f:5: teams[0].hom: unknown key; remove it or write one of "
 		"name, plan, home, keys"},
@@ -250,6 +267,11 @@
 		"f:14: plans[0].use[0].regions[1]: "},
 	    {"zone parts of 0/0", "[north]", "[]", CS_ERROR_INVALID,
 		"f:15: plans[0].use[1].regions: has 0 items"},
+	    {"plans list of no part", "retired", "plans_parts: 0\nretired",
+		CS_ERROR_INVALID, "f:16: plans_parts: "},
+	    {"more parts than the tables hold", "retired",
+		"plans_parts: 257\nretired", CS_ERROR_INVALID,
+		"f:16: plans_parts: "},
 	    {"retired that is no list", "[i9]", "i9", CS_ERROR_INVALID,
 		"f:16: retired: "},
 	};
@@ -387,6 +409,87 @@
 }
 END_TEST
 
+static plans_t *
+part_parse(const char *file, unsigned part, const char *version,
+    const char *team, const char *hash)
+{
+	g_autofree char *text = g_strdup_printf(
+	    "version: %s\npart: %u\nparts: 2\nteams:\n  - name: %s\n"
+	    "    plan: basic\n    keys: [{ id: one, sha256: %s }]\n",
+	    version, part, team, hash);
+	plans_t *plans = plans_parse(file, text, strlen(text), NULL);
+
+	ck_assert_ptr_nonnull(plans);
+	return plans;
+}
+
+/* Guards against a key of two teams that is not seen because their entries are
+ * in different files, and against a part that stands in for another one. */
+START_TEST(parts_are_checked_together)
+{
+	static const char *const files[] = {"f", "g"};
+	plans_t *one = part_parse("f", 1, "3", "alfa", HASH_A);
+	plans_t *good = part_parse("g", 0, "3", "beta", HASH_B);
+	plans_t *shared = part_parse("g", 0, "3", "beta", HASH_A);
+	plans_t *pair[] = {one, good};
+	GError *error = NULL;
+
+	ck_assert(lists_check_parts(pair, files, 2, &error));
+	pair[1] = shared;
+	ck_assert(!lists_check_parts(pair, files, 2, &error));
+	ck_assert_msg(g_str_has_prefix(error->message,
+			  "g:7: teams[0].keys: key one is also a key of team "
+			  "alfa in f; remove it"),
+	    "%s", error->message);
+	g_clear_error(&error);
+	pair[1] = one;
+	ck_assert(!lists_check_parts(pair, files, 2, &error));
+	ck_assert_msg(g_str_has_prefix(error->message,
+			  "g:2: part: is a second plans list with part 1"),
+	    "%s", error->message);
+	g_clear_error(&error);
+	plans_unref(one);
+	plans_unref(good);
+	plans_unref(shared);
+}
+END_TEST
+
+/* Guards against a new division that no instance would take. */
+START_TEST(new_division_needs_versions_above_the_sum)
+{
+	plans_t *old[] = {part_parse("f", 0, "3", "beta", HASH_B),
+	    part_parse("f", 1, "4", "alfa", HASH_A)};
+	plans_t *next[] = {part_parse("f", 0, "7", "beta", HASH_B),
+	    part_parse("f", 1, "8", "alfa", HASH_A)};
+	plans_t *before = plans_combine(old, 2);
+	plans_t *after = plans_combine(next, 2);
+	bool changed;
+	GError *error = NULL;
+
+	ck_assert(plans_check_rise(before, after, &changed, &error));
+	ck_assert(changed);
+	ck_assert(!plans_check_rise(after, before, &changed, &error));
+	ck_assert_msg(g_str_has_prefix(error->message,
+			  "plans-0-of-2:1: version: 3 does not rise"),
+	    "%s", error->message);
+	g_clear_error(&error);
+	/* The list in one piece that replaces both has to be above 7. */
+	next[0]->parts = 1;
+	ck_assert(!plans_check_rise(before, next[0], &changed, &error));
+	ck_assert_msg(strstr(error->message, "write a number above 7") != NULL,
+	    "%s", error->message);
+	g_clear_error(&error);
+	next[0]->head.version = 8;
+	ck_assert(plans_check_rise(before, next[0], &changed, &error));
+	plans_unref(before);
+	plans_unref(after);
+	for (int i = 0; i < 2; i++) {
+		plans_unref(old[i]);
+		plans_unref(next[i]);
+	}
+}
+END_TEST
+
 /* Returns a plans list of at most limit bytes with as many teams as fit. */
 static GString *
 plans_fill(size_t limit)
@@ -515,6 +618,8 @@
 	TEST_ADD(suite, fleet_faults_are_refused);
 	TEST_ADD(suite, values_arrive_in_their_fields);
 	TEST_ADD(suite, pair_faults_are_refused);
+	TEST_ADD(suite, parts_are_checked_together);
+	TEST_ADD(suite, new_division_needs_versions_above_the_sum);
 	TEST_ADD(suite, largest_list_is_parsed_quickly);
 	TEST_ADD(suite, nul_byte_is_refused);
 	TEST_ADD(suite, damaged_texts_are_handled);
