core: put the plans list into force part by part

Ruled out: a division that every instance takes from its settings (a restart of all to change it); refusing for good a part whose key is in another part, because keys that move between parts would then depend on the order of arrival; taking a hash as the version of the whole, which doesn't tell who is behind.

Change: core/plans_set keeps the parts in force, those that wait, and a second division that gathers. A part waits while it doesn't fit the allowances list or shares a key with another part; parts that wait for each other take over together. A new division takes over at once when it is complete and each of its versions is above the sum in force, so the sum always rises. core/lists says what an instance holds and which part a peer lacks, and asks a peer whose digest differs for 3 s although its version is not higher. A pair whose division changed is never taken as the next one. include/core/lists.h has the argument why equal sums of different sets are safe.

--- a/core/lists.c
+++ b/core/lists.c
@@ -10,6 +10,7 @@
 typedef struct {
 	bool active;
 	uint64_t version;
+	uint64_t changes; /* of the plans when it started */
 	time_us_t started_at;
 	time_us_t retry_at;
 } fetch_t;
@@ -17,15 +18,26 @@
 typedef struct {
 	time_us_t heard_at;
 	list_stamp_t adopted[LIST_COUNT];
+	/* The plans that adopted tells of and ours differ since then. */
+	time_us_t differs_at;
+	uint64_t differs_changes;
+	/* It had no part for us when it was at this digest and we here. */
+	uint8_t nothing_digest[DIGEST_BYTES];
+	uint64_t nothing_changes; /* 0: not known */
 } heard_t;
 
+#define REFUSED_PARTS 8
+
 struct lists {
 	char self[NAME_LIMIT + 1];
 	lists_fits_t fits;
 	void *fits_data;
 	list_any_t in_force[LIST_COUNT];
-	list_any_t waiting[LIST_COUNT];
+	list_any_t waiting[LIST_COUNT]; /* not of plans */
+	plans_sets_t plans;
 	list_stamp_t refused[LIST_COUNT]; /* the last text refused */
+	plans_skip_t refused_parts[REFUSED_PARTS];
+	uint32_t n_refused_parts; /* ever */
 	fetch_t fetches[LIST_COUNT];
 	GHashTable *heard; /* instance name -> heard_t */
 	time_us_t fleet_at;
@@ -83,6 +95,17 @@
 	return list->head == NULL ? 0 : list->head->version;
 }
 
+/* The list that waits; of plans the newest part. */
+static list_any_t
+list_waiting(const lists_t *lists, list_kind_t kind)
+{
+	list_any_t waiting = lists->waiting[kind];
+
+	if (kind == LIST_PLANS)
+		waiting.plans = plans_sets_waiting(&lists->plans);
+	return waiting;
+}
+
 lists_t *
 lists_create(const char *self, lists_fits_t fits, void *data)
 {
@@ -95,6 +118,7 @@
 		lists->in_force[i].kind = (list_kind_t)i;
 		lists->waiting[i].kind = (list_kind_t)i;
 	}
+	plans_sets_init(&lists->plans);
 	lists->heard =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return lists;
@@ -109,6 +133,7 @@
 		list_any_clear(&lists->in_force[i]);
 		list_any_clear(&lists->waiting[i]);
 	}
+	plans_sets_clear(&lists->plans);
 	g_hash_table_destroy(lists->heard);
 	g_free(lists);
 }
@@ -125,6 +150,8 @@
 		return "list_reverted";
 	case LISTS_CONFLICT:
 		return "list_conflict";
+	case LISTS_DUPLICATE:
+		return "duplicate_key";
 	case LISTS_WAIT:
 		break;
 	}
@@ -141,16 +168,20 @@
 lists_compare(const lists_t *lists, list_kind_t kind, const list_stamp_t *stamp)
 {
 	const list_any_t *in_force = &lists->in_force[kind];
-	const list_any_t *waiting = &lists->waiting[kind];
+	list_any_t waiting = list_waiting(lists, kind);
 
 	if (stamp->version == 0 || stamp->version < list_version(in_force))
 		return LISTS_BEHIND;
 	if (stamp->version == list_version(in_force))
 		return same_content(in_force, stamp) ? LISTS_SAME
 						     : LISTS_CONFLICT;
-	if (stamp->version == list_version(waiting))
-		return same_content(waiting, stamp) ? LISTS_WAIT
-						    : LISTS_CONFLICT;
+	/* The version of one part of several isn't that of a list. */
+	if (kind == LIST_PLANS && waiting.plans != NULL &&
+	    plans_parts(waiting.plans) > 1)
+		return LISTS_ADOPT;
+	if (stamp->version == list_version(&waiting))
+		return same_content(&waiting, stamp) ? LISTS_WAIT
+						     : LISTS_CONFLICT;
 	return LISTS_ADOPT;
 }
 
@@ -166,36 +197,116 @@
 	offer->changed[list.kind] = true;
 }
 
+typedef struct {
+	const lists_t *lists;
+	const allowances_t *allowances;
+} fit_t;
+
+static bool
+part_fits(const plans_t *part, void *data)
+{
+	const fit_t *fit = data;
+
+	return fit->lists->fits(part, fit->allowances, fit->lists->fits_data);
+}
+
+/*
+ * Puts a pair of plans and these allowances into force, if there is one that is
+ * not in force. Returns whether a change was made.
+ */
 static bool
-pair_fits(const lists_t *lists, list_any_t list, list_any_t partner)
+pair_try(lists_t *lists, plans_t *offered, list_any_t allowances,
+    lists_offer_t *offer, bool *duplicate)
 {
-	if (partner.head == NULL)
+	fit_t fit = {lists, allowances.allowances};
+	bool known = allowances.head == lists->in_force[LIST_ALLOWANCES].head;
+	plans_choice_t choice;
+	bool found;
+
+	if (allowances.head == NULL)
+		return false;
+	found = plans_sets_choose(
+	    &lists->plans, offered, part_fits, &fit, known, &choice);
+	*duplicate = *duplicate || choice.doubtful;
+	if (!found || (known && !choice.changed))
 		return false;
-	if (list.kind == LIST_PLANS)
-		return lists->fits(
-		    list.plans, partner.allowances, lists->fits_data);
-	return lists->fits(partner.plans, list.allowances, lists->fits_data);
+	if (choice.changed) {
+		list_any_t whole = {.kind = LIST_PLANS};
+
+		plans_sets_adopt(&lists->plans, &choice);
+		whole.plans = lists->plans.whole;
+		list_replace(&lists->in_force[LIST_PLANS], whole);
+		offer->changed[LIST_PLANS] = true;
+	}
+	if (!known)
+		list_adopt(lists, allowances, offer);
+	return true;
+}
+
+/* Adopts what fits now, with the allowances that wait or those in force. */
+static bool
+pairs_settle(
+    lists_t *lists, plans_t *offered, lists_offer_t *offer, bool *duplicate)
+{
+	bool changed = false;
+
+	/* Ends, because each turn adopts a list that waited or was offered. */
+	while (pair_try(lists, offered, lists->waiting[LIST_ALLOWANCES], offer,
+		   duplicate) ||
+	       pair_try(lists, offered, lists->in_force[LIST_ALLOWANCES], offer,
+		   duplicate)) {
+		changed = true;
+		offered = NULL;
+	}
+	return changed;
+}
+
+static lists_verdict_t
+plans_verdict(plans_verdict_t verdict)
+{
+	switch (verdict) {
+	case PLANS_SAME:
+		return LISTS_SAME;
+	case PLANS_BEHIND:
+		return LISTS_BEHIND;
+	case PLANS_CONFLICT:
+		return LISTS_CONFLICT;
+	case PLANS_WAITS:
+		return LISTS_WAIT;
+	case PLANS_NEW:
+		break;
+	}
+	return LISTS_ADOPT;
 }
 
 /*
- * Adopts a plans or allowances list with a waiting partner, or with the partner
- * in force, or lets it wait. A fresh instance has no partner in force, so its
- * first two lists come into force together.
+ * Adopts a part with what it fits, or lets it wait. A fresh instance has no
+ * partner in force, so its first two lists come into force together.
  */
 static void
-offer_paired(lists_t *lists, list_any_t list, lists_offer_t *offer)
+offer_plans(lists_t *lists, plans_t *part, lists_offer_t *offer)
 {
-	list_kind_t other =
-	    list.kind == LIST_PLANS ? LIST_ALLOWANCES : LIST_PLANS;
-	list_any_t waiting = lists->waiting[other];
+	bool duplicate = false;
 
-	if (pair_fits(lists, list, waiting)) {
-		list_adopt(lists, waiting, offer);
-		list_adopt(lists, list, offer);
+	offer->verdict = plans_verdict(plans_sets_judge(&lists->plans, part));
+	if (offer->verdict != LISTS_ADOPT)
 		return;
-	}
-	if (pair_fits(lists, list, lists->in_force[other])) {
-		list_adopt(lists, list, offer);
+	pairs_settle(lists, part, offer, &duplicate);
+	if (plans_sets_in_force(&lists->plans, part))
+		return;
+	offer->verdict = duplicate ? LISTS_DUPLICATE : LISTS_WAIT;
+	if (plans_sets_judge(&lists->plans, part) != PLANS_NEW ||
+	    !plans_sets_keep(&lists->plans, part))
+		offer->verdict = LISTS_BEHIND;
+}
+
+static void
+offer_allowances(lists_t *lists, list_any_t list, lists_offer_t *offer)
+{
+	bool duplicate = false;
+
+	if (pair_try(lists, NULL, list, offer, &duplicate)) {
+		pairs_settle(lists, NULL, offer, &duplicate);
 		return;
 	}
 	offer->verdict = LISTS_WAIT;
@@ -212,12 +323,16 @@
 	list_stamp_t stamp = {.version = list.head->version};
 	bool first_fleet = lists->in_force[LIST_FLEET].head == NULL;
 
+	if (list.kind == LIST_PLANS) {
+		offer_plans(lists, list.plans, &offer);
+		return offer;
+	}
 	memcpy(stamp.digest, list.head->digest, sizeof(stamp.digest));
 	offer.verdict = lists_compare(lists, list.kind, &stamp);
 	if (offer.verdict != LISTS_ADOPT)
 		return offer;
-	if (list.kind != LIST_FLEET) {
-		offer_paired(lists, list, &offer);
+	if (list.kind == LIST_ALLOWANCES) {
+		offer_allowances(lists, list, &offer);
 		return offer;
 	}
 	list_adopt(lists, list, &offer);
@@ -232,6 +347,49 @@
 	lists->refused[kind] = *stamp;
 }
 
+void
+lists_part_refused(lists_t *lists, const plans_skip_t *part)
+{
+	lists->refused_parts[lists->n_refused_parts++ % REFUSED_PARTS] = *part;
+	/* So that peers are asked again, without this part. */
+	lists->plans.changes++;
+}
+
+void
+lists_plans_held(const lists_t *lists, plans_held_t *held)
+{
+	uint32_t n = MIN(lists->n_refused_parts, REFUSED_PARTS);
+
+	plans_sets_held(&lists->plans, held);
+	for (uint32_t i = 0; i < n && held->n_skip < PLANS_SKIP_LIMIT; i++)
+		held->skip[held->n_skip++] = lists->refused_parts[i];
+}
+
+const plans_t *
+lists_plans_missing(const lists_t *lists, const plans_held_t *held)
+{
+	return plans_sets_missing(&lists->plans, held);
+}
+
+uint32_t
+lists_plans_published(const lists_t *lists)
+{
+	const list_any_t *newest = &lists->waiting[LIST_ALLOWANCES];
+
+	if (newest->head == NULL)
+		newest = &lists->in_force[LIST_ALLOWANCES];
+	return newest->head == NULL ? 1
+				    : MAX(newest->allowances->plans_parts, 1);
+}
+
+uint32_t
+lists_plans_parts(const lists_t *lists)
+{
+	const plans_t *plans = lists->in_force[LIST_PLANS].plans;
+
+	return plans == NULL ? 0 : plans_parts(plans);
+}
+
 lists_view_t
 lists_view(const lists_t *lists)
 {
@@ -266,7 +424,9 @@
 uint64_t
 lists_waiting(const lists_t *lists, list_kind_t kind)
 {
-	return list_version(&lists->waiting[kind]);
+	list_any_t waiting = list_waiting(lists, kind);
+
+	return list_version(&waiting);
 }
 
 void
@@ -299,8 +459,46 @@
 	       memcmp(refused->digest, stamp->digest, DIGEST_BYTES) != 0;
 }
 
+/* Whether a peer said that it has no part for us, and nothing changed since. */
+static bool
+peer_has_nothing(const lists_t *lists, const heard_t *heard)
+{
+	return heard->nothing_changes == lists->plans.changes + 1 &&
+	       memcmp(heard->nothing_digest, heard->adopted[LIST_PLANS].digest,
+		   DIGEST_BYTES) == 0;
+}
+
+/*
+ * Whether a peer's parts, which are not of a higher version as a whole, differ
+ * from ours for some time: then each of us may lack some. A peer that is just
+ * behind has caught up by then.
+ */
 static bool
-fetch_start(fetch_t *fetch, uint64_t version, time_us_t now)
+plans_diverge(const lists_t *lists, const heard_t *heard, time_us_t now)
+{
+	const list_stamp_t *stamp = &heard->adopted[LIST_PLANS];
+	const list_any_t *ours = &lists->in_force[LIST_PLANS];
+
+	return ours->head != NULL && plans_parts(ours->plans) > 1 &&
+	       stamp->version > 0 && !same_content(ours, stamp) &&
+	       heard->differs_changes == lists->plans.changes &&
+	       now >= heard->differs_at + LISTS_DIVERGED_US;
+}
+
+static bool
+peer_is_useful(
+    const lists_t *lists, list_kind_t kind, const heard_t *heard, time_us_t now)
+{
+	bool useful = list_useful(lists, kind, &heard->adopted[kind]);
+
+	if (kind != LIST_PLANS)
+		return useful;
+	return (useful || plans_diverge(lists, heard, now)) &&
+	       !peer_has_nothing(lists, heard);
+}
+
+static bool
+fetch_start(fetch_t *fetch, uint64_t version, uint64_t changes, time_us_t now)
 {
 	if (now < fetch->retry_at)
 		return false;
@@ -309,6 +507,7 @@
 		return false;
 	fetch->active = true;
 	fetch->version = version;
+	fetch->changes = changes;
 	fetch->started_at = now;
 	return true;
 }
@@ -322,7 +521,7 @@
 }
 
 /* Records a peer's versions. Peers are authenticated, so few are too many. */
-static void
+static heard_t *
 heard_record(lists_t *lists, const heartbeat_t *peer, time_us_t now)
 {
 	heard_t *heard = g_hash_table_lookup(lists->heard, peer->sender);
@@ -332,30 +531,39 @@
 			g_hash_table_foreach_remove(
 			    lists->heard, heard_is_old, &now);
 		if (g_hash_table_size(lists->heard) >= LISTS_PEER_LIMIT)
-			return;
+			return NULL;
 		heard = g_new0(heard_t, 1);
 		g_hash_table_insert(
 		    lists->heard, g_strdup(peer->sender), heard);
 	}
 	heard->heard_at = now;
+	if (heard->differs_changes != lists->plans.changes ||
+	    memcmp(&heard->adopted[LIST_PLANS], &peer->adopted[LIST_PLANS],
+		sizeof(list_stamp_t)) != 0) {
+		heard->differs_changes = lists->plans.changes;
+		heard->differs_at = now;
+	}
 	memcpy(heard->adopted, peer->adopted, sizeof(heard->adopted));
+	return heard;
 }
 
 lists_wanted_t
 lists_wanted(lists_t *lists, const heartbeat_t *peer, time_us_t now)
 {
 	lists_wanted_t wanted = {0};
+	const heard_t *heard = heard_record(lists, peer, now);
 
-	heard_record(lists, peer, now);
+	if (heard == NULL)
+		return wanted;
 	for (int i = 0; i < LIST_COUNT; i++) {
 		const list_stamp_t *stamp = &peer->adopted[i];
 		list_kind_t kind = (list_kind_t)i;
 
 		if (lists_compare(lists, kind, stamp) == LISTS_CONFLICT)
 			wanted.conflict[i] = true;
-		if (list_useful(lists, kind, stamp))
-			wanted.fetch[i] = fetch_start(
-			    &lists->fetches[i], stamp->version, now);
+		if (peer_is_useful(lists, kind, heard, now))
+			wanted.fetch[i] = fetch_start(&lists->fetches[i],
+			    stamp->version, lists->plans.changes, now);
 	}
 	return wanted;
 }
@@ -368,6 +576,36 @@
 		lists->fetches[kind].retry_at = now + LISTS_RETRY_US;
 }
 
+bool
+lists_plans_fetch_end(
+    lists_t *lists, const char *peer, lists_fetch_t result, time_us_t now)
+{
+	fetch_t *fetch = &lists->fetches[LIST_PLANS];
+	heard_t *heard = g_hash_table_lookup(lists->heard, peer);
+	const list_stamp_t *stamp;
+
+	lists_fetch_end(lists, LIST_PLANS, result != LISTS_FETCH_FAILED, now);
+	if (heard == NULL || result == LISTS_FETCH_FAILED)
+		return false;
+	stamp = &heard->adopted[LIST_PLANS];
+	if (result == LISTS_FETCH_NOTHING ||
+	    fetch->changes == lists->plans.changes) {
+		heard->nothing_changes = lists->plans.changes + 1;
+		memcpy(heard->nothing_digest, stamp->digest, DIGEST_BYTES);
+		return false;
+	}
+	return list_useful(lists, LIST_PLANS, stamp) &&
+	       fetch_start(fetch, stamp->version, lists->plans.changes, now);
+}
+
+bool
+lists_is_heard(const lists_t *lists, const char *name, time_us_t since)
+{
+	const heard_t *heard = g_hash_table_lookup(lists->heard, name);
+
+	return heard != NULL && heard->heard_at >= since;
+}
+
 static bool
 all_heard(const lists_t *lists)
 {
@@ -397,7 +635,9 @@
 			continue;
 		for (int i = 0; i < LIST_COUNT; i++) {
 			if (list_useful(
-				lists, (list_kind_t)i, &heard->adopted[i]))
+				lists, (list_kind_t)i, &heard->adopted[i]) &&
+			    (i != LIST_PLANS ||
+				!peer_has_nothing(lists, heard)))
 				return true;
 		}
 	}
--- a/core/part.c
+++ b/core/part.c
@@ -195,7 +195,8 @@
 {
 	uint64_t steps;
 
-	if (!parts->agreed || !parts->pair_agreed)
+	if (!parts->agreed || !parts->pair_agreed ||
+	    plans_parts(plans) != plans_parts(parts->plans))
 		return false;
 	steps = plans->head.version - parts->plans->head.version +
 		allowances->head.version - parts->allowances->head.version;
--- a/include/core/lists.h
+++ b/include/core/lists.h
@@ -2,6 +2,7 @@
 #define CORE_LISTS_H
 
 #include "core/heartbeat.h"
+#include "core/plans_set.h"
 #include "core/snapshot.h"
 #include "core/types.h"
 
@@ -9,6 +10,26 @@
  * The lists in force at one instance, and its agreement with its peers about
  * their versions. The version in force of a list only rises. Plans and
  * allowances are in force only as a pair that fits.
+ *
+ * The plans list may come in parts (core/plans_set.h). Instances compare the
+ * whole by its version, the sum of the versions of its parts, and by its
+ * digest, a hash over the digests of the parts. Why the sum is enough:
+ *
+ * - In one process the version of the whole rises with each adoption, because
+ *   the version of a part only rises and a new division needs versions above
+ *   that of the whole. So one version stands for one set of parts in one
+ *   process, and "the newest version" of a peer is its latest set.
+ * - Two instances may hold different sets of one version. Whatever concludes
+ *   from a peer's plans version that it holds our set compares the digest too:
+ *   an acknowledgement or agreement of the pair counts only with our digest
+ *   (peer_is_at), and its version is then that of our set by the first rule.
+ * - parts_adopt() takes a pair that follows the agreed one by 1 as the next:
+ *   then exactly one part of the same division rose by 1. A team that this part
+ *   adds was in no part that anyone holds: all acknowledged the agreed set, and
+ *   its part had the preceding version there or has a newer one. A change of
+ *   the division is never taken as the next.
+ * - A lower or equal version with another digest can hide a part that we lack.
+ *   It is asked for when the difference lasts LISTS_DIVERGED_US.
  */
 
 /* A fetch that was not reported as ended counts as lost after this time. */
@@ -21,6 +42,9 @@
 /* A peer counts as reachable this long after a heartbeat; they come every 5 s
  * or more often. */
 #define LISTS_HEARD_US (6 * US_PER_S)
+/* A peer whose parts of the plans list differ, without a higher version of the
+ * whole, is asked for them after this time. */
+#define LISTS_DIVERGED_US (3 * US_PER_S)
 /* Most peers whose versions are remembered; the planned size is 400 nodes. */
 #define LISTS_PEER_LIMIT 1024
 
@@ -41,6 +65,8 @@
 	LISTS_BEHIND,	/* lower version; from the platform: it reverted */
 	LISTS_CONFLICT, /* known version with other content; kept out */
 	LISTS_WAIT,	/* newer, kept until a list comes that it fits */
+	/* The same; a key of this part of plans is in another part too. */
+	LISTS_DUPLICATE,
 } lists_verdict_t;
 
 typedef struct {
@@ -76,7 +102,8 @@
 lists_t *lists_create(const char *self, lists_fits_t fits, void *data);
 void lists_destroy(lists_t *lists);
 
-/* Returns "adopted", "same", "list_reverted", "list_conflict" or "waiting". */
+/* Returns "adopted", "same", "list_reverted", "list_conflict", "waiting" or
+ * "duplicate_key". */
 const char *lists_verdict_name(lists_verdict_t verdict);
 
 /* Judges a version of which only the stamp is known. Changes nothing. */
@@ -96,6 +123,23 @@
  */
 void lists_refused(lists_t *lists, list_kind_t kind, const list_stamp_t *stamp);
 
+/* The same for a part of the plans list. */
+void lists_part_refused(lists_t *lists, const plans_skip_t *part);
+
+/* Fills what a peer needs to know to send the parts that are missing here. */
+void lists_plans_held(const lists_t *lists, plans_held_t *held);
+
+/* Returns the first part in force here that the holder of held lacks, or NULL.
+ * It is valid until the next offer. */
+const plans_t *lists_plans_missing(
+    const lists_t *lists, const plans_held_t *held);
+
+/* Number of parts of the plans list in force; 0: none. */
+uint32_t lists_plans_parts(const lists_t *lists);
+
+/* Number of parts at the platform by the newest allowances list; 1: no list. */
+uint32_t lists_plans_published(const lists_t *lists);
+
 /* Returns new references, released with lists_view_clear. */
 lists_view_t lists_view(const lists_t *lists);
 void lists_view_clear(lists_view_t *view);
@@ -124,6 +168,22 @@
  */
 void lists_fetch_end(lists_t *lists, list_kind_t kind, bool got, time_us_t now);
 
+typedef enum {
+	LISTS_FETCH_FAILED,
+	LISTS_FETCH_NOTHING, /* the peer has no part that is missing here */
+	LISTS_FETCH_GOT,     /* a part came, and was offered or refused */
+} lists_fetch_t;
+
+/*
+ * Ends a fetch of a part of the plans list from the peer of this name. Returns
+ * whether another one of the same peer starts at once.
+ */
+bool lists_plans_fetch_end(
+    lists_t *lists, const char *peer, lists_fetch_t result, time_us_t now);
+
+/* Whether a heartbeat of this instance came since then. */
+bool lists_is_heard(const lists_t *lists, const char *name, time_us_t since);
+
 /*
  * Tells whether the instance may serve. Becomes true once, and stays, when all
  * three lists are in force, each instance of the fleet list was heard or
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -238,6 +238,30 @@
 }
 END_TEST
 
+/* Guards against two sets of parts whose versions have one sum and that are
+ * taken for the same pair. */
+START_TEST(other_parts_of_one_sum_are_no_acknowledgement)
+{
+	trio_t t;
+
+	trio_start(&t, "abc");
+	trio_run(&t, "abc", 14);
+	for (int i = 0; i < 3; i++) {
+		plans_t *part = plans_build(i == 1 ? 5 : 6, "t:-");
+		plans_t *other = plans_build(i == 1 ? 6 : 5, "h:r1");
+		plans_t *parts[] = {part, other};
+
+		trio_adopt(&t, i, NULL, plans_combine(parts, 2), NULL);
+		plans_unref(part);
+		plans_unref(other);
+	}
+	trio_run(&t, "abc", 3);
+	for (int i = 0; i < 3; i++)
+		ck_assert(!membership_is_settled(t.m[i], LIST_PLANS, 11));
+	trio_stop(&t);
+}
+END_TEST
+
 /* Guards against slots that are counted twice or not at all. */
 START_TEST(slots_are_divided)
 {
@@ -265,6 +289,7 @@
 	TEST_ADD(suite, acknowledgement_waits_for_loans);
 	TEST_ADD(suite, part_rises_when_all_acknowledged);
 	TEST_ADD(suite, other_text_is_no_acknowledgement);
+	TEST_ADD(suite, other_parts_of_one_sum_are_no_acknowledgement);
 	TEST_ADD(suite, slots_are_divided);
 }
 
--- a/tests/test_part.c
+++ b/tests/test_part.c
@@ -89,6 +89,24 @@
 }
 END_TEST
 
+/* The same where the list is divided anew: all of its parts are replaced. */
+START_TEST(new_division_holds_an_added_team_back)
+{
+	parts_t *parts = parts_start("z0");
+	plans_t *plans = plans_build(2, "t:- u:r0");
+	static const uint32_t weights[ZONES] = {1, 1, 1};
+	allowances_t *allowances =
+	    allowances_build(1, weights, ZONES, 7, 100, 100);
+
+	plans->parts = 2;
+	parts_adopt(parts, plans, allowances, 1000);
+	ck_assert_uint_eq(parts_lowest(parts, "u"), 0);
+	plans_unref(plans);
+	allowances_unref(allowances);
+	parts_destroy(parts);
+}
+END_TEST
+
 static void
 fill(Suite *suite)
 {
@@ -96,6 +114,7 @@
 	TEST_ADD(suite, skipped_version_holds_an_added_team_back);
 	TEST_ADD(suite, change_of_both_lists_holds_an_added_team_back);
 	TEST_ADD(suite, pending_agreement_holds_an_added_team_back);
+	TEST_ADD(suite, new_division_holds_an_added_team_back);
 }
 
 TEST_MAIN("part", fill)
