platform, cyclamensail: watch and fetch single parts

Cause: an instance read and fetched the plans list as a whole, and a watch on each of 32 parts at 400 instances would be 13,600 waiting watches of the 2,000 calls that the platform allows.

Ruled out: an index value that operators would have to write with each part; P from the settings (restarts) or from part 0 (2,006 watches); polling all parts, which within 8 s is 1,600 calls a second.

Change: the allowances list tells the number of parts (plans_parts). In each zone a part is watched by the first instances by rendezvous hash among those heard within 12 s: 26 x 32 + 400 x 2 = 1,632 waiting watches. Small fleets watch all. Others read a part once within 30 s, then about every 2 h, and learn of changes from the heartbeats that a watcher sends at once. Missing parts are fetched from the peer one after the other. The stand-in platform serves plans-PART-of-PARTS.

Conclusion: the read budget holds up to 46 parts at 400 instances.

--- a/core/gate_peer.c
+++ b/core/gate_peer.c
@@ -142,6 +142,52 @@
 	return found;
 }
 
+void
+gate_plans_held(const gate_t *gate, plans_held_t *held)
+{
+	lists_plans_held(gate->lists, held);
+}
+
+bool
+gate_plans_missing(const gate_t *gate, const plans_held_t *held,
+    plans_skip_t *part, char **text, size_t *len)
+{
+	const plans_t *plans = lists_plans_missing(gate->lists, held);
+
+	if (plans == NULL)
+		return false;
+	*part = (plans_skip_t){
+	    plans->part, plans_parts(plans), plans->head.version};
+	*text = g_memdup2(plans->head.text, plans->head.text_len + 1);
+	*len = plans->head.text_len;
+	return true;
+}
+
+void
+gate_part_refused(gate_t *gate, const plans_skip_t *part)
+{
+	lists_part_refused(gate->lists, part);
+}
+
+static void
+fetch_add(gate_t *gate, const char *peer, list_kind_t kind, uint64_t version,
+    GArray *actions)
+{
+	gate_action_t *action = gate_action(gate, actions, ACTION_FETCH, NULL);
+
+	g_strlcpy(action->u.fetch.peer, peer, sizeof(action->u.fetch.peer));
+	action->u.fetch.list = kind;
+	action->u.fetch.version = version;
+}
+
+void
+gate_plans_fetch_end(gate_t *gate, const char *peer, const char *sender,
+    lists_fetch_t result, time_us_t now, GArray *actions)
+{
+	if (lists_plans_fetch_end(gate->lists, sender, result, now))
+		fetch_add(gate, peer, LIST_PLANS, 0, actions);
+}
+
 static void
 peer_append(GArray *peers, const char *name, const char *address)
 {
@@ -264,15 +310,9 @@
 	spill_observe(gate->spill, in, now);
 	poison_merge(gate->poison, in, now);
 	for (int i = 0; i < LIST_COUNT; i++) {
-		gate_action_t *action;
-
-		if (!wanted.fetch[i])
-			continue;
-		action = gate_action(gate, actions, ACTION_FETCH, NULL);
-		g_strlcpy(action->u.fetch.peer, address,
-		    sizeof(action->u.fetch.peer));
-		action->u.fetch.list = (list_kind_t)i;
-		action->u.fetch.version = in->adopted[i].version;
+		if (wanted.fetch[i])
+			fetch_add(gate, address, (list_kind_t)i,
+			    in->adopted[i].version, actions);
 	}
 }
 
--- /dev/null
+++ b/core/gate_source.c
@@ -0,0 +1,85 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "gate_internal.h"
+
+/*
+ * Which parts of the plans list this instance watches at the platform. The
+ * platform allows 2,000 calls a second, of which a waiting watch counts as one.
+ * At 400 instances the two other lists take 800 watches. WATCH_BUDGET are left
+ * for parts, with 400 calls a second to spare for reads after changes. So each
+ * part is watched by a few instances of each zone, and by all of them in a
+ * small fleet. The others hear of a change by the heartbeats that a watcher
+ * sends as soon as it has adopted one.
+ */
+#define WATCH_BUDGET 800
+
+/* A watcher that was not heard for this long is replaced; two rounds of the
+ * heartbeats of a large fleet and a margin. */
+#define WATCHER_HEARD_US (12 * US_PER_S)
+
+static uint64_t
+watch_score(const char *instance, uint32_t part)
+{
+	return XXH3_64bits_withSeed(instance, strlen(instance), part);
+}
+
+/*
+ * How many instances of the zone watch a part before this one. An instance that
+ * doesn't hear the ones before it counts them out, so each part has a watcher
+ * in the zone as long as anyone lives, whoever hears whom.
+ */
+static uint32_t
+watch_rank(const gate_t *gate, uint32_t part, time_us_t now)
+{
+	const fleet_t *fleet = gate->view.fleet;
+	uint64_t own = watch_score(gate->name, part);
+	uint32_t rank = 0;
+
+	for (size_t i = 0; i < fleet->n_instances; i++) {
+		const instance_t *other = &fleet->instances[i];
+
+		if (strcmp(other->zone, gate->zone) == 0 &&
+		    strcmp(other->name, gate->name) != 0 &&
+		    watch_score(other->name, part) > own &&
+		    lists_is_heard(
+			gate->lists, other->name, now - WATCHER_HEARD_US))
+			rank++;
+	}
+	return rank;
+}
+
+static void
+sources_add(const gate_t *gate, uint32_t parts, uint32_t all, time_us_t now,
+    GArray *sources)
+{
+	uint32_t zones = MAX(g_hash_table_size(gate->zone_sizes), 1);
+	uint32_t watchers = MAX(WATCH_BUDGET / (zones * all), 1);
+
+	for (uint32_t i = 0; i < parts; i++) {
+		plans_source_t source = {i, parts, true};
+
+		/* Before the fleet list comes, peers may have what is needed.
+		 */
+		if (parts > 1)
+			source.watch = gate->view.fleet != NULL &&
+				       watch_rank(gate, i, now) < watchers;
+		g_array_append_val(sources, source);
+	}
+}
+
+GArray *
+gate_plans_sources(const gate_t *gate, time_us_t now)
+{
+	GArray *sources = g_array_new(FALSE, FALSE, sizeof(plans_source_t));
+	uint32_t published = lists_plans_published(gate->lists);
+	uint32_t in_force = lists_plans_parts(gate->lists);
+	uint32_t all = published;
+
+	if (in_force == published)
+		in_force = 0;
+	all += in_force;
+	sources_add(gate, published, all, now, sources);
+	sources_add(gate, in_force, all, now, sources);
+	return sources;
+}
--- a/cyclamensail/daemon.c
+++ b/cyclamensail/daemon.c
@@ -13,6 +13,8 @@
 #include "peers.h"
 
 #define TICK_US 50000
+/* How often the parts to watch are chosen anew. */
+#define SOURCES_US (500 * US_PER_MS)
 
 /* A caller that takes nothing of its answer for this long is closed. */
 #define CALLER_IDLE_TIMEOUT_S 60
@@ -66,6 +68,24 @@
 	return value + strspn(value, " ");
 }
 
+/* Tells the reader which parts of the plans list to read, when they change. */
+static void
+sources_follow(daemon_t *daemon)
+{
+	time_us_t now = clock_now();
+	GArray *sources;
+
+	if (daemon->reader == NULL || now < daemon->sources_at)
+		return;
+	daemon->sources_at = now + SOURCES_US;
+	pthread_mutex_lock(&daemon->gate_lock);
+	sources = gate_plans_sources(daemon->gate, now);
+	pthread_mutex_unlock(&daemon->gate_lock);
+	platform_reader_set_sources(daemon->reader,
+	    (const plans_source_t *)(void *)sources->data, sources->len);
+	g_array_free(sources, TRUE);
+}
+
 static void *
 timer_run(void *user)
 {
@@ -78,6 +98,7 @@
 		gate_tick(daemon->gate, clock_now(), clock_wall_s(), actions);
 		pthread_mutex_unlock(&daemon->gate_lock);
 		peers_sync(daemon->peers);
+		sources_follow(daemon);
 		daemon_act(daemon, actions);
 		usleep(TICK_US);
 	}
@@ -238,14 +259,16 @@
 	if (daemon->peers == NULL || !edge_start(daemon, error) ||
 	    !admin_start(daemon, error))
 		return false;
+	daemon->reader = platform_reader_create(&reading, error);
+	if (daemon->reader == NULL)
+		return false;
 	if (pthread_create(&daemon->timer, NULL, timer_run, daemon) != 0) {
 		g_set_error(error, CS_ERROR, CS_ERROR_IO,
 		    "can't start a thread; raise the limit on processes");
 		return false;
 	}
 	daemon->timer_started = true;
-	daemon->reader = platform_reader_create(&reading, error);
-	return daemon->reader != NULL;
+	return true;
 }
 
 daemon_t *
@@ -316,11 +339,11 @@
 void
 daemon_destroy(daemon_t *daemon)
 {
-	platform_reader_destroy(daemon->reader);
 	if (daemon->timer_started) {
 		ck_pr_store_32(&daemon->timer_stopping, 1);
 		pthread_join(daemon->timer, NULL);
 	}
+	platform_reader_destroy(daemon->reader);
 	edge_server_destroy(daemon->admin);
 	edge_server_destroy(daemon->edge);
 	transfer_engine_destroy(daemon->transfers);
--- a/cyclamensail/internal.h
+++ b/cyclamensail/internal.h
@@ -33,6 +33,7 @@
 
 	pthread_t timer;
 	bool timer_started;
+	time_us_t sources_at; /* timer thread only */
 	uint32_t timer_stopping;
 } daemon_t;
 
--- a/cyclamensail/lists.c
+++ b/cyclamensail/lists.c
@@ -47,6 +47,9 @@
 		return;
 	log_event(verdict == LISTS_ADOPT ? LOG_NOTICE : LOG_WARNING, "list",
 	    LOG_S("list", list_kind_name(list->kind)),
+	    LOG_I("part", list->kind == LIST_PLANS ? list->plans->part : 0),
+	    LOG_I("parts",
+		list->kind == LIST_PLANS ? plans_parts(list->plans) : 1),
 	    LOG_I("version", list->head->version), LOG_S("result", name),
 	    LOG_S("source", source));
 }
--- a/cyclamensail/peers.c
+++ b/cyclamensail/peers.c
@@ -73,8 +73,17 @@
 
 	reply->kind = in->kind;
 	pthread_mutex_lock(&daemon->gate_lock);
-	gate_list_text(daemon->gate, in->kind, in->min_version, &reply->version,
-	    &reply->text, &reply->len);
+	if (in->kind == LIST_PLANS) {
+		plans_skip_t part = {0};
+
+		gate_plans_missing(
+		    daemon->gate, &in->held, &part, &reply->text, &reply->len);
+		reply->version = part.version;
+		reply->part = part.part;
+		reply->parts = part.parts;
+	} else
+		gate_list_text(daemon->gate, in->kind, in->min_version,
+		    &reply->version, &reply->text, &reply->len);
 	pthread_mutex_unlock(&daemon->gate_lock);
 }
 
@@ -277,6 +286,33 @@
 	g_free(call);
 }
 
+static void
+plans_fetch_done(const peer_result_t *result, const GError *error, void *user)
+{
+	call_t *call = user;
+	daemon_t *daemon = call->peers->daemon;
+	lists_fetch_t ended = LISTS_FETCH_FAILED;
+	plans_skip_t refused = {0};
+
+	if (result != NULL && result->fetch.version == 0) {
+		ended = LISTS_FETCH_NOTHING;
+	} else if (result != NULL) {
+		ended = LISTS_FETCH_GOT;
+		if (!lists_receive(daemon, LIST_PLANS, result->fetch.text,
+			result->fetch.len, call->peer))
+			refused = (plans_skip_t){result->fetch.part,
+			    result->fetch.parts, result->fetch.version};
+	}
+	GATE_CALL(daemon, {
+		if (refused.version > 0)
+			gate_part_refused(daemon->gate, &refused);
+		gate_plans_fetch_end(daemon->gate, call->peer,
+		    result ? result->from.name : "", ended, clock_now(),
+		    actions);
+	});
+	g_free(call);
+}
+
 static void
 fetch_done(const peer_result_t *result, const GError *error, void *user)
 {
@@ -357,6 +393,27 @@
 	g_free(user);
 }
 
+static void
+fetch_send(peers_t *peers, const gate_action_t *action)
+{
+	daemon_t *daemon = peers->daemon;
+	peer_call_t message = {.kind = PEER_CALL_FETCH};
+	call_t facts = {.peers = peers, .list = action->u.fetch.list};
+
+	message.fetch.kind = action->u.fetch.list;
+	if (action->u.fetch.list != LIST_PLANS) {
+		message.fetch.min_version = action->u.fetch.version;
+		call_send(
+		    peers, action->u.fetch.peer, &message, fetch_done, &facts);
+		return;
+	}
+	pthread_mutex_lock(&daemon->gate_lock);
+	gate_plans_held(daemon->gate, &message.fetch.held);
+	pthread_mutex_unlock(&daemon->gate_lock);
+	call_send(
+	    peers, action->u.fetch.peer, &message, plans_fetch_done, &facts);
+}
+
 void
 peers_act(peers_t *peers, const gate_action_t *action)
 {
@@ -376,12 +433,7 @@
 		    heartbeat_done, &facts);
 		break;
 	case ACTION_FETCH:
-		message.kind = PEER_CALL_FETCH;
-		message.fetch.kind = action->u.fetch.list;
-		message.fetch.min_version = action->u.fetch.version;
-		facts.list = action->u.fetch.list;
-		call_send(
-		    peers, action->u.fetch.peer, &message, fetch_done, &facts);
+		fetch_send(peers, action);
 		break;
 	case ACTION_BORROW:
 		message.kind = PEER_CALL_BORROW;
--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -1,8 +1,8 @@
 /*
  * Stand-in for the platform's configuration service. Serves the files
- * plans.yaml, allowances.yaml and fleet.yaml of a folder as values that can be
- * read and watched, and nothing else. An operator edits a file; watchers see
- * the change.
+ * plans.yaml, plans-PART-of-PARTS.yaml, allowances.yaml and fleet.yaml of a
+ * folder as values that can be read and watched, and nothing else. An operator
+ * edits a file; watchers see the change.
  *
  *     GET /v1/values/NAME                    -> text, ETag: "REVISION"
  *     GET /v1/values/NAME?after=REV&wait=SEC -> the same once it changed, or
@@ -20,11 +20,12 @@
 #include "fake_http.h"
 
 #define WATCH_POLL_US 20000
-#define VALUE_COUNT 3
+#define VALUE_LIMIT 512
 
 typedef enum { MODE_OK, MODE_DOWN, MODE_STALE } platform_mode_t;
 
 typedef struct {
+	char *name;
 	char *text;
 	size_t len;
 	unsigned long revision;
@@ -34,30 +35,50 @@
 	const char *folder;
 	pthread_mutex_t lock;
 	platform_mode_t mode;
-	value_t values[VALUE_COUNT];
+	GHashTable *values; /* name -> value_t */
 	unsigned long calls;
 } platform_t;
 
-static const char *const value_names[VALUE_COUNT] = {
-    "plans", "allowances", "fleet"};
+/* Whether a name is one of a list or of a part of the plans list. */
+static bool
+name_is_served(const char *name)
+{
+	static const char *const names[] = {"plans", "allowances", "fleet"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (strcmp(name, names[i]) == 0)
+			return true;
+	}
+	return g_regex_match_simple(
+	    "^plans-[0-9]{1,3}-of-[0-9]{1,3}$", name, 0, 0);
+}
 
-static int
-value_index(const char *name)
+/* Returns the value of a served name, or NULL. */
+static value_t *
+value_find(platform_t *platform, const char *name)
 {
-	for (int i = 0; i < VALUE_COUNT; i++) {
-		if (strcmp(name, value_names[i]) == 0)
-			return i;
+	value_t *value;
+
+	if (!name_is_served(name))
+		return NULL;
+	pthread_mutex_lock(&platform->lock);
+	value = g_hash_table_lookup(platform->values, name);
+	if (value == NULL &&
+	    g_hash_table_size(platform->values) < VALUE_LIMIT) {
+		value = g_new0(value_t, 1);
+		value->name = g_strdup(name);
+		g_hash_table_insert(platform->values, value->name, value);
 	}
-	return -1;
+	pthread_mutex_unlock(&platform->lock);
+	return value;
 }
 
 /* Reads the file again; keeps the old content while in stale mode. */
 static value_t
-value_read(platform_t *platform, int index)
+value_read(platform_t *platform, value_t *value)
 {
 	g_autofree char *path =
-	    g_strdup_printf("%s/%s.yaml", platform->folder, value_names[index]);
-	value_t *value = &platform->values[index];
+	    g_strdup_printf("%s/%s.yaml", platform->folder, value->name);
 	value_t copy;
 	char *text = NULL;
 	gsize len = 0;
@@ -81,14 +102,14 @@
 }
 
 static enum MHD_Result
-value_serve(platform_t *platform, fake_request_t *request, int index)
+value_serve(platform_t *platform, fake_request_t *request, value_t *served)
 {
 	const char *after = fake_http_query(request, "after");
 	const char *wait = fake_http_query(request, "wait");
 	long polls =
 	    wait ? strtol(wait, NULL, 10) * 1000000 / WATCH_POLL_US : 0;
 	unsigned long known = after ? strtoul(after, NULL, 10) : 0;
-	value_t value = value_read(platform, index);
+	value_t value = value_read(platform, served);
 	enum MHD_Result result;
 	char etag[32];
 
@@ -96,7 +117,7 @@
 	       platform->mode != MODE_DOWN) {
 		g_free(value.text);
 		usleep(WATCH_POLL_US);
-		value = value_read(platform, index);
+		value = value_read(platform, served);
 	}
 	if (platform->mode == MODE_DOWN)
 		result = MHD_NO;
@@ -135,7 +156,7 @@
 request_handle(fake_request_t *request)
 {
 	platform_t *platform = request->user;
-	int index = -1;
+	value_t *value = NULL;
 
 	if (strcmp(request->path, "/control") == 0)
 		return mode_set(platform, request);
@@ -150,11 +171,12 @@
 	if (platform->mode == MODE_DOWN)
 		return MHD_NO;
 	if (g_str_has_prefix(request->path, "/v1/values/"))
-		index = value_index(request->path + strlen("/v1/values/"));
-	if (index < 0)
+		value =
+		    value_find(platform, request->path + strlen("/v1/values/"));
+	if (value == NULL)
 		return fake_http_reply(
 		    request, 404, "text/plain", NULL, "no such value\n", 14);
-	return value_serve(platform, request, index);
+	return value_serve(platform, request, value);
 }
 
 int
@@ -167,6 +189,7 @@
 		return 2;
 	}
 	platform.folder = argv[2];
+	platform.values = g_hash_table_new(g_str_hash, g_str_equal);
 	return fake_http_serve(
 	    (uint16_t)atoi(argv[1]), request_handle, &platform);
 }
--- a/include/core/gate.h
+++ b/include/core/gate.h
@@ -251,16 +251,41 @@
 lists_verdict_t gate_offer(
     gate_t *gate, list_any_t list, time_us_t now, GArray *actions);
 
+/* Fills what a peer needs to know to send a missing part of the plans list. */
+void gate_plans_held(const gate_t *gate, plans_held_t *held);
+
+/*
+ * Copies the text of a part in force that the holder of held lacks. The caller
+ * frees *text.
+ */
+bool gate_plans_missing(const gate_t *gate, const plans_held_t *held,
+    plans_skip_t *part, char **text, size_t *len);
+
+/* A part of the plans list can't be used. */
+void gate_part_refused(gate_t *gate, const plans_skip_t *part);
+
+/* Ends an ACTION_FETCH of the plans list; sender is the name in the reply. */
+void gate_plans_fetch_end(gate_t *gate, const char *peer, const char *sender,
+    lists_fetch_t result, time_us_t now, GArray *actions);
+
+/*
+ * Returns what to read of the plans list at the platform, as a new array of
+ * plans_source_t: the parts that the newest allowances list tells of, and those
+ * in force until they are replaced.
+ */
+GArray *gate_plans_sources(const gate_t *gate, time_us_t now);
+
 /* The text with this stamp can't be used. */
 void gate_list_refused(
     gate_t *gate, list_kind_t kind, const list_stamp_t *stamp);
 
-/* Ends an ACTION_FETCH. got: the text came, and was offered or refused. */
+/* Ends an ACTION_FETCH of another list. got: the text came, and was offered or
+ * refused. */
 void gate_fetch_end(gate_t *gate, list_kind_t kind, bool got, time_us_t now);
 
 /*
- * Copies the list in force if its version is at least min_version. The caller
- * frees *text.
+ * Copies the list in force, other than plans, if its version is at least
+ * min_version. The caller frees *text.
  */
 bool gate_list_text(const gate_t *gate, list_kind_t kind, uint64_t min_version,
     uint64_t *version, char **text, size_t *len);
--- a/include/platform/reader.h
+++ b/include/platform/reader.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stddef.h>
 
+#include "core/plans_set.h"
 #include "core/snapshot.h"
 
 /*
@@ -16,6 +17,10 @@
  * The revision is the ETag without quotes. It only serves the watch; which text
  * is newer is decided by the version inside it (core/lists).
  *
+ * A plans list in parts has a value for each part, plans-PART-of-PARTS. Parts
+ * that are not watched are read once within 30 s and then about every 2 h, as a
+ * last resort; peers tell of their changes.
+ *
  * Each list has at most one call outstanding. After a failure the next base is
  * asked, at a random time: within 1 s for the first failure, then 1..30 s later
  * (full jitter). It is asked without a revision, since revisions of two
@@ -58,6 +63,13 @@
 platform_reader_t *platform_reader_create(
     const platform_options_t *options, GError **error);
 
+/*
+ * Sets the parts of the plans list to read; at the start it is a list in one
+ * piece. Takes effect within a second. Can be called from any thread.
+ */
+void platform_reader_set_sources(
+    platform_reader_t *reader, const plans_source_t *sources, size_t n);
+
 /* Ends outstanding calls and joins the thread. No callback runs afterwards. */
 void platform_reader_destroy(platform_reader_t *reader);
 
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -71,9 +71,9 @@
 	g_free(fds);
 }
 
-/* Replaces a file in one step, so that no reader sees half of it. */
-static void
-file_publish(cluster_t *cluster, const char *name, const char *text)
+/* No reader sees half of it. */
+void
+cluster_publish_file(cluster_t *cluster, const char *name, const char *text)
 {
 	g_autofree char *path = g_build_filename(cluster->folder, name, NULL);
 	g_autoptr(GError) error = NULL;
@@ -82,8 +82,8 @@
 	ck_assert_msg(written, "%s", written ? "" : error->message);
 }
 
-static void
-key_append(GString *text, const char *id, const char *key)
+void
+cluster_append_key(GString *text, const char *id, const char *key)
 {
 	g_autofree char *hash =
 	    g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
@@ -102,17 +102,17 @@
 	g_string_append(text,
 	    "  - name: parish-nitra\n    plan: volunteer\n    home: stred\n"
 	    "    keys:\n");
-	key_append(text, "k1", PARISH_KEY);
+	cluster_append_key(text, "k1", PARISH_KEY);
 	g_string_append(
 	    text, "  - name: tag-desk\n    plan: desk\n    keys:\n");
 	if (!cluster->desk_key_withdrawn)
-		key_append(text, "k1", DESK_KEY);
-	key_append(text, "spare", SPARE_KEY);
+		cluster_append_key(text, "k1", DESK_KEY);
+	cluster_append_key(text, "spare", SPARE_KEY);
 	g_string_append(
 	    text, "  - name: guest-house\n    plan: small\n    keys:\n");
-	key_append(text, "k1", GUEST_KEY);
+	cluster_append_key(text, "k1", GUEST_KEY);
 	g_string_append(text, cluster->extra_team->str);
-	file_publish(cluster, "plans.yaml", text->str);
+	cluster_publish_file(cluster, "plans.yaml", text->str);
 	g_string_free(text, TRUE);
 }
 
@@ -134,8 +134,12 @@
 cluster_publish_allowances(cluster_t *cluster)
 {
 	g_autofree char *desired = desired_text(cluster->engine_version);
+	g_autofree char *parts =
+	    cluster->plans_parts > 0
+		? g_strdup_printf("plans_parts: %u\n", cluster->plans_parts)
+		: g_strdup("");
 	g_autofree char *text = g_strdup_printf(
-	    "version: %" G_GUINT64_FORMAT "\n"
+	    "version: %" G_GUINT64_FORMAT "\n%s"
 	    "weight_store: { region: zapad, loads_at_a_time: 2 }\n"
 	    "zones:\n"
 	    "  - { name: stred-1, region: stred, weight: 1 }\n"
@@ -155,10 +159,10 @@
 	    "  - { name: small, rate: %d, burst: %d, priority: 2,\n"
 	    "      use: [{ service: epitaph-writer, regions: [stred, zapad] }] "
 	    "}\n",
-	    ++cluster->versions[1], desired, cluster->desk_rate,
+	    ++cluster->versions[1], parts, desired, cluster->desk_rate,
 	    cluster->desk_burst, cluster->small_rate, cluster->small_burst);
 
-	file_publish(cluster, "allowances.yaml", text);
+	cluster_publish_file(cluster, "allowances.yaml", text);
 }
 
 static void
@@ -205,7 +209,7 @@
 	target_append(cluster, text, NODE_W3, "zapad-1", "epitaph-writer");
 	target_append(cluster, text, NODE_R1, "stred-1", "tag-registry");
 	target_append(cluster, text, NODE_R2, "zapad-1", "tag-registry");
-	file_publish(cluster, "fleet.yaml", text->str);
+	cluster_publish_file(cluster, "fleet.yaml", text->str);
 	g_string_free(text, TRUE);
 }
 
@@ -244,7 +248,7 @@
 		text = g_strconcat(plain, pair, NULL);
 		g_free(plain);
 	}
-	file_publish(cluster, name, text);
+	cluster_publish_file(cluster, name, text);
 }
 
 static pid_t
@@ -1232,3 +1236,48 @@
 		tcase_add_test(tcase, tests[i]);
 	suite_add_tcase(suite, tcase);
 }
+
+long
+cluster_probe(cluster_t *cluster, node_t node, const char *key)
+{
+	answer_t *answer = http_call(node_url(cluster, node, GENERATE), key,
+	    NULL, "{\"prompt\":\"probe\",\"max_tokens\":1}");
+	long status = answer->status;
+
+	answer_free(answer);
+	return status;
+}
+
+double
+cluster_withdrawal(cluster_t *cluster, void (*set)(bool withdrawn))
+{
+	static const char body[] =
+	    "{\"prompt\":\"long\",\"max_tokens\":4000,\"stream\":true}";
+	http_task_t *tasks[NODE_INSTANCES];
+	gint64 published_at;
+	double slowest = 0;
+
+	for (int node = 0; node < NODE_INSTANCES; node++) {
+		WAIT_UNTIL(
+		    cluster_probe(cluster, (node_t)node, DESK_KEY) == 200);
+		tasks[node] =
+		    http_start(node_url(cluster, (node_t)node, GENERATE),
+			DESK_KEY, NULL, body);
+	}
+	for (int node = 0; node < NODE_INSTANCES; node++)
+		WAIT_UNTIL(http_task_bytes(tasks[node]) > 200);
+	published_at = g_get_monotonic_time();
+	set(true);
+	for (int node = 0; node < NODE_INSTANCES; node++) {
+		answer_t *answer = http_join(tasks[node]);
+
+		ck_assert_ptr_nonnull(
+		    strstr(answer->body->str, "key_withdrawn"));
+		slowest = MAX(slowest,
+		    (double)(answer->last_byte_at - published_at) / 1e6);
+		answer_free(answer);
+		ck_assert_int_eq(
+		    cluster_probe(cluster, (node_t)node, DESK_KEY), 401);
+	}
+	return slowest;
+}
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -46,7 +46,8 @@
 	int admin_ports[NODE_INSTANCES];
 	int engine_slots;
 	int token_ms;
-	uint64_t versions[3]; /* of the lists as last written */
+	uint64_t versions[3];	  /* of the lists as last written */
+	unsigned int plans_parts; /* told in the allowances list; 0: none */
 	bool leaving[NODE_COUNT];
 	bool absent[NODE_COUNT];
 	GString *extra_team; /* YAML of further teams */
@@ -127,6 +128,13 @@
 void cluster_publish_allowances(cluster_t *cluster);
 void cluster_publish_fleet(cluster_t *cluster);
 
+/* Replaces a file that the platform serves in one step. */
+void cluster_publish_file(
+    cluster_t *cluster, const char *name, const char *text);
+
+/* Appends a key of a team to the text of a plans list. */
+void cluster_append_key(GString *text, const char *id, const char *key);
+
 /* URL of a path at a node, in a buffer that the next calls reuse. */
 const char *node_url(const cluster_t *cluster, node_t node, const char *format,
     ...) G_GNUC_PRINTF(3, 4);
@@ -218,6 +226,16 @@
 /* Value of a counter of an instance, or -1. */
 long long instance_counter(cluster_t *cluster, node_t node, const char *id);
 
+/* Status of a small request to the engines. */
+long cluster_probe(cluster_t *cluster, node_t node, const char *key);
+
+/*
+ * Opens a stream with DESK_KEY at each instance, calls set(true) to withdraw
+ * the key, and checks that each stream ends and new requests are refused.
+ * Returns the time in seconds until the last one has ended.
+ */
+double cluster_withdrawal(cluster_t *cluster, void (*set)(bool withdrawn));
+
 /* "code" member of a JSON error, or "". Valid until the next call. */
 const char *error_code(const answer_t *answer);
 const char *error_ran(const answer_t *answer);
--- a/tests/process_cut.c
+++ b/tests/process_cut.c
@@ -8,7 +8,6 @@
 #define RATE 2000
 #define BURST 4000
 #define REQUEST_TOKENS 40
-#define STREAM_LONG "{\"prompt\":\"long\",\"max_tokens\":4000,\"stream\":true}"
 
 /*
  * Arrivals are recorded later than admissions, by up to this time. The bound of
@@ -18,17 +17,6 @@
 
 static cluster_t *cluster;
 
-static long
-request_status(node_t node, const char *key)
-{
-	answer_t *answer = http_call(node_url(cluster, node, GENERATE), key,
-	    NULL, "{\"prompt\":\"probe\",\"max_tokens\":1}");
-	long status = answer->status;
-
-	answer_free(answer);
-	return status;
-}
-
 static double
 seconds_since(gint64 at)
 {
@@ -63,37 +51,11 @@
 	cluster_publish_plans(cluster);
 }
 
-/*
- * Withdraws the key with streams open at all instances and checks the time
- * until each of them has ended and new requests are refused.
- */
 static void
 withdrawal_takes_at_most(double limit_s, const char *what)
 {
-	http_task_t *tasks[NODE_INSTANCES];
-	gint64 published_at;
-	double slowest = 0;
+	double slowest = cluster_withdrawal(cluster, key_set_withdrawn);
 
-	for (int node = 0; node < NODE_INSTANCES; node++) {
-		WAIT_UNTIL(request_status((node_t)node, DESK_KEY) == 200);
-		tasks[node] =
-		    http_start(node_url(cluster, (node_t)node, GENERATE),
-			DESK_KEY, NULL, STREAM_LONG);
-	}
-	for (int node = 0; node < NODE_INSTANCES; node++)
-		WAIT_UNTIL(http_task_bytes(tasks[node]) > 200);
-	published_at = g_get_monotonic_time();
-	key_set_withdrawn(true);
-	for (int node = 0; node < NODE_INSTANCES; node++) {
-		answer_t *answer = http_join(tasks[node]);
-
-		ck_assert_ptr_nonnull(
-		    strstr(answer->body->str, "key_withdrawn"));
-		slowest = MAX(slowest,
-		    (double)(answer->last_byte_at - published_at) / 1e6);
-		answer_free(answer);
-		ck_assert_int_eq(request_status((node_t)node, DESK_KEY), 401);
-	}
 	printf("withdrawal, %s: %.2f s\n", what, slowest);
 	ck_assert_double_lt(slowest, limit_s);
 	key_set_withdrawn(false);
@@ -149,7 +111,8 @@
 	platform_links(0xf, RELAY_HOLD);
 	node_control(cluster, NODE_PLATFORM, "mode=ok");
 	for (int node = 0; node < NODE_INSTANCES; node++)
-		ck_assert_int_eq(request_status((node_t)node, DESK_KEY), 200);
+		ck_assert_int_eq(
+		    cluster_probe(cluster, (node_t)node, DESK_KEY), 200);
 	platform_links(0xf, RELAY_PASS);
 }
 END_TEST
@@ -171,7 +134,8 @@
 	for (int node = 0; node < NODE_INSTANCES; node++) {
 		WAIT_UNTIL(
 		    instance_counter(cluster, (node_t)node, id) > before[node]);
-		ck_assert_int_eq(request_status((node_t)node, DESK_KEY), 401);
+		ck_assert_int_eq(
+		    cluster_probe(cluster, (node_t)node, DESK_KEY), 401);
 	}
 	cluster->versions[0] = newest;
 	ck_assert(versions_reached());
--- /dev/null
+++ b/tests/test_gate_source.c
@@ -0,0 +1,137 @@
+#include "core/gate.h"
+#include "share_lists.h"
+#include "test.h"
+
+/* The planned size: 400 instances in 26 zones. */
+#define N_ZONES 26
+#define IN_ZONE 15
+#define PARTS 32
+
+static bool
+fits(const plans_t *plans, const allowances_t *allowances, void *data)
+{
+	return true;
+}
+
+static gate_t *
+gate_make(const char *name, fleet_t *fleet, allowances_t *allowances)
+{
+	static const uint8_t key[32] = {1};
+	gate_options_t options = {.instance = name,
+	    .zone = "z0",
+	    .incarnation = 1,
+	    .ticket_key = key,
+	    .queue_limit = 4,
+	    .now = 1,
+	    .pair_fits = fits};
+	gate_t *gate = gate_create(&options);
+	GArray *actions = g_array_new(FALSE, FALSE, sizeof(gate_action_t));
+	list_any_t list = {.kind = LIST_FLEET, .fleet = fleet};
+
+	gate_offer(gate, list, 1, actions);
+	/* It waits for plans, and tells of the parts already. */
+	list = (list_any_t){.kind = LIST_ALLOWANCES, .allowances = allowances};
+	gate_offer(gate, list, 1, actions);
+	g_array_free(actions, TRUE);
+	return gate;
+}
+
+static void
+gate_hear(gate_t *gate, const char *name, time_us_t now)
+{
+	GArray *actions = g_array_new(FALSE, FALSE, sizeof(gate_action_t));
+	heartbeat_t in = {.zone = "z0", .incarnation = 1};
+	heartbeat_t reply = {0};
+
+	g_strlcpy(in.sender, name, sizeof(in.sender));
+	gate_on_heartbeat(gate, &in, &reply, now, actions);
+	g_array_free(actions, TRUE);
+}
+
+/*
+ * Counts the watches of each part over the instances of zone z0, of which dead
+ * ones were not heard for a minute. Returns the sum.
+ */
+static int
+watches_count(int in_zone, int n_dead, uint32_t parts, int *counts)
+{
+	static const uint32_t weights[N_ZONES] = {1, 1};
+	fleet_t *fleet = fleet_build(1, (size_t)(in_zone * N_ZONES));
+	allowances_t *allowances = allowances_build(1, weights, 2, 3, 1, 1);
+	time_us_t now = 100 * US_PER_S;
+	int zones = in_zone > 2 ? N_ZONES : 2;
+	int sum = 0;
+
+	allowances->plans_parts = parts;
+	for (int i = 0; i < in_zone * zones; i++) {
+		g_autofree char *name = g_strdup_printf("i%d", i);
+		g_autofree char *zone = g_strdup_printf("z%d", i % zones);
+
+		fleet_put(fleet, name, zone, MEMBER_LIVE);
+	}
+	memset(counts, 0, parts * sizeof(*counts));
+	for (int i = n_dead; i < in_zone; i++) {
+		const char *self = fleet->instances[(size_t)(i * zones)].name;
+		gate_t *gate = gate_make(self, fleet, allowances);
+		GArray *sources;
+
+		for (int k = 0; k < in_zone; k++) {
+			if (k != i)
+				gate_hear(gate,
+				    fleet->instances[(size_t)(k * zones)].name,
+				    k < n_dead ? now - 60 * US_PER_S : now);
+		}
+		sources = gate_plans_sources(gate, now);
+		ck_assert_uint_eq(sources->len, parts);
+		for (guint k = 0; k < sources->len; k++) {
+			const plans_source_t *source =
+			    &g_array_index(sources, plans_source_t, k);
+
+			ck_assert_uint_eq(source->parts, parts);
+			counts[source->part] += source->watch;
+			sum += source->watch;
+		}
+		g_array_free(sources, TRUE);
+		gate_destroy(gate);
+	}
+	fleet_unref(fleet);
+	allowances_unref(allowances);
+	return sum;
+}
+
+/* Guards against more watches than the platform allows, and against a part that
+ * nobody in a zone watches when some instances are dead. */
+START_TEST(each_part_is_watched_within_the_budget)
+{
+	int counts[PARTS];
+
+	for (int n_dead = 0; n_dead < IN_ZONE; n_dead++) {
+		int sum = watches_count(IN_ZONE, n_dead, PARTS, counts);
+
+		for (int i = 0; i < PARTS; i++)
+			ck_assert_int_ge(counts[i], 1);
+		/* Those of the lists of fleet and allowances come on top. */
+		ck_assert_int_le(N_ZONES * (sum + 2 * IN_ZONE), 2000);
+	}
+}
+END_TEST
+
+/* Guards against a small fleet that takes longer to hear of a change than it
+ * needs to: all of its instances watch all parts. */
+START_TEST(small_fleet_watches_all)
+{
+	int counts[PARTS];
+
+	ck_assert_int_eq(watches_count(2, 0, 4, counts), 8);
+	ck_assert_int_eq(watches_count(2, 0, 1, counts), 2);
+}
+END_TEST
+
+static void
+fill(Suite *suite)
+{
+	TEST_ADD(suite, each_part_is_watched_within_the_budget);
+	TEST_ADD(suite, small_fleet_watches_all);
+}
+
+TEST_MAIN("gate_source", fill)
--- a/tests/test_platform_reader.c
+++ b/tests/test_platform_reader.c
@@ -32,6 +32,8 @@
 static list_kind_t
 url_kind(const char *url)
 {
+	if (strstr(url, "/plans-") != NULL)
+		return LIST_PLANS;
 	for (int i = 0; i < LIST_COUNT; i++) {
 		if (g_str_has_suffix(url, list_kind_name((list_kind_t)i)))
 			return (list_kind_t)i;
@@ -267,6 +269,37 @@
 }
 END_TEST
 
+/* Guards against a part that is read late, if at all, when its watcher is gone,
+ * and against a list in one piece that is read on after it was divided. */
+START_TEST(parts_are_read_at_once_when_they_are_watched)
+{
+	plans_source_t sources[8];
+	platform_t platform;
+	platform_reader_t *reader;
+	time_us_t limit;
+
+	platform_init(&platform);
+	reader = reader_make(&platform, NULL);
+	values_wait(&platform, LIST_PLANS, 1);
+	for (uint32_t i = 0; i < 8; i++)
+		sources[i] = (plans_source_t){i, 8, false};
+	platform_reader_set_sources(reader, sources, 8);
+	/* Fleet and allowances tell that a watch has gone by since then. */
+	reads_wait(&platform, "unchanged", reads("unchanged") + 4);
+	for (uint32_t i = 0; i < 8; i++)
+		sources[i].watch = true;
+	platform_reader_set_sources(reader, sources, 8);
+	limit = clock_now() + 5 * US_PER_S;
+	values_wait(&platform, LIST_PLANS, 9);
+	ck_assert_int_lt(clock_now(), limit);
+	platform_publish(&platform, 200, 200);
+	values_wait(&platform, LIST_PLANS, 17);
+	platform_reader_destroy(reader);
+	ck_assert_uint_eq(platform.seen_revision[LIST_PLANS], 17);
+	platform_clear(&platform);
+}
+END_TEST
+
 /* Guards against a reader that stays with a dead base or gives up. */
 START_TEST(reader_survives_failures)
 {
@@ -365,6 +398,7 @@
 fill(Suite *suite)
 {
 	TEST_ADD(suite, change_is_seen_and_304_is_not_a_value);
+	TEST_ADD(suite, parts_are_read_at_once_when_they_are_watched);
 	TEST_ADD(suite, reader_survives_failures);
 	TEST_ADD(suite, oversized_value_is_refused);
 	TEST_ADD(suite, platform_that_does_not_wait_is_not_flooded);
