cyclamensailctl: check, compare and write parts of a plans list

Cause: operators need to publish parts, and to see mistakes between parts before an instance does.

Ruled out: editing the text of the list to keep comments; the entries are written anew, which cannot leave half of one behind.

Change: check takes several parts, refuses a key in two of them and a part given twice, and says how many are missing. diff compares two texts of one part, or folders with all parts, and refuses versions that no instance would take. split divides a list, or all of its parts anew, with versions above their sum, and overwrites no file.

Before: a second plans list was refused.

Conclusion: an operator can start with parts from plans.yaml in one command.

--- a/cyclamensailctl/check.c
+++ b/cyclamensailctl/check.c
@@ -8,7 +8,8 @@
 
 /* Lists seen so far, for the check against each other. */
 typedef struct {
-	plans_t *plans;
+	GPtrArray *plans; /* plans_t: a list, or parts of one */
+	GPtrArray *files; /* their names, as given */
 	allowances_t *allowances;
 } check_t;
 
@@ -20,17 +21,17 @@
 
 	if (plans == NULL)
 		return false;
-	printf("%s: plans list version %" G_GUINT64_FORMAT ", %zu teams\n",
-	    path, plans->head.version, plans->n_teams);
-	if (check->plans != NULL) {
-		plans_unref(plans);
-		g_set_error(error, CS_ERROR, CS_ERROR_CONFLICT,
-		    "%s:0: file: is a second plans list; check one pair at a "
-		    "time",
-		    path);
-		return false;
-	}
-	check->plans = plans;
+	g_ptr_array_add(check->plans, plans);
+	g_ptr_array_add(check->files, (char *)path);
+	if (plans_parts(plans) > 1)
+		printf("%s: plans list part %u of %u version %" G_GUINT64_FORMAT
+		       ", %zu teams\n",
+		    path, plans->part, plans->parts, plans->head.version,
+		    plans->n_teams);
+	else
+		printf("%s: plans list version %" G_GUINT64_FORMAT
+		       ", %zu teams\n",
+		    path, plans->head.version, plans->n_teams);
 	return true;
 }
 
@@ -108,15 +109,47 @@
 	return false;
 }
 
+/* Checks the lists against each other. */
+static bool
+lists_check(const check_t *check, GError **error)
+{
+	plans_t *const *plans = (plans_t *const *)check->plans->pdata;
+	size_t n = check->plans->len;
+
+	if (!lists_check_parts(
+		plans, (const char *const *)check->files->pdata, n, error))
+		return false;
+	if (n > 0 && n < plans_parts(plans[0]))
+		printf("%zu of %u parts are given; the keys of the others are "
+		       "not checked\n",
+		    n, plans_parts(plans[0]));
+	if (n == 0 || check->allowances == NULL)
+		return true;
+	for (size_t i = 0; i < n; i++) {
+		if (!lists_check_pair(plans[i], check->allowances, error))
+			return false;
+	}
+	printf("plans and allowances match\n");
+	return true;
+}
+
+static void
+plans_free(gpointer plans)
+{
+	plans_unref(plans);
+}
+
 int
 check_run(int argc, char **argv)
 {
 	int n_files = command_parse(argc, argv, "FILE...",
 	    "Checks plans, allowances and fleet lists and settings. When a "
 	    "plans and an\nallowances list are given, they are also checked "
-	    "against each other.",
+	    "against each other.\nA plans list may be given as its parts.",
 	    NULL);
-	check_t check = {NULL, NULL};
+	g_autoptr(GPtrArray) plans = g_ptr_array_new_with_free_func(plans_free);
+	g_autoptr(GPtrArray) files = g_ptr_array_new();
+	check_t check = {plans, files, NULL};
 	int status = EXIT_OK;
 	GError *error = NULL;
 
@@ -130,13 +163,8 @@
 			error = NULL;
 		}
 	}
-	if (check.plans != NULL && check.allowances != NULL) {
-		if (lists_check_pair(check.plans, check.allowances, &error))
-			printf("plans and allowances match\n");
-		else
-			status = command_problem(error);
-	}
-	plans_unref(check.plans);
+	if (!lists_check(&check, &error))
+		status = command_problem(error);
 	allowances_unref(check.allowances);
 	return status;
 }
--- a/cyclamensailctl/command.c
+++ b/cyclamensailctl/command.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "common/error.h"
 #include "config/file.h"
 #include "config/lists.h"
 
@@ -63,6 +64,26 @@
 	return plans_parse(path, text, len, error);
 }
 
+char *
+parts_file_name(uint32_t part, uint32_t parts)
+{
+	if (parts <= 1)
+		return g_strdup("plans.yaml");
+	return g_strdup_printf("plans-%u-of-%u.yaml", part, parts);
+}
+
+bool
+part_check_place(const plans_t *plans, const char *path, uint32_t part,
+    uint32_t parts, GError **error)
+{
+	if (plans->part == part && plans_parts(plans) == parts)
+		return true;
+	g_set_error(error, CS_ERROR, CS_ERROR_CONFLICT,
+	    "%s:0: file: holds part %u of %u; write part %u of %u into it",
+	    path, plans->part, plans_parts(plans), part, parts);
+	return false;
+}
+
 allowances_t *
 allowances_load(const char *path, GError **error)
 {
--- a/cyclamensailctl/diff.c
+++ b/cyclamensailctl/diff.c
@@ -20,19 +20,46 @@
 	allowances_unref(side->allowances);
 }
 
+/* Loads the plans list that the allowances list tells of, all of its parts. */
+static plans_t *
+folder_plans(const char *path, const allowances_t *allowances, GError **error)
+{
+	uint32_t n = allowances->plans_parts;
+	plans_t **parts = g_new0(plans_t *, n);
+	g_autoptr(GPtrArray) files = g_ptr_array_new_with_free_func(g_free);
+	plans_t *whole = NULL;
+	bool ok = true;
+
+	for (uint32_t i = 0; i < n && ok; i++) {
+		g_autofree char *name = parts_file_name(i, n);
+		char *file = g_build_filename(path, name, NULL);
+
+		g_ptr_array_add(files, file);
+		parts[i] = plans_load(file, error);
+		ok = parts[i] != NULL &&
+		     part_check_place(parts[i], file, i, n, error) &&
+		     lists_check_pair(parts[i], allowances, error);
+	}
+	if (ok && lists_check_parts(
+		      parts, (const char *const *)files->pdata, n, error))
+		whole = plans_combine(parts, n);
+	for (uint32_t i = 0; i < n; i++)
+		plans_unref(parts[i]);
+	g_free(parts);
+	return whole;
+}
+
 static bool
 side_load_folder(side_t *side, const char *path, GError **error)
 {
-	g_autofree char *plans = g_build_filename(path, "plans.yaml", NULL);
 	g_autofree char *allowances =
 	    g_build_filename(path, "allowances.yaml", NULL);
 
-	side->plans = plans_load(plans, error);
-	if (side->plans == NULL)
-		return false;
 	side->allowances = allowances_load(allowances, error);
-	return side->allowances != NULL &&
-	       lists_check_pair(side->plans, side->allowances, error);
+	if (side->allowances == NULL)
+		return false;
+	side->plans = folder_plans(path, side->allowances, error);
+	return side->plans != NULL;
 }
 
 static bool
@@ -59,6 +86,23 @@
 	return side->plans != NULL || side->allowances != NULL;
 }
 
+/* Of a list in parts, files hold one part; folders hold all of them. */
+static bool
+sides_are_comparable(
+    const plans_t *before, const plans_t *after, GError **error)
+{
+	bool files = (before->whole == NULL && plans_parts(before) > 1) ||
+		     (after->whole == NULL && plans_parts(after) > 1);
+
+	if (!files || (before->part == after->part &&
+			  plans_parts(before) == plans_parts(after)))
+		return true;
+	g_set_error(error, CS_ERROR, CS_ERROR_CONFLICT,
+	    "diff:0: file: OLD and NEW are different parts; give two of one "
+	    "part or two folders with all parts");
+	return false;
+}
+
 static bool
 sides_diff(
     const side_t *before, const side_t *after, GString *lines, GError **error)
@@ -70,6 +114,9 @@
 		    "give two of one kind or two folders");
 		return false;
 	}
+	if (after->plans != NULL &&
+	    !sides_are_comparable(before->plans, after->plans, error))
+		return false;
 	if (after->plans != NULL &&
 	    !diff_plans(before->plans, after->plans, lines, error))
 		return false;
@@ -84,8 +131,9 @@
 	int n_paths = command_parse(argc, argv, "OLD NEW",
 	    "Shows what a change of the lists does to whom. OLD and NEW are "
 	    "two plans\nlists, two allowances lists, or two folders with "
-	    "plans.yaml and\nallowances.yaml. Only folders give the number of "
-	    "teams that a plan's change\naffects.",
+	    "plans.yaml, or all\nparts of it, and allowances.yaml. Only "
+	    "folders "
+	    "give the number of teams that a\nplan's change affects.",
 	    NULL);
 	g_autoptr(GString) lines = g_string_new(NULL);
 	side_t before = {NULL, NULL};
--- a/cyclamensailctl/main.c
+++ b/cyclamensailctl/main.c
@@ -7,6 +7,7 @@
 static const command_t commands[] = {
     {"check", "check lists and settings before they are published", check_run},
     {"diff", "show what a change of the lists does to whom", diff_run},
+    {"split", "divide a plans list into parts", split_run},
     {"hash-key", "print the hash of a key for the plans list", hash_key_run},
     {"counters", "print the counters of an instance", counters_run},
     {"explain", "print what an instance would decide on a request",
--- a/include/cyclamensailctl/command.h
+++ b/include/cyclamensailctl/command.h
@@ -21,6 +21,7 @@
 
 int check_run(int argc, char **argv);
 int diff_run(int argc, char **argv);
+int split_run(int argc, char **argv);
 int hash_key_run(int argc, char **argv);
 int counters_run(int argc, char **argv);
 int explain_run(int argc, char **argv);
@@ -47,6 +48,14 @@
 plans_t *plans_load(const char *path, GError **error);
 allowances_t *allowances_load(const char *path, GError **error);
 
+/* Name of the file of a part, or of a list in one piece. The caller frees it.
+ */
+char *parts_file_name(uint32_t part, uint32_t parts);
+
+/* Checks that a file holds the part that its name tells. */
+bool part_check_place(const plans_t *plans, const char *path, uint32_t part,
+    uint32_t parts, GError **error);
+
 /*
  * Sends one request to an instance and prints the answer. url is http:// or
  * https:// with a host and a port; the scheme may be left out. path and query
--- a/tests/process_ctl.c
+++ b/tests/process_ctl.c
@@ -65,6 +65,45 @@
 	    row->guards, errors);
 }
 
+/* Guards against a split that loses teams, and parts or folders of them that
+ * the other commands can't take. */
+START_TEST(list_is_split_and_checked)
+{
+	g_autoptr(GError) error = NULL;
+	g_autofree char *folder = g_dir_make_tmp("split-XXXXXX", &error);
+	g_autofree char *parts = g_strdup_printf("%s/plans-0-of-2.yaml "
+						 "%s/plans-1-of-2.yaml",
+	    folder, folder);
+	g_autofree char *split =
+	    g_strdup_printf("split " EXAMPLES "/plans.yaml -p 2 -o %s", folder);
+	g_autofree char *check =
+	    g_strdup_printf("check %s " EXAMPLES "/allowances.yaml", parts);
+	g_autofree char *again =
+	    g_strdup_printf("split %s -p 1 -o %s", parts, folder);
+	g_autofree char *one = g_strdup_printf(
+	    "diff " EXAMPLES "/plans.yaml %s/plans.yaml", folder);
+	g_autofree char *count = g_strdup_printf("check %s/plans.yaml", folder);
+	g_autofree char *other = g_strdup_printf("diff %s", parts);
+	g_autofree char *clean = g_strdup_printf("rm -r %s", folder);
+	const run_case_t rows[] = {
+	    {"split that fails", split, "", 0, "plans-1-of-2.yaml\n", ""},
+	    {"parts that are overwritten", split, "", 1, "", "exists; "},
+	    {"parts that don't match", check, "", 0,
+		"plans and allowances match\n", ""},
+	    {"two parts taken for one", other, "", 1, "", "different parts"},
+	    {"parts that can't be joined", again, "", 0, "/plans.yaml\n", ""},
+	    {"teams that are lost on the way", count, "", 0,
+		"version 5, 3 teams\n", ""},
+	    {"entries that change on the way", one, "", 0,
+		"plans: version 1 -> 5\n", ""},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		case_run(&rows[i]);
+	ck_assert(g_spawn_command_line_sync(clean, NULL, NULL, NULL, NULL));
+}
+END_TEST
+
 START_TEST(exit_status_and_streams)
 {
 	static const run_case_t rows[] = {
@@ -81,6 +120,12 @@
 	    {"two lists of a kind, of which one wins",
 		"check " EXAMPLES "/plans.yaml " EXAMPLES "/plans.yaml", "", 1,
 		"", "second plans list; "},
+	    {"split that divides nothing",
+		"split " EXAMPLES "/plans.yaml -o /tmp", "", 2, "",
+		"--parts is missing"},
+	    {"split to a version that no instance takes",
+		"split " EXAMPLES "/plans.yaml -p 2 -o /tmp -v 1", "", 1, "",
+		"split:0: version: is not above "},
 	    {"folders that are not read", "diff " EXAMPLES " " EXAMPLES, "", 0,
 		"no change\n", ""},
 	    {"lists of two kinds",
@@ -259,6 +304,7 @@
 		return EXIT_FAILURE;
 	program = argv[1];
 	TEST_ADD(suite, exit_status_and_streams);
+	TEST_ADD(suite, list_is_split_and_checked);
 	TEST_ADD(suite, answers_of_an_instance);
 	TEST_ADD(suite, bench_answers);
 	TEST_ADD(suite, bench_counts_from_the_scheduled_time);
