--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -99,19 +99,28 @@
 	return g_string_free(text, FALSE);
 }
 
+/* One part of a plans list of so many teams. */
 static char *
-plans_text(int teams, int instances, uint64_t version)
+part_text(
+    int teams, int instances, uint32_t part, uint32_t parts, uint64_t version)
 {
 	GString *text = g_string_new(NULL);
 	int regions = MIN(REGIONS, zones_of(instances));
+	size_t empty;
 
-	g_string_printf(
-	    text, "version: %" G_GUINT64_FORMAT "\nteams:\n", version);
+	g_string_printf(text, "version: %" G_GUINT64_FORMAT "\n", version);
+	if (parts > 1)
+		g_string_append_printf(
+		    text, "part: %u\nparts: %u\n", part, parts);
+	g_string_append(text, "teams:\n");
+	empty = text->len;
 	for (int i = 0; i < teams; i++) {
 		g_autofree char *name = g_strdup_printf("team-%d", i);
 		g_autofree char *hash =
 		    g_compute_checksum_for_string(G_CHECKSUM_SHA256, name, -1);
 
+		if (plans_part_of(name, parts) != part)
+			continue;
 		g_string_append_printf(
 		    text, "  - name: %s\n    plan: basic\n", name);
 		/* A third of the requests are bound to a home. */
@@ -121,9 +130,17 @@
 		g_string_append_printf(
 		    text, "    keys: [{ id: k, sha256: %s }]\n", hash);
 	}
+	if (text->len == empty)
+		g_string_append(text, "  []\n");
 	return g_string_free(text, FALSE);
 }
 
+static char *
+plans_text(int teams, int instances, uint64_t version)
+{
+	return part_text(teams, instances, 0, 1, version);
+}
+
 /* Stops on lists that the parser refuses: the figures would mean nothing. */
 static void *
 parsed(void *list, const GError *error)
@@ -448,6 +465,115 @@
 	subject_destroy(&subject);
 }
 
+/* Bytes of the bodies of a fetch of a part by an instance that lacks it. */
+static void
+fetch_bytes(
+    const gate_t *gate, const char *text, size_t *request, size_t *reply)
+{
+	fetch_t *fetch = g_new0(fetch_t, 1);
+	fetch_reply_t answer = {.kind = LIST_PLANS,
+	    .version = 1,
+	    .text = (char *)text,
+	    .len = strlen(text),
+	    .parts = 1};
+	GBytes *bytes;
+
+	fetch->kind = LIST_PLANS;
+	gate_plans_held(gate, &fetch->held);
+	bytes = fetch_encode(fetch, NULL);
+	*request = g_bytes_get_size(bytes);
+	g_bytes_unref(bytes);
+	bytes = fetch_reply_encode(&answer, NULL);
+	*reply = g_bytes_get_size(bytes);
+	g_bytes_unref(bytes);
+	g_free(fetch);
+}
+
+/* A change of one part: what is moved, and the time until it is in force. */
+static void
+part_measure(gate_t *gate, const char *text, int teams, uint32_t parts)
+{
+	GError *error = NULL;
+	size_t request;
+	size_t reply;
+	plans_t *next;
+	double start = seconds_now();
+	double parse;
+
+	next = plans_parse("plans", text, strlen(text), &error);
+	parsed(next, error);
+	parse = seconds_now() - start;
+	fetch_bytes(gate, text, &request, &reply);
+	start = seconds_now();
+	gate_offer_list(gate, LIST_PLANS, next, 3 * US_PER_S);
+	printf("| change of one part of %u, %d teams | read %.1f kB, or fetch "
+	       "%zu B + %.1f kB | parse %.2f ms, adopt %.2f ms |\n",
+	    parts, teams, (double)strlen(text) / 1000, request,
+	    (double)reply / 1000, parse * 1e3, (seconds_now() - start) * 1e3);
+	plans_unref(next);
+}
+
+static bool
+pair_matches(const plans_t *plans, const allowances_t *allowances, void *data)
+{
+	return lists_check_pair(plans, allowances, NULL);
+}
+
+static void
+parts_measure(int teams, uint32_t parts)
+{
+	static const uint8_t key[ORDER_MAC_KEY_BYTES] = {1};
+	subject_t subject;
+	gate_options_t options = {.instance = "i0",
+	    .zone = "zone-0",
+	    .incarnation = 1,
+	    .ticket_key = key,
+	    .queue_limit = 16,
+	    .now = 1,
+	    .pair_fits = pair_matches};
+	gate_t *gate = gate_create(&options);
+	uint64_t versions[LIST_COUNT];
+	size_t before;
+
+	subject_create(&subject, 400, 5);
+	gate_offer_list(gate, LIST_FLEET, subject.fleet, 2);
+	gate_offer_list(gate, LIST_ALLOWANCES, subject.allowances, 2);
+	before = heap_bytes();
+	for (uint32_t i = 0; i < parts; i++) {
+		g_autofree char *text = part_text(teams, 400, i, parts, 1);
+		GError *error = NULL;
+		plans_t *part =
+		    plans_parse("plans", text, strlen(text), &error);
+
+		parsed(part, error);
+		gate_offer_list(gate, LIST_PLANS, part, 2);
+		plans_unref(part);
+	}
+	gate_versions(gate, versions);
+	if (versions[LIST_PLANS] != parts)
+		exit(EXIT_FAILURE);
+	printf("| plans list in %u parts, %d teams | %zu kB heap | - |\n",
+	    parts, teams, (heap_bytes() - before) / 1024);
+	for (int change = 0; change < 2; change++) {
+		g_autofree char *text = part_text(
+		    teams, 400, parts / 2, parts, 2 + (uint64_t)change);
+
+		/* The first one fills caches and allocator. */
+		if (change == 1)
+			part_measure(gate, text, teams, parts);
+		else {
+			GError *error = NULL;
+			plans_t *part =
+			    plans_parse("plans", text, strlen(text), &error);
+
+			gate_offer_list(gate, LIST_PLANS, part, 2);
+			plans_unref(part);
+		}
+	}
+	gate_destroy(gate);
+	subject_destroy(&subject);
+}
+
 static void
 order_measure(int orders)
 {
@@ -495,6 +621,12 @@
 		traffic_measure(instances[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(teams); i++)
 		plans_measure(teams[i]);
+	parts_measure(500, 1);
+	parts_measure(7000, 1);
+	for (size_t i = 1; i < G_N_ELEMENTS(teams); i++) {
+		for (uint32_t parts = 16; parts <= 128; parts *= 2)
+			parts_measure(teams[i], parts);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(active); i++)
 		active_measure(active[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(orders); i++)
