config: merge the plans list in parts

Cause: the plans list of 16,000 teams exceeds the platform's 1 MB, and each change moved the whole of it.

--- a/bench/lists.c
+++ b/bench/lists.c
@@ -68,18 +68,26 @@
 }
 
 char *
-plans_text(int teams, int instances, uint64_t version)
+part_text(
+    int teams, int instances, uint32_t part, uint32_t parts, uint64_t version)
 {
 	GString *text = g_string_new(NULL);
 	int regions = MIN(BENCH_REGIONS, bench_zones(instances));
+	size_t empty;
 
-	g_string_printf(
-	    text, "version: %" G_GUINT64_FORMAT "\nteams:\n", version);
+	g_string_printf(text, "version: %" G_GUINT64_FORMAT "\n", version);
+	if (parts > 1)
+		g_string_append_printf(
+		    text, "part: %u\nparts: %u\n", part, parts);
+	g_string_append(text, "teams:\n");
+	empty = text->len;
 	for (int i = 0; i < teams; i++) {
 		g_autofree char *name = g_strdup_printf("team-%d", i);
 		g_autofree char *hash =
 		    g_compute_checksum_for_string(G_CHECKSUM_SHA256, name, -1);
 
+		if (plans_part_of(name, parts) != part)
+			continue;
 		g_string_append_printf(
 		    text, "  - name: %s\n    plan: basic\n", name);
 		/* A third of the requests are bound to a home. */
@@ -89,9 +97,17 @@
 		g_string_append_printf(
 		    text, "    keys: [{ id: k, sha256: %s }]\n", hash);
 	}
+	if (text->len == empty)
+		g_string_append(text, "  []\n");
 	return g_string_free(text, FALSE);
 }
 
+char *
+plans_text(int teams, int instances, uint64_t version)
+{
+	return part_text(teams, instances, 0, 1, version);
+}
+
 /* Stops on lists that the parser refuses: the figures would mean nothing. */
 static void *
 parsed(void *list, const GError *error)
@@ -102,6 +118,15 @@
 	exit(EXIT_FAILURE);
 }
 
+plans_t *
+part_parse(const char *text)
+{
+	GError *error = NULL;
+	plans_t *plans = plans_parse("plans", text, strlen(text), &error);
+
+	return parsed(plans, error);
+}
+
 fleet_t *
 fleet_make(int instances, uint64_t version)
 {
--- a/core/route.c
+++ b/core/route.c
@@ -397,7 +397,8 @@
 		slots += entry->slots;
 	}
 	reserve = (slots + ROUTE_RESERVE_PART - 1) / ROUTE_RESERVE_PART;
-	return running > 0 && slots - running <= reserve;
+	return slots >= ROUTE_RESERVE_SLOTS && running > 0 &&
+	       slots - running <= reserve;
 }
 
 size_t
--- a/include/core/route.h
+++ b/include/core/route.h
@@ -40,6 +40,9 @@
  * margin, and larger parts only delay that team more.
  */
 #define ROUTE_RESERVE_PART 16
+/* With fewer own slots none is kept free: one of a few is much of what an
+ * otherwise idle service can do. */
+#define ROUTE_RESERVE_SLOTS 8
 
 /* Prompt bytes that make up the prefix hash. */
 #define ROUTE_PREFIX_BYTES 256
@@ -165,8 +168,8 @@
 
 /*
  * Whether a service has few free own slots on the targets that take new work;
- * see ROUTE_RESERVE_PART. A service without running requests is never nearly
- * full, so that one with a single slot is usable.
+ * see ROUTE_RESERVE_PART. A service without running requests, or with fewer
+ * than ROUTE_RESERVE_SLOTS, never is.
  */
 bool route_nearly_full(
     const route_t *route, const char *service, time_us_t now);
--- a/include/platform/reader.h
+++ b/include/platform/reader.h
@@ -2,8 +2,10 @@
 #define PLATFORM_READER_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 
+#include "core/plans_set.h"
 #include "core/snapshot.h"
 
 /*
@@ -16,6 +18,10 @@
  * The revision is the ETag without quotes. It only serves the watch; which text
  * is newer is decided by the version inside it (core/lists).
  *
+ * A plans list in parts has a value for each part, plans-PART-of-PARTS. Parts
+ * that are not watched are read once within 30 s and then about every 2 h, as a
+ * last resort; peers tell of their changes.
+ *
  * Each list has at most one call outstanding. After a failure the next base is
  * asked, at a random time: within 1 s for the first failure, then 1..30 s later
  * (full jitter). It is asked without a revision, since revisions of two
@@ -45,6 +51,7 @@
 	unsigned wait_s;	       /* 0: 30 */
 	unsigned timeout_s;	       /* for an answer beyond wait_s; 0: 10 */
 	unsigned retry_max_ms;	       /* 0: 30,000 */
+	bool plans_later; /* don't read plans before the sources are set */
 	platform_value_t on_value;
 	void *user;
 } platform_options_t;
@@ -58,6 +65,14 @@
 platform_reader_t *platform_reader_create(
     const platform_options_t *options, GError **error);
 
+/*
+ * Sets the parts of the plans list to read; at the start it is a list in one
+ * piece, or none with plans_later. Takes effect within a second. Can be called
+ * from any thread.
+ */
+void platform_reader_set_sources(
+    platform_reader_t *reader, const plans_source_t *sources, size_t n);
+
 /* Ends outstanding calls and joins the thread. No callback runs afterwards. */
 void platform_reader_destroy(platform_reader_t *reader);
 
--- a/tests/cluster_http.c
+++ b/tests/cluster_http.c
@@ -270,3 +270,37 @@
 	}
 	return false;
 }
+
+double
+cluster_withdrawal(cluster_t *cluster, void (*set)(bool withdrawn))
+{
+	static const char body[] =
+	    "{\"prompt\":\"long\",\"max_tokens\":4000,\"stream\":true}";
+	http_task_t *tasks[NODE_INSTANCES];
+	gint64 published_at;
+	double slowest = 0;
+
+	for (int node = 0; node < NODE_INSTANCES; node++) {
+		WAIT_UNTIL(
+		    probe_status(cluster, (node_t)node, DESK_KEY) == 200);
+		tasks[node] =
+		    http_start(node_url(cluster, (node_t)node, GENERATE),
+			DESK_KEY, NULL, body);
+	}
+	for (int node = 0; node < NODE_INSTANCES; node++)
+		WAIT_UNTIL(http_task_bytes(tasks[node]) > 200);
+	published_at = g_get_monotonic_time();
+	set(true);
+	for (int node = 0; node < NODE_INSTANCES; node++) {
+		answer_t *answer = http_join(tasks[node]);
+
+		ck_assert_ptr_nonnull(
+		    strstr(answer->body->str, "key_withdrawn"));
+		slowest = MAX(slowest,
+		    (double)(answer->last_byte_at - published_at) / 1e6);
+		answer_free(answer);
+		ck_assert_int_eq(
+		    probe_status(cluster, (node_t)node, DESK_KEY), 401);
+	}
+	return slowest;
+}
