--- a/common/log.c
+++ b/common/log.c
@@ -1,6 +1,8 @@
 #include "common/log.h"
 
 #include <ctype.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -10,12 +12,20 @@
 
 static const char *log_program = "cyclamensail";
 static int log_max_priority = LOG_INFO;
+static int log_pid;
+
+/* Lines that wait for log_flush(); NULL when each is written at once. */
+#define COLLECT_BYTES 65536
+
+static GString *collected;
+static int64_t dropped;
 
 void
 log_open(const char *program, int max_priority)
 {
 	log_program = program;
 	log_max_priority = max_priority;
+	log_pid = (int)getpid();
 }
 
 static bool
@@ -55,29 +65,39 @@
 static void
 time_append(GString *line)
 {
+	static _Thread_local time_t formatted;
+	static _Thread_local char text[32];
 	struct timespec ts;
-	struct tm tm;
-	char text[32];
 
 	clock_gettime(CLOCK_REALTIME, &ts);
-	gmtime_r(&ts.tv_sec, &tm);
-	strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &tm);
+	if (formatted != ts.tv_sec) {
+		struct tm tm;
+
+		formatted = ts.tv_sec;
+		gmtime_r(&ts.tv_sec, &tm);
+		strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &tm);
+	}
 	g_string_append_printf(
 	    line, "%s.%03dZ", text, (int)(ts.tv_nsec / 1000000));
 }
 
-void
-log_write(int priority, const char *event, const log_field_t *fields)
+static const char *
+priority_name(int priority)
 {
-	GString *line;
+	static const char *const names[] = {"emerg", "alert", "crit", "err",
+	    "warning", "notice", "info", "debug"};
 
-	if (priority > log_max_priority)
-		return;
-	line = g_string_sized_new(256);
-	g_string_append_printf(line, "<%d>", priority);
+	return names[priority & 7];
+}
+
+static void
+line_append(
+    GString *line, int priority, const char *event, const log_field_t *fields)
+{
+	g_string_append(line, "time=");
 	time_append(line);
-	g_string_append_printf(
-	    line, " %s[%d]: event=%s", log_program, (int)getpid(), event);
+	g_string_append_printf(line, " level=%s program=%s pid=%d event=%s",
+	    priority_name(priority), log_program, log_pid, event);
 	for (; fields->key != NULL; fields++) {
 		g_string_append_printf(line, " %s=", fields->key);
 		if (fields->text != NULL)
@@ -87,8 +107,96 @@
 			    line, "%" G_GINT64_FORMAT, fields->number);
 	}
 	g_string_append_c(line, '\n');
+}
+
+/* Tells whether the bound on lines a second allows one more. */
+static bool
+volume_allows(int priority)
+{
+	static time_t second;
+	static unsigned lines;
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	if (now.tv_sec != second) {
+		second = now.tv_sec;
+		lines = 0;
+	}
+	return priority <= LOG_WARNING || lines++ < LOG_LINES_PER_S;
+}
+
+void
+log_collect(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	collected = g_string_sized_new(COLLECT_BYTES);
+}
+
+void
+log_flush(void)
+{
+	const char *at;
+	size_t left;
+
+	if (collected == NULL || collected->len == 0)
+		return;
+	at = collected->str;
+	left = collected->len;
+	while (left > 0) {
+		ssize_t n = write(STDOUT_FILENO, at, left);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			break;
+		at += n;
+		left -= (size_t)n;
+	}
+	/* Whole lines that didn't fit are dropped, but not the rest of a line
+	 * that has begun, nor so much that it would fill memory. */
+	if (left > 0 && (at == collected->str || at[-1] == '\n')) {
+		for (size_t i = 0; i < left; i++)
+			dropped += at[i] == '\n';
+		left = 0;
+	}
+	g_string_erase(collected, 0, (gssize)(collected->len - left));
+}
+
+static void
+dropped_tell(void)
+{
+	log_field_t fields[] = {LOG_I("lines", dropped), {NULL, NULL, 0}};
+
+	if (dropped == 0)
+		return;
+	dropped = 0;
+	line_append(collected, LOG_WARNING, "log_dropped", fields);
+}
+
+void
+log_write(int priority, const char *event, const log_field_t *fields)
+{
+	GString *line;
+
+	if (priority > log_max_priority)
+		return;
+	if (collected != NULL) {
+		if (collected->len > COLLECT_BYTES ||
+		    !volume_allows(priority)) {
+			dropped++;
+			return;
+		}
+		dropped_tell();
+		line_append(collected, priority, event, fields);
+		return;
+	}
+	line = g_string_sized_new(256);
+	line_append(line, priority, event, fields);
 	/* One write(2) a line keeps lines of several threads apart. */
-	if (write(STDERR_FILENO, line->str, line->len) < 0) {
+	if (write(STDOUT_FILENO, line->str, line->len) < 0) {
 		/* Nowhere left to report to. */
 	}
 	g_string_free(line, TRUE);
--- /dev/null
+++ b/core/catalog.c
@@ -0,0 +1,251 @@
+#include "core/catalog.h"
+
+#include <string.h>
+#include <strings.h>
+
+struct catalog {
+	gint refs;
+	uint64_t version;
+	GArray *services;
+	GArray *routes;
+	GArray *teams;
+	GHashTable *keys; /* char * -> team index + 1 */
+	caller_limits_t limits;
+	bool keyed;
+};
+
+static void
+service_clear(gpointer data)
+{
+	g_free(((catalog_service_t *)data)->name);
+}
+
+static void
+route_clear(gpointer data)
+{
+	catalog_route_t *route = data;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+}
+
+static void
+team_clear(gpointer data)
+{
+	g_free(((catalog_team_t *)data)->name);
+}
+
+static GArray *
+table_create(size_t entry_size, GDestroyNotify clear)
+{
+	GArray *table = g_array_new(FALSE, FALSE, (guint)entry_size);
+
+	g_array_set_clear_func(table, clear);
+	return table;
+}
+
+catalog_t *
+catalog_create(uint64_t version)
+{
+	catalog_t *catalog = g_new0(catalog_t, 1);
+
+	catalog->refs = 1;
+	catalog->version = version;
+	catalog->services =
+	    table_create(sizeof(catalog_service_t), service_clear);
+	catalog->routes = table_create(sizeof(catalog_route_t), route_clear);
+	catalog->teams = table_create(sizeof(catalog_team_t), team_clear);
+	catalog->keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return catalog;
+}
+
+catalog_t *
+catalog_ref(catalog_t *catalog)
+{
+	catalog->refs++;
+	return catalog;
+}
+
+void
+catalog_unref(catalog_t *catalog)
+{
+	if (catalog == NULL || --catalog->refs > 0)
+		return;
+	g_array_unref(catalog->services);
+	g_array_unref(catalog->routes);
+	g_array_unref(catalog->teams);
+	g_hash_table_destroy(catalog->keys);
+	g_free(catalog);
+}
+
+int
+catalog_add_service(catalog_t *catalog, const catalog_service_t *service)
+{
+	g_array_append_val(catalog->services, *service);
+	return (int)catalog->services->len - 1;
+}
+
+void
+catalog_add_route(catalog_t *catalog, const catalog_route_t *route)
+{
+	g_array_append_val(catalog->routes, *route);
+}
+
+int
+catalog_add_team(catalog_t *catalog, const catalog_team_t *team)
+{
+	g_array_append_val(catalog->teams, *team);
+	return (int)catalog->teams->len - 1;
+}
+
+bool
+catalog_add_key(catalog_t *catalog, const char *key, int team)
+{
+	if (g_hash_table_contains(catalog->keys, key))
+		return false;
+	g_hash_table_insert(
+	    catalog->keys, g_strdup(key), GINT_TO_POINTER(team + 1));
+	return true;
+}
+
+void
+catalog_set_limits(catalog_t *catalog, const caller_limits_t *limits)
+{
+	catalog->limits = *limits;
+}
+
+void
+catalog_set_keyed(catalog_t *catalog, bool keyed)
+{
+	catalog->keyed = keyed;
+}
+
+uint64_t
+catalog_version(const catalog_t *catalog)
+{
+	return catalog->version;
+}
+
+const caller_limits_t *
+catalog_limits(const catalog_t *catalog)
+{
+	return &catalog->limits;
+}
+
+bool
+catalog_keyed(const catalog_t *catalog)
+{
+	return catalog->keyed;
+}
+
+static bool
+host_matches(const char *host, const char *text, size_t len)
+{
+	const char *colon = memchr(text, ':', len);
+	size_t name_len = colon ? (size_t)(colon - text) : len;
+
+	return strlen(host) == name_len &&
+	       strncasecmp(host, text, name_len) == 0;
+}
+
+const catalog_route_t *
+catalog_route(const catalog_t *catalog, const char *host, size_t host_len,
+    const char *path, size_t path_len)
+{
+	const catalog_route_t *best = NULL;
+	size_t best_len = 0;
+
+	for (guint i = 0; i < catalog->routes->len; i++) {
+		const catalog_route_t *route =
+		    &g_array_index(catalog->routes, catalog_route_t, i);
+		size_t len = strlen(route->prefix);
+
+		if (len <= path_len && len > best_len &&
+		    memcmp(route->prefix, path, len) == 0 &&
+		    host_matches(route->host, host, host_len)) {
+			best = route;
+			best_len = len;
+		}
+	}
+	return best;
+}
+
+int
+catalog_key_team(const catalog_t *catalog, const char *key, size_t len)
+{
+	char text[256];
+
+	if (len >= sizeof(text))
+		return -1;
+	memcpy(text, key, len);
+	text[len] = '\0';
+	return GPOINTER_TO_INT(g_hash_table_lookup(catalog->keys, text)) - 1;
+}
+
+int
+catalog_team_index(const catalog_t *catalog, const char *name)
+{
+	for (guint i = 0; i < catalog->teams->len; i++) {
+		if (strcmp(catalog_team(catalog, (int)i)->name, name) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+const catalog_team_t *
+catalog_team(const catalog_t *catalog, int team)
+{
+	if (team < 0 || (guint)team >= catalog->teams->len)
+		return NULL;
+	return &g_array_index(catalog->teams, catalog_team_t, team);
+}
+
+size_t
+catalog_n_teams(const catalog_t *catalog)
+{
+	return catalog->teams->len;
+}
+
+int
+catalog_service_index(const catalog_t *catalog, const char *name)
+{
+	for (guint i = 0; i < catalog->services->len; i++) {
+		if (strcmp(catalog_service(catalog, (int)i)->name, name) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+const catalog_service_t *
+catalog_service(const catalog_t *catalog, int service)
+{
+	if (service < 0 || (guint)service >= catalog->services->len)
+		return NULL;
+	return &g_array_index(catalog->services, catalog_service_t, service);
+}
+
+size_t
+catalog_n_services(const catalog_t *catalog)
+{
+	return catalog->services->len;
+}
+
+int
+catalog_pick_service(const catalog_route_t *route, uint64_t random)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < route->n_backends; i++)
+		sum += route->backends[i].weight;
+	if (sum == 0)
+		return route->n_backends > 0 ? route->backends[0].service : -1;
+	random %= sum;
+	for (size_t i = 0; i < route->n_backends; i++) {
+		if (random < route->backends[i].weight)
+			return route->backends[i].service;
+		random -= route->backends[i].weight;
+	}
+	return -1;
+}
--- /dev/null
+++ b/core/members.c
@@ -0,0 +1,359 @@
+#include "core/members.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/random.h"
+
+/* Rounds between messages to a seed, and to an instance that seems dead. */
+#define SEED_ROUNDS 8
+#define DEAD_ROUNDS 4
+
+/* Rounds after the start in which all seeds are told. */
+#define JOIN_ROUNDS 12
+
+struct members {
+	const places_t *places;
+	member_entry_t self;
+	int own_region;
+	GPtrArray *all;
+	GHashTable *by_ip;
+	uint32_t *seeds;
+	size_t n_seeds;
+	uint64_t random;
+	uint32_t rounds;
+};
+
+members_t *
+members_create(const places_t *places, const member_entry_t *self,
+    const uint32_t *seeds, size_t n_seeds, uint64_t random, time_us_t now)
+{
+	members_t *members = g_new0(members_t, 1);
+
+	members->places = places;
+	members->self = *self;
+	members->own_region = places_region_of(places, self->zone);
+	members->all = g_ptr_array_new_with_free_func(g_free);
+	members->by_ip = g_hash_table_new(NULL, NULL);
+	members->seeds = g_memdup2(seeds, n_seeds * sizeof(*seeds));
+	members->n_seeds = n_seeds;
+	members->random = random;
+	return members;
+}
+
+void
+members_destroy(members_t *members)
+{
+	g_hash_table_destroy(members->by_ip);
+	g_ptr_array_unref(members->all);
+	g_free(members->seeds);
+	g_free(members);
+}
+
+void
+members_set_ready(members_t *members, bool ready)
+{
+	members->self.ready = ready;
+}
+
+void
+members_set_leaving(members_t *members)
+{
+	members->self.leaving = true;
+	members->self.ready = false;
+}
+
+const member_entry_t *
+members_self(const members_t *members)
+{
+	return &members->self;
+}
+
+static int
+member_region(const members_t *members, const member_t *member)
+{
+	return places_region_of(members->places, member->entry.zone);
+}
+
+bool
+members_is_live(const members_t *members, const member_t *member, time_us_t now)
+{
+	time_us_t timeout =
+	    member_region(members, member) == members->own_region
+		? MEMBER_NEAR_TIMEOUT_US
+		: MEMBER_FAR_TIMEOUT_US;
+
+	return now - member->risen_at < timeout;
+}
+
+static void
+peer_add(uint32_t *peers, size_t *n, size_t limit, uint32_t ip)
+{
+	for (size_t i = 0; i < *n; i++) {
+		if (peers[i] == ip)
+			return;
+	}
+	if (*n < limit)
+		peers[(*n)++] = ip;
+}
+
+/* Adds up to fanout live instances, of the own region or of the others. */
+static void
+peers_add_live(members_t *members, bool near, size_t fanout, time_us_t now,
+    uint32_t *peers, size_t *n, size_t limit)
+{
+	guint len = members->all->len;
+	guint start =
+	    len > 0 ? (guint)(random_next(&members->random) % len) : 0;
+	size_t added = 0;
+
+	/* A random start alone would favour those behind gaps. */
+	for (guint step = 0; step < len && added < fanout; step++) {
+		guint at = (start + step) % len;
+		guint swap =
+		    (start + step +
+			(guint)(random_next(&members->random) % (len - step))) %
+		    len;
+		gpointer *pdata = members->all->pdata;
+		gpointer kept = pdata[at];
+		const member_t *member;
+
+		pdata[at] = pdata[swap];
+		pdata[swap] = kept;
+		member = pdata[at];
+		if ((member_region(members, member) == members->own_region) !=
+			near ||
+		    !members_is_live(members, member, now))
+			continue;
+		peer_add(peers, n, limit, member->entry.ip);
+		added++;
+	}
+}
+
+static void
+peers_add_dead(
+    members_t *members, time_us_t now, uint32_t *peers, size_t *n, size_t limit)
+{
+	guint len = members->all->len;
+	guint start =
+	    len > 0 ? (guint)(random_next(&members->random) % len) : 0;
+
+	for (guint i = 0; i < len; i++) {
+		const member_t *member =
+		    g_ptr_array_index(members->all, (start + i) % len);
+
+		if (!members_is_live(members, member, now)) {
+			peer_add(peers, n, limit, member->entry.ip);
+			return;
+		}
+	}
+}
+
+static void
+members_forget(members_t *members, time_us_t now)
+{
+	for (guint i = members->all->len; i > 0; i--) {
+		const member_t *member = g_ptr_array_index(members->all, i - 1);
+
+		if (now - member->risen_at < MEMBER_FORGET_US)
+			continue;
+		g_hash_table_remove(
+		    members->by_ip, GUINT_TO_POINTER(member->entry.ip));
+		g_ptr_array_remove_index_fast(members->all, i - 1);
+	}
+}
+
+size_t
+members_round(members_t *members, time_us_t now, uint32_t *peers, size_t limit)
+{
+	size_t n = 0;
+
+	members->self.heartbeat++;
+	members->rounds++;
+	members_forget(members, now);
+	peers_add_live(
+	    members, true, MEMBER_NEAR_FANOUT, now, peers, &n, limit);
+	peers_add_live(
+	    members, false, MEMBER_FAR_FANOUT, now, peers, &n, limit);
+	if (members->rounds % DEAD_ROUNDS == 0)
+		peers_add_dead(members, now, peers, &n, limit);
+	for (size_t i = 0; i < members->n_seeds; i++) {
+		if (members->seeds[i] == members->self.ip)
+			continue;
+		if (members->rounds <= JOIN_ROUNDS || n == 0 ||
+		    members->rounds % SEED_ROUNDS == i % SEED_ROUNDS)
+			peer_add(peers, &n, limit, members->seeds[i]);
+	}
+	return n;
+}
+
+size_t
+members_digest(
+    members_t *members, time_us_t now, member_entry_t *entries, size_t limit)
+{
+	guint len = members->all->len;
+	guint start =
+	    len > 0 ? (guint)(random_next(&members->random) % len) : 0;
+	size_t n = 0;
+
+	if (limit == 0)
+		return 0;
+	entries[n] = members->self;
+	entries[n++].age_ms = 0;
+	for (guint i = 0; i < len && n < limit; i++) {
+		const member_t *member =
+		    g_ptr_array_index(members->all, (start + i) % len);
+
+		if (!members_is_live(members, member, now))
+			continue;
+		entries[n] = member->entry;
+		entries[n++].age_ms =
+		    (uint32_t)((now - member->risen_at) / US_PER_MS);
+	}
+	return n;
+}
+
+static bool
+entry_is_newer(const member_entry_t *a, const member_entry_t *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	return a->heartbeat > b->heartbeat;
+}
+
+static void
+entry_merge(members_t *members, const member_entry_t *entry, time_us_t now)
+{
+	time_us_t risen_at = now - (time_us_t)entry->age_ms * US_PER_MS;
+	member_t *member;
+
+	if (entry->ip == members->self.ip) {
+		if (entry->incarnation > members->self.incarnation)
+			members->self.incarnation = entry->incarnation + 1;
+		return;
+	}
+	if (places_region_of(members->places, entry->zone) == PLACE_NONE)
+		return;
+	member =
+	    g_hash_table_lookup(members->by_ip, GUINT_TO_POINTER(entry->ip));
+	if (member == NULL) {
+		if (members->all->len >= MEMBER_LIMIT)
+			return;
+		member = g_new0(member_t, 1);
+		g_ptr_array_add(members->all, member);
+		g_hash_table_insert(
+		    members->by_ip, GUINT_TO_POINTER(entry->ip), member);
+	} else if (!entry_is_newer(entry, &member->entry)) {
+		return;
+	} else {
+		risen_at = MAX(risen_at, member->risen_at);
+	}
+	member->entry = *entry;
+	member->risen_at = risen_at;
+}
+
+void
+members_merge(members_t *members, const member_entry_t *entries,
+    size_t n_entries, time_us_t now)
+{
+	for (size_t i = 0; i < n_entries; i++)
+		entry_merge(members, &entries[i], now);
+}
+
+const member_t *
+members_find(const members_t *members, uint32_t ip)
+{
+	return g_hash_table_lookup(members->by_ip, GUINT_TO_POINTER(ip));
+}
+
+size_t
+members_count(const members_t *members)
+{
+	return members->all->len;
+}
+
+const member_t *
+members_at(const members_t *members, size_t i)
+{
+	return g_ptr_array_index(members->all, i);
+}
+
+uint32_t
+members_n_live(const members_t *members, int region, time_us_t now)
+{
+	uint32_t n = region == PLACE_NONE || region == members->own_region;
+
+	for (guint i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		if ((region == PLACE_NONE ||
+			member_region(members, member) == region) &&
+		    members_is_live(members, member, now))
+			n++;
+	}
+	return n;
+}
+
+static bool
+takes_requests(const members_t *members, const member_t *member, time_us_t now)
+{
+	return member->entry.ready && !member->entry.leaving &&
+	       members_is_live(members, member, now);
+}
+
+const member_t *
+members_pick(members_t *members, int region, uint32_t exclude, time_us_t now)
+{
+	const member_t *picked = NULL;
+	uint64_t seen = 0;
+
+	for (guint i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		if (member->entry.ip == exclude ||
+		    member_region(members, member) != region ||
+		    !takes_requests(members, member, now))
+			continue;
+		seen++;
+		if (random_next(&members->random) % seen == 0)
+			picked = member;
+	}
+	return picked;
+}
+
+static size_t
+directory_fill(
+    members_t *members, int region, time_us_t now, uint32_t *ips, size_t limit)
+{
+	guint len = members->all->len;
+	guint start =
+	    len > 0 ? (guint)(random_next(&members->random) % len) : 0;
+	size_t n = 0;
+
+	if (members->self.ready &&
+	    (region == PLACE_NONE || region == members->own_region))
+		ips[n++] = members->self.ip;
+	for (guint i = 0; i < len && n < limit; i++) {
+		const member_t *member =
+		    g_ptr_array_index(members->all, (start + i) % len);
+
+		if ((region == PLACE_NONE ||
+			member_region(members, member) == region) &&
+		    takes_requests(members, member, now))
+			ips[n++] = member->entry.ip;
+	}
+	return n;
+}
+
+size_t
+members_directory(
+    members_t *members, int region, time_us_t now, uint32_t *ips, size_t limit)
+{
+	size_t n = 0;
+
+	if (limit == 0)
+		return 0;
+	if (region != PLACE_NONE)
+		n = directory_fill(members, region, now, ips, limit);
+	return n > 0 ? n : directory_fill(members, PLACE_NONE, now, ips, limit);
+}
--- /dev/null
+++ b/core/placement.c
@@ -0,0 +1,284 @@
+#include "core/placement.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/random.h"
+
+/* Weight of a target's recent failures in its cost. */
+#define FAILURE_COST 3.0
+
+/* Cost of one running request on an engine, in ms to the first token. */
+#define RUNNING_COST_MS 0.6
+
+/* Share of a target's connections that one instance doesn't claim. */
+#define CONNECTION_RESERVE 0.1
+
+bool
+prompt_read_parts(prompt_t *prompt, const char *text, size_t len)
+{
+	const char *end = text + len;
+	uint64_t hash = 0;
+
+	prompt->n_parts = 0;
+	while (text < end) {
+		const char *comma = memchr(text, ',', (size_t)(end - text));
+		const char *stop = comma ? comma : end;
+		const char *colon = memchr(text, ':', (size_t)(stop - text));
+		uint64_t tokens = 0;
+
+		if (colon == NULL || colon == text || colon + 1 == stop ||
+		    stop - colon > 10) {
+			prompt->n_parts = 0;
+			return false;
+		}
+		for (const char *at = colon + 1; at < stop; at++) {
+			if (*at < '0' || *at > '9') {
+				prompt->n_parts = 0;
+				return false;
+			}
+			tokens = tokens * 10 + (uint64_t)(*at - '0');
+		}
+		hash = XXH3_64bits_withSeed(text, (size_t)(colon - text), hash);
+		if (prompt->n_parts < PROMPT_PART_LIMIT) {
+			prompt->chain[prompt->n_parts] = hash;
+			prompt->tokens[prompt->n_parts] =
+			    (uint32_t)MIN(tokens, UINT32_MAX);
+			prompt->n_parts++;
+		}
+		text = stop + 1;
+	}
+	return prompt->n_parts > 0;
+}
+
+static bool
+was_tried(const placement_request_t *request, handle_t target)
+{
+	for (size_t i = 0; i < request->n_tried; i++) {
+		if (request->tried[i] == target)
+			return true;
+	}
+	return false;
+}
+
+static bool
+connections_allow(const target_t *target, const placement_request_t *request)
+{
+	double limit = request->service->connection_limit;
+
+	if (limit <= 0)
+		return true;
+	limit *=
+	    (1.0 - CONNECTION_RESERVE) / MAX(1u, request->region_instances);
+	return target->in_flight < limit;
+}
+
+static double
+rendezvous(uint64_t key, uint32_t target)
+{
+	uint64_t state = key ^ ((uint64_t)target << 32 | target);
+
+	return (double)(random_next(&state) >> 11) / (double)(1ULL << 53);
+}
+
+/* Hash of the shared parts: all but the last, which is the request's own. */
+static uint64_t
+shared_key(const prompt_t *prompt)
+{
+	if (prompt->n_parts < 2)
+		return 0;
+	return prompt->chain[prompt->n_parts - 2];
+}
+
+static double
+shared_tokens(const prompt_t *prompt)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i + 1 < prompt->n_parts; i++)
+		sum += prompt->tokens[i];
+	return sum;
+}
+
+/* Tokens of the prompt that the target doesn't hold. */
+static double
+tokens_to_read(const target_t *target, const prompt_t *prompt)
+{
+	double tokens = prompt->tokens_in;
+	size_t held =
+	    target_prefix_held(target, prompt->chain, prompt->n_parts);
+
+	for (size_t i = 0; i < held; i++)
+		tokens -= prompt->tokens[i];
+	return MAX(tokens, 1.0);
+}
+
+typedef struct {
+	target_t *target;
+	double tokens;
+	double expected_ms;
+	double cost;
+} candidate_t;
+
+static candidate_t
+engine_rate(target_t *target, const placement_request_t *request,
+    bool preferred, time_us_t now)
+{
+	const prompt_t *prompt = request->prompt;
+	candidate_t candidate = {target, tokens_to_read(target, prompt), 0, 0};
+	double credit = 0;
+
+	candidate.expected_ms = target_expected_ms(target, candidate.tokens);
+	if (preferred)
+		credit = PLACEMENT_AFFINITY *
+			 MIN(shared_tokens(prompt), candidate.tokens) /
+			 ENGINE_PREFILL_PER_MS;
+	candidate.cost = (candidate.expected_ms - credit +
+			     RUNNING_COST_MS * target_in_flight(target, now)) *
+			 (1.0 + FAILURE_COST * target->failure_rate);
+	return candidate;
+}
+
+static candidate_t
+plain_rate(target_t *target, uint64_t *random, time_us_t now)
+{
+	double slots = MAX(1u, target->entry.slots);
+	double load = target_in_flight(target, now) / slots;
+	/* Breaks ties between idle targets. */
+	double tie = (double)(random_next(random) % 1000) / 1e5;
+
+	return (candidate_t){target, 0, 0,
+	    (load + 0.2 + tie) * MAX(0.5, target->slowness) *
+		(1.0 + FAILURE_COST * target->failure_rate)};
+}
+
+static bool
+has_room(const target_t *target, const placement_request_t *request,
+    const candidate_t *candidate, time_us_t now)
+{
+	double limit = request->wait_limit_ms > 0 ? request->wait_limit_ms
+						  : PLACEMENT_WAIT_MS;
+	uint32_t in_flight = target_in_flight(target, now);
+	double slots = MAX(1u, target->entry.slots);
+
+	if (!connections_allow(target, request))
+		return false;
+	if (request->prompt == NULL)
+		return in_flight < slots * PLACEMENT_PLAIN_DEPTH;
+	/* An idle engine takes any prompt. */
+	if (in_flight == 0)
+		return true;
+	return in_flight < slots && candidate->expected_ms < limit;
+}
+
+/* The target that all instances prefer for a prefix that none holds. */
+static uint32_t
+preferred_target(const targets_t *targets, const placement_request_t *request)
+{
+	uint64_t key = request->prompt ? shared_key(request->prompt) : 0;
+	double best = -1;
+	uint32_t preferred = 0;
+
+	if (key == 0)
+		return 0;
+	for (size_t i = 0; i < targets_count(targets); i++) {
+		const target_t *target = targets_at(targets, i);
+		double score;
+
+		if (strcmp(target->entry.service, request->service->name) !=
+			0 ||
+		    !target_is_usable(targets, target))
+			continue;
+		score = rendezvous(key, target->short_id);
+		if (score > best) {
+			best = score;
+			preferred = target->short_id;
+		}
+	}
+	return preferred;
+}
+
+typedef enum { PASS_HEALTHY, PASS_ANY, PASS_COUNT } pass_t;
+
+static bool
+is_candidate(const targets_t *targets, const placement_request_t *request,
+    const target_t *target, pass_t pass, time_us_t now)
+{
+	if (strcmp(target->entry.service, request->service->name) != 0 ||
+	    !target_is_usable(targets, target) ||
+	    was_tried(request, target->handle))
+		return false;
+	if (pass == PASS_HEALTHY)
+		return target_is_healthy(target, now);
+	/* Without a healthy one, those that pause are tried, but not often. */
+	return target->in_flight == 0 || now >= target->paused_until;
+}
+
+placement_t
+placement_pick(
+    const targets_t *targets, const placement_request_t *request, time_us_t now)
+{
+	placement_t placement = {.verdict = PLACEMENT_NONE};
+	uint32_t preferred = preferred_target(targets, request);
+	uint64_t random = request->random;
+	candidate_t best = {.cost = INFINITY};
+
+	for (pass_t pass = PASS_HEALTHY;
+	     pass < PASS_COUNT && placement.n_usable == 0; pass++) {
+		for (size_t i = 0; i < targets_count(targets); i++) {
+			target_t *target = targets_at(targets, i);
+			candidate_t candidate;
+
+			if (!is_candidate(targets, request, target, pass, now))
+				continue;
+			placement.n_usable++;
+			candidate =
+			    request->prompt != NULL
+				? engine_rate(target, request,
+				      target->short_id == preferred, now)
+				: plain_rate(target, &random, now);
+			if (candidate.cost >= best.cost ||
+			    !has_room(target, request, &candidate, now) ||
+			    !target_cold_allows(
+				target, request->service->cold_per_s, now))
+				continue;
+			best = candidate;
+		}
+	}
+	if (placement.n_usable > 0)
+		placement.verdict = PLACEMENT_WAIT;
+	if (best.target != NULL) {
+		placement.verdict = PLACEMENT_START;
+		placement.target = best.target;
+		placement.tokens = best.tokens;
+		placement.expected_ms = best.expected_ms;
+	}
+	return placement;
+}
+
+region_capacity_t
+placement_capacity(
+    const targets_t *targets, const catalog_service_t *service, time_us_t now)
+{
+	region_capacity_t capacity = {0, 0, INFINITY};
+
+	for (size_t i = 0; i < targets_count(targets); i++) {
+		const target_t *target = targets_at(targets, i);
+		uint32_t in_flight;
+		double expected;
+
+		if (strcmp(target->entry.service, service->name) != 0 ||
+		    !target_is_usable(targets, target) ||
+		    !target_is_healthy(target, now) || now < target->cold_until)
+			continue;
+		capacity.usable++;
+		in_flight = target_in_flight(target, now);
+		expected = target_expected_ms(target, 0);
+		capacity.expected_ms = MIN(capacity.expected_ms, expected);
+		if (in_flight < target->entry.slots &&
+		    expected < PLACEMENT_WAIT_MS)
+			capacity.free += target->entry.slots - in_flight;
+	}
+	return capacity;
+}
--- a/core/retry.c
+++ b/core/retry.c
@@ -12,15 +12,25 @@
 {
 	budget->balance = RETRY_COST;
 	budget->floor_at = now;
+	budget->part = RETRY_PART;
+	budget->most = RETRY_MOST;
+}
+
+void
+retry_budget_set_limits(retry_budget_t *budget, int64_t part, int64_t most)
+{
+	budget->part = part;
+	budget->most = most;
+	budget->balance = MIN(budget->balance, most * RETRY_COST);
 }
 
 void
 retry_first_try(retry_budget_t *budget)
 {
 	budget->balance =
-	    MIN(budget->balance + RETRY_PART, (int64_t)RETRY_MOST * RETRY_COST);
+	    MIN(budget->balance + budget->part, budget->most * RETRY_COST);
 	/* The floor must not add to what first tries give. */
-	budget->floor_at += RETRY_PART * FLOOR_STEP_US;
+	budget->floor_at += budget->part * FLOOR_STEP_US;
 }
 
 /* Credits the floor, which never lifts the balance above one retry. */
@@ -45,7 +55,8 @@
 
 	if (!facts->idempotent)
 		return RETRY_NOT_IDEMPOTENT;
-	if (facts->tries >= RETRY_TRIES)
+	if (facts->tries >=
+	    (facts->max_tries > 0 ? facts->max_tries : RETRY_TRIES))
 		return RETRY_TRIES_USED;
 	if (closed && facts->targets_lost == 0)
 		return RETRY_LOSS_UNRECORDED;
--- /dev/null
+++ b/core/targets.c
@@ -0,0 +1,578 @@
+#include "core/targets.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Weight of the newest result in the moving averages. */
+#define FAILURE_WEIGHT 0.1
+#define SLOWNESS_WEIGHT 0.15
+#define SLOWNESS_MIN 0.3
+#define SLOWNESS_MAX 12.0
+
+/* Load that a target told of itself counts for this long. */
+#define TOLD_LIFE_US (400 * US_PER_MS)
+
+/* Most prefixes remembered for one target. */
+#define PREFIX_LIMIT 4096
+
+typedef struct {
+	uint32_t tokens;
+	time_us_t used_at;
+} prefix_t;
+
+typedef struct {
+	target_load_t *loads;
+	size_t n_loads;
+} peer_load_t;
+
+struct targets {
+	const places_t *places;
+	int own_region;
+	GHashTable *by_id;    /* char * in entry -> target_t */
+	GHashTable *by_short; /* short id -> target_t */
+	GPtrArray *all;
+	GPtrArray *slots; /* handle index -> target_t or NULL */
+	uint32_t generation;
+	bool evacuated[PLACES_ZONE_LIMIT];
+	bool publisher_away;
+	time_us_t publisher_back_at;
+	GHashTable *peers; /* instance -> peer_load_t */
+	void (*on_free)(target_t *, void *);
+	void *on_free_context;
+};
+
+static void
+peer_load_free(gpointer data)
+{
+	peer_load_t *load = data;
+
+	g_free(load->loads);
+	g_free(load);
+}
+
+targets_t *
+targets_create(const places_t *places, int own_region)
+{
+	targets_t *targets = g_new0(targets_t, 1);
+
+	targets->places = places;
+	targets->own_region = own_region;
+	targets->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	targets->by_short = g_hash_table_new(NULL, NULL);
+	targets->all = g_ptr_array_new();
+	targets->slots = g_ptr_array_new();
+	targets->peers =
+	    g_hash_table_new_full(NULL, NULL, NULL, peer_load_free);
+	return targets;
+}
+
+static void
+target_free(targets_t *targets, target_t *target)
+{
+	if (targets->on_free != NULL)
+		targets->on_free(target, targets->on_free_context);
+	g_ptr_array_index(targets->slots, handle_index(target->handle)) = NULL;
+	g_ptr_array_remove_fast(targets->all, target);
+	g_hash_table_destroy(target->prefixes);
+	g_free(target);
+}
+
+void
+targets_destroy(targets_t *targets)
+{
+	while (targets->all->len > 0)
+		target_free(targets, g_ptr_array_index(targets->all, 0));
+	g_hash_table_destroy(targets->by_id);
+	g_hash_table_destroy(targets->by_short);
+	g_hash_table_destroy(targets->peers);
+	g_ptr_array_unref(targets->all);
+	g_ptr_array_unref(targets->slots);
+	g_free(targets);
+}
+
+void
+targets_on_free(
+    targets_t *targets, void (*on_free)(target_t *, void *), void *context)
+{
+	targets->on_free = on_free;
+	targets->on_free_context = context;
+}
+
+uint32_t
+target_short_id(const char *id)
+{
+	return (uint32_t)XXH3_64bits(id, strlen(id));
+}
+
+static handle_t
+slot_take(targets_t *targets, target_t *target)
+{
+	guint index;
+
+	targets->generation = generation_next(targets->generation);
+	for (index = 0; index < targets->slots->len; index++) {
+		if (g_ptr_array_index(targets->slots, index) == NULL)
+			break;
+	}
+	if (index == targets->slots->len)
+		g_ptr_array_add(targets->slots, NULL);
+	g_ptr_array_index(targets->slots, index) = target;
+	return handle_make(index, targets->generation);
+}
+
+/* Adds what instances told of a target before it was listed here. */
+static void
+peer_load_adopt(const targets_t *targets, target_t *target)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, targets->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_load_t *load = value;
+
+		for (size_t i = 0; i < load->n_loads; i++) {
+			const target_load_t *one = &load->loads[i];
+
+			if (one->target != target->short_id)
+				continue;
+			target->peer_in_flight += one->in_flight;
+			target->peer_pending_tokens += one->pending_tokens;
+		}
+	}
+}
+
+static target_t *
+target_add(targets_t *targets, const target_entry_t *entry)
+{
+	target_t *target = g_new0(target_t, 1);
+
+	target->entry = *entry;
+	target->slowness = 1.0;
+	target->short_id = target_short_id(entry->id);
+	target->region = places_region_of(targets->places, entry->zone);
+	target->prefixes =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	target->handle = slot_take(targets, target);
+	g_ptr_array_add(targets->all, target);
+	g_hash_table_insert(targets->by_id, target->entry.id, target);
+	g_hash_table_insert(
+	    targets->by_short, GUINT_TO_POINTER(target->short_id), target);
+	peer_load_adopt(targets, target);
+	return target;
+}
+
+/* Takes it out of the lists; it is freed when nothing is in flight. */
+static void
+target_unlist(targets_t *targets, target_t *target)
+{
+	g_hash_table_remove(targets->by_id, target->entry.id);
+	if (g_hash_table_lookup(targets->by_short,
+		GUINT_TO_POINTER(target->short_id)) == target)
+		g_hash_table_remove(
+		    targets->by_short, GUINT_TO_POINTER(target->short_id));
+	target->gone = true;
+	if (target->in_flight == 0)
+		target_free(targets, target);
+}
+
+/* A target that started again under its id is another one. */
+static bool
+entry_is_other(const target_entry_t *a, const target_entry_t *b)
+{
+	return a->started_ms != b->started_ms || a->ip != b->ip ||
+	       a->port != b->port || a->zone != b->zone ||
+	       strcmp(a->service, b->service) != 0;
+}
+
+target_t *
+targets_put(targets_t *targets, const target_entry_t *entry, time_us_t now)
+{
+	target_t *target = targets_find(targets, entry->id);
+
+	if (target != NULL && entry_is_other(&target->entry, entry)) {
+		target_unlist(targets, target);
+		target = NULL;
+	}
+	if (target == NULL)
+		target = target_add(targets, entry);
+	target->entry = *entry;
+	target->removal_at = 0;
+	if (entry->cold_ms > 0)
+		target->cold_until =
+		    MAX(target->cold_until, now + entry->cold_ms * US_PER_MS);
+	else
+		target->cold_until = 0;
+	return target;
+}
+
+void
+targets_remove(targets_t *targets, const char *id, time_us_t now)
+{
+	target_t *target = targets_find(targets, id);
+
+	if (target == NULL)
+		return;
+	if (targets->publisher_away ||
+	    (targets->publisher_back_at != 0 &&
+		now - targets->publisher_back_at < TARGET_RETURN_US)) {
+		if (target->removal_at == 0)
+			target->removal_at = now + TARGET_RETURN_US;
+		return;
+	}
+	target_unlist(targets, target);
+}
+
+void
+targets_publisher(targets_t *targets, bool reachable, time_us_t now)
+{
+	if (targets->publisher_away && reachable)
+		targets->publisher_back_at = now;
+	targets->publisher_away = !reachable;
+}
+
+void
+targets_expire(targets_t *targets, time_us_t now)
+{
+	for (guint i = targets->all->len; i > 0; i--) {
+		target_t *target = g_ptr_array_index(targets->all, i - 1);
+
+		if (target->removal_at != 0 && !target->gone &&
+		    !targets->publisher_away && now >= target->removal_at)
+			target_unlist(targets, target);
+		else if (target->gone && target->in_flight == 0)
+			target_free(targets, target);
+	}
+}
+
+void
+targets_evacuate(targets_t *targets, int zone, bool evacuated)
+{
+	if (zone >= 0 && zone < PLACES_ZONE_LIMIT)
+		targets->evacuated[zone] = evacuated;
+}
+
+bool
+targets_evacuated(const targets_t *targets, int zone)
+{
+	return zone >= 0 && zone < PLACES_ZONE_LIMIT &&
+	       targets->evacuated[zone];
+}
+
+target_t *
+targets_find(const targets_t *targets, const char *id)
+{
+	return g_hash_table_lookup(targets->by_id, id);
+}
+
+target_t *
+targets_get(const targets_t *targets, handle_t handle)
+{
+	uint32_t index = handle_index(handle);
+	target_t *target;
+
+	if (handle == HANDLE_NONE || index >= targets->slots->len)
+		return NULL;
+	target = g_ptr_array_index(targets->slots, index);
+	return target != NULL && target->handle == handle ? target : NULL;
+}
+
+size_t
+targets_count(const targets_t *targets)
+{
+	return targets->all->len;
+}
+
+target_t *
+targets_at(const targets_t *targets, size_t i)
+{
+	return g_ptr_array_index(targets->all, i);
+}
+
+bool
+target_is_usable(const targets_t *targets, const target_t *target)
+{
+	return !target->gone && target->entry.state == TARGET_READY &&
+	       target->region == targets->own_region &&
+	       !targets_evacuated(targets, target->entry.zone);
+}
+
+bool
+target_is_healthy(const target_t *target, time_us_t now)
+{
+	if (now < target->paused_until)
+		return false;
+	if (target->pause > 0 && target->trial)
+		return false;
+	return target->silent_since == 0 ||
+	       now - target->silent_since < TARGET_SILENCE_US;
+}
+
+bool
+target_cold_allows(target_t *target, double cold_per_s, time_us_t now)
+{
+	double rate = cold_per_s / TARGET_COLD_SENDERS;
+
+	if (now >= target->cold_until || cold_per_s <= 0)
+		return true;
+	if (target->cold_at == 0)
+		target->cold_level = 1;
+	else
+		target->cold_level = MIN(
+		    1.0, target->cold_level +
+			     rate * (double)(now - target->cold_at) / US_PER_S);
+	target->cold_at = now;
+	return target->cold_level >= 1.0;
+}
+
+void
+target_sent(target_t *target, double tokens, double expected_ms, time_us_t now,
+    target_send_t *send)
+{
+	*send =
+	    (target_send_t){target->handle, tokens, expected_ms, now, false};
+	if (target->in_flight == 0)
+		target->silent_since = now;
+	target->in_flight++;
+	target->pending_tokens += tokens;
+	if (now < target->cold_until)
+		target->cold_level -= 1;
+	if (target->pause > 0)
+		target->trial = true;
+}
+
+void
+target_heard(target_t *target, time_us_t now)
+{
+	target->silent_since = now;
+}
+
+void
+target_first_byte(target_t *target, target_send_t *send, time_us_t now)
+{
+	double observed = (double)(now - send->sent_at) / US_PER_MS;
+
+	if (send->first_byte)
+		return;
+	send->first_byte = true;
+	target->pending_tokens -= send->tokens;
+	if (send->expected_ms > 0) {
+		double ratio = target->slowness * observed / send->expected_ms;
+
+		target->slowness += SLOWNESS_WEIGHT *
+				    (CLAMP(ratio, SLOWNESS_MIN, SLOWNESS_MAX) -
+					target->slowness);
+	}
+}
+
+static void
+target_pause(target_t *target, time_us_t now)
+{
+	target->pause = target->pause == 0
+			    ? TARGET_PAUSE_MIN_US
+			    : MIN(2 * target->pause, TARGET_PAUSE_MAX_US);
+	target->paused_until = now + target->pause;
+}
+
+static void
+health_update(target_t *target, target_result_t result, time_us_t now)
+{
+	double failed = 1.0;
+
+	switch (result) {
+	case TARGET_RESULT_CANCELLED:
+		return;
+	case TARGET_RESULT_OK:
+	case TARGET_RESULT_REFUSED:
+		failed = 0.0;
+		target->failures_in_row = 0;
+		target->pause = 0;
+		target->paused_until = 0;
+		break;
+	case TARGET_RESULT_ERROR:
+		target->failures_in_row++;
+		break;
+	case TARGET_RESULT_BROKEN:
+		target->failures_in_row++;
+		if (target->failures_in_row >= TARGET_FAILURES_TO_PAUSE)
+			target_pause(target, now);
+		break;
+	case TARGET_RESULT_UNREACHABLE:
+		target->failures_in_row++;
+		if (now >= target->paused_until)
+			target_pause(target, now);
+		break;
+	}
+	target->failure_rate +=
+	    FAILURE_WEIGHT * (failed - target->failure_rate);
+}
+
+void
+target_done(target_t *target, target_send_t *send, target_result_t result,
+    time_us_t now)
+{
+	if (!send->first_byte)
+		target->pending_tokens -= send->tokens;
+	target->in_flight--;
+	target->trial = false;
+	if (target->in_flight == 0) {
+		target->pending_tokens = 0;
+		target->silent_since = 0;
+	} else if (result == TARGET_RESULT_OK) {
+		target->silent_since = now;
+	}
+	health_update(target, result, now);
+	*send = (target_send_t){0};
+}
+
+void
+target_told_load(
+    target_t *target, uint32_t running, uint32_t waiting, time_us_t now)
+{
+	target->told_running = running;
+	target->told_waiting = waiting;
+	target->told_at = now;
+}
+
+double
+target_expected_ms(const target_t *target, double tokens)
+{
+	double ahead = target->pending_tokens + target->peer_pending_tokens;
+
+	return target->slowness * (ENGINE_FIRST_TOKEN_MS +
+				      (ahead + tokens) / ENGINE_PREFILL_PER_MS);
+}
+
+uint32_t
+target_in_flight(const target_t *target, time_us_t now)
+{
+	uint32_t known = target->in_flight + target->peer_in_flight;
+	uint32_t told = target->told_running + target->told_waiting;
+
+	if (target->told_at != 0 && now - target->told_at < TOLD_LIFE_US)
+		return MAX(known, told);
+	return known;
+}
+
+size_t
+target_prefix_held(
+    const target_t *target, const uint64_t *chain, size_t n_parts)
+{
+	size_t held = 0;
+
+	while (held < n_parts &&
+	       g_hash_table_contains(target->prefixes, &chain[held]))
+		held++;
+	return held;
+}
+
+/* Forgets the least recently used prefixes. */
+static void
+prefixes_trim(target_t *target, uint64_t capacity)
+{
+	while (target->prefix_tokens > capacity ||
+	       g_hash_table_size(target->prefixes) > PREFIX_LIMIT) {
+		GHashTableIter iter;
+		gpointer key, value;
+		gpointer oldest = NULL;
+		time_us_t oldest_at = INT64_MAX;
+		uint32_t tokens = 0;
+
+		g_hash_table_iter_init(&iter, target->prefixes);
+		while (g_hash_table_iter_next(&iter, &key, &value)) {
+			const prefix_t *prefix = value;
+
+			if (prefix->used_at < oldest_at) {
+				oldest_at = prefix->used_at;
+				oldest = key;
+				tokens = prefix->tokens;
+			}
+		}
+		if (oldest == NULL)
+			return;
+		target->prefix_tokens -= tokens;
+		g_hash_table_remove(target->prefixes, oldest);
+	}
+}
+
+void
+target_prefix_add(target_t *target, const uint64_t *chain,
+    const uint32_t *tokens, size_t n_parts, uint64_t capacity, time_us_t now)
+{
+	for (size_t i = 0; i < n_parts; i++) {
+		prefix_t *prefix =
+		    g_hash_table_lookup(target->prefixes, &chain[i]);
+
+		if (prefix == NULL) {
+			uint64_t *key = g_new(uint64_t, 1);
+
+			*key = chain[i];
+			prefix = g_new(prefix_t, 1);
+			prefix->tokens = tokens[i];
+			target->prefix_tokens += tokens[i];
+			g_hash_table_insert(target->prefixes, key, prefix);
+		}
+		/* A part is used after the parts before it. */
+		prefix->used_at = now - (time_us_t)i;
+	}
+	if (capacity > 0)
+		prefixes_trim(target, capacity);
+}
+
+static void
+peer_load_apply(targets_t *targets, const peer_load_t *load, int sign)
+{
+	for (size_t i = 0; i < load->n_loads; i++) {
+		const target_load_t *one = &load->loads[i];
+		target_t *target = g_hash_table_lookup(
+		    targets->by_short, GUINT_TO_POINTER(one->target));
+
+		if (target == NULL)
+			continue;
+		if (sign > 0) {
+			target->peer_in_flight += one->in_flight;
+			target->peer_pending_tokens += one->pending_tokens;
+		} else {
+			target->peer_in_flight -= one->in_flight;
+			target->peer_pending_tokens -= one->pending_tokens;
+		}
+	}
+}
+
+void
+targets_peer_load(targets_t *targets, uint32_t instance,
+    const target_load_t *loads, size_t n_loads)
+{
+	peer_load_t *load =
+	    g_hash_table_lookup(targets->peers, GUINT_TO_POINTER(instance));
+
+	if (load == NULL) {
+		if (n_loads == 0)
+			return;
+		load = g_new0(peer_load_t, 1);
+		g_hash_table_insert(
+		    targets->peers, GUINT_TO_POINTER(instance), load);
+	}
+	peer_load_apply(targets, load, -1);
+	g_free(load->loads);
+	load->loads = g_memdup2(loads, n_loads * sizeof(*loads));
+	load->n_loads = n_loads;
+	peer_load_apply(targets, load, 1);
+}
+
+size_t
+targets_own_load(const targets_t *targets, target_load_t *loads, size_t limit)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < targets->all->len && n < limit; i++) {
+		const target_t *target = g_ptr_array_index(targets->all, i);
+
+		if (target->in_flight == 0 || target->gone)
+			continue;
+		loads[n++] =
+		    (target_load_t){target->short_id, target->in_flight,
+			(uint32_t)MAX(0, target->pending_tokens)};
+	}
+	return n;
+}
--- /dev/null
+++ b/core/team_rates.c
@@ -0,0 +1,287 @@
+#include "core/team_rates.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Shortest burst of a part in seconds of its rate. */
+#define BURST_MIN_S 0.25
+
+typedef struct {
+	uint32_t id;
+	double rate;
+	double burst;
+	double part;  /* of rate and burst, 0..1 */
+	double level; /* may be negative */
+	time_us_t filled_at;
+	double arrived; /* since the last update */
+	double demand;	/* a second */
+} team_state_t;
+
+typedef struct {
+	team_demand_t demands[TEAM_DEMAND_LIMIT];
+	size_t n;
+	time_us_t heard_at;
+} news_t;
+
+struct team_rates {
+	int own_region;
+	GArray *teams;	       /* team_state_t, as in the catalog */
+	GHashTable *instances; /* ip -> news_t */
+	news_t regions[PLACES_REGION_LIMIT];
+	time_us_t updated_at;
+	uint32_t n_instances;
+};
+
+team_rates_t *
+team_rates_create(int own_region)
+{
+	team_rates_t *rates = g_new0(team_rates_t, 1);
+
+	rates->own_region = own_region;
+	rates->teams = g_array_new(FALSE, TRUE, sizeof(team_state_t));
+	rates->instances = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	rates->n_instances = 1;
+	return rates;
+}
+
+void
+team_rates_destroy(team_rates_t *rates)
+{
+	g_array_unref(rates->teams);
+	g_hash_table_destroy(rates->instances);
+	g_free(rates);
+}
+
+uint32_t
+team_short_id(const char *name)
+{
+	return (uint32_t)XXH3_64bits(name, strlen(name));
+}
+
+static team_state_t *
+team_find(const team_rates_t *rates, uint32_t id)
+{
+	for (guint i = 0; i < rates->teams->len; i++) {
+		team_state_t *team =
+		    &g_array_index(rates->teams, team_state_t, i);
+
+		if (team->id == id)
+			return team;
+	}
+	return NULL;
+}
+
+static double
+team_capacity(const team_state_t *team)
+{
+	return MAX(team->burst, BURST_MIN_S * team->rate) * team->part;
+}
+
+static void
+team_fill(team_state_t *team, time_us_t now)
+{
+	double gained = team->rate * team->part *
+			(double)(now - team->filled_at) / US_PER_S;
+
+	if (now > team->filled_at)
+		team->level = MIN(team->level + gained, team_capacity(team));
+	team->filled_at = now;
+}
+
+void
+team_rates_set_catalog(
+    team_rates_t *rates, const catalog_t *catalog, time_us_t now)
+{
+	GArray *before = rates->teams;
+	GArray *teams = g_array_new(FALSE, TRUE, sizeof(team_state_t));
+
+	for (size_t i = 0; i < catalog_n_teams(catalog); i++) {
+		const catalog_team_t *entry = catalog_team(catalog, (int)i);
+		uint32_t id = team_short_id(entry->name);
+		const team_state_t *old = team_find(rates, id);
+		team_state_t team = {.id = id,
+		    .part = 1.0 / rates->n_instances,
+		    .filled_at = now};
+		bool known = old != NULL;
+
+		if (known)
+			team = *old;
+		team.rate = entry->rate;
+		team.burst = entry->burst;
+		if (!known)
+			team.level = team_capacity(&team);
+		else
+			team.level = MIN(team.level, team_capacity(&team));
+		g_array_append_val(teams, team);
+	}
+	rates->teams = teams;
+	g_array_unref(before);
+}
+
+bool
+team_rates_charge(team_rates_t *rates, int index, double cost, time_us_t now,
+    time_us_t *retry_after)
+{
+	team_state_t *team;
+
+	if (index < 0 || (guint)index >= rates->teams->len)
+		return true;
+	team = &g_array_index(rates->teams, team_state_t, index);
+	team->arrived += cost;
+	if (team->rate <= 0)
+		return true;
+	team_fill(team, now);
+	if (team->level > 0) {
+		team->level -= cost;
+		return true;
+	}
+	*retry_after =
+	    (time_us_t)((1.0 - team->level) /
+			MAX(team->rate * team->part, 1e-3) * US_PER_S);
+	return false;
+}
+
+void
+team_rates_refund(team_rates_t *rates, int index, double cost)
+{
+	team_state_t *team;
+
+	if (index < 0 || (guint)index >= rates->teams->len)
+		return;
+	team = &g_array_index(rates->teams, team_state_t, index);
+	team->level = MIN(team->level + cost, team_capacity(team));
+}
+
+static double
+news_find(const news_t *news, uint32_t id, time_us_t now)
+{
+	if (news->n == 0 || now - news->heard_at > TEAM_NEWS_LIFE_US)
+		return 0;
+	for (size_t i = 0; i < news->n; i++) {
+		if (news->demands[i].team == id)
+			return news->demands[i].per_s;
+	}
+	return 0;
+}
+
+/* Demand for a team at the other instances of the region. */
+static double
+region_demand(const team_rates_t *rates, uint32_t id, time_us_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double sum = 0;
+
+	g_hash_table_iter_init(&iter, rates->instances);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		sum += news_find(value, id, now);
+	return sum;
+}
+
+static double
+others_demand(const team_rates_t *rates, uint32_t id, time_us_t now)
+{
+	double sum = region_demand(rates, id, now);
+
+	for (int region = 0; region < PLACES_REGION_LIMIT; region++) {
+		if (region != rates->own_region)
+			sum += news_find(&rates->regions[region], id, now);
+	}
+	return sum;
+}
+
+void
+team_rates_update(team_rates_t *rates, uint32_t n_instances, time_us_t now)
+{
+	double elapsed = (double)(now - rates->updated_at) / US_PER_S;
+	double keep;
+
+	if (elapsed <= 0)
+		return;
+	rates->n_instances = MAX(1u, n_instances);
+	keep = exp(-elapsed * US_PER_S / TEAM_DEMAND_TAU_US);
+	for (guint i = 0; i < rates->teams->len; i++) {
+		team_state_t *team =
+		    &g_array_index(rates->teams, team_state_t, i);
+		double others = others_demand(rates, team->id, now);
+		double even = 1.0 / rates->n_instances;
+
+		team->demand =
+		    keep * team->demand + (1 - keep) * team->arrived / elapsed;
+		team->arrived = 0;
+		team_fill(team, now);
+		team->part = even;
+		if (team->demand + others >= 1)
+			team->part = TEAM_RATE_FOLLOWS * team->demand /
+					 (team->demand + others) +
+				     (1 - TEAM_RATE_FOLLOWS) * even;
+		team->level = MIN(team->level, team_capacity(team));
+	}
+	rates->updated_at = now;
+}
+
+size_t
+team_rates_own(const team_rates_t *rates, team_demand_t *demands, size_t limit)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < rates->teams->len && n < limit; i++) {
+		const team_state_t *team =
+		    &g_array_index(rates->teams, team_state_t, i);
+
+		if (team->demand >= 1)
+			demands[n++] =
+			    (team_demand_t){team->id, (uint32_t)team->demand};
+	}
+	return n;
+}
+
+size_t
+team_rates_region(const team_rates_t *rates, team_demand_t *demands,
+    size_t limit, time_us_t now)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < rates->teams->len && n < limit; i++) {
+		const team_state_t *team =
+		    &g_array_index(rates->teams, team_state_t, i);
+		double sum = team->demand + region_demand(rates, team->id, now);
+
+		if (sum >= 1)
+			demands[n++] = (team_demand_t){team->id, (uint32_t)sum};
+	}
+	return n;
+}
+
+static void
+news_set(news_t *news, const team_demand_t *demands, size_t n, time_us_t now)
+{
+	news->n = MIN(n, (size_t)TEAM_DEMAND_LIMIT);
+	memcpy(news->demands, demands, news->n * sizeof(*demands));
+	news->heard_at = now;
+}
+
+void
+team_rates_hear_instance(team_rates_t *rates, uint32_t ip,
+    const team_demand_t *demands, size_t n, time_us_t now)
+{
+	news_t *news =
+	    g_hash_table_lookup(rates->instances, GUINT_TO_POINTER(ip));
+
+	if (news == NULL) {
+		news = g_new0(news_t, 1);
+		g_hash_table_insert(
+		    rates->instances, GUINT_TO_POINTER(ip), news);
+	}
+	news_set(news, demands, n, now);
+}
+
+void
+team_rates_hear_region(team_rates_t *rates, int region,
+    const team_demand_t *demands, size_t n, time_us_t now)
+{
+	if (region >= 0 && region < PLACES_REGION_LIMIT)
+		news_set(&rates->regions[region], demands, n, now);
+}
--- a/cyclamensail/internal.h
+++ b/cyclamensail/internal.h
@@ -9,8 +9,8 @@
 #include "core/gate.h"
 #include "core/order.h"
 #include "edge/server.h"
-#include "platform/reader.h"
-#include "target/transfer.h"
+#include "publisher/reader.h"
+#include "upstream/transfer.h"
 
 /* Parts of the daemon and the threads that connect them. */
 typedef struct peers peers_t;
--- a/cyclamensail/main.c
+++ b/cyclamensail/main.c
@@ -7,8 +7,11 @@
 #include <unistd.h>
 
 #include "common/log.h"
+#include "config/file.h"
+#include "config/gateway_settings.h"
 #include "config/settings.h"
 #include "daemon.h"
+#include "gateway/gateway.h"
 
 #define PROGRAM "cyclamensail"
 
@@ -29,6 +32,7 @@
 
 typedef struct {
 	char *settings;
+	char *settings_env;
 	gboolean check;
 	gboolean version;
 } arguments_t;
@@ -39,6 +43,10 @@
 	GOptionEntry entries[] = {
 	    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &arguments->settings,
 		"settings file, see cyclamensail-settings(5)", "FILE"},
+	    {"settings-env", 'e', 0, G_OPTION_ARG_STRING,
+		&arguments->settings_env,
+		"environment variable that holds the path of the settings file",
+		"NAME"},
 	    {"check", 'c', 0, G_OPTION_ARG_NONE, &arguments->check,
 		"check the settings and exit", NULL},
 	    {"version", 'v', 0, G_OPTION_ARG_NONE, &arguments->version,
@@ -57,8 +65,13 @@
 		    stderr, "%s: %s; see --help\n", PROGRAM, error->message);
 		return false;
 	}
+	if (arguments->settings == NULL && arguments->settings_env != NULL)
+		arguments->settings =
+		    g_strdup(g_getenv(arguments->settings_env));
 	if (!arguments->version && (arguments->settings == NULL || *argc > 1)) {
-		fprintf(stderr, "%s: give one settings file with --settings\n",
+		fprintf(stderr,
+		    "%s: give one settings file with --settings or "
+		    "--settings-env\n",
 		    PROGRAM);
 		return false;
 	}
@@ -137,12 +150,35 @@
 	return status;
 }
 
+/* Runs, or with check only reads, an instance on a platform. */
+static int
+gateway_main(const char *path, bool check)
+{
+	g_autoptr(GError) error = NULL;
+	g_autoptr(gateway_settings_t) settings =
+	    gateway_settings_load(path, &error);
+
+	if (settings == NULL) {
+		fprintf(stderr, "%s: %s\n", PROGRAM, error->message);
+		return EXIT_FAILURE;
+	}
+	if (check)
+		return EXIT_SUCCESS;
+	log_open(PROGRAM, settings->log_level);
+	if (gateway_run(settings, path, &error) == 0)
+		return EXIT_SUCCESS;
+	fprintf(stderr, "%s: %s\n", PROGRAM, error->message);
+	return EXIT_FAILURE;
+}
+
 int
 main(int argc, char **argv)
 {
-	arguments_t arguments = {NULL, FALSE, FALSE};
+	arguments_t arguments = {NULL, NULL, FALSE, FALSE};
 	g_autoptr(GError) error = NULL;
+	g_autofree char *text = NULL;
 	settings_t *settings;
+	size_t len;
 	int status = EXIT_SUCCESS;
 
 	if (!arguments_read(&argc, &argv, &arguments))
@@ -156,6 +192,13 @@
 		    stderr, "%s: libsodium can't get random bytes\n", PROGRAM);
 		return EXIT_FAILURE;
 	}
+	if (file_read(arguments.settings, &text, &len, &error) &&
+	    gateway_settings_present(text)) {
+		status = gateway_main(arguments.settings, arguments.check);
+		g_free(arguments.settings);
+		return status;
+	}
+	g_clear_error(&error);
 	settings = settings_load(arguments.settings, &error);
 	g_free(arguments.settings);
 	if (settings == NULL) {
--- /dev/null
+++ b/gateway/attempt.c
@@ -0,0 +1,317 @@
+#include "attempt.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* A connection that wasn't used for longer may have been closed by the other
+ * side already; a request that must not run twice doesn't take it. */
+#define FRESH_US (500 * US_PER_MS)
+
+/* An answer that nobody waits for may take this long to end. */
+#define DETACHED_LIMIT_S 0.3
+
+struct attempt {
+	gateway_t *gateway;
+	call_t *call; /* NULL when detached */
+	upstream_t *upstream;
+	handle_t target; /* HANDLE_NONE: to an instance */
+	target_send_t send;
+	char request_id[REQUEST_ID_LIMIT + 1];
+	target_answer_t answer;
+	bool reused;
+	bool answered; /* a byte of any answer came */
+	bool skipping; /* the answer that is being read is another request's */
+	ev_timer detached;
+};
+
+static target_t *
+attempt_target_live(const attempt_t *attempt)
+{
+	return targets_get(attempt->gateway->targets, attempt->target);
+}
+
+target_t *
+attempt_target(const attempt_t *attempt)
+{
+	return attempt_target_live(attempt);
+}
+
+/* Ends the accounting and frees; the connection is the caller's. */
+static void
+attempt_free(attempt_t *attempt, target_result_t result)
+{
+	target_t *target = attempt_target_live(attempt);
+
+	if (target != NULL)
+		target_done(target, &attempt->send, result,
+		    gateway_now(attempt->gateway));
+	ev_timer_stop(attempt->gateway->loop, &attempt->detached);
+	g_free(attempt);
+}
+
+static void
+on_detached_timeout(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	attempt_t *attempt = watcher->data;
+
+	pool_drop(attempt->upstream);
+	attempt_free(attempt, TARGET_RESULT_CANCELLED);
+}
+
+attempt_t *
+attempt_create(gateway_t *gateway, call_t *call, attempt_plan_t *plan)
+{
+	pool_t *pool = plan->target != NULL
+			   ? pool_of_target(gateway, plan->target)
+			   : pool_of_peer(gateway, plan->peer_ip);
+	attempt_t *attempt = g_new0(attempt_t, 1);
+	upstream_t *upstream = pool_take(
+	    pool, plan->repeatable ? INT64_MAX : FRESH_US, &attempt->reused);
+
+	if (upstream == NULL) {
+		log_event(LOG_WARNING, "connection_failed",
+		    LOG_S("request", plan->request_id),
+		    LOG_S("error", g_strerror(errno)));
+		g_string_free(plan->head, TRUE);
+		g_free(attempt);
+		return NULL;
+	}
+	attempt->gateway = gateway;
+	attempt->call = call;
+	attempt->upstream = upstream;
+	g_strlcpy(
+	    attempt->request_id, plan->request_id, sizeof(attempt->request_id));
+	ev_timer_init(
+	    &attempt->detached, on_detached_timeout, DETACHED_LIMIT_S, 0);
+	attempt->detached.data = attempt;
+	upstream->attempt = attempt;
+	if (plan->target != NULL) {
+		attempt->target = plan->target->handle;
+		target_sent(plan->target, plan->tokens, plan->expected_ms,
+		    gateway_now(gateway), &attempt->send);
+	}
+	if (plan->no_answer_body)
+		http_reader_expect_no_body(upstream->reader);
+	tcp_send(upstream->connection, plan->head->str, plan->head->len);
+	if (plan->body != NULL)
+		tcp_send(
+		    upstream->connection, plan->body->data, plan->body->len);
+	g_string_free(plan->head, TRUE);
+	return attempt;
+}
+
+void
+attempt_cancel(attempt_t *attempt)
+{
+	pool_drop(attempt->upstream);
+	attempt_free(attempt, TARGET_RESULT_CANCELLED);
+}
+
+void
+attempt_detach(attempt_t *attempt)
+{
+	attempt->call = NULL;
+	tcp_pause(attempt->upstream->connection, false);
+	ev_timer_start(attempt->gateway->loop, &attempt->detached);
+}
+
+void
+attempt_pause(attempt_t *attempt, bool paused)
+{
+	tcp_pause(attempt->upstream->connection, paused);
+}
+
+static target_result_t
+answer_result(const attempt_t *attempt)
+{
+	if (attempt->answer.not_run)
+		return TARGET_RESULT_REFUSED;
+	return attempt->answer.status >= 500 ? TARGET_RESULT_ERROR
+					     : TARGET_RESULT_OK;
+}
+
+/* The answer is whole. */
+static void
+attempt_complete(attempt_t *attempt, bool reusable)
+{
+	call_t *call = attempt->call;
+	upstream_t *upstream = attempt->upstream;
+	int64_t idle_ms = attempt->answer.idle_ms;
+	target_result_t result = answer_result(attempt);
+
+	/* A body that isn't sent yet must not be followed by a request. */
+	if (tcp_pending(upstream->connection) > 0)
+		reusable = false;
+	upstream->attempt = NULL;
+	if (reusable)
+		pool_give(upstream->pool, upstream, idle_ms);
+	else
+		pool_drop(upstream);
+	attempt_free(attempt, result);
+	if (call != NULL)
+		call_on_complete(call);
+}
+
+static void
+attempt_lost(attempt_t *attempt, loss_t loss, target_result_t result)
+{
+	call_t *call = attempt->call;
+
+	pool_drop(attempt->upstream);
+	attempt_free(attempt, result);
+	if (call != NULL)
+		call_on_loss(call, loss, NULL);
+}
+
+void
+attempt_unreachable(attempt_t *attempt)
+{
+	attempt_lost(attempt, LOSS_UNREACHABLE, TARGET_RESULT_UNREACHABLE);
+}
+
+static void
+attempt_broken(attempt_t *attempt)
+{
+	/* A kept connection that ends before any byte says nothing about the
+	 * target: its idle limit may just have passed. */
+	bool stale = attempt->reused && !attempt->answered;
+
+	attempt_lost(attempt, LOSS_BROKEN,
+	    stale ? TARGET_RESULT_CANCELLED : TARGET_RESULT_BROKEN);
+}
+
+static bool
+on_head(void *owner, const http_head_t *head)
+{
+	upstream_t *upstream = owner;
+	attempt_t *attempt = upstream->attempt;
+	time_us_t now = gateway_now(upstream->gateway);
+	target_t *target;
+
+	if (attempt == NULL)
+		return false;
+	platform_answer_read(head, attempt->request_id, &attempt->answer);
+	if (!head->keep_alive)
+		attempt->answer.idle_ms = 0;
+	if (attempt->answer.id_differs) {
+		attempt->skipping = true;
+		return true;
+	}
+	target = attempt_target_live(attempt);
+	if (target != NULL) {
+		target_heard(target, now);
+		if (attempt->answer.load_told)
+			target_told_load(target, attempt->answer.running,
+			    attempt->answer.waiting, now);
+		if (!attempt->answer.event_stream)
+			target_first_byte(target, &attempt->send, now);
+	}
+	if (attempt->call != NULL)
+		call_on_answer(attempt->call, head, &attempt->answer);
+	return !upstream->dropped;
+}
+
+static void
+on_body(void *owner, const uint8_t *data, size_t len)
+{
+	upstream_t *upstream = owner;
+	attempt_t *attempt = upstream->attempt;
+	target_t *target;
+
+	if (attempt == NULL || attempt->skipping)
+		return;
+	target = attempt_target_live(attempt);
+	if (target != NULL) {
+		time_us_t now = gateway_now(upstream->gateway);
+
+		target_heard(target, now);
+		target_first_byte(target, &attempt->send, now);
+	}
+	if (attempt->call != NULL)
+		call_on_body(attempt->call, data, len);
+}
+
+const http_sink_t attempt_sink = {on_head, on_body};
+
+/* Returns false when the connection is no longer this attempt's. */
+static bool
+feed_step(upstream_t *upstream, const uint8_t **data, size_t *len)
+{
+	size_t consumed;
+	http_feed_t result;
+	attempt_t *attempt;
+
+	upstream->reading = true;
+	result = http_reader_feed(upstream->reader, *data, *len, &consumed);
+	upstream->reading = false;
+	if (upstream->dropped) {
+		pool_reap(upstream);
+		return false;
+	}
+	attempt = upstream->attempt;
+	*data += consumed;
+	*len -= consumed;
+	switch (result) {
+	case HTTP_FEED_MORE:
+		return false;
+	case HTTP_FEED_COMPLETE:
+		if (attempt->skipping) {
+			attempt->skipping = false;
+			return *len > 0;
+		}
+		attempt_complete(attempt, *len == 0);
+		return false;
+	case HTTP_FEED_STOPPED:
+	case HTTP_FEED_TOO_LARGE:
+	case HTTP_FEED_MALFORMED:
+		break;
+	}
+	attempt_broken(attempt);
+	return false;
+}
+
+static void
+on_received(void *owner, const uint8_t *data, size_t len)
+{
+	upstream_t *upstream = owner;
+
+	if (upstream->attempt == NULL) {
+		pool_drop(upstream);
+		return;
+	}
+	upstream->attempt->answered = true;
+	while (feed_step(upstream, &data, &len))
+		;
+}
+
+static void
+on_ended(void *owner, tcp_end_t end)
+{
+	upstream_t *upstream = owner;
+	attempt_t *attempt = upstream->attempt;
+
+	if (attempt == NULL) {
+		pool_drop(upstream);
+	} else if (end == TCP_REFUSED) {
+		attempt_unreachable(attempt);
+	} else if (end == TCP_FINISHED && !attempt->skipping &&
+		   http_reader_finish(upstream->reader)) {
+		attempt_complete(attempt, false);
+	} else {
+		attempt_broken(attempt);
+	}
+}
+
+static void
+on_connected(void *owner)
+{
+	upstream_t *upstream = owner;
+
+	ev_timer_stop(upstream->gateway->loop, &upstream->connect_timer);
+}
+
+const tcp_events_t attempt_connection_events = {
+    .connected = on_connected,
+    .received = on_received,
+    .ended = on_ended,
+};
--- /dev/null
+++ b/gateway/client.c
@@ -0,0 +1,431 @@
+#include "internal.h"
+
+#include <string.h>
+#include <unistd.h>
+
+/* Bytes of further requests that are held while one is answered. */
+#define INPUT_LIMIT 262144
+
+/* Limits until a configuration is known. */
+#define HEAD_LIMIT_DEFAULT 16384
+#define HEADER_TIMEOUT_DEFAULT_MS 3000
+#define IDLE_TIMEOUT_DEFAULT_MS 15000
+
+/* Parts of the descriptors that callers and instances may use. */
+#define CALLER_PART 0.5
+#define DESCRIPTORS_RESERVED 200
+
+struct client {
+	gateway_t *gateway;
+	tcp_t *connection;
+	http_reader_t *reader;
+	bool from_peer;
+	call_t *call;	/* being read or answered */
+	bool answering; /* the request is whole, or was refused */
+	bool last;	/* close after the answer */
+	bool chunked;
+	bool feeding;	   /* client_feed is on the stack */
+	bool destroyed;	   /* to be freed when feeding ends */
+	GByteArray *input; /* not yet read */
+	uint64_t body_len;
+	ev_timer timer; /* head, body or idle limit */
+};
+
+static void client_continue(client_t *client);
+
+static const caller_limits_t *
+client_limits(const client_t *client)
+{
+	static const caller_limits_t defaults = {HEAD_LIMIT_DEFAULT, 4 << 20,
+	    HEADER_TIMEOUT_DEFAULT_MS, IDLE_TIMEOUT_DEFAULT_MS};
+
+	return client->gateway->catalog != NULL
+		   ? catalog_limits(client->gateway->catalog)
+		   : &defaults;
+}
+
+static void
+client_set_timer(client_t *client, int64_t ms)
+{
+	struct ev_loop *loop = client->gateway->loop;
+
+	ev_timer_stop(loop, &client->timer);
+	ev_timer_set(&client->timer, (double)ms / 1000, 0);
+	ev_timer_start(loop, &client->timer);
+}
+
+static void
+client_free(client_t *client)
+{
+	http_reader_destroy(client->reader);
+	g_byte_array_unref(client->input);
+	g_free(client);
+}
+
+/* Forgets the client; the connection may go on to send what is pending. */
+static void
+client_release(client_t *client)
+{
+	if (client->destroyed)
+		return;
+	client->destroyed = true;
+	ev_timer_stop(client->gateway->loop, &client->timer);
+	g_hash_table_remove(client->gateway->clients, client);
+	tcp_unref(client->connection);
+	if (client->call != NULL) {
+		call_t *call = client->call;
+
+		client->call = NULL;
+		call_cancel(call);
+		call_unref(call);
+	}
+	if (!client->feeding)
+		client_free(client);
+}
+
+void
+client_destroy(client_t *client)
+{
+	tcp_close(client->connection);
+	client_release(client);
+}
+
+static void
+client_finish(client_t *client)
+{
+	tcp_finish(client->connection);
+	client_release(client);
+}
+
+void
+client_close_idle(client_t *client)
+{
+	if (client->call == NULL && !client->answering &&
+	    client->input->len == 0 && !http_reader_is_inside(client->reader))
+		client_finish(client);
+}
+
+size_t
+client_pending(const client_t *client)
+{
+	return tcp_pending(client->connection);
+}
+
+/* The answer is complete: the next request, or the end. */
+static void
+client_answered(client_t *client)
+{
+	call_t *call = client->call;
+
+	client->call = NULL;
+	client->answering = false;
+	if (call != NULL)
+		call_unref(call);
+	if (client->last) {
+		client_finish(client);
+		return;
+	}
+	client_set_timer(client, client_limits(client)->idle_timeout_ms);
+	client_continue(client);
+}
+
+void
+client_begin(client_t *client, GString *head, uint64_t length)
+{
+	if (gateway_is_leaving(client->gateway))
+		client->last = true;
+	client->chunked = length == HTTP_LENGTH_UNKNOWN;
+	if (client->chunked)
+		g_string_append(head, "Transfer-Encoding: chunked\r\n");
+	else
+		g_string_append_printf(head,
+		    "Content-Length: %" G_GUINT64_FORMAT "\r\n",
+		    (guint64)length);
+	if (client->last)
+		g_string_append(head, "Connection: close\r\n");
+	g_string_append(head, "\r\n");
+	tcp_send(client->connection, head->str, head->len);
+}
+
+void
+client_body(client_t *client, const void *data, size_t len)
+{
+	char line[24];
+
+	if (len == 0)
+		return;
+	if (!client->chunked) {
+		tcp_send(client->connection, data, len);
+		return;
+	}
+	g_snprintf(line, sizeof(line), "%zx\r\n", len);
+	tcp_send(client->connection, line, strlen(line));
+	tcp_send(client->connection, data, len);
+	tcp_send(client->connection, "\r\n", 2);
+}
+
+void
+client_end(client_t *client)
+{
+	if (client->chunked)
+		tcp_send(client->connection, "0\r\n\r\n", 5);
+	client_answered(client);
+}
+
+void
+client_break(client_t *client)
+{
+	tcp_abort(client->connection);
+	client_release(client);
+}
+
+static const char *
+status_text(unsigned status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 401:
+		return "Unauthorized";
+	case 404:
+		return "Not Found";
+	case 408:
+		return "Request Timeout";
+	case 413:
+		return "Content Too Large";
+	case 429:
+		return "Too Many Requests";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Error";
+	}
+}
+
+void
+client_answer(client_t *client, unsigned status, const char *fields,
+    const char *type, const char *body)
+{
+	g_autoptr(GString) head = g_string_sized_new(256);
+
+	g_string_append_printf(head, "HTTP/1.1 %u %s\r\nContent-Type: %s\r\n%s",
+	    status, status_text(status), type, fields);
+	client_begin(client, head, strlen(body));
+	client_body(client, body, strlen(body));
+	client_end(client);
+}
+
+/* Refuses what can't be read; the rest of the connection can't be either. */
+static void
+client_refuse(client_t *client, unsigned status, const char *why)
+{
+	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}", why);
+
+	counter_count("requests_refused", "reason", why);
+	log_event(LOG_NOTICE, "request_refused", LOG_I("status", status),
+	    LOG_S("reason", why));
+	client->last = true;
+	client->answering = true;
+	client_answer(client, status, "", "application/json", body);
+}
+
+static bool
+on_head(void *owner, const http_head_t *head)
+{
+	client_t *client = owner;
+	const http_field_t *expect;
+
+	client->body_len = 0;
+	if (!head->keep_alive)
+		client->last = true;
+	if (head->content_length != HTTP_LENGTH_UNKNOWN &&
+	    head->content_length > client_limits(client)->max_body_bytes) {
+		client_refuse(client, 413, "body_too_large");
+		return false;
+	}
+	client->call =
+	    call_create(client, client->gateway, head, client->from_peer);
+	if (client->call == NULL) {
+		client_refuse(client, 400, "request_unreadable");
+		return false;
+	}
+	expect = http_head_find(head, "expect");
+	if (expect != NULL && http_slice_is(expect->value, "100-continue"))
+		tcp_send(
+		    client->connection, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	client_set_timer(client, client_limits(client)->idle_timeout_ms);
+	return true;
+}
+
+static void
+on_body(void *owner, const uint8_t *data, size_t len)
+{
+	client_t *client = owner;
+
+	if (client->call == NULL || client->answering)
+		return;
+	client->body_len += len;
+	if (client->body_len > client_limits(client)->max_body_bytes) {
+		call_t *call = client->call;
+
+		client->call = NULL;
+		call_cancel(call);
+		call_unref(call);
+		client_refuse(client, 413, "body_too_large");
+		return;
+	}
+	call_body(client->call, data, len);
+}
+
+static const http_sink_t sink = {on_head, on_body};
+
+/* Reads one message, or as much of it as is there. */
+static void
+client_feed(client_t *client, const uint8_t *data, size_t len, size_t *consumed)
+{
+	bool inside = http_reader_is_inside(client->reader);
+	http_feed_t result;
+
+	http_reader_set_head_limit(
+	    client->reader, client_limits(client)->max_header_bytes);
+	result = http_reader_feed(client->reader, data, len, consumed);
+	if (client->destroyed || client->answering)
+		return;
+	switch (result) {
+	case HTTP_FEED_MORE:
+		if (!inside && client->call == NULL)
+			client_set_timer(
+			    client, client_limits(client)->header_timeout_ms);
+		return;
+	case HTTP_FEED_COMPLETE:
+		ev_timer_stop(client->gateway->loop, &client->timer);
+		client->answering = true;
+		call_start(client->call);
+		return;
+	case HTTP_FEED_STOPPED:
+		return;
+	case HTTP_FEED_TOO_LARGE:
+		client_refuse(client, 431, "head_too_large");
+		return;
+	case HTTP_FEED_MALFORMED:
+		client_refuse(client, 400, "request_malformed");
+		return;
+	}
+}
+
+/* Reads what is there, up to the end of a request that has to be answered. */
+static void
+client_continue(client_t *client)
+{
+	if (client->feeding)
+		return;
+	client->feeding = true;
+	while (!client->destroyed && !client->answering &&
+	       client->input->len > 0) {
+		size_t consumed;
+
+		client_feed(
+		    client, client->input->data, client->input->len, &consumed);
+		if (consumed > 0)
+			g_byte_array_remove_range(
+			    client->input, 0, (guint)consumed);
+	}
+	client->feeding = false;
+	if (client->destroyed)
+		client_free(client);
+	else if (client->input->len < INPUT_LIMIT)
+		tcp_pause(client->connection, false);
+}
+
+static void
+on_received(void *owner, const uint8_t *data, size_t len)
+{
+	client_t *client = owner;
+
+	g_byte_array_append(client->input, data, (guint)len);
+	if (client->answering) {
+		if (client->input->len >= INPUT_LIMIT)
+			tcp_pause(client->connection, true);
+		return;
+	}
+	client_continue(client);
+}
+
+static void
+on_ended(void *owner, tcp_end_t end)
+{
+	client_release(owner);
+}
+
+static void
+on_drained(void *owner)
+{
+	client_t *client = owner;
+
+	if (client->call != NULL && client->answering)
+		call_drained(client->call);
+}
+
+static const tcp_events_t connection_events = {
+    .received = on_received,
+    .ended = on_ended,
+    .drained = on_drained,
+};
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	client_t *client = watcher->data;
+
+	if (client->answering)
+		return;
+	if (client->call != NULL || http_reader_is_inside(client->reader)) {
+		if (client->call != NULL) {
+			call_t *call = client->call;
+
+			client->call = NULL;
+			call_cancel(call);
+			call_unref(call);
+		}
+		client_refuse(client, 408, "request_too_slow");
+		return;
+	}
+	client_finish(client);
+}
+
+void
+client_accept(gateway_t *gateway, int fd, bool from_peer)
+{
+	uint32_t limit =
+	    (uint32_t)(CALLER_PART *
+		       MAX(64, (int)gateway->settings->descriptor_limit -
+				   DESCRIPTORS_RESERVED));
+	client_t *client;
+
+	if (g_hash_table_size(gateway->clients) >= limit) {
+		counter_count("connections_refused", NULL, NULL);
+		close(fd);
+		return;
+	}
+	client = g_new0(client_t, 1);
+	client->gateway = gateway;
+	client->from_peer = from_peer;
+	client->input = g_byte_array_new();
+	client->reader = http_reader_create(
+	    HTTP_REQUESTS, &sink, client, HEAD_LIMIT_DEFAULT);
+	client->connection =
+	    tcp_adopt(gateway->net, fd, &connection_events, client);
+	ev_timer_init(&client->timer, on_timer, 0, 0);
+	client->timer.data = client;
+	client_set_timer(client, client_limits(client)->idle_timeout_ms);
+	g_hash_table_add(gateway->clients, client);
+	counter_count("connections_accepted", NULL, NULL);
+}
--- /dev/null
+++ b/gateway/events.c
@@ -0,0 +1,55 @@
+#include "events.h"
+
+#include <string.h>
+
+/* Takes the id from a line "id: VALUE". */
+static void
+line_read(const char *line, size_t len, char *last_id, size_t size)
+{
+	if (len < 3 || memcmp(line, "id:", 3) != 0)
+		return;
+	line += 3;
+	len -= 3;
+	if (len > 0 && *line == ' ') {
+		line++;
+		len--;
+	}
+	if (len >= size)
+		return;
+	memcpy(last_id, line, len);
+	last_id[len] = '\0';
+}
+
+size_t
+events_complete(const char *text, size_t len, char *last_id, size_t size)
+{
+	size_t complete = 0;
+	size_t at = 0;
+	size_t scanned = 0;
+
+	/* Find the end of the last whole event: an empty line. */
+	while (at < len) {
+		const char *end = memchr(text + at, '\n', len - at);
+		size_t line_len;
+
+		if (end == NULL)
+			break;
+		line_len = (size_t)(end - text) - at;
+		if (line_len > 0 && text[at + line_len - 1] == '\r')
+			line_len--;
+		at = (size_t)(end - text) + 1;
+		if (line_len == 0)
+			complete = at;
+	}
+	while (scanned < complete) {
+		const char *end =
+		    memchr(text + scanned, '\n', complete - scanned);
+		size_t line_len = (size_t)(end - text) - scanned;
+
+		if (line_len > 0 && text[scanned + line_len - 1] == '\r')
+			line_len--;
+		line_read(text + scanned, line_len, last_id, size);
+		scanned = (size_t)(end - text) + 1;
+	}
+	return complete;
+}
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,619 @@
+#include "gateway/gateway.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <time.h>
+
+#include "call.h"
+#include "common/clock.h"
+#include "common/error.h"
+#include "core/random.h"
+#include "internal.h"
+
+/* Requests that wait in one queue. */
+#define QUEUE_LIMIT 512
+
+/* Waiting requests are looked at this often, besides whenever one ends. */
+#define PUMP_S 0.010
+
+/* An instance without any other waits this long for news of others before it
+ * takes requests. */
+#define JOIN_WAIT_US (700 * US_PER_MS)
+
+/* A step of the boot time against the steady clock that tells a suspension. */
+#define SUSPENDED_US (300 * US_PER_MS)
+
+/* After SIGTERM: idle connections are closed, and the process ends, when
+ * callers had the time to look up other instances. */
+#define LEAVE_IDLE_US (2500 * US_PER_MS)
+#define LEAVE_MIN_US (3500 * US_PER_MS)
+
+/* Time before SIGKILL at which the process ends in any case. */
+#define LEAVE_RESERVE_US (500 * US_PER_MS)
+
+/* Share of the retry slack that is used; the rest is for instances that this
+ * one doesn't know of. */
+#define RETRY_SLACK_PART 0.7
+
+static ev_check turn_begins;
+static time_us_t turn_now;
+
+time_us_t
+gateway_now(gateway_t *gateway)
+{
+	if (turn_now == 0)
+		turn_now = clock_now();
+	return turn_now;
+}
+
+static void
+on_turn(struct ev_loop *loop, ev_check *watcher, int revents)
+{
+	turn_now = 0;
+}
+
+static int64_t
+clock_gap(void)
+{
+	struct timespec steady;
+
+	clock_gettime(CLOCK_MONOTONIC, &steady);
+	return clock_now() -
+	       ((int64_t)steady.tv_sec * US_PER_S + steady.tv_nsec / 1000);
+}
+
+bool
+gateway_is_leaving(const gateway_t *gateway)
+{
+	return gateway->leaving_at != 0;
+}
+
+static void
+line_free(gpointer data)
+{
+	line_t *line = data;
+
+	queue_destroy(line->queue);
+	g_free(line->name);
+	g_free(line);
+}
+
+static void
+line_set_limits(const gateway_t *gateway, line_t *line)
+{
+	const gateway_settings_t *settings = gateway->settings;
+	uint32_t n = MAX(1u, members_n_live(gateway->members, PLACE_NONE,
+				 gateway_now((gateway_t *)gateway)));
+
+	retry_budget_set_limits(&line->retries, settings->retry_percent * 10,
+	    MAX(1, (int64_t)(RETRY_SLACK_PART * settings->retry_slack / n)));
+}
+
+line_t *
+gateway_line(gateway_t *gateway, const char *service)
+{
+	line_t *line = g_hash_table_lookup(gateway->lines, service);
+
+	if (line != NULL)
+		return line;
+	line = g_new0(line_t, 1);
+	line->name = g_strdup(service);
+	line->queue = queue_create(QUEUE_LIMIT);
+	retry_budget_init(&line->retries, gateway_now(gateway));
+	line_set_limits(gateway, line);
+	g_hash_table_insert(gateway->lines, line->name, line);
+	return line;
+}
+
+static void
+ready_update(gateway_t *gateway)
+{
+	time_us_t now = gateway_now(gateway);
+	bool joined = members_n_live(gateway->members, PLACE_NONE, now) > 1 ||
+		      now - gateway->started_at > JOIN_WAIT_US;
+	bool ready = gateway->catalog != NULL && gateway->targets_loaded &&
+		     joined && !gateway_is_leaving(gateway);
+
+	if (ready == gateway->ready)
+		return;
+	gateway->ready = ready;
+	members_set_ready(gateway->members, ready);
+	log_event(LOG_NOTICE, ready ? "ready" : "not_ready",
+	    LOG_I("ms", (now - gateway->started_at) / US_PER_MS),
+	    LOG_I(
+		"instances", members_n_live(gateway->members, PLACE_NONE, now)),
+	    LOG_I("targets", targets_count(gateway->targets)));
+}
+
+void
+gateway_set_catalog(
+    gateway_t *gateway, catalog_t *catalog, GBytes *text, const char *source)
+{
+	uint64_t before =
+	    gateway->catalog ? catalog_version(gateway->catalog) : 0;
+
+	/* Versions only rise, whoever tells them. */
+	if (catalog_version(catalog) <= before)
+		return;
+	catalog_unref(gateway->catalog);
+	gateway->catalog = catalog_ref(catalog);
+	g_clear_pointer(&gateway->catalog_text, g_bytes_unref);
+	gateway->catalog_text = g_bytes_ref(text);
+	team_rates_set_catalog(gateway->rates, catalog, gateway_now(gateway));
+	log_event(LOG_NOTICE, "config",
+	    LOG_I("version", catalog_version(catalog)), LOG_I("before", before),
+	    LOG_S("source", source));
+	ready_update(gateway);
+}
+
+static void
+on_config(void *owner, catalog_t *catalog, GBytes *text)
+{
+	gateway_set_catalog(owner, catalog, text, "store");
+}
+
+static void
+on_target(void *owner, const target_entry_t *entry)
+{
+	gateway_t *gateway = owner;
+	const target_t *old = targets_find(gateway->targets, entry->id);
+	bool same = old != NULL && old->entry.state == entry->state &&
+		    old->entry.cold_ms == entry->cold_ms &&
+		    old->entry.started_ms == entry->started_ms;
+
+	targets_put(gateway->targets, entry, gateway_now(gateway));
+	if (!same)
+		log_event(LOG_INFO, "target", LOG_S("target", entry->id),
+		    LOG_S("service", entry->service),
+		    LOG_S(
+			"zone", places_zone_name(gateway->places, entry->zone)),
+		    LOG_S("state",
+			entry->state == TARGET_READY ? "ready" : "draining"),
+		    LOG_I("cold_ms", entry->cold_ms),
+		    LOG_I("started_ms", entry->started_ms));
+	gateway_schedule_pump(gateway);
+}
+
+static void
+on_target_removed(void *owner, const char *id)
+{
+	gateway_t *gateway = owner;
+
+	if (targets_find(gateway->targets, id) == NULL)
+		return;
+	log_event(LOG_INFO, "target_removed", LOG_S("target", id));
+	targets_remove(gateway->targets, id, gateway_now(gateway));
+}
+
+static void
+on_evacuation(void *owner, const char *zone, bool evacuated)
+{
+	gateway_t *gateway = owner;
+	int index = places_zone(gateway->places, zone);
+
+	if (index == PLACE_NONE ||
+	    targets_evacuated(gateway->targets, index) == evacuated)
+		return;
+	targets_evacuate(gateway->targets, index, evacuated);
+	log_event(LOG_NOTICE, evacuated ? "zone_evacuated" : "zone_returned",
+	    LOG_S("zone", zone));
+}
+
+static void
+on_store_reachable(void *owner, bool reachable, const char *cause)
+{
+	gateway_t *gateway = owner;
+
+	targets_publisher(gateway->targets, reachable, gateway_now(gateway));
+	log_event(LOG_NOTICE, reachable ? "store_regained" : "store_lost",
+	    LOG_S("cause", cause));
+}
+
+static void
+on_store_loaded(void *owner)
+{
+	gateway_t *gateway = owner;
+
+	gateway->targets_loaded = true;
+	ready_update(gateway);
+}
+
+static const store_events_t store_events = {
+    .config = on_config,
+    .target = on_target,
+    .target_removed = on_target_removed,
+    .evacuation = on_evacuation,
+    .reachable = on_store_reachable,
+    .loaded = on_store_loaded,
+};
+
+static queue_answer_t
+can_start(queue_item_t item, void *context)
+{
+	return call_can_start(item.item);
+}
+
+static void
+line_pump(gateway_t *gateway, line_t *line)
+{
+	time_us_t now = gateway_now(gateway);
+	queue_item_t item;
+
+	while (queue_expire(line->queue, now, &item)) {
+		call_t *call = item.item;
+
+		call->queued = HANDLE_NONE;
+		call_refuse(call, 503, "no_time_left",
+		    queue_retry_after(line->queue, now));
+	}
+	while (queue_pop(line->queue, can_start, NULL, now, &item)) {
+		call_t *call = item.item;
+
+		call->refs++;
+		call_dispatch_queued(call);
+		call_unref(call);
+	}
+}
+
+static bool
+lines_wait(gateway_t *gateway)
+{
+	GHashTableIter iter;
+	gpointer line;
+
+	g_hash_table_iter_init(&iter, gateway->lines);
+	while (g_hash_table_iter_next(&iter, NULL, &line)) {
+		if (queue_length(((line_t *)line)->queue) > 0)
+			return true;
+	}
+	return false;
+}
+
+void
+gateway_pump(gateway_t *gateway)
+{
+	GHashTableIter iter;
+	gpointer line;
+
+	g_hash_table_iter_init(&iter, gateway->lines);
+	while (g_hash_table_iter_next(&iter, NULL, &line))
+		line_pump(gateway, line);
+	gateway_schedule_pump(gateway);
+}
+
+void
+gateway_schedule_pump(gateway_t *gateway)
+{
+	if (ev_is_active(&gateway->pump) || !lines_wait(gateway))
+		return;
+	ev_timer_set(&gateway->pump, PUMP_S, 0);
+	ev_timer_start(gateway->loop, &gateway->pump);
+}
+
+static void
+on_pump(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	gateway_pump(watcher->data);
+}
+
+/* What was known before a suspension may be long past. */
+static void
+suspension_check(gateway_t *gateway)
+{
+	int64_t gap = clock_gap();
+
+	if (ABS(gap - gateway->clock_gap_us) > SUSPENDED_US) {
+		log_event(LOG_WARNING, "suspended",
+		    LOG_I("ms", (gap - gateway->clock_gap_us) / US_PER_MS));
+		store_refresh(gateway->store);
+	}
+	gateway->clock_gap_us = gap;
+}
+
+static void
+pools_sweep(gateway_t *gateway, time_us_t now)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	for (size_t i = 0; i < targets_count(gateway->targets); i++) {
+		target_t *target = targets_at(gateway->targets, i);
+
+		if (target->user != NULL)
+			pool_sweep(target->user, now);
+	}
+	g_hash_table_iter_init(&iter, gateway->peer_pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		pool_sweep(pool, now);
+}
+
+static void
+clients_close_idle(gateway_t *gateway)
+{
+	g_autoptr(GList) clients = g_hash_table_get_keys(gateway->clients);
+
+	for (GList *item = clients; item != NULL; item = item->next)
+		client_close_idle(item->data);
+}
+
+static void
+leave_advance(gateway_t *gateway, time_us_t now)
+{
+	time_us_t since = now - gateway->leaving_at;
+	time_us_t limit =
+	    gateway->settings->grace_s * US_PER_S - LEAVE_RESERVE_US;
+
+	if (since >= LEAVE_IDLE_US)
+		clients_close_idle(gateway);
+	if ((since >= LEAVE_MIN_US && gateway->n_calls == 0) || since >= limit)
+		ev_break(gateway->loop, EVBREAK_ALL);
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	gateway_t *gateway = watcher->data;
+	time_us_t now = gateway_now(gateway);
+	GHashTableIter iter;
+	gpointer line;
+
+	suspension_check(gateway);
+	targets_expire(gateway->targets, now);
+	gateway->region_instances =
+	    members_n_live(gateway->members, gateway->region, now);
+	team_rates_update(gateway->rates,
+	    members_n_live(gateway->members, PLACE_NONE, now), now);
+	g_hash_table_iter_init(&iter, gateway->lines);
+	while (g_hash_table_iter_next(&iter, NULL, &line))
+		line_set_limits(gateway, line);
+	pools_sweep(gateway, now);
+	ready_update(gateway);
+	gossip_round(gateway->gossip);
+	if (gateway_is_leaving(gateway))
+		leave_advance(gateway, now);
+}
+
+static void
+on_stop(struct ev_loop *loop, ev_signal *watcher, int revents)
+{
+	gateway_t *gateway = watcher->data;
+
+	if (gateway_is_leaving(gateway))
+		return;
+	gateway->leaving_at = gateway_now(gateway);
+	members_set_leaving(gateway->members);
+	ready_update(gateway);
+	log_event(LOG_NOTICE, "stopping", LOG_I("signal", watcher->signum),
+	    LOG_I("requests", gateway->n_calls),
+	    LOG_I("connections", g_hash_table_size(gateway->clients)));
+	gossip_round(gateway->gossip);
+}
+
+static void
+on_reload(struct ev_loop *loop, ev_signal *watcher, int revents)
+{
+	log_event(LOG_NOTICE, "reload", LOG_S("cause", "signal"));
+}
+
+static void
+on_log_flush(struct ev_loop *loop, ev_prepare *watcher, int revents)
+{
+	log_flush();
+}
+
+static void
+on_caller(void *owner, int fd, net_address_t peer)
+{
+	client_accept(owner, fd, false);
+}
+
+static void
+on_peer(void *owner, int fd, net_address_t peer)
+{
+	client_accept(owner, fd, true);
+}
+
+static bool
+listen_at(gateway_t *gateway, const char *text, listener_t **listener,
+    void (*accepted)(void *owner, int fd, net_address_t peer), GError **error)
+{
+	net_address_t address;
+
+	if (net_address_parse(text, &address))
+		*listener =
+		    listener_create(gateway->net, address, accepted, gateway);
+	if (*listener != NULL)
+		return true;
+	g_set_error(error, CS_ERROR, CS_ERROR_IO,
+	    "%s: %s; write a free address of this machine", text,
+	    g_strerror(errno));
+	return false;
+}
+
+static uint32_t *
+seeds_parse(char **texts, size_t *n)
+{
+	uint32_t *seeds = g_new0(uint32_t, g_strv_length(texts) + 1);
+
+	*n = 0;
+	for (; *texts != NULL; texts++) {
+		net_address_t address;
+
+		if (net_address_parse(*texts, &address))
+			seeds[(*n)++] = address.ip;
+	}
+	return seeds;
+}
+
+static void
+members_start(gateway_t *gateway)
+{
+	size_t n_seeds;
+	uint32_t *seeds = seeds_parse(gateway->settings->seeds, &n_seeds);
+	member_entry_t self = {
+	    .ip = gateway->own_peer.ip,
+	    .zone = gateway->zone,
+	    .incarnation = (incarnation_t)g_get_real_time(),
+	};
+
+	gateway->members = members_create(gateway->places, &self, seeds,
+	    n_seeds, random_next(&gateway->random), gateway_now(gateway));
+	g_free(seeds);
+}
+
+static void
+on_target_free(target_t *target, void *context)
+{
+	if (target->user != NULL)
+		pool_destroy(target->user);
+}
+
+static void
+signal_start(gateway_t *gateway, ev_signal *watcher, int signum,
+    void (*handler)(struct ev_loop *, ev_signal *, int))
+{
+	ev_signal_init(watcher, handler, signum);
+	watcher->data = gateway;
+	ev_signal_start(gateway->loop, watcher);
+}
+
+static void
+timers_start(gateway_t *gateway)
+{
+	static ev_prepare log_watcher;
+
+	ev_check_init(&turn_begins, on_turn);
+	ev_set_priority(&turn_begins, EV_MAXPRI);
+	ev_check_start(gateway->loop, &turn_begins);
+	ev_prepare_init(&log_watcher, on_log_flush);
+	ev_prepare_start(gateway->loop, &log_watcher);
+	ev_timer_init(&gateway->pump, on_pump, 0, 0);
+	gateway->pump.data = gateway;
+	ev_timer_init(&gateway->tick, on_tick,
+	    MEMBER_ROUND_US / (double)US_PER_S,
+	    MEMBER_ROUND_US / (double)US_PER_S);
+	gateway->tick.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->tick);
+	signal_start(gateway, &gateway->on_term, SIGTERM, on_stop);
+	signal_start(gateway, &gateway->on_int, SIGINT, on_stop);
+	signal_start(gateway, &gateway->on_hup, SIGHUP, on_reload);
+}
+
+static bool
+sockets_start(gateway_t *gateway, GError **error)
+{
+	const gateway_settings_t *settings = gateway->settings;
+
+	gateway->gossip = gossip_create(gateway, error);
+	if (gateway->gossip == NULL)
+		return false;
+	gateway->pages = pages_create(gateway, error);
+	return gateway->pages != NULL &&
+	       listen_at(gateway, settings->callers, &gateway->caller_listener,
+		   on_caller, error) &&
+	       listen_at(gateway, settings->peer, &gateway->peer_listener,
+		   on_peer, error);
+}
+
+static void
+gateway_init(gateway_t *gateway, const gateway_settings_t *settings)
+{
+	net_address_t callers;
+
+	gateway->settings = settings;
+	gateway->loop = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV);
+	gateway->net = net_create(gateway->loop);
+	gateway->places = settings->places;
+	gateway->zone = places_zone(settings->places, settings->zone);
+	gateway->region = places_region_of(settings->places, gateway->zone);
+	net_address_parse(settings->peer, &gateway->own_peer);
+	net_address_parse(settings->callers, &callers);
+	gateway->caller_port = callers.port;
+	gateway->random = (uint64_t)g_get_real_time() ^
+			  ((uint64_t)gateway->own_peer.ip << 32);
+	gateway->started_at = gateway_now(gateway);
+	gateway->clock_gap_us = clock_gap();
+	gateway->region_instances = 1;
+	gateway->targets = targets_create(settings->places, gateway->region);
+	targets_on_free(gateway->targets, on_target_free, gateway);
+	gateway->rates = team_rates_create(gateway->region);
+	gateway->lines =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, line_free);
+	gateway->peer_pools = g_hash_table_new(NULL, NULL);
+	gateway->clients = g_hash_table_new(NULL, NULL);
+}
+
+static void
+clients_destroy(gateway_t *gateway)
+{
+	g_autoptr(GList) clients = g_hash_table_get_keys(gateway->clients);
+
+	for (GList *item = clients; item != NULL; item = item->next)
+		client_destroy(item->data);
+}
+
+static void
+gateway_clear(gateway_t *gateway)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	clients_destroy(gateway);
+	if (gateway->store != NULL)
+		store_destroy(gateway->store);
+	listener_destroy(gateway->caller_listener);
+	listener_destroy(gateway->peer_listener);
+	if (gateway->pages != NULL)
+		pages_destroy(gateway->pages);
+	if (gateway->gossip != NULL)
+		gossip_destroy(gateway->gossip);
+	g_hash_table_iter_init(&iter, gateway->peer_pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		pool_destroy(pool);
+	targets_destroy(gateway->targets);
+	if (gateway->members != NULL)
+		members_destroy(gateway->members);
+	team_rates_destroy(gateway->rates);
+	g_hash_table_destroy(gateway->lines);
+	g_hash_table_destroy(gateway->peer_pools);
+	g_hash_table_destroy(gateway->clients);
+	catalog_unref(gateway->catalog);
+	g_clear_pointer(&gateway->catalog_text, g_bytes_unref);
+	net_destroy(gateway->net);
+	ev_loop_destroy(gateway->loop);
+}
+
+int
+gateway_run(const gateway_settings_t *settings, const char *settings_path,
+    GError **error)
+{
+	gateway_t gateway = {0};
+	net_address_t store;
+	int status = -1;
+
+	signal(SIGPIPE, SIG_IGN);
+	gateway_init(&gateway, settings);
+	members_start(&gateway);
+	net_address_parse(settings->store, &store);
+	log_collect();
+	if (sockets_start(&gateway, error)) {
+		timers_start(&gateway);
+		log_event(LOG_NOTICE, "started",
+		    LOG_S("instance", settings->instance),
+		    LOG_S("zone", settings->zone),
+		    LOG_S("callers", settings->callers),
+		    LOG_S("peer", settings->peer), LOG_S("version", VERSION));
+		gateway.store = store_create(gateway.net, store, gateway.places,
+		    &store_events, &gateway, random_next(&gateway.random));
+		gossip_round(gateway.gossip);
+		ev_run(gateway.loop, 0);
+		log_event(LOG_NOTICE, "stopped",
+		    LOG_S("instance", settings->instance),
+		    LOG_I("requests", gateway.n_calls));
+		status = 0;
+	}
+	gateway_clear(&gateway);
+	log_flush();
+	return status;
+}
--- /dev/null
+++ b/gateway/gossip.c
@@ -0,0 +1,321 @@
+#include "internal.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <rpc/rpc.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/error.h"
+
+/*
+ * Messages between instances, in XDR over UDP. Each tells the sender's view of
+ * who is there. Instances of the same region also tell the load that they put
+ * on targets and the demand of teams; others tell the sums of their region.
+ */
+
+#define MESSAGE_VERSION 0x43530001
+#define MESSAGE_BYTES 8192
+
+/* Entries of each list, so that a message stays near 1,400 bytes. */
+#define LOAD_LIMIT 40
+#define PEER_LIMIT 32
+
+/* Datagrams read in one turn. */
+#define READ_BATCH 32
+
+typedef struct {
+	uint32_t version;
+	uint32_t n_members;
+	member_entry_t members[MEMBER_DIGEST_LIMIT];
+	uint64_t config_version;
+	uint32_t near; /* sender and receiver are of one region */
+	uint32_t n_loads;
+	target_load_t loads[LOAD_LIMIT];
+	uint32_t n_demands;
+	team_demand_t demands[TEAM_DEMAND_LIMIT];
+	uint32_t n_capacities;
+	capacity_t capacities[CAPACITY_LIMIT];
+} message_t;
+
+struct gossip {
+	gateway_t *gateway;
+	ev_io watcher;
+	message_t message; /* being sent or read */
+};
+
+static bool
+member_xdr(XDR *xdr, member_entry_t *entry)
+{
+	uint32_t zone = (uint32_t)entry->zone;
+	uint32_t flags = (uint32_t)entry->ready | (uint32_t)entry->leaving << 1;
+
+	if (!xdr_uint32_t(xdr, &entry->ip) || !xdr_uint32_t(xdr, &zone) ||
+	    !xdr_uint32_t(xdr, &flags) ||
+	    !xdr_uint64_t(xdr, &entry->incarnation) ||
+	    !xdr_uint32_t(xdr, &entry->heartbeat) ||
+	    !xdr_uint32_t(xdr, &entry->age_ms) || zone >= PLACES_ZONE_LIMIT)
+		return false;
+	entry->zone = (int)zone;
+	entry->ready = (flags & 1) != 0;
+	entry->leaving = (flags & 2) != 0;
+	return true;
+}
+
+static bool
+count_xdr(XDR *xdr, uint32_t *n, uint32_t limit)
+{
+	return xdr_uint32_t(xdr, n) && *n <= limit;
+}
+
+/* Writes or reads, as the stream says. */
+static bool
+message_xdr(XDR *xdr, message_t *message)
+{
+	if (!xdr_uint32_t(xdr, &message->version) ||
+	    message->version != MESSAGE_VERSION ||
+	    !count_xdr(xdr, &message->n_members, MEMBER_DIGEST_LIMIT))
+		return false;
+	for (uint32_t i = 0; i < message->n_members; i++) {
+		if (!member_xdr(xdr, &message->members[i]))
+			return false;
+	}
+	if (!xdr_uint64_t(xdr, &message->config_version) ||
+	    !xdr_uint32_t(xdr, &message->near) ||
+	    !count_xdr(xdr, &message->n_loads, LOAD_LIMIT))
+		return false;
+	for (uint32_t i = 0; i < message->n_loads; i++) {
+		target_load_t *load = &message->loads[i];
+
+		if (!xdr_uint32_t(xdr, &load->target) ||
+		    !xdr_uint32_t(xdr, &load->in_flight) ||
+		    !xdr_uint32_t(xdr, &load->pending_tokens))
+			return false;
+	}
+	if (!count_xdr(xdr, &message->n_demands, TEAM_DEMAND_LIMIT))
+		return false;
+	for (uint32_t i = 0; i < message->n_demands; i++) {
+		if (!xdr_uint32_t(xdr, &message->demands[i].team) ||
+		    !xdr_uint32_t(xdr, &message->demands[i].per_s))
+			return false;
+	}
+	if (!count_xdr(xdr, &message->n_capacities, CAPACITY_LIMIT))
+		return false;
+	for (uint32_t i = 0; i < message->n_capacities; i++) {
+		capacity_t *capacity = &message->capacities[i];
+
+		if (!xdr_uint32_t(xdr, &capacity->service) ||
+		    !xdr_uint32_t(xdr, &capacity->free) ||
+		    !xdr_uint32_t(xdr, &capacity->expected_ms))
+			return false;
+	}
+	return true;
+}
+
+static uint32_t
+capacities_fill(const gateway_t *gateway, capacity_t *capacities, time_us_t now)
+{
+	uint32_t n = 0;
+
+	if (gateway->catalog == NULL)
+		return 0;
+	for (size_t i = 0;
+	     i < catalog_n_services(gateway->catalog) && n < CAPACITY_LIMIT;
+	     i++) {
+		const catalog_service_t *service =
+		    catalog_service(gateway->catalog, (int)i);
+		const line_t *line =
+		    g_hash_table_lookup(gateway->lines, service->name);
+		region_capacity_t capacity =
+		    placement_capacity(gateway->targets, service, now);
+		uint32_t waiting = line ? queue_length(line->queue) : 0;
+
+		capacities[n++] = (capacity_t){target_short_id(service->name),
+		    waiting > 0 ? 0 : capacity.free,
+		    (uint32_t)MIN(capacity.expected_ms, 1e6)};
+	}
+	return n;
+}
+
+static void
+message_fill(
+    const gateway_t *gateway, message_t *message, bool near, time_us_t now)
+{
+	message->version = MESSAGE_VERSION;
+	message->n_members = (uint32_t)members_digest(
+	    gateway->members, now, message->members, MEMBER_DIGEST_LIMIT);
+	message->config_version =
+	    gateway->catalog ? catalog_version(gateway->catalog) : 0;
+	message->near = near;
+	message->n_loads = 0;
+	message->n_capacities = 0;
+	if (near) {
+		message->n_loads = (uint32_t)targets_own_load(
+		    gateway->targets, message->loads, LOAD_LIMIT);
+		message->n_demands = (uint32_t)team_rates_own(
+		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT);
+		return;
+	}
+	message->n_demands = (uint32_t)team_rates_region(
+	    gateway->rates, message->demands, TEAM_DEMAND_LIMIT, now);
+	message->n_capacities =
+	    capacities_fill(gateway, message->capacities, now);
+}
+
+static size_t
+message_encode(message_t *message, char *bytes)
+{
+	XDR xdr;
+	size_t len = 0;
+
+	xdrmem_create(&xdr, bytes, MESSAGE_BYTES, XDR_ENCODE);
+	if (message_xdr(&xdr, message))
+		len = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return len;
+}
+
+static void
+message_send(const gossip_t *gossip, uint32_t ip, const char *bytes, size_t len)
+{
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET,
+	    .sin_port = htons(gossip->gateway->own_peer.port),
+	    .sin_addr.s_addr = htonl(ip),
+	};
+
+	/* A datagram that can't be sent is like one that is lost. */
+	if (sendto(gossip->watcher.fd, bytes, len, MSG_DONTWAIT,
+		(struct sockaddr *)&to, sizeof(to)) < 0)
+		counter_count("peer_send_failures", NULL, NULL);
+}
+
+static bool
+is_near(const gateway_t *gateway, uint32_t ip)
+{
+	const member_t *member = members_find(gateway->members, ip);
+
+	return member != NULL && places_region_of(gateway->places,
+				     member->entry.zone) == gateway->region;
+}
+
+void
+gossip_round(gossip_t *gossip)
+{
+	gateway_t *gateway = gossip->gateway;
+	time_us_t now = gateway_now(gateway);
+	uint32_t ips[PEER_LIMIT];
+	size_t n = members_round(gateway->members, now, ips, PEER_LIMIT);
+	char near_bytes[MESSAGE_BYTES];
+	char far_bytes[MESSAGE_BYTES];
+	size_t near_len = 0;
+	size_t far_len = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		bool near = is_near(gateway, ips[i]);
+
+		if (near && near_len == 0) {
+			message_fill(gateway, &gossip->message, true, now);
+			near_len = message_encode(&gossip->message, near_bytes);
+		} else if (!near && far_len == 0) {
+			message_fill(gateway, &gossip->message, false, now);
+			far_len = message_encode(&gossip->message, far_bytes);
+		}
+		message_send(gossip, ips[i], near ? near_bytes : far_bytes,
+		    near ? near_len : far_len);
+	}
+}
+
+static void
+message_take(gossip_t *gossip, const message_t *message)
+{
+	gateway_t *gateway = gossip->gateway;
+	time_us_t now = gateway_now(gateway);
+	const member_entry_t *sender = &message->members[0];
+	int region;
+
+	if (message->n_members == 0 || sender->ip == gateway->own_peer.ip)
+		return;
+	members_merge(
+	    gateway->members, message->members, message->n_members, now);
+	region = places_region_of(gateway->places, sender->zone);
+	if (region == gateway->region) {
+		/* A message to an instance that the sender doesn't know yet
+		 * tells sums of the region, which don't add up here. */
+		if (!message->near)
+			return;
+		targets_peer_load(gateway->targets, sender->ip, message->loads,
+		    message->n_loads);
+		team_rates_hear_instance(gateway->rates, sender->ip,
+		    message->demands, message->n_demands, now);
+		return;
+	}
+	if (region == PLACE_NONE)
+		return;
+	team_rates_hear_region(
+	    gateway->rates, region, message->demands, message->n_demands, now);
+	memcpy(gateway->news[region].services, message->capacities,
+	    message->n_capacities * sizeof(capacity_t));
+	gateway->news[region].n = message->n_capacities;
+	gateway->news[region].heard_at = now;
+}
+
+static void
+on_readable(struct ev_loop *loop, ev_io *watcher, int revents)
+{
+	gossip_t *gossip = watcher->data;
+	char bytes[MESSAGE_BYTES];
+
+	for (int i = 0; i < READ_BATCH; i++) {
+		ssize_t len =
+		    recv(watcher->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		XDR xdr;
+
+		if (len < 0)
+			return;
+		xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
+		if (message_xdr(&xdr, &gossip->message))
+			message_take(gossip, &gossip->message);
+		else
+			counter_count("peer_messages_unreadable", NULL, NULL);
+		xdr_destroy(&xdr);
+	}
+}
+
+gossip_t *
+gossip_create(gateway_t *gateway, GError **error)
+{
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET,
+	    .sin_port = htons(gateway->own_peer.port),
+	    .sin_addr.s_addr = htonl(gateway->own_peer.ip),
+	};
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	gossip_t *gossip;
+
+	if (fd < 0 || bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0) {
+		g_set_error(error, CS_ERROR, CS_ERROR_IO,
+		    "peer %s: %s; write an address of this machine that is "
+		    "free for UDP",
+		    gateway->settings->peer, g_strerror(errno));
+		if (fd >= 0)
+			close(fd);
+		return NULL;
+	}
+	gossip = g_new0(gossip_t, 1);
+	gossip->gateway = gateway;
+	ev_io_init(&gossip->watcher, on_readable, fd, EV_READ);
+	gossip->watcher.data = gossip;
+	ev_io_start(gateway->loop, &gossip->watcher);
+	return gossip;
+}
+
+void
+gossip_destroy(gossip_t *gossip)
+{
+	ev_io_stop(gossip->gateway->loop, &gossip->watcher);
+	close(gossip->watcher.fd);
+	g_free(gossip);
+}
--- /dev/null
+++ b/gateway/pool.c
@@ -0,0 +1,217 @@
+#include "internal.h"
+
+#include "attempt.h"
+
+/* A target on the same site answers a connect within this, or not at all. */
+#define CONNECT_TIMEOUT_S 0.4
+
+/* The same for an instance in another region. */
+#define CONNECT_TIMEOUT_REMOTE_S 1.0
+
+/* Kept connections are closed this long before the other side does. */
+#define IDLE_MARGIN_US (600 * US_PER_MS)
+
+/* Idle time after which an own limit closes a connection. */
+#define IDLE_LIMIT_US (20 * US_PER_S)
+
+/* Kept for the case that the other side doesn't tell its limit. */
+#define IDLE_UNTOLD_US (4 * US_PER_S)
+
+/* Most idle connections to one address. */
+#define IDLE_COUNT 64
+
+/* Reference counted: by its owner and by each connection. */
+struct pool {
+	gint refs;
+	bool dead; /* the owner is gone: nothing is kept */
+	gateway_t *gateway;
+	net_address_t address;
+	bool remote;
+	GQueue idle; /* upstream_t, most recently used first */
+};
+
+pool_t *
+pool_create(gateway_t *gateway, net_address_t address, bool remote)
+{
+	pool_t *pool = g_new0(pool_t, 1);
+
+	pool->refs = 1;
+	pool->gateway = gateway;
+	pool->address = address;
+	pool->remote = remote;
+	g_queue_init(&pool->idle);
+	return pool;
+}
+
+static void
+pool_unref(pool_t *pool)
+{
+	if (--pool->refs == 0)
+		g_free(pool);
+}
+
+void
+pool_destroy(pool_t *pool)
+{
+	upstream_t *upstream;
+
+	pool->dead = true;
+	while ((upstream = g_queue_pop_head(&pool->idle)) != NULL)
+		pool_drop(upstream);
+	pool_unref(pool);
+}
+
+pool_t *
+pool_of_target(gateway_t *gateway, target_t *target)
+{
+	if (target->user == NULL)
+		target->user = pool_create(gateway,
+		    (net_address_t){target->entry.ip, target->entry.port},
+		    false);
+	return target->user;
+}
+
+pool_t *
+pool_of_peer(gateway_t *gateway, uint32_t ip)
+{
+	pool_t *pool =
+	    g_hash_table_lookup(gateway->peer_pools, GUINT_TO_POINTER(ip));
+
+	if (pool == NULL) {
+		pool = pool_create(
+		    gateway, (net_address_t){ip, gateway->own_peer.port}, true);
+		g_hash_table_insert(
+		    gateway->peer_pools, GUINT_TO_POINTER(ip), pool);
+	}
+	return pool;
+}
+
+/* An idle connection that sends anything or ends is of no use any more. */
+static void
+on_idle_received(void *owner, const uint8_t *data, size_t len)
+{
+	upstream_t *upstream = owner;
+
+	g_queue_remove(&upstream->pool->idle, upstream);
+	pool_drop(upstream);
+}
+
+static void
+on_idle_ended(void *owner, tcp_end_t end)
+{
+	on_idle_received(owner, NULL, 0);
+}
+
+static const tcp_events_t idle_events = {
+    .received = on_idle_received,
+    .ended = on_idle_ended,
+};
+
+static void
+on_connect_timeout(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	attempt_unreachable(((upstream_t *)watcher->data)->attempt);
+}
+
+static upstream_t *
+upstream_open(pool_t *pool)
+{
+	gateway_t *gateway = pool->gateway;
+	upstream_t *upstream = g_new0(upstream_t, 1);
+
+	upstream->pool = pool;
+	pool->refs++;
+	upstream->gateway = gateway;
+	upstream->connection = tcp_connect(
+	    gateway->net, pool->address, &attempt_connection_events, upstream);
+	if (upstream->connection == NULL) {
+		pool_unref(pool);
+		g_free(upstream);
+		return NULL;
+	}
+	upstream->reader = http_reader_create(
+	    HTTP_RESPONSES, &attempt_sink, upstream, ANSWER_HEAD_LIMIT);
+	ev_timer_init(&upstream->connect_timer, on_connect_timeout,
+	    pool->remote ? CONNECT_TIMEOUT_REMOTE_S : CONNECT_TIMEOUT_S, 0);
+	upstream->connect_timer.data = upstream;
+	ev_timer_start(gateway->loop, &upstream->connect_timer);
+	counter_count("upstream_connections", NULL, NULL);
+	return upstream;
+}
+
+upstream_t *
+pool_take(pool_t *pool, time_us_t fresh_us, bool *reused)
+{
+	time_us_t now = gateway_now(pool->gateway);
+	upstream_t *upstream;
+
+	*reused = false;
+	while ((upstream = g_queue_peek_head(&pool->idle)) != NULL) {
+		if (now - upstream->idle_since >= fresh_us)
+			break;
+		g_queue_pop_head(&pool->idle);
+		if (now >= upstream->idle_until ||
+		    tcp_is_disturbed(upstream->connection)) {
+			pool_drop(upstream);
+			continue;
+		}
+		tcp_set_owner(
+		    upstream->connection, &attempt_connection_events, upstream);
+		*reused = true;
+		return upstream;
+	}
+	return upstream_open(pool);
+}
+
+void
+pool_give(pool_t *pool, upstream_t *upstream, int64_t idle_ms)
+{
+	time_us_t now = gateway_now(pool->gateway);
+	time_us_t keep = IDLE_UNTOLD_US;
+
+	if (idle_ms >= 0)
+		keep = MIN(idle_ms * US_PER_MS - IDLE_MARGIN_US, IDLE_LIMIT_US);
+	if (pool->dead || keep <= 0 ||
+	    g_queue_get_length(&pool->idle) >= IDLE_COUNT) {
+		pool_drop(upstream);
+		return;
+	}
+	upstream->attempt = NULL;
+	upstream->idle_since = now;
+	upstream->idle_until = now + keep;
+	tcp_set_owner(upstream->connection, &idle_events, upstream);
+	tcp_pause(upstream->connection, false);
+	g_queue_push_head(&pool->idle, upstream);
+}
+
+void
+pool_drop(upstream_t *upstream)
+{
+	ev_timer_stop(upstream->gateway->loop, &upstream->connect_timer);
+	tcp_close(upstream->connection);
+	upstream->attempt = NULL;
+	upstream->dropped = true;
+	if (!upstream->reading)
+		pool_reap(upstream);
+}
+
+void
+pool_reap(upstream_t *upstream)
+{
+	tcp_unref(upstream->connection);
+	http_reader_destroy(upstream->reader);
+	pool_unref(upstream->pool);
+	g_free(upstream);
+}
+
+void
+pool_sweep(pool_t *pool, time_us_t now)
+{
+	upstream_t *upstream;
+
+	while ((upstream = g_queue_peek_tail(&pool->idle)) != NULL &&
+	       now >= upstream->idle_until) {
+		g_queue_pop_tail(&pool->idle);
+		pool_drop(upstream);
+	}
+}
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -5,14 +5,14 @@
 #include <syslog.h>
 
 /*
- * Structured log. Each event is one line on standard error:
+ * Structured log. Each event is one line of key=value pairs on standard output:
  *
- *     <6>2026-01-31T10:00:00.123Z cyclamensail[42]: event=ready zone=stred-1
+ *     time=2026-01-31T10:00:00.123Z level=info program=cyclamensail pid=42
+ *     event=ready zone=stred-1
  *
- * The number in angle brackets is the syslog(3) priority. Values with bytes
- * other than letters, digits and ._:/@%+- are quoted, and control bytes, quotes
- * and backslashes in them are escaped, so that a value can't forge a field or a
- * line.
+ * Values with bytes other than letters, digits and ._:/@%+- are quoted, and
+ * control bytes, quotes and backslashes in them are escaped, so that a value
+ * can't forge a field or a line.
  */
 typedef struct {
 	const char *key;
@@ -33,4 +33,18 @@
 /* Sets the program name in each line and the least urgent priority shown. */
 void log_open(const char *program, int max_priority);
 
+/*
+ * Lines of less urgency than LOG_WARNING that are written in one second; more
+ * are dropped and counted.
+ */
+#define LOG_LINES_PER_S 400
+
+/*
+ * Collects lines until log_flush(), for a process with one thread. Its output
+ * then never blocks: lines that the reader of standard output has no room for
+ * are dropped. A line with event=log_dropped tells how many were.
+ */
+void log_collect(void);
+void log_flush(void);
+
 #endif
--- /dev/null
+++ b/include/core/catalog.h
@@ -0,0 +1,117 @@
+#ifndef CORE_CATALOG_H
+#define CORE_CATALOG_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/places.h"
+#include "core/types.h"
+
+/*
+ * One version of the configuration that operators publish: routes, services,
+ * teams with their keys, and limits on callers. Immutable once it is sealed and
+ * shared by reference counts, so that a request keeps the version under which
+ * it was admitted.
+ */
+typedef enum {
+	ROUTE_SAFE,   /* may be repeated */
+	ROUTE_UNSAFE, /* runs at most once */
+	ROUTE_STREAM, /* answered by events; runs once unless resumable */
+} route_kind_t;
+
+typedef struct {
+	int service; /* index into services */
+	uint32_t weight;
+} route_backend_t;
+
+#define ROUTE_BACKEND_LIMIT 8
+
+typedef struct {
+	char *name;
+	char *host;
+	char *prefix;
+	route_kind_t kind;
+	int64_t timeout_ms;
+	int64_t objective_ms;  /* time to the first byte or event */
+	int64_t max_pause_ms;  /* between events, for a timely answer */
+	int priority;	       /* 0 most urgent */
+	uint32_t max_attempts; /* targets that may run one request */
+	bool open;	       /* no key is asked for */
+	bool affinity;	       /* prompts are worth keeping on one target */
+	bool resumable;
+	region_set_t regions; /* where it may be served */
+	route_backend_t backends[ROUTE_BACKEND_LIMIT];
+	size_t n_backends;
+} catalog_route_t;
+
+typedef struct {
+	char *name;
+	uint32_t connection_limit; /* a target's, over all callers; 0: none */
+	double cold_per_s;	   /* requests a cold target bears; 0: any */
+	bool engine;		   /* model engine, else a plain service */
+	uint32_t engine_slots;
+	uint64_t cache_tokens; /* memory of one engine */
+} catalog_service_t;
+
+typedef struct {
+	char *name;
+	int priority; /* -1: the route's */
+	region_set_t regions;
+	bool counts_tokens;  /* else requests */
+	double plain_tokens; /* of a request that doesn't tell its tokens */
+	double rate;	     /* a second over all instances; 0: no limit */
+	double burst;
+} catalog_team_t;
+
+typedef struct {
+	uint64_t max_header_bytes;
+	uint64_t max_body_bytes;
+	int64_t header_timeout_ms;
+	int64_t idle_timeout_ms;
+} caller_limits_t;
+
+typedef struct catalog catalog_t;
+
+catalog_t *catalog_create(uint64_t version);
+catalog_t *catalog_ref(catalog_t *catalog);
+void catalog_unref(catalog_t *catalog);
+
+/* Take ownership of the strings. Return the index. */
+int catalog_add_service(catalog_t *catalog, const catalog_service_t *service);
+void catalog_add_route(catalog_t *catalog, const catalog_route_t *route);
+int catalog_add_team(catalog_t *catalog, const catalog_team_t *team);
+
+/* Key text of a team. Returns false when another team has it. */
+bool catalog_add_key(catalog_t *catalog, const char *key, int team);
+void catalog_set_limits(catalog_t *catalog, const caller_limits_t *limits);
+void catalog_set_keyed(catalog_t *catalog, bool keyed);
+
+uint64_t catalog_version(const catalog_t *catalog);
+const caller_limits_t *catalog_limits(const catalog_t *catalog);
+
+/* Tells whether callers must show a key on routes that are not open. */
+bool catalog_keyed(const catalog_t *catalog);
+
+/*
+ * Returns the route of the host with the longest prefix of path, or NULL. host
+ * may carry a port, which is ignored.
+ */
+const catalog_route_t *catalog_route(const catalog_t *catalog, const char *host,
+    size_t host_len, const char *path, size_t path_len);
+
+/* Returns the team's index, or -1. */
+int catalog_key_team(const catalog_t *catalog, const char *key, size_t len);
+int catalog_team_index(const catalog_t *catalog, const char *name);
+const catalog_team_t *catalog_team(const catalog_t *catalog, int team);
+size_t catalog_n_teams(const catalog_t *catalog);
+
+int catalog_service_index(const catalog_t *catalog, const char *name);
+const catalog_service_t *catalog_service(const catalog_t *catalog, int service);
+size_t catalog_n_services(const catalog_t *catalog);
+
+/* Picks one of the route's services by weight; random is any number. */
+int catalog_pick_service(const catalog_route_t *route, uint64_t random);
+
+#endif
--- a/include/core/retry.h
+++ b/include/core/retry.h
@@ -31,6 +31,8 @@
 typedef struct {
 	int64_t balance;    /* 1/1000 retries */
 	time_us_t floor_at; /* up to when the floor was credited */
+	int64_t part;	    /* 1/1000 retries for each first try */
+	int64_t most;	    /* retries saved up */
 } retry_budget_t;
 
 /* How the target was lost. */
@@ -47,6 +49,7 @@
 	uint64_t bytes_to_target; /* request bytes written */
 	uint64_t bytes_to_caller; /* answer bytes already delivered */
 	unsigned tries;		  /* so far, the first one included */
+	unsigned max_tries;	  /* 0: RETRY_TRIES */
 	time_us_t deadline;
 	/*
 	 * Result of poison_lost for this loss, or 0 when it was not recorded.
@@ -69,9 +72,13 @@
 	RETRY_REASON_COUNT
 } retry_reason_t;
 
-/* A new budget allows one retry. */
+/* A new budget allows one retry, and has RETRY_PART and RETRY_MOST. */
 void retry_budget_init(retry_budget_t *budget, time_us_t now);
 
+/* Changes what a first try adds, in 1/1000, and how much is saved up. */
+void retry_budget_set_limits(
+    retry_budget_t *budget, int64_t part, int64_t most);
+
 /* Counts a request that is sent to a target for the first time. */
 void retry_first_try(retry_budget_t *budget);
 
--- /dev/null
+++ b/include/platform/store.h
@@ -0,0 +1,61 @@
+#ifndef PLATFORM_STORE_H
+#define PLATFORM_STORE_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "core/catalog.h"
+#include "core/places.h"
+#include "core/targets.h"
+#include "net/tcp.h"
+
+/*
+ * Client of the platform's metadata store. Reads the configuration, the
+ * evacuations and the targets, then watches them, and reads everything again
+ * when a watch can't go on. Only translates: it decides nothing about what it
+ * reads.
+ */
+
+/* A watch is answered after this time even without news. Short enough that a
+ * connection that went silent is noticed within STORE_WATCH_WAIT_MS +
+ * STORE_ANSWER_MS. */
+#define STORE_WATCH_WAIT_MS 4000
+
+/* Longest time for an answer besides the wait. */
+#define STORE_ANSWER_MS 1200
+
+/* Pause before the next try; doubles, and each is spread over half its time. */
+#define STORE_RETRY_MIN_MS 60
+#define STORE_RETRY_MAX_MS 1000
+
+typedef struct store store_t;
+
+typedef struct {
+	/* text is what was published, for other instances. */
+	void (*config)(void *owner, catalog_t *catalog, GBytes *text);
+	void (*target)(void *owner, const target_entry_t *entry);
+	void (*target_removed)(void *owner, const char *id);
+	void (*evacuation)(void *owner, const char *zone, bool evacuated);
+	/* The store stopped or began to answer. cause is text for logs. */
+	void (*reachable)(void *owner, bool reachable, const char *cause);
+	/* Everything has been read once. */
+	void (*loaded)(void *owner);
+} store_events_t;
+
+store_t *store_create(net_t *net, net_address_t address, const places_t *places,
+    const store_events_t *events, void *owner, uint64_t random);
+void store_destroy(store_t *store);
+
+/* Drops the waiting calls and reads everything again, after a suspension. */
+void store_refresh(store_t *store);
+
+/*
+ * Decode one published value. Return NULL or false with an error that names the
+ * field.
+ */
+catalog_t *platform_catalog_read(
+    const char *text, size_t len, const places_t *places, GError **error);
+bool platform_target_read(const char *id, const char *text, size_t len,
+    const places_t *places, target_entry_t *entry, GError **error);
+
+#endif
--- a/include/platform/reader.h
+++ b/include/publisher/reader.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_READER_H
-#define PLATFORM_READER_H
+#ifndef PUBLISHER_READER_H
+#define PUBLISHER_READER_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/include/target/transfer.h
+++ b/include/upstream/transfer.h
@@ -1,5 +1,5 @@
-#ifndef TARGET_TRANSFER_H
-#define TARGET_TRANSFER_H
+#ifndef UPSTREAM_TRANSFER_H
+#define UPSTREAM_TRANSFER_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- /dev/null
+++ b/net/tcp.c
@@ -0,0 +1,432 @@
+#include "net/tcp.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Output buffers above this size are freed when they are empty. */
+#define OUTPUT_KEEP_BYTES 32768
+
+struct net {
+	struct ev_loop *loop;
+	ev_prepare flush;
+	GPtrArray *dirty; /* connections with output of this turn */
+	uint8_t chunk[NET_READ_BYTES];
+};
+
+typedef enum {
+	STATE_CONNECTING,
+	STATE_OPEN,
+	STATE_FINISHING,
+	STATE_CLOSED
+} state_t;
+
+struct tcp {
+	gint refs;
+	net_t *net;
+	int fd;
+	state_t state;
+	const tcp_events_t *events;
+	void *owner;
+	ev_io reader;
+	ev_io writer;
+	ev_timer linger;
+	GByteArray *output;
+	size_t written; /* of output */
+	bool dirty;
+	bool paused;
+	bool sent_end;
+};
+
+bool
+net_address_parse(const char *text, net_address_t *address)
+{
+	char ip[INET_ADDRSTRLEN];
+	struct in_addr in;
+	unsigned port;
+	char rest;
+
+	if (sscanf(text, "%15[0-9.]:%5u%c", ip, &port, &rest) != 2 ||
+	    inet_pton(AF_INET, ip, &in) != 1 || port == 0 || port > UINT16_MAX)
+		return false;
+	address->ip = ntohl(in.s_addr);
+	address->port = (uint16_t)port;
+	return true;
+}
+
+static struct sockaddr_in
+socket_address(net_address_t address)
+{
+	return (struct sockaddr_in){
+	    .sin_family = AF_INET,
+	    .sin_port = htons(address.port),
+	    .sin_addr.s_addr = htonl(address.ip),
+	};
+}
+
+/* Options only tune the connection; it works without any of them. */
+static void
+socket_tune(int fd)
+{
+	int on = 1;
+	int idle = NET_KEEPALIVE_IDLE_S;
+	int interval = NET_KEEPALIVE_INTERVAL_S;
+	int probes = NET_KEEPALIVE_PROBES;
+	unsigned timeout = NET_USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+static void
+tcp_shut(tcp_t *connection)
+{
+	if (connection->state == STATE_CLOSED)
+		return;
+	connection->state = STATE_CLOSED;
+	ev_io_stop(connection->net->loop, &connection->reader);
+	ev_io_stop(connection->net->loop, &connection->writer);
+	ev_timer_stop(connection->net->loop, &connection->linger);
+	close(connection->fd);
+	connection->fd = -1;
+	tcp_unref(connection);
+}
+
+static void
+tcp_fail(tcp_t *connection, tcp_end_t end)
+{
+	bool tell = connection->state != STATE_FINISHING &&
+		    connection->state != STATE_CLOSED;
+
+	tcp_ref(connection);
+	tcp_shut(connection);
+	if (tell)
+		connection->events->ended(connection->owner, end);
+	tcp_unref(connection);
+}
+
+static void
+output_clear(tcp_t *connection)
+{
+	connection->written = 0;
+	if (connection->output->len > OUTPUT_KEEP_BYTES) {
+		g_byte_array_unref(connection->output);
+		connection->output = g_byte_array_new();
+	} else {
+		g_byte_array_set_size(connection->output, 0);
+	}
+}
+
+static void
+output_end(tcp_t *connection)
+{
+	if (connection->state == STATE_FINISHING && !connection->sent_end) {
+		connection->sent_end = true;
+		shutdown(connection->fd, SHUT_WR);
+	}
+}
+
+/* Writes what the socket takes. */
+static void
+tcp_flush(tcp_t *connection)
+{
+	while (connection->written < connection->output->len) {
+		ssize_t n = send(connection->fd,
+		    connection->output->data + connection->written,
+		    connection->output->len - connection->written,
+		    MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+			ev_io_start(connection->net->loop, &connection->writer);
+			return;
+		}
+		if (n < 0) {
+			/* Bytes that came before the reset may hold an
+			 * answer; reading finds the end after them. */
+			output_clear(connection);
+			ev_io_stop(connection->net->loop, &connection->writer);
+			if (connection->paused)
+				tcp_fail(connection, TCP_RESET);
+			return;
+		}
+		connection->written += (size_t)n;
+	}
+	ev_io_stop(connection->net->loop, &connection->writer);
+	output_clear(connection);
+	output_end(connection);
+	if (connection->state == STATE_OPEN && connection->events->drained)
+		connection->events->drained(connection->owner);
+}
+
+static void
+on_flush(struct ev_loop *loop, ev_prepare *watcher, int revents)
+{
+	net_t *net = watcher->data;
+
+	for (guint i = 0; i < net->dirty->len; i++) {
+		tcp_t *connection = g_ptr_array_index(net->dirty, i);
+
+		connection->dirty = false;
+		if (connection->state == STATE_OPEN ||
+		    connection->state == STATE_FINISHING)
+			tcp_flush(connection);
+		tcp_unref(connection);
+	}
+	g_ptr_array_set_size(net->dirty, 0);
+}
+
+net_t *
+net_create(struct ev_loop *loop)
+{
+	net_t *net = g_new0(net_t, 1);
+
+	net->loop = loop;
+	net->dirty = g_ptr_array_new();
+	ev_prepare_init(&net->flush, on_flush);
+	net->flush.data = net;
+	ev_prepare_start(loop, &net->flush);
+	return net;
+}
+
+void
+net_destroy(net_t *net)
+{
+	on_flush(net->loop, &net->flush, 0);
+	ev_prepare_stop(net->loop, &net->flush);
+	g_ptr_array_unref(net->dirty);
+	g_free(net);
+}
+
+struct ev_loop *
+net_loop(const net_t *net)
+{
+	return net->loop;
+}
+
+static void
+tcp_established(tcp_t *connection)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	if (getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &error, &len) !=
+		0 ||
+	    error != 0) {
+		tcp_fail(connection, TCP_REFUSED);
+		return;
+	}
+	connection->state = STATE_OPEN;
+	if (!connection->paused)
+		ev_io_start(connection->net->loop, &connection->reader);
+	if (connection->events->connected != NULL)
+		connection->events->connected(connection->owner);
+}
+
+static void
+on_writable(struct ev_loop *loop, ev_io *watcher, int revents)
+{
+	tcp_t *connection = watcher->data;
+
+	tcp_ref(connection);
+	if (connection->state == STATE_CONNECTING)
+		tcp_established(connection);
+	if (connection->state == STATE_OPEN ||
+	    connection->state == STATE_FINISHING)
+		tcp_flush(connection);
+	tcp_unref(connection);
+}
+
+static void
+on_readable(struct ev_loop *loop, ev_io *watcher, int revents)
+{
+	tcp_t *connection = watcher->data;
+	uint8_t *chunk = connection->net->chunk;
+	ssize_t n = recv(connection->fd, chunk, NET_READ_BYTES, 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		tcp_fail(connection, n == 0 ? TCP_FINISHED : TCP_RESET);
+		return;
+	}
+	if (connection->state == STATE_FINISHING)
+		return;
+	tcp_ref(connection);
+	connection->events->received(connection->owner, chunk, (size_t)n);
+	tcp_unref(connection);
+}
+
+static void
+on_linger(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	tcp_shut(watcher->data);
+}
+
+static tcp_t *
+tcp_create(
+    net_t *net, int fd, state_t state, const tcp_events_t *events, void *owner)
+{
+	tcp_t *connection = g_new0(tcp_t, 1);
+
+	/* One for the creator, one for the loop. */
+	connection->refs = 2;
+	connection->net = net;
+	connection->fd = fd;
+	connection->state = state;
+	connection->events = events;
+	connection->owner = owner;
+	connection->output = g_byte_array_new();
+	ev_io_init(&connection->reader, on_readable, fd, EV_READ);
+	ev_io_init(&connection->writer, on_writable, fd, EV_WRITE);
+	ev_timer_init(&connection->linger, on_linger, NET_LINGER_S, 0);
+	connection->reader.data = connection;
+	connection->writer.data = connection;
+	connection->linger.data = connection;
+	socket_tune(fd);
+	if (state == STATE_CONNECTING)
+		ev_io_start(net->loop, &connection->writer);
+	else
+		ev_io_start(net->loop, &connection->reader);
+	return connection;
+}
+
+tcp_t *
+tcp_connect(
+    net_t *net, net_address_t address, const tcp_events_t *events, void *owner)
+{
+	struct sockaddr_in to = socket_address(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return NULL;
+	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) != 0 &&
+	    errno != EINPROGRESS) {
+		int error = errno;
+
+		close(fd);
+		errno = error;
+		return NULL;
+	}
+	return tcp_create(net, fd, STATE_CONNECTING, events, owner);
+}
+
+tcp_t *
+tcp_adopt(net_t *net, int fd, const tcp_events_t *events, void *owner)
+{
+	return tcp_create(net, fd, STATE_OPEN, events, owner);
+}
+
+tcp_t *
+tcp_ref(tcp_t *connection)
+{
+	connection->refs++;
+	return connection;
+}
+
+void
+tcp_unref(tcp_t *connection)
+{
+	if (--connection->refs > 0)
+		return;
+	g_byte_array_unref(connection->output);
+	g_free(connection);
+}
+
+void
+tcp_set_owner(tcp_t *connection, const tcp_events_t *events, void *owner)
+{
+	connection->events = events;
+	connection->owner = owner;
+}
+
+void
+tcp_send(tcp_t *connection, const void *data, size_t len)
+{
+	if (connection->state == STATE_CLOSED || len == 0)
+		return;
+	g_byte_array_append(connection->output, data, (guint)len);
+	if (connection->dirty || connection->state == STATE_CONNECTING ||
+	    ev_is_active(&connection->writer))
+		return;
+	connection->dirty = true;
+	g_ptr_array_add(connection->net->dirty, tcp_ref(connection));
+}
+
+size_t
+tcp_pending(const tcp_t *connection)
+{
+	return connection->output->len - connection->written;
+}
+
+bool
+tcp_is_open(const tcp_t *connection)
+{
+	return connection->state == STATE_OPEN;
+}
+
+void
+tcp_pause(tcp_t *connection, bool paused)
+{
+	connection->paused = paused;
+	if (connection->state != STATE_OPEN)
+		return;
+	if (paused)
+		ev_io_stop(connection->net->loop, &connection->reader);
+	else
+		ev_io_start(connection->net->loop, &connection->reader);
+}
+
+void
+tcp_close(tcp_t *connection)
+{
+	tcp_shut(connection);
+}
+
+void
+tcp_abort(tcp_t *connection)
+{
+	struct linger reset = {1, 0};
+
+	if (connection->state != STATE_CLOSED)
+		setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &reset,
+		    sizeof(reset));
+	tcp_shut(connection);
+}
+
+void
+tcp_finish(tcp_t *connection)
+{
+	if (connection->state != STATE_OPEN) {
+		tcp_shut(connection);
+		return;
+	}
+	connection->state = STATE_FINISHING;
+	ev_timer_start(connection->net->loop, &connection->linger);
+	ev_io_start(connection->net->loop, &connection->reader);
+	if (tcp_pending(connection) == 0)
+		output_end(connection);
+}
+
+bool
+tcp_is_disturbed(const tcp_t *connection)
+{
+	char byte;
+
+	if (connection->state != STATE_OPEN)
+		return true;
+	return recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+	       (errno != EAGAIN && errno != EWOULDBLOCK);
+}
--- a/platform/reader.c
+++ b/publisher/reader.c
@@ -1,4 +1,4 @@
-#include "platform/reader.h"
+#include "publisher/reader.h"
 
 #include <ck_pr.h>
 #include <curl/curl.h>
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -1,4 +1,5 @@
 #include <fcntl.h>
+#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -10,13 +11,14 @@
 line_capture(const char *value, char *line, size_t size)
 {
 	int fds[2];
-	int saved = dup(STDERR_FILENO);
+	int saved = dup(STDOUT_FILENO);
 	ssize_t len;
 
 	ck_assert_int_eq(pipe(fds), 0);
-	dup2(fds[1], STDERR_FILENO);
+	fflush(stdout);
+	dup2(fds[1], STDOUT_FILENO);
 	log_event(LOG_INFO, "probe", LOG_S("value", value), LOG_I("n", -3));
-	dup2(saved, STDERR_FILENO);
+	dup2(saved, STDOUT_FILENO);
 	close(saved);
 	close(fds[1]);
 	len = read(fds[0], line, size - 1);
@@ -44,4 +46,41 @@
 	ck_assert_ptr_nonnull(strstr(line, "value=\"\" n=-3\n"));
 }
 
+/* Guards against a reader that stops: the process must not wait for it, and
+ * must say what it dropped. Runs last, as collecting can't be ended. */
+TEST(full_output_drops_lines_and_tells)
+{
+	char text[65536];
+	int fds[2];
+	int saved = dup(STDOUT_FILENO);
+	ssize_t len = 0;
+	ssize_t n;
+
+	ck_assert_int_eq(pipe(fds), 0);
+	ck_assert_int_gt(fcntl(fds[1], F_SETPIPE_SZ, 4096), 0);
+	fcntl(fds[0], F_SETFL, O_NONBLOCK);
+	fflush(stdout);
+	dup2(fds[1], STDOUT_FILENO);
+	log_collect();
+	for (int i = 0; i < 300; i++) {
+		log_event(LOG_INFO, "probe", LOG_I("n", i));
+		log_flush();
+	}
+	while (
+	    (n = read(fds[0], text + len, sizeof(text) - 1 - (size_t)len)) > 0)
+		len += n;
+	log_event(LOG_INFO, "after", LOG_I("n", 1));
+	log_flush();
+	while (
+	    (n = read(fds[0], text + len, sizeof(text) - 1 - (size_t)len)) > 0)
+		len += n;
+	text[len] = '\0';
+	dup2(saved, STDOUT_FILENO);
+	ck_assert_ptr_nonnull(strstr(text, "event=log_dropped lines="));
+	ck_assert_ptr_nonnull(strstr(text, "event=after n=1\n"));
+	for (char *line = strtok(text, "\n"); line; line = strtok(NULL, "\n"))
+		ck_assert_msg(
+		    strncmp(line, "time=", 5) == 0, "cut line: %s", line);
+}
+
 TEST_MAIN("log")
--- a/tests/test_platform_reader.c
+++ b/tests/test_platform_reader.c
@@ -5,7 +5,7 @@
 
 #include "common/clock.h"
 #include "common/counter.h"
-#include "platform/reader.h"
+#include "publisher/reader.h"
 #include "test.h"
 
 #define WAIT_S 20 /* a failed wait ends the test; it isn't a measure */
--- a/target/transfer.c
+++ b/upstream/transfer.c
@@ -1,4 +1,4 @@
-#include "target/transfer.h"
+#include "upstream/transfer.h"
 
 #include <ck_pr.h>
 #include <ck_ring.h>
