core: lead callers only to regions where most of their work may run

Change: the directory prefers the own region, then the regions that most routes and teams permit, then leaving instances there, and nothing while those are being replaced. From 2.5 s after SIGTERM an instance takes no request any more: it refuses them as not run and stops listening.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -249,3 +249,31 @@
 	}
 	return -1;
 }
+
+region_set_t
+catalog_common_regions(const catalog_t *catalog)
+{
+	guint most = 0;
+	region_set_t set = 0;
+
+	for (int region = 0; region < PLACES_REGION_LIMIT; region++) {
+		guint n = 0;
+
+		for (guint i = 0; i < catalog->routes->len; i++) {
+			const catalog_route_t *route =
+			    &g_array_index(catalog->routes, catalog_route_t, i);
+
+			n += region_set_has(route->regions, region);
+		}
+		for (guint i = 0; i < catalog->teams->len; i++)
+			n += region_set_has(
+			    catalog_team(catalog, (int)i)->regions, region);
+		if (n > most) {
+			most = n;
+			set = 0;
+		}
+		if (n == most)
+			set |= (region_set_t)1 << region;
+	}
+	return set;
+}
--- a/core/members.c
+++ b/core/members.c
@@ -60,7 +60,6 @@
 members_set_leaving(members_t *members)
 {
 	members->self.leaving = true;
-	members->self.ready = false;
 }
 
 const member_entry_t *
@@ -321,39 +320,71 @@
 	return picked;
 }
 
+static bool
+any_live(const members_t *members, region_set_t regions, time_us_t now)
+{
+	if (region_set_has(regions, members->own_region))
+		return true;
+	for (guint i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		if (region_set_has(regions, member_region(members, member)) &&
+		    members_is_live(members, member, now))
+			return true;
+	}
+	return false;
+}
+
+/* Adds the ready instances of the regions that are leaving or not. */
 static size_t
-directory_fill(
-    members_t *members, int region, time_us_t now, uint32_t *ips, size_t limit)
+directory_fill(members_t *members, region_set_t regions, bool leaving,
+    time_us_t now, uint32_t *ips, size_t limit)
 {
 	guint len = members->all->len;
-	guint start =
-	    len > 0 ? (guint)(random_next(&members->random) % len) : 0;
+	guint start = len > 0 ? (guint)(random_next(&members->random) % len) : 0;
 	size_t n = 0;
 
-	if (members->self.ready &&
-	    (region == PLACE_NONE || region == members->own_region))
+	if (members->self.ready && members->self.leaving == leaving &&
+	    region_set_has(regions, members->own_region))
 		ips[n++] = members->self.ip;
 	for (guint i = 0; i < len && n < limit; i++) {
 		const member_t *member =
 		    g_ptr_array_index(members->all, (start + i) % len);
 
-		if ((region == PLACE_NONE ||
-			member_region(members, member) == region) &&
-		    takes_requests(members, member, now))
+		if (region_set_has(regions, member_region(members, member)) &&
+		    member->entry.ready && member->entry.leaving == leaving &&
+		    members_is_live(members, member, now))
 			ips[n++] = member->entry.ip;
 	}
 	return n;
 }
 
 size_t
-members_directory(
-    members_t *members, int region, time_us_t now, uint32_t *ips, size_t limit)
+members_directory(members_t *members, int region, region_set_t elsewhere,
+    time_us_t now, uint32_t *ips, size_t limit)
 {
+	region_set_t near =
+	    region == PLACE_NONE ? 0 : (region_set_t)1 << region;
+	const struct {
+		region_set_t regions;
+		bool leaving;
+	} choices[] = {
+	    {near, false},
+	    {elsewhere, false},
+	    {near, true},
+	    {elsewhere, true},
+	    {REGION_SET_ALL, false},
+	};
 	size_t n = 0;
 
-	if (limit == 0)
-		return 0;
-	if (region != PLACE_NONE)
-		n = directory_fill(members, region, now, ips, limit);
-	return n > 0 ? n : directory_fill(members, PLACE_NONE, now, ips, limit);
+	for (size_t i = 0; i < G_N_ELEMENTS(choices) && n == 0 && limit > 0;
+	     i++) {
+		/* Instances that are being replaced are back in a moment. */
+		if (i == G_N_ELEMENTS(choices) - 1 &&
+		    any_live(members, near | elsewhere, now))
+			break;
+		n = directory_fill(members, choices[i].regions,
+		    choices[i].leaving, now, ips, limit);
+	}
+	return n;
 }
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -128,6 +128,10 @@
 	size_t path_len = strcspn(call->path, "?");
 	const catalog_route_t *route;
 
+	if (gateway_is_closed(gateway)) {
+		call_refuse(call, 503, "stopping", RETRY_AFTER_MIN_US);
+		return false;
+	}
 	if (gateway->catalog == NULL) {
 		call_refuse(call, 503, "no_config", NO_CONFIG_RETRY_US);
 		return false;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -24,10 +24,10 @@
 /* A step of the boot time against the steady clock that tells a suspension. */
 #define SUSPENDED_US (300 * US_PER_MS)
 
-/* After SIGTERM: idle connections are closed, and the process ends, when
- * callers had the time to look up other instances. */
-#define LEAVE_IDLE_US (2500 * US_PER_MS)
-#define LEAVE_MIN_US (3500 * US_PER_MS)
+/* After SIGTERM, callers have this long to look up other instances. Then no
+ * request is taken any more, idle connections are closed, and the process ends
+ * when its requests have. */
+#define LEAVE_OPEN_US (2500 * US_PER_MS)
 
 /* Time before SIGKILL at which the process ends in any case. */
 #define LEAVE_RESERVE_US (500 * US_PER_MS)
@@ -69,6 +69,13 @@
 	return gateway->leaving_at != 0;
 }
 
+bool
+gateway_is_closed(gateway_t *gateway)
+{
+	return gateway->leaving_at != 0 &&
+	       gateway_now(gateway) - gateway->leaving_at >= LEAVE_OPEN_US;
+}
+
 static void
 line_free(gpointer data)
 {
@@ -115,10 +122,13 @@
 	bool ready = gateway->catalog != NULL && gateway->targets_loaded &&
 		     joined && !gateway_is_leaving(gateway);
 
+	/* While it stops it still takes requests for a moment, in case that no
+	 * other instance is near. */
+	members_set_ready(gateway->members,
+	    ready || (gateway->leaving_at != 0 && !gateway_is_closed(gateway)));
 	if (ready == gateway->ready)
 		return;
 	gateway->ready = ready;
-	members_set_ready(gateway->members, ready);
 	log_event(LOG_NOTICE, ready ? "ready" : "not_ready",
 	    LOG_I("ms", (now - gateway->started_at) / US_PER_MS),
 	    LOG_I(
@@ -344,9 +354,14 @@
 	time_us_t limit =
 	    gateway->settings->grace_s * US_PER_S - LEAVE_RESERVE_US;
 
-	if (since >= LEAVE_IDLE_US)
+	if (gateway_is_closed(gateway)) {
+		/* A connection that isn't accepted is refused at once, and
+		 * callers go elsewhere. */
+		g_clear_pointer(&gateway->caller_listener, listener_destroy);
 		clients_close_idle(gateway);
-	if ((since >= LEAVE_MIN_US && gateway->n_calls == 0) || since >= limit)
+	}
+	if ((gateway_is_closed(gateway) && gateway->n_calls == 0) ||
+	    since >= limit)
 		ev_break(gateway->loop, EVBREAK_ALL);
 }
 
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -99,6 +99,8 @@
 void gateway_pump(gateway_t *gateway);
 void gateway_schedule_pump(gateway_t *gateway);
 bool gateway_is_leaving(const gateway_t *gateway);
+/* Tells whether too little of the time to stop is left for new requests. */
+bool gateway_is_closed(gateway_t *gateway);
 
 /* client.c: connections of callers and of other instances. */
 void client_accept(gateway_t *gateway, int fd, bool from_peer);
--- a/gateway/pages.c
+++ b/gateway/pages.c
@@ -85,6 +85,8 @@
 		return;
 	}
 	n = members_directory(gateway->members, query.region,
+	    gateway->catalog ? catalog_common_regions(gateway->catalog)
+			     : REGION_SET_ALL,
 	    gateway_now(gateway), ips, DIRECTORY_LIMIT);
 	if (n == 0) {
 		page_send(visitor, 503, "text/plain", "no instance\n", 12);
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -111,6 +111,9 @@
 const catalog_service_t *catalog_service(const catalog_t *catalog, int service);
 size_t catalog_n_services(const catalog_t *catalog);
 
+/* The regions that the most routes and teams permit. */
+region_set_t catalog_common_regions(const catalog_t *catalog);
+
 /* Picks one of the route's services by weight; random is any number. */
 int catalog_pick_service(const catalog_route_t *route, uint64_t random);
 
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -48,8 +48,8 @@
 	int zone;
 	incarnation_t incarnation;
 	uint32_t heartbeat;
-	bool ready;	 /* takes requests of callers */
-	bool leaving;	 /* was asked to stop */
+	bool ready;	 /* takes requests */
+	bool leaving;	 /* was asked to stop, soon takes none */
 	uint32_t age_ms; /* since the teller saw the heartbeat rise */
 } member_entry_t;
 
@@ -108,11 +108,19 @@
     members_t *members, int region, uint32_t exclude, time_us_t now);
 
 /*
- * Writes up to limit instances that callers in this region should use: live and
- * ready ones of the region; without one, of all regions. Leaving ones are left
- * out. This instance is included if it is ready.
+ * Writes up to limit live and ready instances that callers in this region
+ * should use: those of the region; without one, those of the regions in
+ * elsewhere; without one there, those of these regions that are leaving;
+ * without one at all, those of all regions. This instance is one of them.
+ * Returns 0 while all instances of these regions are being replaced: callers
+ * then go on with the answer that they have.
+ *
+ * Load pattern: the instances of a small region are replaced in turn and for a
+ * moment none is there. Its callers must not be led to a region in which their
+ * work may not be done: it would be passed on from there, and its content would
+ * have been in a region that it must not enter.
  */
-size_t members_directory(
-    members_t *members, int region, time_us_t now, uint32_t *ips, size_t limit);
+size_t members_directory(members_t *members, int region,
+    region_set_t elsewhere, time_us_t now, uint32_t *ips, size_t limit);
 
 #endif
