gateway: fetch newer configurations from other instances

A request was passed to an instance that was cut off from the store and knew an older version; its 404 went to the caller.

Ruled out: an old version at the instance that the caller asked (its log shows the newer one).

Change: messages between instances name the version; whoever hears of a newer one reads it from that instance. An instance that is asked by another says only that the request hasn't run, where it knows no route or key.

--- a/core/members.c
+++ b/core/members.c
@@ -341,7 +341,8 @@
     time_us_t now, uint32_t *ips, size_t limit)
 {
 	guint len = members->all->len;
-	guint start = len > 0 ? (guint)(random_next(&members->random) % len) : 0;
+	guint start =
+	    len > 0 ? (guint)(random_next(&members->random) % len) : 0;
 	size_t n = 0;
 
 	if (members->self.ready && members->self.leaving == leaving &&
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -118,6 +118,20 @@
 	return false;
 }
 
+/*
+ * Refuses what the configuration doesn't know. The instance that passed a
+ * request on has found it in its own, which may be newer: it is told only that
+ * the request hasn't run here.
+ */
+static void
+call_refuse_unknown(call_t *call, unsigned status, const char *reason)
+{
+	if (call->from_peer)
+		call_refuse(call, 503, "config_differs", RETRY_AFTER_MIN_US);
+	else
+		call_refuse(call, status, reason, 0);
+}
+
 /* Callers that ask before the first configuration is there come back soon. */
 #define NO_CONFIG_RETRY_US (500 * US_PER_MS)
 
@@ -140,12 +154,12 @@
 	route = catalog_route(call->catalog, call->host, strlen(call->host),
 	    call->path, path_len);
 	if (route == NULL) {
-		call_refuse(call, 404, "no_route", 0);
+		call_refuse_unknown(call, 404, "no_route");
 		return false;
 	}
 	call->route = route;
 	if (!team_find(call)) {
-		call_refuse(call, 401, "key_unknown", 0);
+		call_refuse_unknown(call, 401, "key_unknown");
 		return false;
 	}
 	times_set(call);
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -237,6 +237,27 @@
 	client_answer(client, status, "", "application/json", body);
 }
 
+/* Another instance asks for the configuration. */
+static void
+client_send_config(client_t *client)
+{
+	gateway_t *gateway = client->gateway;
+	g_autoptr(GString) head = g_string_new("HTTP/1.1 200 OK\r\n");
+	gsize len = 0;
+	const void *text = NULL;
+
+	client->last = true;
+	client->answering = true;
+	if (gateway->catalog_text == NULL) {
+		client_answer(client, 503, "", "text/plain", "none\n");
+		return;
+	}
+	text = g_bytes_get_data(gateway->catalog_text, &len);
+	client_begin(client, head, len);
+	client_body(client, text, len);
+	client_end(client);
+}
+
 static bool
 on_head(void *owner, const http_head_t *head)
 {
@@ -251,6 +272,11 @@
 		client_refuse(client, 413, "body_too_large");
 		return false;
 	}
+	if (client->from_peer &&
+	    http_slice_is(head->target, PEER_CONFIG_PATH)) {
+		client_send_config(client);
+		return false;
+	}
 	client->call =
 	    call_create(client, client->gateway, head, client->from_peer);
 	if (client->call == NULL) {
--- /dev/null
+++ b/gateway/fetch.c
@@ -0,0 +1,156 @@
+#include "internal.h"
+
+#include <string.h>
+
+/* Longest time for another instance to send a configuration. */
+#define FETCH_TIMEOUT_S 1.5
+
+/* Longest configuration: one value of the store. */
+#define FETCH_LIMIT (2 << 20)
+#define FETCH_HEAD_LIMIT 8192
+
+/*
+ * Reads the configuration from an instance that told of a newer one. Serves an
+ * instance that can't reach the store, and one that starts while nobody can.
+ */
+struct fetch {
+	gateway_t *gateway;
+	tcp_t *connection; /* NULL while nothing is fetched */
+	http_reader_t *reader;
+	GByteArray *body;
+	unsigned status;
+	ev_timer timeout;
+};
+
+static void
+fetch_end(fetch_t *fetch)
+{
+	if (fetch->connection == NULL)
+		return;
+	ev_timer_stop(fetch->gateway->loop, &fetch->timeout);
+	tcp_close(fetch->connection);
+	tcp_unref(fetch->connection);
+	fetch->connection = NULL;
+}
+
+static void
+fetch_take(fetch_t *fetch)
+{
+	gateway_t *gateway = fetch->gateway;
+	g_autoptr(GError) error = NULL;
+	catalog_t *catalog =
+	    platform_catalog_read((const char *)fetch->body->data,
+		fetch->body->len, gateway->places, &error);
+	GBytes *text;
+
+	if (catalog == NULL) {
+		log_event(LOG_ERR, "config_unreadable",
+		    LOG_S("source", "instance"),
+		    LOG_S("error", error->message));
+		return;
+	}
+	text = g_bytes_new(fetch->body->data, fetch->body->len);
+	gateway_set_catalog(gateway, catalog, text, "instance");
+	g_bytes_unref(text);
+	catalog_unref(catalog);
+}
+
+static bool
+on_head(void *owner, const http_head_t *head)
+{
+	((fetch_t *)owner)->status = head->status;
+	return true;
+}
+
+static void
+on_body(void *owner, const uint8_t *data, size_t len)
+{
+	fetch_t *fetch = owner;
+
+	if (fetch->body->len + len <= FETCH_LIMIT)
+		g_byte_array_append(fetch->body, data, (guint)len);
+}
+
+static const http_sink_t sink = {on_head, on_body};
+
+static void
+on_received(void *owner, const uint8_t *data, size_t len)
+{
+	fetch_t *fetch = owner;
+	size_t consumed;
+	http_feed_t result =
+	    http_reader_feed(fetch->reader, data, len, &consumed);
+
+	if (result == HTTP_FEED_MORE)
+		return;
+	fetch_end(fetch);
+	if (result == HTTP_FEED_COMPLETE && fetch->status == 200)
+		fetch_take(fetch);
+	else
+		log_event(LOG_WARNING, "config_fetch_failed",
+		    LOG_I("status", fetch->status));
+}
+
+static void
+on_ended(void *owner, tcp_end_t end)
+{
+	log_event(
+	    LOG_NOTICE, "config_fetch_failed", LOG_S("cause", "connection"));
+	fetch_end(owner);
+}
+
+static const tcp_events_t events = {
+    .received = on_received,
+    .ended = on_ended,
+};
+
+static void
+on_timeout(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	log_event(LOG_NOTICE, "config_fetch_failed", LOG_S("cause", "timeout"));
+	fetch_end(watcher->data);
+}
+
+fetch_t *
+fetch_create(gateway_t *gateway)
+{
+	fetch_t *fetch = g_new0(fetch_t, 1);
+
+	fetch->gateway = gateway;
+	fetch->body = g_byte_array_new();
+	ev_timer_init(&fetch->timeout, on_timeout, FETCH_TIMEOUT_S, 0);
+	fetch->timeout.data = fetch;
+	return fetch;
+}
+
+void
+fetch_destroy(fetch_t *fetch)
+{
+	fetch_end(fetch);
+	if (fetch->reader != NULL)
+		http_reader_destroy(fetch->reader);
+	g_byte_array_unref(fetch->body);
+	g_free(fetch);
+}
+
+void
+fetch_start(fetch_t *fetch, uint32_t ip)
+{
+	static const char call[] =
+	    "GET " PEER_CONFIG_PATH " HTTP/1.1\r\nHost: instance\r\n\r\n";
+	net_address_t address = {ip, fetch->gateway->own_peer.port};
+
+	if (fetch->connection != NULL)
+		return;
+	fetch->connection =
+	    tcp_connect(fetch->gateway->net, address, &events, fetch);
+	if (fetch->connection == NULL)
+		return;
+	if (fetch->reader != NULL)
+		http_reader_destroy(fetch->reader);
+	fetch->reader =
+	    http_reader_create(HTTP_RESPONSES, &sink, fetch, FETCH_HEAD_LIMIT);
+	g_byte_array_set_size(fetch->body, 0);
+	tcp_send(fetch->connection, call, strlen(call));
+	ev_timer_start(fetch->gateway->loop, &fetch->timeout);
+}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -575,6 +575,7 @@
 	gpointer pool;
 
 	clients_destroy(gateway);
+	fetch_destroy(gateway->fetch);
 	if (gateway->store != NULL)
 		store_destroy(gateway->store);
 	listener_destroy(gateway->caller_listener);
@@ -610,6 +611,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	gateway_init(&gateway, settings);
 	members_start(&gateway);
+	gateway.fetch = fetch_create(&gateway);
 	net_address_parse(settings->store, &store);
 	log_collect();
 	if (sockets_start(&gateway, error)) {
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -240,6 +240,9 @@
 		return;
 	members_merge(
 	    gateway->members, message->members, message->n_members, now);
+	if (message->config_version >
+	    (gateway->catalog ? catalog_version(gateway->catalog) : 0))
+		fetch_start(gateway->fetch, sender->ip);
 	region = places_region_of(gateway->places, sender->zone);
 	if (region == gateway->region) {
 		/* A message to an instance that the sender doesn't know yet
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -28,6 +28,7 @@
 typedef struct upstream upstream_t;
 typedef struct gossip gossip_t;
 typedef struct pages pages_t;
+typedef struct fetch fetch_t;
 
 /* Requests that wait for a target, and retries, of one service. */
 typedef struct {
@@ -72,6 +73,7 @@
 	uint32_t region_instances; /* live ones, kept by the round */
 	store_t *store;
 	gossip_t *gossip;
+	fetch_t *fetch;
 	pages_t *pages;
 	listener_t *caller_listener;
 	listener_t *peer_listener;
@@ -206,6 +208,14 @@
 void gossip_destroy(gossip_t *gossip);
 void gossip_round(gossip_t *gossip);
 
+/* fetch.c: the configuration from another instance. */
+#define PEER_CONFIG_PATH "/cyclamensail/config"
+
+fetch_t *fetch_create(gateway_t *gateway);
+void fetch_destroy(fetch_t *fetch);
+/* Does nothing while another fetch is running. */
+void fetch_start(fetch_t *fetch, uint32_t ip);
+
 /* pages.c: directory, health check and counters. */
 pages_t *pages_create(gateway_t *gateway, GError **error);
 void pages_destroy(pages_t *pages);
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -120,7 +120,7 @@
  * work may not be done: it would be passed on from there, and its content would
  * have been in a region that it must not enter.
  */
-size_t members_directory(members_t *members, int region,
-    region_set_t elsewhere, time_us_t now, uint32_t *ips, size_t limit);
+size_t members_directory(members_t *members, int region, region_set_t elsewhere,
+    time_us_t now, uint32_t *ips, size_t limit);
 
 #endif
