--- a/core/retry.c
+++ b/core/retry.c
@@ -24,6 +24,12 @@
 	budget->balance = MIN(budget->balance, most * RETRY_COST);
 }
 
+void
+retry_budget_fill(retry_budget_t *budget)
+{
+	budget->balance = budget->most * RETRY_COST;
+}
+
 void
 retry_first_try(retry_budget_t *budget)
 {
--- /dev/null
+++ b/fakes/fake_store.h
@@ -0,0 +1,36 @@
+#ifndef FAKES_FAKE_STORE_H
+#define FAKES_FAKE_STORE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Stand-in for the platform's metadata store: ranges in pages and watches over
+ * items with revisions, as far as a reader sees them.
+ */
+typedef struct fake_store fake_store_t;
+
+typedef enum {
+	STORE_WORKS,
+	STORE_REFUSES, /* 503 */
+	STORE_RESETS,  /* each connection */
+	STORE_SILENT,  /* no answer */
+	STORE_FORGETS, /* cuts the watches and loses their history */
+} store_mode_t;
+
+fake_store_t *fake_store_create(uint16_t *port);
+void fake_store_destroy(fake_store_t *store);
+
+/* value NULL deletes. */
+void fake_store_put(fake_store_t *store, const char *key, const char *value);
+
+/* Changes an item without a watch ever telling it. */
+void fake_store_put_unseen(
+    fake_store_t *store, const char *key, const char *value);
+void fake_store_set_mode(fake_store_t *store, store_mode_t mode);
+
+/* Items in one page of a range. */
+void fake_store_set_page(fake_store_t *store, unsigned items);
+unsigned fake_store_calls(fake_store_t *store);
+
+#endif
--- /dev/null
+++ b/fakes/fake_worker.c
@@ -0,0 +1,285 @@
+#include "fake_worker.h"
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "raw_http.h"
+
+/* Time after an answer at which bytes follow that belong to none. */
+#define STRAY_US 20000
+
+/* Longest time for which a mute target holds a request. */
+#define MUTE_MS 30000
+
+struct fake_worker {
+	char *id;
+	raw_server_t *server;
+	GMutex lock;
+	GPtrArray *runs;
+	char *forced;
+};
+
+static void
+run_free(gpointer data)
+{
+	worker_run_t *run = data;
+
+	g_free(run->id);
+	g_free(run->path);
+	g_free(run->team);
+	g_free(run->target);
+	g_free(run->resume_after);
+	g_free(run->smuggled);
+	g_free(run);
+}
+
+static char *
+field_copy(const raw_request_t *request, const char *name)
+{
+	const char *value = raw_field(request, name);
+
+	return g_strdup(value ? value : "");
+}
+
+static worker_run_t *
+run_add(fake_worker_t *worker, const raw_request_t *request)
+{
+	static const char *const forbidden[] = {"authorization", "hold",
+	    "pin-ms", "kv-from", "kv-backup", "transfer-encoding", "keep-alive",
+	    "cyclamensail-team", "x-hop-only", NULL};
+	worker_run_t *run = g_new0(worker_run_t, 1);
+	const char *left = raw_field(request, "request-deadline");
+	g_autoptr(GString) smuggled = g_string_new(NULL);
+
+	for (const char *const *name = forbidden; *name; name++) {
+		if (raw_field(request, *name) != NULL)
+			g_string_append_printf(smuggled, "%s ", *name);
+	}
+	run->id = field_copy(request, "request-id");
+	run->path = g_strdup(request->path);
+	run->team = field_copy(request, "tenant");
+	run->target = field_copy(request, "expect-instance");
+	run->resume_after = field_copy(request, "last-event-id");
+	run->smuggled = g_strdup(smuggled->str);
+	run->time_left_ms = left ? atoll(left) : -1;
+	run->closed_after_ms = -1;
+	run->body_len = request->body->len;
+	g_mutex_lock(&worker->lock);
+	g_ptr_array_add(worker->runs, run);
+	g_mutex_unlock(&worker->lock);
+	return run;
+}
+
+/* Waits, and records when the sender leaves meanwhile. */
+static bool
+run_wait(fake_worker_t *worker, worker_run_t *run, int fd, int ms)
+{
+	gint64 began = g_get_monotonic_time();
+
+	if (!raw_wait_closed(fd, ms)) {
+		gint64 left =
+		    (gint64)ms * 1000 - (g_get_monotonic_time() - began);
+
+		if (left > 0)
+			g_usleep((gulong)left);
+		return true;
+	}
+	g_mutex_lock(&worker->lock);
+	run->closed_after_ms = (g_get_monotonic_time() - began) / 1000;
+	g_mutex_unlock(&worker->lock);
+	return false;
+}
+
+static bool
+events_send(fake_worker_t *worker, worker_run_t *run, int fd,
+    const char *signature, int n, int gap_ms, int broken_at)
+{
+	int first = *run->resume_after ? atoi(run->resume_after) + 1 : 1;
+	g_autofree char *head = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n",
+	    signature);
+
+	if (!raw_send(fd, head))
+		return false;
+	for (int i = first; i <= n; i++) {
+		g_autofree char *event =
+		    g_strdup_printf("id: %d\ndata: word %d\n\n", i, i);
+		g_autofree char *chunk =
+		    g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
+
+		if (!run_wait(worker, run, fd, gap_ms))
+			return false;
+		if (i == broken_at && first == 1) {
+			raw_send(fd, "8\r\nid: 9\nda\r\n");
+			raw_reset_on_close(fd);
+			return false;
+		}
+		if (!raw_send(fd, chunk))
+			return false;
+	}
+	return raw_send(fd, "0\r\n\r\n");
+}
+
+/* Behaviours without a number. Returns false when the name is none of them. */
+static bool
+plain_serve(fake_worker_t *worker, worker_run_t *run, int fd, const char *name,
+    const char *signature, const char *body, bool *open)
+{
+	g_autofree char *half = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\nhalf", signature);
+	g_autofree char *unframed = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\nwhole", signature);
+
+	*open = true;
+	if (strcmp(name, "ok") == 0) {
+		*open = raw_send_answer(fd, 200, signature, body);
+	} else if (strcmp(name, "fail") == 0) {
+		*open = raw_send_answer(fd, 500, signature, "failed");
+	} else if (strcmp(name, "unsigned") == 0) {
+		*open = raw_send_answer(fd, 200, "", body);
+	} else if (strcmp(name, "late") == 0) {
+		raw_send_answer(fd, 200,
+		    "Request-Id: of-another\r\nServer-Stamp: old\r\n", "old");
+		*open = raw_send_answer(fd, 200, signature, body);
+	} else if (strcmp(name, "extra") == 0) {
+		g_autofree char *extra = g_strdup_printf(
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s"
+		    "HTTP/1.1 200 OK\r\nContent-Len",
+		    signature, strlen(body), body);
+
+		*open = raw_send(fd, extra);
+	} else if (strcmp(name, "stray") == 0) {
+		raw_send_answer(fd, 200, signature, body);
+		g_usleep(STRAY_US);
+		*open = raw_send(fd, "HTTP/1.1 200 OK\r\nContent-Len");
+	} else if (strcmp(name, "reset") == 0) {
+		raw_reset_on_close(fd);
+		*open = false;
+	} else if (strcmp(name, "mute") == 0) {
+		run_wait(worker, run, fd, MUTE_MS);
+		*open = false;
+	} else if (strcmp(name, "short") == 0) {
+		raw_send(fd, half);
+		*open = false;
+	} else if (strcmp(name, "unframed") == 0) {
+		raw_send(fd, unframed);
+		*open = false;
+	} else if (strcmp(name, "cutframe") == 0) {
+		raw_send(fd, unframed);
+		g_usleep(50000);
+		raw_reset_on_close(fd);
+		*open = false;
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static bool
+on_request(int fd, const raw_request_t *request, void *owner)
+{
+	fake_worker_t *worker = owner;
+	g_autofree char *name = g_path_get_basename(request->path);
+	g_autofree char *signature = NULL;
+	g_autofree char *body =
+	    g_strdup_printf("%s: %.*s", worker->id, (int)request->body->len,
+		request->body->len ? (const char *)request->body->data : "");
+	const char *id = raw_field(request, "request-id");
+	worker_run_t *run;
+	int n;
+	int ms;
+	bool open;
+
+	g_mutex_lock(&worker->lock);
+	if (worker->forced != NULL) {
+		g_free(name);
+		name = g_strdup(worker->forced);
+	}
+	g_mutex_unlock(&worker->lock);
+	if (strcmp(name, "full") == 0)
+		return raw_send_answer(
+		    fd, 503, "Not-Executed: 1\r\n", "no room");
+	run = run_add(worker, request);
+	signature = g_strdup_printf(
+	    "Request-Id: %s\r\nServer-Stamp: %s\r\nServer-Load: 0,0,8\r\n",
+	    id ? id : "", worker->id);
+	if (plain_serve(worker, run, fd, name, signature, body, &open))
+		return open;
+	if (sscanf(name, "slow-%d", &ms) == 1)
+		return run_wait(worker, run, fd, ms) &&
+		       raw_send_answer(fd, 200, signature, body);
+	if (sscanf(name, "events-%d-%d", &n, &ms) == 2)
+		return events_send(worker, run, fd, signature, n, ms, -1);
+	if (sscanf(name, "break-%d-%d", &n, &ms) == 2)
+		return events_send(worker, run, fd, signature, n, ms, n / 2);
+	return raw_send_answer(fd, 404, signature, "no such behaviour");
+}
+
+fake_worker_t *
+fake_worker_create(const char *id, uint16_t *port)
+{
+	fake_worker_t *worker = g_new0(fake_worker_t, 1);
+
+	worker->id = g_strdup(id);
+	g_mutex_init(&worker->lock);
+	worker->runs = g_ptr_array_new_with_free_func(run_free);
+	worker->server = raw_server_create(on_request, worker, port);
+	return worker;
+}
+
+void
+fake_worker_destroy(fake_worker_t *worker)
+{
+	raw_server_destroy(worker->server);
+	g_ptr_array_unref(worker->runs);
+	g_free(worker->forced);
+	g_free(worker->id);
+	g_mutex_clear(&worker->lock);
+	g_free(worker);
+}
+
+GPtrArray *
+fake_worker_runs(fake_worker_t *worker)
+{
+	GPtrArray *copies = g_ptr_array_new_with_free_func(run_free);
+
+	g_mutex_lock(&worker->lock);
+	for (guint i = 0; i < worker->runs->len; i++) {
+		const worker_run_t *run = g_ptr_array_index(worker->runs, i);
+		worker_run_t *copy = g_memdup2(run, sizeof(*run));
+
+		copy->id = g_strdup(run->id);
+		copy->path = g_strdup(run->path);
+		copy->team = g_strdup(run->team);
+		copy->target = g_strdup(run->target);
+		copy->resume_after = g_strdup(run->resume_after);
+		copy->smuggled = g_strdup(run->smuggled);
+		g_ptr_array_add(copies, copy);
+	}
+	g_mutex_unlock(&worker->lock);
+	return copies;
+}
+
+unsigned
+fake_worker_count(fake_worker_t *worker, const char *request_id)
+{
+	g_autoptr(GPtrArray) runs = fake_worker_runs(worker);
+	unsigned n = 0;
+
+	for (guint i = 0; i < runs->len; i++)
+		n += strcmp(((worker_run_t *)g_ptr_array_index(runs, i))->id,
+			 request_id) == 0;
+	return n;
+}
+
+void
+fake_worker_force(fake_worker_t *worker, const char *behaviour)
+{
+	g_mutex_lock(&worker->lock);
+	g_free(worker->forced);
+	worker->forced = g_strdup(behaviour);
+	g_mutex_unlock(&worker->lock);
+}
--- /dev/null
+++ b/fakes/fake_worker.h
@@ -0,0 +1,52 @@
+#ifndef FAKES_FAKE_WORKER_H
+#define FAKES_FAKE_WORKER_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/*
+ * Stand-in for a target on the platform. The last part of a request's path says
+ * how it answers:
+ *
+ *	ok		200, signed, with the body "ID: " and the request's body
+ *	slow-MS		the same after MS milliseconds
+ *	fail		500, signed
+ *	full		503 that says it hasn't run
+ *	unsigned	200 without a signature
+ *	late		an answer of another request first
+ *	extra		bytes after the answer, at once
+ *	stray		the same some milliseconds later
+ *	reset		reads the request and resets the connection
+ *	mute		reads the request and never answers
+ *	short		half of the announced body, then a close in order
+ *	unframed	no length; the end of the connection ends the body
+ *	cutframe	no length; the connection is reset in the body
+ *	events-N-MS	N events, MS milliseconds apart
+ *	break-N-MS	the same, but cut within event N/2 unless resumed
+ */
+typedef struct fake_worker fake_worker_t;
+
+/* What a target has been given to run. */
+typedef struct {
+	char *id;
+	char *path;
+	char *team;
+	char *target;
+	char *resume_after;
+	char *smuggled; /* fields that must not arrive, or "" */
+	int64_t time_left_ms;
+	int64_t closed_after_ms; /* the sender left; -1: it didn't */
+	gsize body_len;
+} worker_run_t;
+
+fake_worker_t *fake_worker_create(const char *id, uint16_t *port);
+void fake_worker_destroy(fake_worker_t *worker);
+
+/* Copies of the runs so far, worker_run_t; free with g_ptr_array_unref(). */
+GPtrArray *fake_worker_runs(fake_worker_t *worker);
+unsigned fake_worker_count(fake_worker_t *worker, const char *request_id);
+
+/* Answers all requests like the path that ends in this; NULL: their own. */
+void fake_worker_force(fake_worker_t *worker, const char *behaviour);
+
+#endif
--- /dev/null
+++ b/fakes/raw_http.c
@@ -0,0 +1,280 @@
+#include "raw_http.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define HEAD_LIMIT 65536
+
+struct raw_server {
+	int fd;
+	raw_handler_t handler;
+	void *owner;
+	GThread *acceptor;
+	GMutex lock;
+	GCond ended;
+	GArray *connections; /* int */
+	unsigned n_threads;
+	bool stopping;
+};
+
+typedef struct {
+	raw_server_t *server;
+	int fd;
+} connection_t;
+
+static void
+request_clear(raw_request_t *request)
+{
+	g_free(request->method);
+	g_free(request->path);
+	g_free(request->query);
+	if (request->fields != NULL)
+		g_hash_table_destroy(request->fields);
+	if (request->body != NULL)
+		g_byte_array_unref(request->body);
+	memset(request, 0, sizeof(*request));
+}
+
+static bool
+bytes_read(int fd, GByteArray *bytes, size_t want)
+{
+	uint8_t chunk[4096];
+
+	while (bytes->len < want) {
+		ssize_t n =
+		    recv(fd, chunk, MIN(sizeof(chunk), want - bytes->len), 0);
+
+		if (n <= 0)
+			return false;
+		g_byte_array_append(bytes, chunk, (guint)n);
+	}
+	return true;
+}
+
+/* Reads byte by byte, so that nothing of the next request is taken. */
+static char *
+head_read(int fd)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	char byte;
+
+	while (head->len < HEAD_LIMIT) {
+		if (recv(fd, &byte, 1, 0) != 1)
+			return NULL;
+		g_string_append_c(head, byte);
+		if (head->len >= 4 &&
+		    memcmp(head->str + head->len - 4, "\r\n\r\n", 4) == 0)
+			return g_strdup(head->str);
+	}
+	return NULL;
+}
+
+static bool
+request_read(int fd, raw_request_t *request)
+{
+	g_autofree char *head = head_read(fd);
+	g_auto(GStrv) lines = NULL;
+	g_auto(GStrv) words = NULL;
+	char *question;
+	const char *length;
+
+	if (head == NULL)
+		return false;
+	lines = g_strsplit(head, "\r\n", 0);
+	words = g_strsplit(lines[0], " ", 3);
+	if (g_strv_length(words) != 3)
+		return false;
+	question = strchr(words[1], '?');
+	request->method = g_strdup(words[0]);
+	request->query = g_strdup(question ? question + 1 : "");
+	request->path = question
+			    ? g_strndup(words[1], (gsize)(question - words[1]))
+			    : g_strdup(words[1]);
+	request->fields =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (char **line = lines + 1; **line != '\0'; line++) {
+		char *colon = strchr(*line, ':');
+
+		if (colon == NULL)
+			return false;
+		*colon = '\0';
+		g_hash_table_insert(request->fields, g_ascii_strdown(*line, -1),
+		    g_strstrip(g_strdup(colon + 1)));
+	}
+	request->body = g_byte_array_new();
+	length = raw_field(request, "content-length");
+	return length == NULL ||
+	       bytes_read(fd, request->body, (size_t)atol(length));
+}
+
+static void
+connection_forget(raw_server_t *server, int fd)
+{
+	g_mutex_lock(&server->lock);
+	for (guint i = 0; i < server->connections->len; i++) {
+		if (g_array_index(server->connections, int, i) == fd) {
+			g_array_remove_index_fast(server->connections, i);
+			break;
+		}
+	}
+	close(fd);
+	server->n_threads--;
+	g_cond_signal(&server->ended);
+	g_mutex_unlock(&server->lock);
+}
+
+static gpointer
+connection_run(gpointer data)
+{
+	connection_t *connection = data;
+	raw_server_t *server = connection->server;
+	raw_request_t request = {0};
+	bool open = true;
+
+	while (open && request_read(connection->fd, &request)) {
+		open = server->handler(connection->fd, &request, server->owner);
+		request_clear(&request);
+	}
+	request_clear(&request);
+	connection_forget(server, connection->fd);
+	g_free(connection);
+	return NULL;
+}
+
+static gpointer
+acceptor_run(gpointer data)
+{
+	raw_server_t *server = data;
+
+	for (;;) {
+		int fd = accept(server->fd, NULL, NULL);
+		connection_t *connection;
+
+		if (fd < 0)
+			return NULL;
+		g_mutex_lock(&server->lock);
+		if (server->stopping) {
+			close(fd);
+			g_mutex_unlock(&server->lock);
+			return NULL;
+		}
+		connection = g_new(connection_t, 1);
+		*connection = (connection_t){server, fd};
+		g_array_append_val(server->connections, fd);
+		server->n_threads++;
+		g_thread_unref(
+		    g_thread_new("connection", connection_run, connection));
+		g_mutex_unlock(&server->lock);
+	}
+}
+
+raw_server_t *
+raw_server_create(raw_handler_t handler, void *owner, uint16_t *port)
+{
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(at);
+	raw_server_t *server = g_new0(raw_server_t, 1);
+
+	server->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (server->fd < 0 ||
+	    bind(server->fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
+	    listen(server->fd, 64) != 0 ||
+	    getsockname(server->fd, (struct sockaddr *)&at, &len) != 0)
+		g_error("stand-in can't listen: %s", g_strerror(errno));
+	*port = ntohs(at.sin_port);
+	server->handler = handler;
+	server->owner = owner;
+	server->connections = g_array_new(FALSE, FALSE, sizeof(int));
+	g_mutex_init(&server->lock);
+	g_cond_init(&server->ended);
+	server->acceptor = g_thread_new("acceptor", acceptor_run, server);
+	return server;
+}
+
+void
+raw_server_reset(raw_server_t *server)
+{
+	g_mutex_lock(&server->lock);
+	for (guint i = 0; i < server->connections->len; i++) {
+		int fd = g_array_index(server->connections, int, i);
+
+		raw_reset_on_close(fd);
+		shutdown(fd, SHUT_RDWR);
+	}
+	g_mutex_unlock(&server->lock);
+}
+
+void
+raw_server_destroy(raw_server_t *server)
+{
+	g_mutex_lock(&server->lock);
+	server->stopping = true;
+	g_mutex_unlock(&server->lock);
+	shutdown(server->fd, SHUT_RDWR);
+	g_thread_join(server->acceptor);
+	close(server->fd);
+	raw_server_reset(server);
+	g_mutex_lock(&server->lock);
+	while (server->n_threads > 0)
+		g_cond_wait(&server->ended, &server->lock);
+	g_mutex_unlock(&server->lock);
+	g_array_unref(server->connections);
+	g_mutex_clear(&server->lock);
+	g_cond_clear(&server->ended);
+	g_free(server);
+}
+
+bool
+raw_send(int fd, const char *text)
+{
+	size_t len = strlen(text);
+
+	while (len > 0) {
+		ssize_t n = send(fd, text, len, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return false;
+		text += n;
+		len -= (size_t)n;
+	}
+	return true;
+}
+
+bool
+raw_send_answer(int fd, unsigned status, const char *fields, const char *body)
+{
+	g_autofree char *answer = g_strdup_printf(
+	    "HTTP/1.1 %u Answer\r\n%sContent-Length: %zu\r\n\r\n%s", status,
+	    fields, strlen(body), body);
+
+	return raw_send(fd, answer);
+}
+
+void
+raw_reset_on_close(int fd)
+{
+	struct linger reset = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+bool
+raw_wait_closed(int fd, int ms)
+{
+	struct pollfd waited = {fd, POLLIN, 0};
+	char byte;
+
+	return poll(&waited, 1, ms) == 1 && recv(fd, &byte, 1, MSG_PEEK) <= 0;
+}
+
+const char *
+raw_field(const raw_request_t *request, const char *name)
+{
+	return g_hash_table_lookup(request->fields, name);
+}
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -3,10 +3,6 @@
 #include <errno.h>
 #include <string.h>
 
-/* A connection that wasn't used for longer may have been closed by the other
- * side already; a request that must not run twice doesn't take it. */
-#define FRESH_US (500 * US_PER_MS)
-
 /* An answer that nobody waits for may take this long to end. */
 #define DETACHED_LIMIT_S 0.3
 
@@ -65,8 +61,8 @@
 			   ? pool_of_target(gateway, plan->target)
 			   : pool_of_peer(gateway, plan->peer_ip);
 	attempt_t *attempt = g_new0(attempt_t, 1);
-	upstream_t *upstream = pool_take(
-	    pool, plan->repeatable ? INT64_MAX : FRESH_US, &attempt->reused);
+	upstream_t *upstream =
+	    pool_take(pool, plan->repeatable, &attempt->reused);
 
 	if (upstream == NULL) {
 		log_event(LOG_WARNING, "connection_failed",
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -33,7 +33,7 @@
 call_create(client_t *client, gateway_t *gateway, const http_head_t *head,
     bool from_peer)
 {
-	call_t *call = g_new0(call_t, 1);
+	call_t *call = g_rc_box_new0(call_t);
 	g_autoptr(GError) error = NULL;
 	bool keyed =
 	    gateway->catalog == NULL || catalog_keyed(gateway->catalog);
@@ -42,10 +42,9 @@
 	    head->target.len == 0 || head->target.text[0] != '/') {
 		log_event(LOG_NOTICE, "request_unreadable",
 		    LOG_S("error", error ? error->message : "no path"));
-		g_free(call);
+		g_rc_box_release(call);
 		return NULL;
 	}
-	call->refs = 1;
 	call->gateway = gateway;
 	call->client = client;
 	call->from_peer = from_peer;
@@ -74,11 +73,11 @@
 	return call;
 }
 
-void
-call_unref(call_t *call)
+static void
+call_clear(gpointer data)
 {
-	if (--call->refs > 0)
-		return;
+	call_t *call = data;
+
 	call->gateway->n_calls--;
 	ev_timer_stop(call->gateway->loop, &call->timer);
 	g_free(call->host);
@@ -92,7 +91,18 @@
 		g_string_free(call->answer_head, TRUE);
 	if (call->answer != NULL)
 		g_byte_array_unref(call->answer);
-	g_free(call);
+}
+
+call_t *
+call_ref(call_t *call)
+{
+	return g_rc_box_acquire(call);
+}
+
+void
+call_unref(call_t *call)
+{
+	g_rc_box_release_full(call, call_clear);
 }
 
 int64_t
@@ -115,7 +125,7 @@
 	gateway_t *gateway = call->gateway;
 	time_us_t left;
 
-	call->refs++;
+	call_ref(call);
 	if (call_admit(call)) {
 		left =
 		    call->ends_at - DEADLINE_MARGIN_US - gateway_now(gateway);
@@ -187,7 +197,7 @@
 {
 	bool sent = call->attempt != NULL || call->n_runs > 0;
 
-	call->refs++;
+	call_ref(call);
 	call_withdraw(call);
 	if (call->head_sent)
 		call_broken(call, "timeout");
@@ -327,7 +337,7 @@
 {
 	attempt_t *attempt = call->attempt;
 
-	call->refs++;
+	call_ref(call);
 	if (answer->not_run) {
 		call->attempt = NULL;
 		attempt_detach(attempt);
@@ -379,7 +389,7 @@
 call_on_complete(call_t *call)
 {
 	call->attempt = NULL;
-	call->refs++;
+	call_ref(call);
 	if (!call->head_sent) {
 		/* The length is known now, unless it is of a body that isn't
 		 * sent. */
@@ -428,7 +438,7 @@
 	call->passing = false;
 	if (call->client == NULL)
 		return;
-	call->refs++;
+	call_ref(call);
 	if (!not_run)
 		call->n_runs++;
 	facts = retry_facts(call, not_run);
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -24,7 +24,6 @@
 } choice_t;
 
 struct call {
-	gint refs;
 	gateway_t *gateway;
 	client_t *client; /* NULL once answered or left */
 	call_state_t state;
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -172,6 +172,7 @@
 	    .expected_ms = placement->expected_ms,
 	    .head = send_head(call)};
 
+	g_assert(target != NULL);
 	platform_request_complete(plan.head,
 	    &(send_fields_t){.time_left_ms = call_left_ms(call),
 		.target = target->entry.id,
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -93,7 +93,8 @@
 	uint32_t n = MAX(1u, members_n_live(gateway->members, PLACE_NONE,
 				 gateway_now((gateway_t *)gateway)));
 
-	retry_budget_set_limits(&line->retries, settings->retry_percent * 10,
+	retry_budget_set_limits(&line->retries,
+	    (int64_t)settings->retry_percent * 10,
 	    MAX(1, (int64_t)(RETRY_SLACK_PART * settings->retry_slack / n)));
 }
 
@@ -109,6 +110,7 @@
 	line->queue = queue_create(QUEUE_LIMIT);
 	retry_budget_init(&line->retries, gateway_now(gateway));
 	line_set_limits(gateway, line);
+	retry_budget_fill(&line->retries);
 	g_hash_table_insert(gateway->lines, line->name, line);
 	return line;
 }
@@ -148,7 +150,8 @@
 		return;
 	catalog_unref(gateway->catalog);
 	gateway->catalog = catalog_ref(catalog);
-	g_clear_pointer(&gateway->catalog_text, g_bytes_unref);
+	if (gateway->catalog_text != NULL)
+		g_bytes_unref(gateway->catalog_text);
 	gateway->catalog_text = g_bytes_ref(text);
 	team_rates_set_catalog(gateway->rates, catalog, gateway_now(gateway));
 	log_event(LOG_NOTICE, "config",
@@ -189,6 +192,7 @@
 		    old->entry.cold_ms == entry->cold_ms &&
 		    old->entry.started_ms == entry->started_ms;
 
+	g_assert(entry != NULL);
 	targets_put(gateway->targets, entry, gateway_now(gateway));
 	if (!same)
 		log_event(LOG_INFO, "target", LOG_S("target", entry->id),
@@ -278,7 +282,7 @@
 	while (queue_pop(line->queue, can_start, NULL, now, &item)) {
 		call_t *call = item.item;
 
-		call->refs++;
+		call_ref(call);
 		call_dispatch_queued(call);
 		call_unref(call);
 	}
@@ -375,7 +379,8 @@
 	if (gateway_is_closed(gateway)) {
 		/* A connection that isn't accepted is refused at once, and
 		 * callers go elsewhere. */
-		g_clear_pointer(&gateway->caller_listener, listener_destroy);
+		listener_destroy(gateway->caller_listener);
+		gateway->caller_listener = NULL;
 		clients_close_idle(gateway);
 	}
 	if ((gateway_is_closed(gateway) && gateway->n_calls == 0) ||
@@ -437,20 +442,20 @@
 }
 
 static void
-on_caller(void *owner, int fd, net_address_t peer)
+on_caller(void *owner, int fd)
 {
 	client_accept(owner, fd, false);
 }
 
 static void
-on_peer(void *owner, int fd, net_address_t peer)
+on_peer(void *owner, int fd)
 {
 	client_accept(owner, fd, true);
 }
 
 static bool
 listen_at(gateway_t *gateway, const char *text, listener_t **listener,
-    void (*accepted)(void *owner, int fd, net_address_t peer), GError **error)
+    void (*accepted)(void *owner, int fd), GError **error)
 {
 	net_address_t address;
 
@@ -614,7 +619,8 @@
 	g_hash_table_destroy(gateway->peer_pools);
 	g_hash_table_destroy(gateway->clients);
 	catalog_unref(gateway->catalog);
-	g_clear_pointer(&gateway->catalog_text, g_bytes_unref);
+	if (gateway->catalog_text != NULL)
+		g_bytes_unref(gateway->catalog_text);
 	net_destroy(gateway->net);
 	ev_loop_destroy(gateway->loop);
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -128,6 +128,7 @@
 /* call.c: one request from its head to its answer. */
 call_t *call_create(client_t *client, gateway_t *gateway,
     const http_head_t *head, bool from_peer);
+call_t *call_ref(call_t *call);
 void call_unref(call_t *call);
 void call_body(call_t *call, const uint8_t *data, size_t len);
 void call_start(call_t *call);	 /* the request is whole */
@@ -181,8 +182,8 @@
 void pool_destroy(pool_t *pool);
 pool_t *pool_of_target(gateway_t *gateway, target_t *target);
 pool_t *pool_of_peer(gateway_t *gateway, uint32_t ip);
-/* Takes an idle connection used less than fresh_us ago, or opens one. */
-upstream_t *pool_take(pool_t *pool, time_us_t fresh_us, bool *reused);
+/* Takes an idle connection, or opens one. NULL when there is no socket. */
+upstream_t *pool_take(pool_t *pool, bool repeatable, bool *reused);
 /* idle_ms: how long the other side keeps it; -1: not told. */
 void pool_give(pool_t *pool, upstream_t *upstream, int64_t idle_ms);
 void pool_drop(upstream_t *upstream);
--- a/gateway/pages.c
+++ b/gateway/pages.c
@@ -206,7 +206,7 @@
 }
 
 static void
-on_accepted(void *owner, int fd, net_address_t peer)
+on_accepted(void *owner, int fd)
 {
 	page_source_t *source = owner;
 	pages_t *pages = source->pages;
--- a/gateway/pool.c
+++ b/gateway/pool.c
@@ -17,6 +17,14 @@
 /* Kept for the case that the other side doesn't tell its limit. */
 #define IDLE_UNTOLD_US (4 * US_PER_S)
 
+/*
+ * A request that must not run twice takes a kept connection only when it was
+ * used within this time, so that the other side hasn't closed it, and not at
+ * once, so that bytes after the last answer would be here.
+ */
+#define FRESH_US (500 * US_PER_MS)
+#define SETTLE_US (10 * US_PER_MS)
+
 /* Most idle connections to one address. */
 #define IDLE_COUNT 64
 
@@ -139,28 +147,43 @@
 	return upstream;
 }
 
-upstream_t *
-pool_take(pool_t *pool, time_us_t fresh_us, bool *reused)
+/* Removes and returns an idle connection that can be used, or NULL. */
+static upstream_t *
+idle_take(pool_t *pool, bool repeatable)
 {
 	time_us_t now = gateway_now(pool->gateway);
-	upstream_t *upstream;
+	GList *item = pool->idle.head;
+
+	while (item != NULL) {
+		upstream_t *upstream = item->data;
+		time_us_t idle = now - upstream->idle_since;
+		GList *next = item->next;
 
-	*reused = false;
-	while ((upstream = g_queue_peek_head(&pool->idle)) != NULL) {
-		if (now - upstream->idle_since >= fresh_us)
-			break;
-		g_queue_pop_head(&pool->idle);
 		if (now >= upstream->idle_until ||
 		    tcp_is_disturbed(upstream->connection)) {
+			g_queue_delete_link(&pool->idle, item);
 			pool_drop(upstream);
-			continue;
+		} else if (repeatable ||
+			   (idle >= SETTLE_US && idle < FRESH_US)) {
+			g_queue_delete_link(&pool->idle, item);
+			return upstream;
 		}
-		tcp_set_owner(
-		    upstream->connection, &attempt_connection_events, upstream);
-		*reused = true;
-		return upstream;
+		item = next;
 	}
-	return upstream_open(pool);
+	return NULL;
+}
+
+upstream_t *
+pool_take(pool_t *pool, bool repeatable, bool *reused)
+{
+	upstream_t *upstream = idle_take(pool, repeatable);
+
+	*reused = upstream != NULL;
+	if (upstream == NULL)
+		return upstream_open(pool);
+	tcp_set_owner(
+	    upstream->connection, &attempt_connection_events, upstream);
+	return upstream;
 }
 
 void
--- a/include/core/retry.h
+++ b/include/core/retry.h
@@ -79,6 +79,9 @@
 void retry_budget_set_limits(
     retry_budget_t *budget, int64_t part, int64_t most);
 
+/* Saves up as much as the limits allow, for a process that starts. */
+void retry_budget_fill(retry_budget_t *budget);
+
 /* Counts a request that is sent to a target for the first time. */
 void retry_first_try(retry_budget_t *budget);
 
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -103,7 +103,7 @@
 	time_us_t cold_until;
 	double cold_level; /* requests that may be sent now */
 	time_us_t cold_at;
-	bool cold_sender; /* this instance is one of TARGET_COLD_SENDERS */
+	bool cold_sender;     /* this instance is one of TARGET_COLD_SENDERS */
 	time_us_t removal_at; /* 0: none */
 	GHashTable *prefixes; /* chain hash -> prefix_t */
 	uint64_t prefix_tokens;
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -103,7 +103,7 @@
 
 /* accepted takes over the socket. Returns NULL with errno. */
 listener_t *listener_create(net_t *net, net_address_t address,
-    void (*accepted)(void *owner, int fd, net_address_t peer), void *owner);
+    void (*accepted)(void *owner, int fd), void *owner);
 void listener_destroy(listener_t *listener);
 
 #endif
--- a/net/listener.c
+++ b/net/listener.c
@@ -16,7 +16,7 @@
 struct listener {
 	net_t *net;
 	ev_io watcher;
-	void (*accepted)(void *owner, int fd, net_address_t peer);
+	void (*accepted)(void *owner, int fd);
 	void *owner;
 };
 
@@ -26,22 +26,18 @@
 	listener_t *listener = watcher->data;
 
 	for (int i = 0; i < ACCEPT_BATCH; i++) {
-		struct sockaddr_in from;
-		socklen_t len = sizeof(from);
-		int fd = accept4(watcher->fd, (struct sockaddr *)&from, &len,
-		    SOCK_NONBLOCK | SOCK_CLOEXEC);
+		int fd = accept4(
+		    watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0)
 			return;
-		listener->accepted(listener->owner, fd,
-		    (net_address_t){
-			ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)});
+		listener->accepted(listener->owner, fd);
 	}
 }
 
 listener_t *
 listener_create(net_t *net, net_address_t address,
-    void (*accepted)(void *owner, int fd, net_address_t peer), void *owner)
+    void (*accepted)(void *owner, int fd), void *owner)
 {
 	struct sockaddr_in at = {
 	    .sin_family = AF_INET,
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -28,7 +28,6 @@
 } state_t;
 
 struct tcp {
-	gint refs;
 	net_t *net;
 	int fd;
 	state_t state;
@@ -279,10 +278,9 @@
 tcp_create(
     net_t *net, int fd, state_t state, const tcp_events_t *events, void *owner)
 {
-	tcp_t *connection = g_new0(tcp_t, 1);
+	/* One reference for the creator, one for the loop. */
+	tcp_t *connection = tcp_ref(g_rc_box_new0(tcp_t));
 
-	/* One for the creator, one for the loop. */
-	connection->refs = 2;
 	connection->net = net;
 	connection->fd = fd;
 	connection->state = state;
@@ -332,17 +330,19 @@
 tcp_t *
 tcp_ref(tcp_t *connection)
 {
-	connection->refs++;
-	return connection;
+	return g_rc_box_acquire(connection);
+}
+
+static void
+tcp_clear(gpointer data)
+{
+	g_byte_array_unref(((tcp_t *)data)->output);
 }
 
 void
 tcp_unref(tcp_t *connection)
 {
-	if (--connection->refs > 0)
-		return;
-	g_byte_array_unref(connection->output);
-	g_free(connection);
+	g_rc_box_release_full(connection, tcp_clear);
 }
 
 void
--- /dev/null
+++ b/tests/platform_world.h
@@ -0,0 +1,86 @@
+#ifndef TESTS_PLATFORM_WORLD_H
+#define TESTS_PLATFORM_WORLD_H
+
+#include <glib.h>
+#include <sys/types.h>
+
+#include "fake_store.h"
+#include "fake_worker.h"
+
+/*
+ * Instances as separate processes beside a stand-in store and stand-in targets.
+ * Each instance has a loopback address of its own, as the platform gives it.
+ */
+#define WORLD_INSTANCES 4
+#define WORLD_WORKERS 3
+
+typedef struct {
+	char *folder;
+	uint8_t net[2];	   /* second and third byte of the addresses */
+	uint16_t ports[5]; /* callers, health, directory, peer, metrics */
+	fake_store_t *store;
+	uint16_t store_port;
+	uint16_t dead_port; /* nobody listens */
+	fake_worker_t *workers[WORLD_WORKERS];
+	uint16_t worker_ports[WORLD_WORKERS];
+	pid_t pids[WORLD_INSTANCES]; /* 0: not running */
+} world_t;
+
+typedef enum {
+	PORT_CALLERS,
+	PORT_HEALTH,
+	PORT_DIRECTORY,
+	PORT_PEER,
+	PORT_METRICS
+} world_port_t;
+
+typedef struct {
+	int status; /* 0: the connection ended without a whole answer */
+	char *head;
+	char *body;
+	bool whole;
+} world_answer_t;
+
+/* Starts the store with a configuration and the targets w0, w1, w2 of the
+ * services "pen" (w0, w1) and "desk" (w2), all in zone a-1. */
+void world_create(world_t *world);
+void world_destroy(world_t *world);
+
+/* Publishes the configuration with this version. extra: further routes. */
+void world_configure(
+    world_t *world, int version, const char *key, const char *extra);
+void world_publish_worker(world_t *world, int worker, const char *state);
+
+/* zone: "a-1" or "b-1". Waits until the instance is ready when wait is set. */
+void world_start(world_t *world, int instance, const char *zone,
+    bool store_reachable, bool wait);
+void world_signal(world_t *world, int instance, int signal);
+/* Waits for the process to end. Returns its exit status, or -1. */
+int world_wait_end(world_t *world, int instance, int timeout_ms);
+
+int world_connect(const world_t *world, int instance, world_port_t port);
+/* Sends bytes as they are. */
+void world_send(int fd, const char *text);
+/* Reads one answer; fd stays open. */
+world_answer_t world_read(int fd);
+void world_answer_clear(world_answer_t *answer);
+
+/* One request on its own connection. fields are whole lines. */
+world_answer_t world_call(const world_t *world, int instance,
+    const char *method, const char *path, const char *id, const char *fields,
+    const char *body);
+world_answer_t world_get(
+    const world_t *world, int instance, world_port_t port, const char *path);
+
+/* Asserts that condition becomes true within timeout_ms. */
+#define WORLD_WAIT(condition, timeout_ms)                                  \
+	do {                                                               \
+		gint64 until = g_get_monotonic_time() + (timeout_ms)*1000; \
+		while (!(condition) && g_get_monotonic_time() < until)     \
+			g_usleep(20000);                                   \
+		ck_assert(condition);                                      \
+	} while (0)
+
+#define WORLD_KEY "Authorization: Bearer key-1\r\nRequest-Deadline: 8000\r\n"
+
+#endif
--- /dev/null
+++ b/tests/process_platform.c
@@ -0,0 +1,560 @@
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "platform_world.h"
+#include "test.h"
+
+/* Asserts status and body of one call, and returns nothing. */
+static void
+call_expect(const world_t *world, const char *method, const char *path,
+    const char *id, const char *request_body, int status, const char *body)
+{
+	world_answer_t answer =
+	    world_call(world, 0, method, path, id, WORLD_KEY, request_body);
+
+	ck_assert_msg(answer.status == status, "%s %s: %d instead of %d: %s",
+	    method, path, answer.status, status, answer.body);
+	ck_assert(answer.whole);
+	if (body != NULL)
+		ck_assert_msg(strstr(answer.body, body) != NULL, "%s: %s", path,
+		    answer.body);
+	world_answer_clear(&answer);
+}
+
+static unsigned
+count_all(const world_t *world, const char *id)
+{
+	unsigned n = 0;
+
+	for (int i = 0; i < WORLD_WORKERS; i++)
+		n += fake_worker_count(world->workers[i], id);
+	return n;
+}
+
+static worker_run_t *
+run_find(GPtrArray *runs, const char *id)
+{
+	for (guint i = 0; i < runs->len; i++) {
+		worker_run_t *run = g_ptr_array_index(runs, i);
+
+		if (strcmp(run->id, id) == 0)
+			return run;
+	}
+	return NULL;
+}
+
+TEST(requests_reach_targets_with_the_team_and_without_the_key)
+{
+	world_t world;
+	g_autoptr(GPtrArray) runs = NULL;
+	const worker_run_t *run;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	call_expect(&world, "GET", "/read/ok", "r1", NULL, 200, "w");
+	call_expect(
+	    &world, "POST", "/order/ok", "r2", "two rounds", 200, "two rounds");
+	call_expect(&world, "POST", "/write/events-5-5", "r3", "{}", 200,
+	    "id: 5\ndata: word 5\n\n");
+	answer = world_call(&world, 0, "POST", "/order/ok", "r4",
+	    WORLD_KEY "Tenant: forged\r\nHold: 7\r\nPin-Ms: 5\r\n"
+		      "Cyclamensail-Team: forged\r\nConnection: X-Hop-Only\r\n"
+		      "X-Hop-Only: 1\r\nKeep-Alive: timeout=5\r\n",
+	    "x");
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert_ptr_nonnull(strstr(answer.head, "Server-Stamp: w2"));
+	world_answer_clear(&answer);
+	runs = fake_worker_runs(world.workers[2]);
+	run = run_find(runs, "r4");
+	ck_assert_ptr_nonnull(run);
+	ck_assert_str_eq(run->team, "parish");
+	ck_assert_str_eq(run->target, "w2");
+	ck_assert_str_eq(run->smuggled, "");
+	ck_assert_int_le(run->time_left_ms, 8000);
+	ck_assert_int_gt(run->time_left_ms, 2000);
+	world_destroy(&world);
+}
+
+TEST(configuration_decides_what_is_refused)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	call_expect(&world, "GET", "/none/ok", "r1", NULL, 404, "no_route");
+	answer = world_call(&world, 0, "GET", "/read/ok", "r2",
+	    "Authorization: Bearer other\r\n", NULL);
+	ck_assert_int_eq(answer.status, 401);
+	world_answer_clear(&answer);
+	/* A key is withdrawn and a route is added. */
+	world_configure(&world, 9, "key-2",
+	    ",{\"name\":\"n\",\"host\":\"h\",\"prefix\":\"/new/\","
+	    "\"route_type\":\"safe\",\"timeout_ms\":1000,\"service\":\"pen\","
+	    "\"max_attempts\":1,\"public\":true}");
+	WORLD_WAIT((answer = world_call(
+			&world, 0, "GET", "/read/ok", "r3", WORLD_KEY, NULL),
+		       answer.status) == 401,
+	    3000);
+	call_expect(&world, "GET", "/new/ok", "r4", NULL, 200, NULL);
+	/* An older version never comes back. */
+	world_configure(&world, 8, "key-1", "");
+	g_usleep(300000);
+	call_expect(&world, "GET", "/new/ok", "r5", NULL, 200, NULL);
+	world_destroy(&world);
+}
+
+TEST(unreadable_requests_are_refused_and_the_next_one_is_served)
+{
+	static const struct {
+		const char *request;
+		int status;
+	} cases[] = {
+	    {"POST /order/ok HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+	     "Content-Length: 2\r\n\r\nxx",
+		400},
+	    {"POST /order/ok HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+	     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		400},
+	    {"GET /read/ok HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n", 400},
+	    {"GET /read/ok HTTP/1.1\nHost: h\r\n\r\n", 400},
+	    {"GET /read/ok HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400},
+	    {"GET /read/ok HTTP/1.1\r\nHost: h\r\nRequest-Deadline: x\r\n\r\n",
+		400},
+	    {"POST /order/ok HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n"
+	     "\r\n",
+		413},
+	    {"POST /order/ok HTTP/1.1\r\nHost: h\r\n"
+	     "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		400},
+	    {"GET read/ok HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+	};
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int fd = world_connect(&world, 0, PORT_CALLERS);
+		world_answer_t answer;
+
+		world_send(fd, cases[i].request);
+		answer = world_read(fd);
+		ck_assert_msg(answer.status == cases[i].status,
+		    "case %zu: %d instead of %d", i, answer.status,
+		    cases[i].status);
+		world_answer_clear(&answer);
+		close(fd);
+	}
+	call_expect(&world, "GET", "/read/ok", "r1", NULL, 200, NULL);
+	world_destroy(&world);
+}
+
+TEST(nul_byte_and_large_head_are_refused)
+{
+	static const char nul[] = "GET /read/ok\0x HTTP/1.1\r\nHost: h\r\n\r\n";
+	world_t world;
+	g_autofree char *filler = g_strnfill(5000, 'x');
+	g_autofree char *large = g_strdup_printf(
+	    "GET /read/ok HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", filler);
+	world_answer_t answer;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	send(fd, nul, sizeof(nul) - 1, MSG_NOSIGNAL);
+	answer = world_read(fd);
+	ck_assert_int_eq(answer.status, 400);
+	world_answer_clear(&answer);
+	close(fd);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd, large);
+	answer = world_read(fd);
+	ck_assert_int_eq(answer.status, 431);
+	world_answer_clear(&answer);
+	close(fd);
+	call_expect(&world, "GET", "/read/ok", "r1", NULL, 200, NULL);
+	world_destroy(&world);
+}
+
+TEST(pipelined_requests_are_answered_in_order)
+{
+	world_t world;
+	world_answer_t answer;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd,
+	    "POST /order/slow-200 HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: p1\r\n" WORLD_KEY "Content-Length: 3\r\n\r\none"
+	    "POST /order/ok HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: p2\r\n" WORLD_KEY "Transfer-Encoding: chunked\r\n\r\n"
+	    "3\r\ntwo\r\n0\r\n\r\n");
+	answer = world_read(fd);
+	ck_assert_ptr_nonnull(strstr(answer.body, "one"));
+	ck_assert_ptr_nonnull(strstr(answer.head, "Request-Id: p1"));
+	world_answer_clear(&answer);
+	answer = world_read(fd);
+	ck_assert_ptr_nonnull(strstr(answer.body, "two"));
+	ck_assert_ptr_nonnull(strstr(answer.head, "Request-Id: p2"));
+	world_answer_clear(&answer);
+	close(fd);
+	world_destroy(&world);
+}
+
+TEST(truncated_body_runs_nowhere)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd,
+	    "POST /order/ok HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: t1\r\n" WORLD_KEY "Content-Length: 10\r\n\r\nhalf");
+	shutdown(fd, SHUT_WR);
+	close(fd);
+	call_expect(&world, "POST", "/order/ok", "t2", "x", 200, NULL);
+	ck_assert_uint_eq(count_all(&world, "t1"), 0);
+	world_destroy(&world);
+}
+
+/* An order that may have run is never sent again and never said not to have
+ * run. */
+TEST(order_runs_at_most_once)
+{
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	call_expect(&world, "POST", "/order/reset", "o1", "x", 502, NULL);
+	call_expect(&world, "POST", "/order/short", "o2", "x", 502, NULL);
+	call_expect(&world, "POST", "/order/unsigned", "o3", "x", 502, NULL);
+	call_expect(&world, "POST", "/order/cutframe", "o4", "x", 502, NULL);
+	call_expect(&world, "POST", "/order/fail", "o5", "x", 500, "failed");
+	call_expect(&world, "POST", "/order/mute", "o6", "x", 504, NULL);
+	for (int i = 1; i <= 6; i++) {
+		g_autofree char *id = g_strdup_printf("o%d", i);
+
+		ck_assert_uint_eq(count_all(&world, id), 1);
+	}
+	/* Kept connections that the target has closed meanwhile. */
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *id = g_strdup_printf("k%d", i);
+
+		call_expect(&world, "POST",
+		    i % 2 ? "/order/ok" : "/order/extra", id, "x", 200,
+		    "w2: x");
+		ck_assert_uint_eq(count_all(&world, id), 1);
+	}
+	world_destroy(&world);
+}
+
+TEST(refusal_says_when_to_come_back_and_is_true)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fake_worker_force(world.workers[2], "full");
+	answer =
+	    world_call(&world, 0, "POST", "/order/ok", "f1", WORLD_KEY, "x");
+	ck_assert_int_eq(answer.status, 503);
+	ck_assert_ptr_nonnull(strstr(answer.head, "Retry-After: "));
+	world_answer_clear(&answer);
+	ck_assert_uint_eq(count_all(&world, "f1"), 0);
+	fake_worker_force(world.workers[2], NULL);
+	call_expect(&world, "POST", "/order/ok", "f2", "x", 200, NULL);
+	world_destroy(&world);
+}
+
+TEST(safe_request_is_sent_to_another_target)
+{
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	for (int bad = 0; bad < 2; bad++) {
+		fake_worker_force(world.workers[bad], "fail");
+		for (int i = 0; i < 3; i++) {
+			g_autofree char *id = g_strdup_printf("s%d-%d", bad, i);
+
+			call_expect(
+			    &world, "GET", "/read/ok", id, NULL, 200, NULL);
+			ck_assert_uint_le(count_all(&world, id), 2);
+		}
+		fake_worker_force(world.workers[bad], NULL);
+	}
+	world_destroy(&world);
+}
+
+TEST(answer_of_another_request_is_never_passed_on)
+{
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	call_expect(&world, "POST", "/order/late", "l1", "mine", 200, "mine");
+	call_expect(&world, "POST", "/order/extra", "l2", "mine", 200, "mine");
+	call_expect(&world, "POST", "/order/ok", "l3", "next", 200, "next");
+	call_expect(&world, "POST", "/order/stray", "l5", "mine", 200, "mine");
+	g_usleep(200000);
+	call_expect(&world, "POST", "/order/ok", "l6", "next", 200, "next");
+	call_expect(&world, "POST", "/order/unframed", "l4", "x", 200, "whole");
+	world_destroy(&world);
+}
+
+/* A stream that breaks within an event goes on at the other target, with each
+ * event once. */
+TEST(broken_stream_is_resumed_within_the_answer)
+{
+	world_t world;
+	world_answer_t answer;
+	g_autoptr(GString) expected = g_string_new(NULL);
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	for (int i = 1; i <= 10; i++)
+		g_string_append_printf(
+		    expected, "id: %d\ndata: word %d\n\n", i, i);
+	answer = world_call(
+	    &world, 0, "POST", "/write/break-10-10", "b1", WORLD_KEY, "{}");
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert(answer.whole);
+	ck_assert_str_eq(answer.body, expected->str);
+	ck_assert_uint_eq(count_all(&world, "b1"), 2);
+	world_answer_clear(&answer);
+	world_destroy(&world);
+}
+
+TEST(caller_that_leaves_ends_the_run)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd,
+	    "POST /order/slow-3000 HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: g1\r\n" WORLD_KEY "Content-Length: 1\r\n\r\nx");
+	WORLD_WAIT(count_all(&world, "g1") == 1, 2000);
+	close(fd);
+	g_usleep(500000);
+	{
+		g_autoptr(GPtrArray) runs = fake_worker_runs(world.workers[2]);
+
+		ck_assert_int_ge(run_find(runs, "g1")->closed_after_ms, 0);
+	}
+	world_destroy(&world);
+}
+
+TEST(leaving_target_and_evacuated_zone_get_nothing)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	world_publish_worker(&world, 0, "draining");
+	g_usleep(300000);
+	for (int i = 0; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("d%d", i);
+
+		call_expect(&world, "GET", "/read/ok", id, NULL, 200, NULL);
+		ck_assert_uint_eq(fake_worker_count(world.workers[0], id), 0);
+	}
+	fake_store_put(world.store, "op/evacuate/a-1", "{}");
+	g_usleep(300000);
+	answer =
+	    world_call(&world, 0, "GET", "/read/ok", "e1", WORLD_KEY, NULL);
+	ck_assert_int_eq(answer.status, 503);
+	world_answer_clear(&answer);
+	ck_assert_uint_eq(count_all(&world, "e1"), 0);
+	fake_store_put(world.store, "op/evacuate/a-1", NULL);
+	g_usleep(300000);
+	call_expect(&world, "GET", "/read/ok", "e2", NULL, 200, NULL);
+	world_destroy(&world);
+}
+
+TEST(bad_entries_are_skipped_and_others_hold)
+{
+	world_t world;
+
+	world_create(&world);
+	fake_store_put(world.store, "servers/x1", "no json");
+	fake_store_put(world.store, "servers/x2", "{\"service\":\"pen\"}");
+	fake_store_put(world.store, "servers/x3",
+	    "{\"service\":\"pen\",\"address\":7,\"zone\":\"a-1\",\"slots\":1}");
+	fake_store_put(world.store, "op/config", "{\"version\":\"x\"}");
+	world_configure(&world, 4, "key-1", "");
+	world_start(&world, 0, "a-1", true, true);
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *id = g_strdup_printf("x%d", i);
+
+		call_expect(&world, "GET", "/read/ok", id, NULL, 200, NULL);
+	}
+	fake_store_put(world.store, "servers/w0", "garbage");
+	g_usleep(300000);
+	for (int i = 4; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf("x%d", i);
+
+		call_expect(&world, "GET", "/read/ok", id, NULL, 200, NULL);
+		ck_assert_uint_eq(fake_worker_count(world.workers[0], id), 0);
+	}
+	world_destroy(&world);
+}
+
+/* While the store is away, what was read counts; what changed meanwhile is read
+ * afterwards, also what a watch never told. */
+TEST(store_outage_is_ridden_out)
+{
+	static const store_mode_t modes[] = {
+	    STORE_REFUSES, STORE_RESETS, STORE_SILENT};
+	world_t world;
+
+	world_create(&world);
+	fake_store_set_page(world.store, 2);
+	world_start(&world, 0, "a-1", true, true);
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		g_autofree char *id = g_strdup_printf("m%zu", i);
+		g_autofree char *key = g_strdup_printf("key-m%zu", i);
+		g_autofree char *field =
+		    g_strdup_printf("Authorization: Bearer %s\r\n", key);
+		world_answer_t answer;
+
+		fake_store_set_mode(world.store, modes[i]);
+		g_usleep(300000);
+		call_expect(&world, "GET", "/new/ok", id, NULL, 404, NULL);
+		world_configure(&world, 20 + (int)i, key, "");
+		fake_store_set_mode(world.store, STORE_WORKS);
+		WORLD_WAIT((answer = world_call(&world, 0, "GET", "/read/ok",
+				"mm", field, NULL),
+			       answer.status) == 200,
+		    8000);
+	}
+	fake_store_put_unseen(world.store, "servers/w0", NULL);
+	fake_store_set_mode(world.store, STORE_FORGETS);
+	g_usleep(4500000);
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *id = g_strdup_printf("u%d", i);
+		world_answer_t answer = world_call(&world, 0, "GET", "/read/ok",
+		    id, "Authorization: Bearer key-m2\r\n", NULL);
+
+		ck_assert_int_eq(answer.status, 200);
+		world_answer_clear(&answer);
+		ck_assert_uint_eq(fake_worker_count(world.workers[0], id), 0);
+	}
+	world_destroy(&world);
+}
+
+/* An instance that can't reach the store learns the configuration from one that
+ * can. */
+TEST(configuration_comes_from_another_instance)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	world_start(&world, 1, "b-1", false, false);
+	WORLD_WAIT((answer = world_call(
+			&world, 1, "GET", "/none/x", "c1", WORLD_KEY, NULL),
+		       answer.status) == 404,
+	    5000);
+	world_destroy(&world);
+}
+
+/* Targets take connections of their own region only: an instance elsewhere
+ * passes requests on, and a caller that leaves is felt at the target. */
+TEST(request_is_passed_to_the_region_of_its_targets)
+{
+	world_t world;
+	world_answer_t answer;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	world_start(&world, 1, "b-1", true, true);
+	g_usleep(800000);
+	answer =
+	    world_call(&world, 1, "POST", "/order/ok", "h1", WORLD_KEY, "far");
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert_ptr_nonnull(strstr(answer.body, "far"));
+	world_answer_clear(&answer);
+	answer = world_call(
+	    &world, 1, "POST", "/write/events-5-10", "h2", WORLD_KEY, "{}");
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert(answer.whole);
+	ck_assert_ptr_nonnull(strstr(answer.body, "word 5"));
+	world_answer_clear(&answer);
+	fd = world_connect(&world, 1, PORT_CALLERS);
+	world_send(fd,
+	    "POST /order/slow-3000 HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: h3\r\n" WORLD_KEY "Content-Length: 1\r\n\r\nx");
+	WORLD_WAIT(count_all(&world, "h3") == 1, 2000);
+	close(fd);
+	g_usleep(500000);
+	{
+		g_autoptr(GPtrArray) runs = fake_worker_runs(world.workers[2]);
+
+		ck_assert_str_eq(run_find(runs, "h1")->team, "parish");
+		ck_assert_int_ge(run_find(runs, "h3")->closed_after_ms, 0);
+	}
+	world_destroy(&world);
+}
+
+TEST(planned_stop_ends_what_runs_and_takes_no_more)
+{
+	world_t world;
+	world_answer_t answer;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	world_start(&world, 1, "a-1", true, true);
+	g_usleep(800000);
+	answer =
+	    world_get(&world, 1, PORT_DIRECTORY, "/resolve?name=h&region=a");
+	ck_assert_ptr_nonnull(strstr(answer.body, "\",\""));
+	world_answer_clear(&answer);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd,
+	    "POST /write/events-20-150 HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: q1\r\n" WORLD_KEY "Content-Length: 2\r\n\r\n{}");
+	WORLD_WAIT(count_all(&world, "q1") == 1, 2000);
+	world_signal(&world, 0, SIGTERM);
+	g_usleep(100000);
+	answer = world_get(&world, 0, PORT_HEALTH, "/ready");
+	ck_assert_int_eq(answer.status, 503);
+	world_answer_clear(&answer);
+	g_usleep(400000);
+	answer =
+	    world_get(&world, 1, PORT_DIRECTORY, "/resolve?name=h&region=a");
+	ck_assert_ptr_null(strstr(answer.body, "\",\""));
+	world_answer_clear(&answer);
+	/* A caller that hasn't heard yet is served, and told to go. */
+	answer =
+	    world_call(&world, 0, "POST", "/order/ok", "q2", WORLD_KEY, "x");
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert_ptr_nonnull(strstr(answer.head, "Connection: close"));
+	world_answer_clear(&answer);
+	answer = world_read(fd);
+	ck_assert(answer.whole);
+	ck_assert_ptr_nonnull(strstr(answer.body, "word 20"));
+	world_answer_clear(&answer);
+	close(fd);
+	ck_assert_int_eq(world_wait_end(&world, 0, 5000), 0);
+	world_destroy(&world);
+}
+
+TEST_MAIN("platform")
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -31,9 +31,8 @@
 static member_entry_t
 node_entry(size_t i, int zone, incarnation_t incarnation)
 {
-	return (member_entry_t){.ip = node_ip(i),
-	    .zone = zone,
-	    .incarnation = incarnation};
+	return (member_entry_t){
+	    .ip = node_ip(i), .zone = zone, .incarnation = incarnation};
 }
 
 static void
@@ -121,9 +120,8 @@
 	for (size_t i = 0; i < world->n; i++)
 		running += !world->dead[i];
 	for (size_t i = 0; i < world->n; i++) {
-		if (!world->dead[i] &&
-		    members_n_live(world->nodes[i], PLACE_NONE, world->now) !=
-			running)
+		if (!world->dead[i] && members_n_live(world->nodes[i],
+					   PLACE_NONE, world->now) != running)
 			return false;
 	}
 	return true;
@@ -226,8 +224,7 @@
 	per_node_second = (double)world.messages / WORLD_LIMIT / 4;
 	ck_assert_double_le(per_node_second,
 	    (MEMBER_NEAR_FANOUT + MEMBER_FAR_FANOUT + 2) * 4.0);
-	ck_assert_uint_le(
-	    world.entries, world.messages * MEMBER_DIGEST_LIMIT);
+	ck_assert_uint_le(world.entries, world.messages * MEMBER_DIGEST_LIMIT);
 	world_destroy(&world);
 }
 
@@ -253,7 +250,8 @@
 	n = members_directory(world.nodes[2], 0, 1u << 1, world.now, ips, 8);
 	ck_assert_uint_eq(n, 1);
 	ck_assert_uint_eq(ips[0], node_ip(0));
-	/* All being replaced: nothing, and not a region that is not permitted. */
+	/* All being replaced: nothing, and not a region that is not permitted.
+	 */
 	members_set_ready(world.nodes[0], false);
 	members_set_ready(world.nodes[1], false);
 	world_run(&world, US_PER_S);
--- a/tests/test_team_rates.c
+++ b/tests/test_team_rates.c
@@ -68,7 +68,8 @@
 
 /*
  * Offers tokens a second by parts to the instances, in requests of cost; sets
- * *refused to the part of what arrived that was refused. Returns what was let in.
+ * *refused to the part of what arrived that was refused. Returns what was let
+ * in.
  */
 static double
 run(fixture_t *f, const double *parts, double offered, double cost, double s,
@@ -85,10 +86,11 @@
 			time_us_t after;
 
 			owed[i] += parts[i] * offered * STEP_US / US_PER_S;
-			for (; owed[i] >= cost; owed[i] -= cost) {
+			while (owed[i] >= cost) {
+				owed[i] -= cost;
 				arrived += cost;
-				if (team_rates_charge(f->nodes[i], 0, cost,
-					f->now, &after))
+				if (team_rates_charge(
+					f->nodes[i], 0, cost, f->now, &after))
 					taken += cost;
 			}
 		}
@@ -99,8 +101,8 @@
 	return taken;
 }
 
-static const double even[] = {1.0 / 7, 1.0 / 7, 1.0 / 7, 1.0 / 7, 1.0 / 7,
-    1.0 / 7, 1.0 / 7};
+static const double even[] = {
+    1.0 / 7, 1.0 / 7, 1.0 / 7, 1.0 / 7, 1.0 / 7, 1.0 / 7, 1.0 / 7};
 static const double skewed[] = {0.6, 0.3, 0.1, 0, 0, 0, 0};
 static const double moved[] = {0, 0, 0, 0, 0.1, 0.3, 0.6};
 
@@ -142,7 +144,8 @@
 	ck_assert_double_le(run(&f, even, 600000, 9000, 8, &refused), limit);
 	ck_assert_double_le(run(&f, moved, 600000, 9000, 8, &refused), limit);
 	ck_assert_double_le(run(&f, skewed, 600000, 9000, 8, &refused), limit);
-	ck_assert_double_ge(run(&f, skewed, 600000, 9000, 8, &refused), 0.9 * 800000);
+	ck_assert_double_ge(
+	    run(&f, skewed, 600000, 9000, 8, &refused), 0.9 * 800000);
 	fixture_destroy(&f);
 }
 
@@ -165,8 +168,7 @@
 	time_us_t after = 0;
 
 	for (int i = 0; i < 1000; i++)
-		ck_assert(
-		    team_rates_charge(f.nodes[0], 0, 1e6, f.now, &after));
+		ck_assert(team_rates_charge(f.nodes[0], 0, 1e6, f.now, &after));
 	fixture_destroy(&f);
 }
 
