--- a/core/members.c
+++ b/core/members.c
@@ -281,18 +281,6 @@
 	return g_hash_table_lookup(members->by_ip, GUINT_TO_POINTER(ip));
 }
 
-size_t
-members_count(const members_t *members)
-{
-	return members->all->len;
-}
-
-const member_t *
-members_at(const members_t *members, size_t i)
-{
-	return g_ptr_array_index(members->all, i);
-}
-
 uint32_t
 members_n_live(const members_t *members, int region, time_us_t now)
 {
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -27,12 +27,6 @@
 	return targets_get(attempt->gateway->targets, attempt->target);
 }
 
-target_t *
-attempt_target(const attempt_t *attempt)
-{
-	return attempt_target_live(attempt);
-}
-
 /* Ends the accounting and frees; the connection is the caller's. */
 static void
 attempt_free(attempt_t *attempt, target_result_t result)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -3,7 +3,7 @@
 #include <errno.h>
 #include <math.h>
 #include <string.h>
-#include <sys/resource.h>
+#include <sys/stat.h>
 #include <time.h>
 
 #include "call.h"
@@ -45,6 +45,9 @@
 /* An instance that knows less than others for this long leaves its relay. */
 #define RELAY_BEHIND_US (700 * US_PER_MS)
 
+/* Ticks between looks at the settings file: 2 s. */
+#define SETTINGS_TICKS 8
+
 /* Requests that wait in one queue. */
 #define QUEUE_LIMIT 512
 
@@ -506,6 +509,56 @@
 		ev_break(gateway->loop, EVBREAK_ALL);
 }
 
+/* Only limits and the log level change while the process runs. */
+static bool
+same_addresses(const gateway_settings_t *a, const gateway_settings_t *b)
+{
+	return strcmp(a->callers, b->callers) == 0 &&
+	       strcmp(a->peer, b->peer) == 0 &&
+	       strcmp(a->store, b->store) == 0 && strcmp(a->zone, b->zone) == 0;
+}
+
+static void
+settings_reload(gateway_t *gateway, const char *cause)
+{
+	g_autoptr(GError) error = NULL;
+	gateway_settings_t *settings =
+	    gateway_settings_load(gateway->settings_path, &error);
+
+	if (settings == NULL) {
+		log_event(LOG_ERR, "reload", LOG_S("cause", cause),
+		    LOG_S("result", "refused"), LOG_S("error", error->message));
+		return;
+	}
+	if (!same_addresses(gateway->settings, settings)) {
+		log_event(LOG_WARNING, "reload", LOG_S("cause", cause),
+		    LOG_S("result", "needs_restart"));
+		gateway_settings_free(settings);
+		return;
+	}
+	gateway_settings_free(gateway->reloaded);
+	gateway->reloaded = settings;
+	gateway->settings = settings;
+	log_open("cyclamensail", settings->log_level);
+	log_event(LOG_NOTICE, "reload", LOG_S("cause", cause),
+	    LOG_S("result", "applied"));
+}
+
+/* The file may also change without a signal. */
+static void
+settings_check(gateway_t *gateway, const char *cause)
+{
+	struct stat file;
+
+	if (stat(gateway->settings_path, &file) != 0)
+		return;
+	if (file.st_mtim.tv_sec == gateway->settings_at.tv_sec &&
+	    file.st_mtim.tv_nsec == gateway->settings_at.tv_nsec)
+		return;
+	gateway->settings_at = file.st_mtim;
+	settings_reload(gateway, cause);
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
@@ -515,6 +568,8 @@
 	gpointer line;
 
 	suspension_check(gateway);
+	if (++gateway->n_ticks % SETTINGS_TICKS == 0)
+		settings_check(gateway, "file");
 	targets_expire(gateway->targets, now);
 	gateway->region_instances =
 	    members_n_live(gateway->members, gateway->region, now);
@@ -560,7 +615,7 @@
 static void
 on_reload(struct ev_loop *loop, ev_signal *watcher, int revents)
 {
-	log_event(LOG_NOTICE, "reload", LOG_S("cause", "signal"));
+	settings_reload(watcher->data, "signal");
 }
 
 static void
@@ -752,6 +807,7 @@
 	catalog_unref(gateway->catalog);
 	if (gateway->catalog_text != NULL)
 		g_bytes_unref(gateway->catalog_text);
+	gateway_settings_free(gateway->reloaded);
 	net_destroy(gateway->net);
 	ev_loop_destroy(gateway->loop);
 }
@@ -762,10 +818,14 @@
 {
 	gateway_t gateway = {0};
 	net_address_t store;
+	struct stat file;
 	int status = -1;
 
 	signal(SIGPIPE, SIG_IGN);
 	gateway_init(&gateway, settings);
+	gateway.settings_path = settings_path;
+	if (stat(settings_path, &file) == 0)
+		gateway.settings_at = file.st_mtim;
 	members_start(&gateway);
 	gateway.fetch = fetch_create(&gateway);
 	net_address_parse(settings->store, &store);
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -63,6 +63,10 @@
 
 struct gateway {
 	const gateway_settings_t *settings;
+	const char *settings_path;
+	struct timespec settings_at;  /* change of the file that was read */
+	gateway_settings_t *reloaded; /* settings, when they were read again */
+	uint32_t n_ticks;
 	struct ev_loop *loop;
 	net_t *net;
 	const places_t *places;
@@ -191,7 +195,6 @@
  * soon. */
 void attempt_detach(attempt_t *attempt);
 void attempt_pause(attempt_t *attempt, bool paused);
-target_t *attempt_target(const attempt_t *attempt);
 
 /* pool.c: kept connections to one address. */
 pool_t *pool_create(gateway_t *gateway, net_address_t address, bool remote);
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -97,10 +97,6 @@
 bool members_is_live(
     const members_t *members, const member_t *member, time_us_t now);
 
-/* All others, live or dead. */
-size_t members_count(const members_t *members);
-const member_t *members_at(const members_t *members, size_t i);
-
 /* Live instances of a region, this one included; PLACE_NONE: of all. */
 uint32_t members_n_live(const members_t *members, int region, time_us_t now);
 
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -79,7 +79,6 @@
 
 /* Bytes that are not written yet. */
 size_t tcp_pending(const tcp_t *connection);
-bool tcp_is_open(const tcp_t *connection);
 
 /* Stops or resumes reading. */
 void tcp_pause(tcp_t *connection, bool paused);
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -371,12 +371,6 @@
 	return connection->output->len - connection->written;
 }
 
-bool
-tcp_is_open(const tcp_t *connection)
-{
-	return connection->state == STATE_OPEN;
-}
-
 void
 tcp_pause(tcp_t *connection, bool paused)
 {
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -513,6 +513,43 @@
 	world_destroy(&world);
 }
 
+static bool
+log_has(const world_t *world, int instance, const char *text)
+{
+	g_autofree char *path =
+	    g_strdup_printf("%s/log-%d", world->folder, instance);
+	g_autofree char *log = NULL;
+
+	return g_file_get_contents(path, &log, NULL, NULL) &&
+	       strstr(log, text) != NULL;
+}
+
+/* A changed settings file is read with and without a signal; one that can't be
+ * read changes nothing. */
+TEST(changed_settings_are_applied_or_refused)
+{
+	world_t world;
+	g_autofree char *path = NULL;
+	g_autofree char *text = NULL;
+	g_autofree char *changed = NULL;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	path = g_strdup_printf("%s/settings-0.yaml", world.folder);
+	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
+	changed = g_strdup_printf("%s  log_level: debug\n", text);
+	ck_assert(g_file_set_contents(path, changed, -1, NULL));
+	WORLD_WAIT(
+	    log_has(&world, 0, "event=reload cause=file result=applied"), 6000);
+	ck_assert(g_file_set_contents(path, "gateway: {}\n", -1, NULL));
+	world_signal(&world, 0, SIGHUP);
+	WORLD_WAIT(
+	    log_has(&world, 0, "event=reload cause=signal result=refused"),
+	    3000);
+	call_expect(&world, "GET", "/read/ok", "r1", NULL, 200, NULL);
+	world_destroy(&world);
+}
+
 TEST(planned_stop_ends_what_runs_and_takes_no_more)
 {
 	world_t world;
