gateway: keep an answer's facts beyond the end of its attempt

Cause: process_platform in the sanitizer build, order_runs_at_most_once: the instance ended with heap-use-after-free in call_give_up. A success without a signature ends its attempt, and the answer that the refusal then reads lay in it. The caller got a closed connection in place of a 502.

Ruled out: load (the trace is exact); the leak report beside it was the test's own, answers of polling loops that nobody freed.

Change: the answer is copied before the attempt may end; the test frees what it polls.

--- a/gateway/call.c
+++ b/gateway/call.c
@@ -336,21 +336,23 @@
     call_t *call, const http_head_t *head, const target_answer_t *answer)
 {
 	attempt_t *attempt = call->attempt;
+	/* The attempt that holds the answer may end before its last use. */
+	const target_answer_t told = *answer;
 
 	call_ref(call);
-	if (answer->not_run) {
+	if (told.not_run) {
 		call->attempt = NULL;
 		attempt_detach(attempt);
-		call_on_loss(call, LOSS_NOT_RUN, answer);
-	} else if ((answer->status < 300 && !answer->stamped) ||
-		   (call->head_sent && answer->status != 200)) {
+		call_on_loss(call, LOSS_NOT_RUN, &told);
+	} else if ((told.status < 300 && !told.stamped) ||
+		   (call->head_sent && told.status != 200)) {
 		/* A success that no target signed, or another answer in the
 		 * middle of a stream, can't be passed on. */
 		call->attempt = NULL;
 		attempt_cancel(attempt);
-		call_on_loss(call, LOSS_BROKEN, answer);
-	} else if (!failure_is_retried(call, answer)) {
-		answer_begin(call, head, answer);
+		call_on_loss(call, LOSS_BROKEN, &told);
+	} else if (!failure_is_retried(call, &told)) {
+		answer_begin(call, head, &told);
 	}
 	call_unref(call);
 }
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -25,6 +25,19 @@
 	world_answer_clear(&answer);
 }
 
+/* Status of one GET. */
+static int
+status_of(const world_t *world, int instance, const char *path, const char *id,
+    const char *fields)
+{
+	world_answer_t answer =
+	    world_call(world, instance, "GET", path, id, fields, NULL);
+	int status = answer.status;
+
+	world_answer_clear(&answer);
+	return status;
+}
+
 static unsigned
 count_all(const world_t *world, const char *id)
 {
@@ -97,10 +110,8 @@
 	    ",{\"name\":\"n\",\"host\":\"h\",\"prefix\":\"/new/\","
 	    "\"route_type\":\"safe\",\"timeout_ms\":1000,\"service\":\"pen\","
 	    "\"max_attempts\":1,\"public\":true}");
-	WORLD_WAIT((answer = world_call(
-			&world, 0, "GET", "/read/ok", "r3", WORLD_KEY, NULL),
-		       answer.status) == 401,
-	    3000);
+	WORLD_WAIT(
+	    status_of(&world, 0, "/read/ok", "r3", WORLD_KEY) == 401, 3000);
 	call_expect(&world, "GET", "/new/ok", "r4", NULL, 200, NULL);
 	/* An older version never comes back. */
 	world_configure(&world, 8, "key-1", "");
@@ -430,17 +441,14 @@
 		g_autofree char *key = g_strdup_printf("key-m%zu", i);
 		g_autofree char *field =
 		    g_strdup_printf("Authorization: Bearer %s\r\n", key);
-		world_answer_t answer;
 
 		fake_store_set_mode(world.store, modes[i]);
 		g_usleep(300000);
 		call_expect(&world, "GET", "/new/ok", id, NULL, 404, NULL);
 		world_configure(&world, 20 + (int)i, key, "");
 		fake_store_set_mode(world.store, STORE_WORKS);
-		WORLD_WAIT((answer = world_call(&world, 0, "GET", "/read/ok",
-				"mm", field, NULL),
-			       answer.status) == 200,
-		    8000);
+		WORLD_WAIT(
+		    status_of(&world, 0, "/read/ok", "mm", field) == 200, 8000);
 	}
 	fake_store_put_unseen(world.store, "servers/w0", NULL);
 	fake_store_set_mode(world.store, STORE_FORGETS);
@@ -462,15 +470,12 @@
 TEST(configuration_comes_from_another_instance)
 {
 	world_t world;
-	world_answer_t answer;
 
 	world_create(&world);
 	world_start(&world, 0, "a-1", true, true);
 	world_start(&world, 1, "b-1", false, false);
-	WORLD_WAIT((answer = world_call(
-			&world, 1, "GET", "/none/x", "c1", WORLD_KEY, NULL),
-		       answer.status) == 404,
-	    5000);
+	WORLD_WAIT(
+	    status_of(&world, 1, "/none/x", "c1", WORLD_KEY) == 404, 5000);
 	world_destroy(&world);
 }
 
