gateway: drop the unused fields of a decision's log line

Cause: read-through. decision_log() took further fields that every caller left out, internal.h included histograms that nothing uses, and region_cost() returned the same value from two places. Change: these are gone; no behaviour changes.

--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -42,7 +42,7 @@
 	if (not_run && call->n_runs == 0 && !call->from_peer)
 		team_rates_refund(
 		    call->gateway->rates, call->team_index, call->cost);
-	decision_log(call, "request_refused", reason, NULL);
+	decision_log(call, "request_refused", reason);
 	platform_answer_id(fields, call->request.id);
 	if (not_run) {
 		time_us_t after = retry_after_clip(call, retry_after);
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -158,7 +158,7 @@
 		return;
 	if (call->state != CALL_READING) {
 		counter_count("requests_cancelled", NULL, NULL);
-		decision_log(call, "request_cancelled", "caller_left", NULL);
+		decision_log(call, "request_cancelled", "caller_left");
 	}
 	call_withdraw(call);
 	call->state = CALL_ENDED;
@@ -173,7 +173,7 @@
 	call->client = NULL;
 	ev_timer_stop(call->gateway->loop, &call->timer);
 	counter_count("requests_answered", "reason", reason);
-	decision_log(call, "request_done", reason, NULL);
+	decision_log(call, "request_done", reason);
 	if (client != NULL)
 		client_end(client);
 }
@@ -187,7 +187,7 @@
 	call->client = NULL;
 	ev_timer_stop(call->gateway->loop, &call->timer);
 	counter_count("answers_broken", "reason", reason);
-	decision_log(call, "answer_broken", reason, NULL);
+	decision_log(call, "answer_broken", reason);
 	if (client != NULL)
 		client_break(client);
 }
@@ -276,11 +276,10 @@
 
 	counter_count("retries", "reason", retry_reason_name(reason));
 	if (reason != RETRY_GRANTED && reason != RETRY_RESUME) {
-		decision_log(
-		    call, "retry_refused", retry_reason_name(reason), NULL);
+		decision_log(call, "retry_refused", retry_reason_name(reason));
 		return false;
 	}
-	decision_log(call, "retry", retry_reason_name(reason), NULL);
+	decision_log(call, "retry", retry_reason_name(reason));
 	return true;
 }
 
--- a/gateway/decision.c
+++ b/gateway/decision.c
@@ -14,8 +14,7 @@
 }
 
 void
-decision_log(const call_t *call, const char *event, const char *reason,
-    const log_field_t *fields)
+decision_log(const call_t *call, const char *event, const char *reason)
 {
 	time_us_t now = gateway_now(call->gateway);
 	log_field_t all[FIELD_LIMIT];
@@ -41,9 +40,6 @@
 	all[n++] = LOG_I("config",
 	    call->catalog ? (int64_t)catalog_version(call->catalog) : 0);
 	all[n++] = LOG_S("from", call->from_peer ? "instance" : "caller");
-	for (; fields != NULL && fields->key != NULL && n + 1 < FIELD_LIMIT;
-	     fields++)
-		all[n++] = *fields;
 	all[n] = (log_field_t){NULL, NULL, 0};
 	log_write(LOG_INFO, event, all);
 }
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -54,7 +54,6 @@
 						 news->services[i].expected_ms
 					   : -1;
 		}
-		return -1;
 	}
 	return -1;
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -5,7 +5,6 @@
 #include <glib.h>
 
 #include "common/counter.h"
-#include "common/histogram.h"
 #include "common/log.h"
 #include "config/gateway_settings.h"
 #include "core/catalog.h"
@@ -243,7 +242,6 @@
 void pages_destroy(pages_t *pages);
 
 /* journal of decisions: decision.c */
-void decision_log(const call_t *call, const char *event, const char *reason,
-    const log_field_t *fields);
+void decision_log(const call_t *call, const char *event, const char *reason);
 
 #endif
