tests: allow a first request that starts late on a busy machine

The second is late because the first one holds the only connection for 200 ms; but the first one is late too when the process gets the processor more than 1 ms after it was due. Ruled out: a fault of the count.

The check now takes two only if the report itself shows that the first request took over 1 ms longer than its timeout. Zero, three, and two without that lateness still fail, as does a latency that isn't counted from the scheduled time.

--- a/tests/process_ctl.c
+++ b/tests/process_ctl.c
@@ -255,6 +255,15 @@
  * Guards against coordinated omission: a request that waits for one before it
  * counts from the time at which it was due. The socket never answers.
  */
+static long
+json_number(const char *text, const char *name)
+{
+	const char *found = strstr(text, name);
+
+	ck_assert_ptr_nonnull(found);
+	return strtol(found + strlen(name), NULL, 10);
+}
+
 TEST(bench_counts_from_the_scheduled_time)
 {
 	int port;
@@ -262,18 +271,21 @@
 	g_autofree char *args = NULL;
 	g_autofree char *output = NULL;
 	const char *total;
-	const char *max;
+	long late;
 
 	args = g_strdup_printf("%s bench -j -n 2 -r 1000 --timeout 0.2 "
 			       "http://127.0.0.1:%d",
 	    program, port);
 	ck_assert(g_spawn_command_line_sync(args, &output, NULL, NULL, NULL));
 	close(fd);
-	ck_assert_ptr_nonnull(strstr(output, "\"late\":1,"));
 	total = strstr(output, "\"total_us\"");
 	ck_assert_ptr_nonnull(total);
-	max = strstr(total, "\"max\":");
-	ck_assert_int_ge(strtol(max + strlen("\"max\":"), NULL, 10), 380000);
+	late = json_number(output, "\"late\":");
+	/* On a busy machine the first request may itself start over 1 ms after
+	 * its time, and then takes that much longer than its timeout. */
+	ck_assert(late == 1 ||
+		  (late == 2 && json_number(total, "\"min\":") > 201000));
+	ck_assert_int_ge(json_number(total, "\"max\":"), 380000);
 }
 
 int
