core: divide the last places of engines among instances

In zapad 25 instances with 64 engines of 16 places each meet 1,500 requests a second for twelve seconds.

Cause, from the decision lines (requests in flight by target and time): engines held up to 58 requests for 16 places, 13,059 of 57,180 arrivals were rejected by them, the retry budget was empty, and streams waited for their first event until their callers left. - An instance told the load of its first 40 targets only, in no order, though the header says busiest first: the others looked idle. - All instances learn within 100 ms that a place is free, and all fill it. - Load of an instance that was killed counted until it came back. - Instances cut off from each other knew nothing of the others' load. - Streams waited in the queue until near their deadline. Callers leave a silent stream earlier, and each that waits longer than its objective makes those behind it late too. - A third of the prompts went to engines that didn't hold them: a target whose prompt had to be read counted as slow, and reading again cost little in the comparison, so that prompts spread and were read again (79 of 171 million tokens).

Ruled out: too little memory for the shared parts (380 subjects of 6,300 tokens on 64 engines of 346,000); a shortage of processor time (0.02 of a core). Tried and left: places for homes divided like all others (reads again 72 in place of 64 million tokens); waiting 100 ms for a home only (no effect: at a peak all that wait are older than that).

Change: up to 128 loads in 8 bytes each, busiest first; while at most a third of the instances' number of places is free they are divided with each telling, and an instance refills the place of its own request that ended; told load that nobody explains counts, and fades over 2 s; four homes a prefix in one order for all, a wait for one of them while places are few, a higher cost of a miss; doubt about a prompt is not slowness; a stream that would start after its objective is refused at once with Retry-After; the queue asks deeper requests of a team for a place.

test_placement plays the peak in virtual time: sends that find no place are at most half of those of instances that choose alone, at the same use of places, and the wait for homes brings 1.5 times as many to one of them.

--- a/core/placement.c
+++ b/core/placement.c
@@ -28,7 +28,10 @@
  * Cost of reading shared parts again, besides the time it takes: the engine
  * can't serve others meanwhile, and forgets other parts.
  */
-#define MISS_COST 1.0
+#define MISS_COST 3.0
+
+/* One of this many instances has a request for the same home at one moment. */
+#define HOME_TAKERS_PART 4
 
 /* Share of a target's connections that one instance doesn't claim. */
 #define CONNECTION_RESERVE 0.1
@@ -139,15 +142,28 @@
 	double cost;
 } candidate_t;
 
-/* target_t.short_id of the first two; 0: none */
+/* The first targets in rendezvous order. */
 typedef struct {
-	uint32_t first;
-	uint32_t second;
+	uint32_t short_id[PLACEMENT_HOMES];
+	double score[PLACEMENT_HOMES];
+	size_t n;
 } preference_t;
 
+/* Place of a target in the order; n when it isn't among the first. */
+static size_t
+preference_rank(const preference_t *preference, const target_t *target)
+{
+	size_t rank = 0;
+
+	while (rank < preference->n &&
+	       preference->short_id[rank] != target->short_id)
+		rank++;
+	return rank;
+}
+
 /*
- * The first target in rendezvous order counts as holding the shared parts, the
- * second one as holding half of them: all instances send them there.
+ * The first target in rendezvous order counts as holding the shared parts, and
+ * each further one as holding less of them: all instances send them there.
  */
 static double
 tokens_assumed(const target_t *target, const placement_request_t *request,
@@ -157,11 +173,11 @@
 	double own = MAX(
 	    1.0, request->prompt->tokens_in - shared_tokens(request->prompt));
 
-	if (target->short_id == preference->first)
-		return MIN(tokens, own);
-	if (target->short_id == preference->second)
-		return MIN(tokens, (own + tokens) / 2);
-	return tokens;
+	size_t rank = preference_rank(preference, target);
+
+	if (rank == preference->n || tokens <= own)
+		return tokens;
+	return own + (tokens - own) * (double)rank / PLACEMENT_HOMES;
 }
 
 static candidate_t
@@ -199,9 +215,37 @@
 		FAILURE_COST_LOAD * target->failure_rate};
 }
 
+/* A place that is better left to a request whose prompt is held there. */
+static bool
+is_held_back(const target_t *target, const placement_request_t *request,
+    const preference_t *preference, time_us_t now)
+{
+	if (!request->may_wait || request->prompt == NULL ||
+	    preference_rank(preference, target) < preference->n)
+		return false;
+	return tokens_to_read(target, request->prompt) -
+		       (request->prompt->tokens_in -
+			   shared_tokens(request->prompt)) >
+		   PLACEMENT_MISS_TOKENS &&
+	       target_is_contended(target, request->region_instances, now);
+}
+
+/*
+ * Instances that may send to the target at the same moment. Few have a request
+ * whose first home it is; any may send it what finds no room at its homes.
+ */
+static uint32_t
+n_takers(const preference_t *preference, const target_t *target,
+    uint32_t region_instances)
+{
+	return preference_rank(preference, target) == 0
+		   ? region_instances / HOME_TAKERS_PART
+		   : region_instances;
+}
+
 static bool
 has_room(const target_t *target, const placement_request_t *request,
-    const candidate_t *candidate, time_us_t now)
+    const preference_t *preference, const candidate_t *candidate, time_us_t now)
 {
 	double limit = request->wait_limit_ms > 0 ? request->wait_limit_ms
 						  : PLACEMENT_WAIT_MS;
@@ -218,7 +262,30 @@
 	if (in_flight >= PLACEMENT_FEW &&
 	    target_is_slow(target, request->gap_limit_ms, now))
 		return false;
-	return in_flight < slots && candidate->expected_ms < limit;
+	return candidate->expected_ms < limit &&
+	       target_has_place(target,
+		   n_takers(preference, target, request->region_instances),
+		   now);
+}
+
+/* Keeps the highest scores, the highest first. */
+static void
+preference_insert(preference_t *preference, uint32_t short_id, double score)
+{
+	size_t at = preference->n;
+
+	while (at > 0 && preference->score[at - 1] < score)
+		at--;
+	if (at == PLACEMENT_HOMES)
+		return;
+	if (preference->n < PLACEMENT_HOMES)
+		preference->n++;
+	for (size_t i = preference->n - 1; i > at; i--) {
+		preference->short_id[i] = preference->short_id[i - 1];
+		preference->score[i] = preference->score[i - 1];
+	}
+	preference->short_id[at] = short_id;
+	preference->score[at] = score;
 }
 
 /* The targets that all instances prefer for a prefix, in rendezvous order. */
@@ -226,9 +293,7 @@
 preference_find(const targets_t *targets, const placement_request_t *request)
 {
 	uint64_t key = request->prompt ? shared_key(request->prompt) : 0;
-	preference_t preference = {0, 0};
-	double first = -1;
-	double second = -1;
+	preference_t preference = {.n = 0};
 
 	if (key == 0)
 		return preference;
@@ -241,15 +306,7 @@
 		    !target_is_usable(targets, target))
 			continue;
 		score = rendezvous(key, target->short_id);
-		if (score > first) {
-			second = first;
-			preference.second = preference.first;
-			first = score;
-			preference.first = target->short_id;
-		} else if (score > second) {
-			second = score;
-			preference.second = target->short_id;
-		}
+		preference_insert(&preference, target->short_id, score);
 	}
 	return preference;
 }
@@ -293,10 +350,15 @@
 					      &preference, &random, now)
 					: plain_rate(target, &random, now);
 			if (candidate.cost >= best.cost ||
-			    !has_room(target, request, &candidate, now) ||
+			    !has_room(target, request, &preference, &candidate,
+				now) ||
 			    !target_cold_allows(
 				target, request->service->cold_per_s, now))
 				continue;
+			if (is_held_back(target, request, &preference, now)) {
+				placement.held_back = true;
+				continue;
+			}
 			best = candidate;
 		}
 	}
@@ -307,6 +369,12 @@
 		placement.target = best.target;
 		placement.tokens = best.tokens;
 		placement.expected_ms = best.expected_ms;
+		if (request->prompt != NULL)
+			placement.doubt_ms =
+			    target_expected_ms(
+				best.target, request->prompt->tokens_in) -
+			    target_expected_ms(best.target, best.tokens);
+		placement.home = preference_rank(&preference, best.target);
 	}
 	return placement;
 }
--- a/core/queue.c
+++ b/core/queue.c
@@ -20,6 +20,7 @@
 	queue_t *queue = g_new0(queue_t, 1);
 
 	queue->limit = MAX(limit, 1);
+	queue->depth = 1;
 	queue->entries = g_array_new(FALSE, TRUE, sizeof(queue_entry_t));
 	queue->free_head = QUEUE_NIL;
 	queue->heap = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -29,6 +30,12 @@
 	return queue;
 }
 
+void
+queue_set_depth(queue_t *queue, uint32_t depth)
+{
+	queue->depth = MAX(depth, 1);
+}
+
 void
 queue_destroy(queue_t *queue)
 {
@@ -182,30 +189,51 @@
 	flow->topped = false;
 }
 
-/* Whether the flow may start its oldest request in this round. */
+/* Whether the flow may start this request in this round. */
 static bool
-flow_affords(const queue_t *queue, const queue_flow_t *flow)
+flow_affords(const queue_t *queue, const queue_flow_t *flow, uint32_t index)
 {
-	return queue_entry_at(queue, flow->head)->cost <= flow->deficit;
+	return queue_entry_at(queue, index)->cost <= flow->deficit;
 }
 
 static queue_item_t
-flow_start(queue_t *queue, queue_class_t *class, queue_flow_t *flow)
+flow_start(
+    queue_t *queue, queue_class_t *class, queue_flow_t *flow, uint32_t index)
 {
-	uint32_t index = flow->head;
 	int64_t cost = queue_entry_at(queue, index)->cost;
-	bool last = queue_entry_at(queue, index)->next == QUEUE_NIL;
+	bool last = flow->head == flow->tail;
 	queue_item_t item;
 
 	flow->deficit -= cost;
 	queue->drained += cost;
 	/* Taking the last request of a flow may free it. */
 	item = queue_entry_take(queue, index);
-	if (!last && !flow_affords(queue, flow))
+	if (!last && !flow_affords(queue, flow, flow->head))
 		flow_to_back(class, flow);
 	return item;
 }
 
+/* Asks for the flow's requests, oldest first. */
+static queue_answer_t
+flow_pop(queue_t *queue, queue_class_t *class, queue_flow_t *flow,
+    queue_can_start_t can_start, void *context, queue_item_t *item)
+{
+	uint32_t index = flow->head;
+	queue_answer_t answer = QUEUE_SKIP;
+
+	for (uint32_t i = 0; i < queue->depth && index != QUEUE_NIL; i++) {
+		if (!flow_affords(queue, flow, index))
+			break;
+		answer = can_start(queue_entry_item(queue, index), context);
+		if (answer == QUEUE_START)
+			*item = flow_start(queue, class, flow, index);
+		if (answer != QUEUE_SKIP)
+			return answer;
+		index = queue_entry_at(queue, index)->next;
+	}
+	return answer;
+}
+
 /*
  * Walks the ring of a class. A flow that cannot afford its request goes to the
  * back and gets its quantum there; one that is skipped keeps its place and
@@ -226,15 +254,12 @@
 			flow->deficit += QUEUE_QUANTUM;
 			flow->topped = true;
 		}
-		if (!flow_affords(queue, flow)) {
+		if (!flow_affords(queue, flow, flow->head)) {
 			flow_to_back(class, flow);
 			link = next == NULL ? &flow->link : next;
 			continue;
 		}
-		answer =
-		    can_start(queue_entry_item(queue, flow->head), context);
-		if (answer == QUEUE_START)
-			*item = flow_start(queue, class, flow);
+		answer = flow_pop(queue, class, flow, can_start, context, item);
 		if (answer != QUEUE_SKIP)
 			return answer;
 		link = next;
--- a/core/queue_table.h
+++ b/core/queue_table.h
@@ -54,6 +54,7 @@
 
 struct queue {
 	uint32_t limit;
+	uint32_t depth;
 	uint32_t count;
 	int64_t tokens;
 	uint64_t sequence;
--- a/core/targets.c
+++ b/core/targets.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "core/random.h"
+
 /* Weight of the newest result in the moving averages. */
 #define FAILURE_WEIGHT 0.1
 #define SLOWNESS_WEIGHT 0.15
@@ -27,6 +29,7 @@
 typedef struct {
 	target_load_t *loads;
 	size_t n_loads;
+	time_us_t heard_at;
 } peer_load_t;
 
 struct targets {
@@ -235,9 +238,48 @@
 	targets->publisher_away = !reachable;
 }
 
+static void
+peer_load_apply(targets_t *targets, const peer_load_t *load, int sign)
+{
+	for (size_t i = 0; i < load->n_loads; i++) {
+		const target_load_t *one = &load->loads[i];
+		target_t *target = g_hash_table_lookup(
+		    targets->by_short, GUINT_TO_POINTER(one->target));
+
+		if (target == NULL)
+			continue;
+		if (sign > 0) {
+			target->peer_in_flight += one->in_flight;
+			target->peer_pending_tokens += one->pending_tokens;
+		} else {
+			target->peer_in_flight -= one->in_flight;
+			target->peer_pending_tokens -= one->pending_tokens;
+		}
+	}
+}
+
+/* An instance that stopped has no requests in flight any more. */
+static void
+peer_loads_expire(targets_t *targets, time_us_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, targets->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_load_t *load = value;
+
+		if (now - load->heard_at < TARGET_PEER_LOAD_LIFE_US)
+			continue;
+		peer_load_apply(targets, load, -1);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 void
 targets_expire(targets_t *targets, time_us_t now)
 {
+	peer_loads_expire(targets, now);
 	for (guint i = targets->all->len; i > 0; i--) {
 		target_t *target = g_ptr_array_index(targets->all, i - 1);
 
@@ -336,10 +378,12 @@
     target_send_t *send)
 {
 	*send =
-	    (target_send_t){target->handle, tokens, expected_ms, now, false};
+	    (target_send_t){target->handle, tokens, expected_ms, 0, now, false};
 	if (target->in_flight == 0)
 		target->silent_since = now;
 	target->in_flight++;
+	if (target->grant > 0)
+		target->grant--;
 	target->pending_tokens += tokens;
 	if (now < target->cold_until)
 		target->cold_level -= 1;
@@ -377,6 +421,19 @@
 	target->silent_since = now;
 }
 
+/*
+ * How much slower than expected. A time that the doubt explains says nothing of
+ * the target's speed: taken as slowness, one prompt that had to be read would
+ * lead the next ones away from the target that holds it now.
+ */
+static double
+observed_ratio(const target_send_t *send, double observed)
+{
+	if (observed <= send->expected_ms)
+		return observed / send->expected_ms;
+	return MAX(1.0, observed / (send->expected_ms + send->doubt_ms));
+}
+
 void
 target_first_byte(target_t *target, target_send_t *send, time_us_t now)
 {
@@ -387,7 +444,8 @@
 	send->first_byte = true;
 	target->pending_tokens -= send->tokens;
 	if (send->expected_ms > 0) {
-		double ratio = target->slowness * observed / send->expected_ms;
+		double ratio =
+		    target->slowness * observed_ratio(send, observed);
 
 		target->slowness += SLOWNESS_WEIGHT *
 				    (CLAMP(ratio, SLOWNESS_MIN, SLOWNESS_MAX) -
@@ -446,6 +504,9 @@
 	if (!send->first_byte)
 		target->pending_tokens -= send->tokens;
 	target->in_flight--;
+	/* A target that had no room had none for this request either. */
+	if (result != TARGET_RESULT_REFUSED)
+		target->grant++;
 	target->trial = false;
 	if (target->in_flight == 0) {
 		target->pending_tokens = 0;
@@ -461,11 +522,29 @@
 target_told_load(
     target_t *target, uint32_t running, uint32_t waiting, time_us_t now)
 {
+	double heard = target->in_flight + target->peer_in_flight;
+	double unheard = (double)running + waiting - heard;
+	double weight =
+	    1.0 - exp(-(double)(now - target->told_at) / TARGET_UNHEARD_TAU_US);
+
+	target->unheard += weight * (unheard - target->unheard);
 	target->told_running = running;
 	target->told_waiting = waiting;
 	target->told_at = now;
 }
 
+/* Rounded down: one request more or less is the age of what was told. */
+static uint32_t
+unheard_now(const target_t *target, time_us_t now)
+{
+	time_us_t age = now - target->told_at;
+
+	if (target->unheard <= 0 || age >= TARGET_UNHEARD_LIFE_US)
+		return 0;
+	return (uint32_t)(target->unheard *
+			  (1.0 - (double)age / TARGET_UNHEARD_LIFE_US));
+}
+
 double
 target_expected_ms(const target_t *target, double tokens)
 {
@@ -478,7 +557,8 @@
 uint32_t
 target_in_flight(const target_t *target, time_us_t now)
 {
-	uint32_t known = target->in_flight + target->peer_in_flight;
+	uint32_t known = target->in_flight + target->peer_in_flight +
+			 unheard_now(target, now);
 	uint32_t told = target->told_running + target->told_waiting;
 
 	if (target->told_at != 0 && now - target->told_at < TOLD_LIFE_US)
@@ -486,6 +566,49 @@
 	return known;
 }
 
+static uint32_t
+places_free(const target_t *target, time_us_t now)
+{
+	uint32_t slots = MAX(1u, target->entry.slots);
+	uint32_t in_flight = target_in_flight(target, now);
+
+	return in_flight < slots ? slots - in_flight : 0;
+}
+
+bool
+target_is_contended(const target_t *target, uint32_t n_takers, time_us_t now)
+{
+	return places_free(target, now) <=
+	       MIN(target->entry.slots / 2, n_takers / TARGET_CONTENDED_PART);
+}
+
+bool
+target_has_place(const target_t *target, uint32_t n_takers, time_us_t now)
+{
+	return !target_is_contended(target, n_takers, now) ||
+	       (places_free(target, now) > 0 && target->grant > 0);
+}
+
+void
+targets_grant(targets_t *targets, uint32_t region_instances, uint64_t *random,
+    time_us_t now)
+{
+	uint32_t n = MAX(1u, region_instances);
+
+	for (guint i = 0; i < targets->all->len; i++) {
+		target_t *target = g_ptr_array_index(targets->all, i);
+		uint32_t free;
+
+		if (target->region != targets->own_region)
+			continue;
+		free = places_free(target, now);
+		target->grant = free / n;
+		/* All instances together get the rest, on average. */
+		if (random_next(random) % n < free % n)
+			target->grant++;
+	}
+}
+
 size_t
 target_prefix_held(
     const target_t *target, const uint64_t *chain, size_t n_parts)
@@ -551,29 +674,9 @@
 		prefixes_trim(target, capacity);
 }
 
-static void
-peer_load_apply(targets_t *targets, const peer_load_t *load, int sign)
-{
-	for (size_t i = 0; i < load->n_loads; i++) {
-		const target_load_t *one = &load->loads[i];
-		target_t *target = g_hash_table_lookup(
-		    targets->by_short, GUINT_TO_POINTER(one->target));
-
-		if (target == NULL)
-			continue;
-		if (sign > 0) {
-			target->peer_in_flight += one->in_flight;
-			target->peer_pending_tokens += one->pending_tokens;
-		} else {
-			target->peer_in_flight -= one->in_flight;
-			target->peer_pending_tokens -= one->pending_tokens;
-		}
-	}
-}
-
 void
 targets_peer_load(targets_t *targets, uint32_t instance,
-    const target_load_t *loads, size_t n_loads)
+    const target_load_t *loads, size_t n_loads, time_us_t now)
 {
 	peer_load_t *load =
 	    g_hash_table_lookup(targets->peers, GUINT_TO_POINTER(instance));
@@ -589,22 +692,39 @@
 	g_free(load->loads);
 	load->loads = g_memdup2(loads, n_loads * sizeof(*loads));
 	load->n_loads = n_loads;
+	load->heard_at = now;
 	peer_load_apply(targets, load, 1);
 }
 
+static gint
+load_compare(gconstpointer a, gconstpointer b)
+{
+	const target_load_t *left = a;
+	const target_load_t *right = b;
+
+	return left->in_flight < right->in_flight
+		   ? 1
+		   : -(left->in_flight > right->in_flight);
+}
+
 size_t
 targets_own_load(const targets_t *targets, target_load_t *loads, size_t limit)
 {
-	size_t n = 0;
+	g_autoptr(GArray) all = g_array_new(FALSE, FALSE, sizeof(*loads));
+	size_t n;
 
-	for (guint i = 0; i < targets->all->len && n < limit; i++) {
+	for (guint i = 0; i < targets->all->len; i++) {
 		const target_t *target = g_ptr_array_index(targets->all, i);
+		target_load_t load = {target->short_id, target->in_flight,
+		    (uint32_t)MAX(0, target->pending_tokens)};
 
-		if (target->in_flight == 0 || target->gone)
-			continue;
-		loads[n++] =
-		    (target_load_t){target->short_id, target->in_flight,
-			(uint32_t)MAX(0, target->pending_tokens)};
+		if (load.in_flight > 0 && !target->gone)
+			g_array_append_val(all, load);
 	}
+	n = MIN(all->len, limit);
+	if (n < all->len)
+		g_array_sort(all, load_compare);
+	if (n > 0)
+		memcpy(loads, all->data, n * sizeof(*loads));
 	return n;
 }
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -80,6 +80,7 @@
 		attempt->target = plan->target->handle;
 		target_sent(plan->target, plan->tokens, plan->expected_ms,
 		    gateway_now(gateway), &attempt->send);
+		attempt->send.doubt_ms = plan->doubt_ms;
 	}
 	if (plan->no_answer_body)
 		http_reader_expect_no_body(upstream->reader);
--- a/gateway/decision.c
+++ b/gateway/decision.c
@@ -34,6 +34,7 @@
 	all[n++] = LOG_I(
 	    "left_ms", call->ends_at ? (call->ends_at - now) / US_PER_MS : -1);
 	all[n++] = LOG_I("expected_ms", call->choice.placement.expected_ms);
+	all[n++] = LOG_I("home", call->choice.placement.home);
 	all[n++] = LOG_I("usable", call->choice.placement.n_usable);
 	all[n++] =
 	    LOG_I("queued", call->line ? queue_length(call->line->queue) : 0);
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -7,6 +7,10 @@
 /* A round trip to another region, in ms, weighed against waiting here. */
 #define HOP_MS 170.0
 
+/* A request no longer waits for a target that holds its prefix this long before
+ * its latest start. */
+#define PREFIX_WAIT_RESERVE_US (150 * US_PER_MS)
+
 /* News of another region's load count for this long. */
 #define NEWS_LIFE_US (2 * US_PER_S)
 
@@ -32,6 +36,26 @@
 	       MIN((time_us_t)(stream_ms * US_PER_MS), whole / 2);
 }
 
+/*
+ * Latest start of a request that waits. Load pattern: at a peak more comes than
+ * can be served, for seconds. A stream that waits longer than its objective is
+ * late, and makes those behind it late: it is refused while its caller still
+ * has time to come back.
+ */
+static time_us_t
+latest_start(const call_t *call)
+{
+	time_us_t latest = call->ends_at - time_min(call);
+	const catalog_route_t *route = call->route;
+
+	if (route->kind != ROUTE_STREAM || route->patience_ms == 0)
+		return latest;
+	return MIN(latest, call->arrived_at +
+			       MIN(route->patience_ms * US_PER_MS / 2,
+				   route->objective_ms * US_PER_MS) -
+			       ENGINE_TIME_MIN_US);
+}
+
 /* Expected time to the first byte when it goes to the region, or a negative
  * value when it can't. */
 static double
@@ -102,6 +126,8 @@
 	    .n_tried = call->n_tried,
 	    .region_instances = gateway->region_instances,
 	    .gap_limit_ms = call->line->gap_limit_ms,
+	    .may_wait = gateway_now(gateway) <
+			latest_start(call) - PREFIX_WAIT_RESERVE_US,
 	    .random = random_next(&gateway->random),
 	};
 
@@ -116,6 +142,8 @@
 		}
 		if (choice->placement.verdict == PLACEMENT_WAIT)
 			choice->kind = CHOICE_WAIT;
+		if (choice->placement.held_back)
+			return;
 	}
 	choice->region = region_pick(call, choice->kind == CHOICE_NOWHERE);
 	if (choice->region != PLACE_NONE)
@@ -125,7 +153,8 @@
 static void
 sends_count(call_t *call, const char *to)
 {
-	call->n_sends++;
+	if (call->n_sends++ == 0)
+		call_time(call, LATENCY_WAIT);
 	call->sent_at = gateway_now(call->gateway);
 	call->state = CALL_SENT;
 	call->status = 0;
@@ -177,6 +206,7 @@
 	attempt_plan_t plan = {.target = target,
 	    .tokens = placement->tokens,
 	    .expected_ms = placement->expected_ms,
+	    .doubt_ms = placement->doubt_ms,
 	    .head = send_head(call)};
 
 	g_assert(target != NULL);
@@ -236,7 +266,7 @@
 	    .team = call->team ? call->team->name : "",
 	    .priority = call->priority,
 	    .cost = MAX(1, (int64_t)prompt->tokens_in),
-	    .deadline = call->ends_at - time_min(call),
+	    .deadline = latest_start(call),
 	    .item = call,
 	};
 	queue_push_t pushed;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -51,6 +51,9 @@
 /* Requests that wait in one queue. */
 #define QUEUE_LIMIT 512
 
+/* Waiting requests of one team that are asked in turn for a place. */
+#define QUEUE_DEPTH 8
+
 /* Waiting requests are looked at this often, besides whenever one ends. */
 #define PUMP_S 0.010
 
@@ -146,6 +149,7 @@
 	line = g_new0(line_t, 1);
 	line->name = g_strdup(service);
 	line->queue = queue_create(QUEUE_LIMIT);
+	queue_set_depth(line->queue, QUEUE_DEPTH);
 	line->streams = g_array_new(FALSE, TRUE, sizeof(stream_kind_t));
 	retry_budget_init(&line->retries, gateway_now(gateway));
 	line_set_limits(gateway, line);
@@ -593,6 +597,8 @@
 	gateway_t *gateway = watcher->data;
 
 	store_serve_waiting(gateway->store, gateway_now(gateway) / US_PER_MS);
+	targets_grant(gateway->targets, gateway->region_instances,
+	    &gateway->random, gateway_now(gateway));
 	gossip_tell_load(gateway->gossip);
 }
 
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -16,11 +16,14 @@
  * on targets and the demand of teams; others tell the sums of their region.
  */
 
-#define MESSAGE_VERSION 0x43530002
+#define MESSAGE_VERSION 0x43530003
 #define MESSAGE_BYTES 8192
 
 /* Entries of each list, so that a message stays near 1,400 bytes. */
-#define LOAD_LIMIT 40
+#define LOAD_LIMIT 128
+
+/* Pending tokens are told in units of this many. */
+#define LOAD_TOKENS_UNIT 16
 #define PEER_LIMIT 32
 
 /* Instances of a region that are told the load each time. */
@@ -74,6 +77,21 @@
 	return xdr_uint32_t(xdr, n) && *n <= limit;
 }
 
+/* In 8 bytes: dozens of these are told ten times a second. */
+static bool
+load_xdr(XDR *xdr, target_load_t *load)
+{
+	uint32_t packed =
+	    MIN(load->in_flight, UINT16_MAX) << 16 |
+	    MIN(load->pending_tokens / LOAD_TOKENS_UNIT, UINT16_MAX);
+
+	if (!xdr_uint32_t(xdr, &load->target) || !xdr_uint32_t(xdr, &packed))
+		return false;
+	load->in_flight = packed >> 16;
+	load->pending_tokens = (packed & UINT16_MAX) * LOAD_TOKENS_UNIT;
+	return true;
+}
+
 /* Writes or reads, as the stream says. */
 static bool
 message_xdr(XDR *xdr, message_t *message)
@@ -92,11 +110,7 @@
 	    !count_xdr(xdr, &message->n_loads, LOAD_LIMIT))
 		return false;
 	for (uint32_t i = 0; i < message->n_loads; i++) {
-		target_load_t *load = &message->loads[i];
-
-		if (!xdr_uint32_t(xdr, &load->target) ||
-		    !xdr_uint32_t(xdr, &load->in_flight) ||
-		    !xdr_uint32_t(xdr, &load->pending_tokens))
+		if (!load_xdr(xdr, &message->loads[i]))
 			return false;
 	}
 	if (!count_xdr(xdr, &message->n_demands, TEAM_DEMAND_LIMIT))
@@ -276,7 +290,7 @@
 		if (!message->near)
 			return;
 		targets_peer_load(gateway->targets, sender->ip, message->loads,
-		    message->n_loads);
+		    message->n_loads, now);
 		team_rates_hear_instance(gateway->rates, sender->ip,
 		    message->demands, message->n_demands, now);
 		return;
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -179,6 +179,7 @@
 	uint32_t peer_ip;
 	double tokens;
 	double expected_ms;
+	double doubt_ms;
 	GString *head; /* taken over */
 	const GByteArray *body;
 	const char *request_id;
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -36,6 +36,8 @@
 	int64_t timeout_ms;
 	int64_t objective_ms;  /* time to the first byte or event */
 	int64_t max_pause_ms;  /* between events, for a timely answer */
+	int64_t patience_ms;   /* callers leave a stream silent for this long;
+				  0: not known */
 	int priority;	       /* 0 most urgent */
 	uint32_t max_attempts; /* targets that may run one request */
 	bool open;	       /* no key is asked for */
--- a/include/core/placement.h
+++ b/include/core/placement.h
@@ -12,7 +12,11 @@
  * independently. A target's cost is its expected time to the first token: the
  * prompts ahead, and what it doesn't hold of this one. All instances take the
  * same target for the one that holds a prefix, by rendezvous hash, so that a
- * prefix is read once a region, and a second one when the first is busy. An
+ * prefix is read once a region, and by the next one in the order when those
+ * before are busy. Where places are few, a request first waits for a moment for
+ * one at an engine that holds its prefix (Zaharia et al., "Delay Scheduling",
+ * 2010): at a peak each prompt that is read again costs the time of two
+ * others. An
  * engine that is more than PLACEMENT_WAIT_MS behind gets no more: requests wait
  * at the instance instead, where they can be ordered, moved and refused. So
  * do they while an engine's streams are too slow to end in time: prompts that
@@ -35,6 +39,12 @@
 /* Targets that one request has been sent to. */
 #define PLACEMENT_TRIED_LIMIT 6
 
+/* Targets that all instances send a prefix to, in rendezvous order. */
+#define PLACEMENT_HOMES 4
+
+/* Tokens to read again that are worth the wait for another target. */
+#define PLACEMENT_MISS_TOKENS 1000.0
+
 /* An engine with fewer requests is not held back by slow streams. */
 #define PLACEMENT_FEW 4
 
@@ -54,6 +64,7 @@
 	uint32_t region_instances; /* live ones, this one included */
 	double wait_limit_ms;	   /* 0: PLACEMENT_WAIT_MS */
 	double gap_limit_ms;	   /* between events; 0: none */
+	bool may_wait; /* there is time to wait for one that holds the prompt */
 	uint64_t random;
 } placement_request_t;
 
@@ -68,7 +79,11 @@
 	target_t *target;
 	double tokens;	    /* of the prompt that the target has to read */
 	double expected_ms; /* to the first byte; 0: unknown */
+	double doubt_ms;    /* longer, if none of the prompt is held */
 	size_t n_usable;
+	size_t home; /* place of the target in the order of the prefix's homes;
+			PLACEMENT_HOMES: none of them */
+	bool held_back; /* a place is free where the prompt isn't held */
 } placement_t;
 
 placement_t placement_pick(const targets_t *targets,
--- a/include/core/queue.h
+++ b/include/core/queue.h
@@ -77,6 +77,14 @@
 
 /* limit is the number of waiting requests, at least 1. */
 queue_t *queue_create(uint32_t limit);
+
+/*
+ * Asks for up to depth waiting requests of a team in turn, and starts the first
+ * that can; 1 unless set. Load pattern: which request can start depends on the
+ * place that got free, and the oldest one of a team may wait for another.
+ */
+void queue_set_depth(queue_t *queue, uint32_t depth);
+
 void queue_destroy(queue_t *queue);
 
 /*
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -58,6 +58,26 @@
 /* Tokens an engine prefills a millisecond until the rate has been observed. */
 #define ENGINE_PREFILL_PER_MS 90.0
 
+/*
+ * Load pattern: at a peak all instances of a region wait for the same places,
+ * and each learns within 100 ms that one is free; all would send there. While
+ * no more places are free than a third of the instances that may want one,
+ * these are divided among them anew with each telling of loads, and an instance
+ * whose own request ends fills that place itself.
+ */
+#define TARGET_CONTENDED_PART 3
+
+/* Load told by an instance counts for this long after it was last heard. */
+#define TARGET_PEER_LOAD_LIFE_US (2 * US_PER_S)
+
+/*
+ * Load that a target tells of itself and that no instance has told comes from
+ * instances that can't be heard. It is averaged over this time, and fades over
+ * the second one when no more is told.
+ */
+#define TARGET_UNHEARD_TAU_US (300 * US_PER_MS)
+#define TARGET_UNHEARD_LIFE_US (2 * US_PER_S)
+
 /* Time to the first token of an idle engine besides prefill. */
 #define ENGINE_FIRST_TOKEN_MS 35.0
 
@@ -102,6 +122,8 @@
 	uint32_t told_running;
 	uint32_t told_waiting;
 	time_us_t told_at;
+	double unheard; /* requests in flight of instances not heard */
+	uint32_t grant; /* places this instance may take while few are free */
 	/* Health. */
 	time_us_t paused_until;
 	time_us_t pause;
@@ -179,6 +201,7 @@
 	handle_t target;
 	double tokens; /* of the prompt that it has to read */
 	double expected_ms;
+	double doubt_ms; /* longer, if the prompt isn't held after all */
 	time_us_t sent_at;
 	bool first_byte;
 } target_send_t;
@@ -224,6 +247,21 @@
 /* Requests in flight over all instances, as far as known. */
 uint32_t target_in_flight(const target_t *target, time_us_t now);
 
+/* Tells whether so few places are free that they are divided: a third of the
+ * instances that may each take one at the same moment. */
+bool target_is_contended(
+    const target_t *target, uint32_t n_takers, time_us_t now);
+
+/* Tells whether one of the engine's places is for this instance to take. */
+bool target_has_place(const target_t *target, uint32_t n_takers, time_us_t now);
+
+/*
+ * Divides the places that are free among the instances of the region. Call with
+ * each telling of loads.
+ */
+void targets_grant(targets_t *targets, uint32_t region_instances,
+    uint64_t *random, time_us_t now);
+
 /*
  * Parts of a prompt are named by the hash of all parts up to them. Returns the
  * number of leading parts that the target is believed to hold.
@@ -237,7 +275,7 @@
 
 /* Replaces the load told by one instance of the region. */
 void targets_peer_load(targets_t *targets, uint32_t instance,
-    const target_load_t *loads, size_t n_loads);
+    const target_load_t *loads, size_t n_loads, time_us_t now);
 
 /* Fills in the own load, busiest first. Returns how many. */
 size_t targets_own_load(
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/random.h"
 #include "test.h"
 
 #define TARGETS 6
@@ -303,4 +304,249 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Load pattern: a region at its peak. Each of its instances has more requests
+ * waiting than there are places, and hears every 100 ms what the others have
+ * sent. Requests about one subject share most of their prompts.
+ */
+#define PEAK_INSTANCES 24
+#define PEAK_ENGINES 40
+#define PEAK_SLOTS 16
+#define PEAK_SUBJECTS 200
+#define PEAK_STEP_US (10 * US_PER_MS)
+#define PEAK_STEPS 300
+#define PEAK_LOAD_STEPS 10 /* between two tellings of loads */
+#define PEAK_WAITING 30	   /* at one instance; more are refused */
+#define PEAK_ARRIVALS 115  /* a second at one instance: 1.5 times the places */
+#define PEAK_RUN_STEPS 35
+
+typedef struct {
+	target_t *target;
+	target_send_t send;
+	int engine;
+	int ends;
+} peak_run_t;
+
+typedef struct {
+	targets_t *targets;
+	target_t *engines[PEAK_ENGINES];
+	int subjects[PEAK_WAITING]; /* of the waiting requests */
+	int waits_since[PEAK_WAITING];
+	int n_waiting;
+	GArray *runs; /* peak_run_t */
+} peak_instance_t;
+
+typedef struct {
+	places_t *places;
+	catalog_service_t service;
+	peak_instance_t instances[PEAK_INSTANCES];
+	unsigned busy[PEAK_ENGINES]; /* requests that really run */
+	uint64_t random;
+	int step;
+	/* Observed. */
+	unsigned n_sends;
+	unsigned n_beyond; /* sends to an engine without a free place */
+	unsigned n_home;
+	double used; /* of all places, summed over the steps */
+} peak_t;
+
+static peak_t *
+peak_create(void)
+{
+	peak_t *peak = g_new0(peak_t, 1);
+
+	peak->places = places_create();
+	places_add(peak->places, "a-1", "a");
+	peak->random = 1;
+	peak->service = (catalog_service_t){
+	    .name = "pen", .engine = true, .cache_tokens = 400000};
+	for (int i = 0; i < PEAK_INSTANCES; i++) {
+		peak_instance_t *instance = &peak->instances[i];
+
+		instance->targets = targets_create(peak->places, 0);
+		instance->runs = g_array_new(FALSE, TRUE, sizeof(peak_run_t));
+		for (int n = 0; n < PEAK_ENGINES; n++) {
+			target_entry_t entry = {.ip = 1,
+			    .port = (uint16_t)(80 + n),
+			    .slots = PEAK_SLOTS,
+			    .started_ms = 1};
+
+			snprintf(entry.id, sizeof(entry.id), "t%d", n);
+			snprintf(entry.service, sizeof(entry.service), "pen");
+			instance->engines[n] =
+			    targets_put(instance->targets, &entry, 0);
+		}
+	}
+	return peak;
+}
+
+static time_us_t
+peak_now(const peak_t *peak)
+{
+	return 10 * US_PER_S + peak->step * PEAK_STEP_US;
+}
+
+static void
+peak_end_runs(peak_t *peak, peak_instance_t *instance, bool all)
+{
+	for (guint i = instance->runs->len; i > 0; i--) {
+		peak_run_t *run =
+		    &g_array_index(instance->runs, peak_run_t, i - 1);
+
+		if (!all && run->ends > peak->step)
+			continue;
+		target_done(
+		    run->target, &run->send, TARGET_RESULT_OK, peak_now(peak));
+		peak->busy[run->engine]--;
+		g_array_remove_index_fast(instance->runs, i - 1);
+	}
+}
+
+static void
+peak_destroy(peak_t *peak)
+{
+	for (int i = 0; i < PEAK_INSTANCES; i++) {
+		peak_end_runs(peak, &peak->instances[i], true);
+		g_array_unref(peak->instances[i].runs);
+		targets_destroy(peak->instances[i].targets);
+	}
+	places_destroy(peak->places);
+	g_free(peak);
+}
+
+static void
+peak_tell_loads(peak_t *peak)
+{
+	for (int i = 0; i < PEAK_INSTANCES; i++) {
+		target_load_t loads[PEAK_ENGINES];
+		size_t n = targets_own_load(
+		    peak->instances[i].targets, loads, PEAK_ENGINES);
+
+		for (int j = 0; j < PEAK_INSTANCES; j++) {
+			if (j != i)
+				targets_peer_load(peak->instances[j].targets,
+				    (uint32_t)i + 1, loads, n, peak_now(peak));
+		}
+	}
+	for (int i = 0; i < PEAK_INSTANCES; i++)
+		targets_grant(peak->instances[i].targets, PEAK_INSTANCES,
+		    &peak->random, peak_now(peak));
+}
+
+static void
+peak_send(peak_t *peak, peak_instance_t *instance, const placement_t *placement)
+{
+	peak_run_t run = {.target = placement->target};
+	time_us_t now = peak_now(peak);
+
+	while (instance->engines[run.engine] != placement->target)
+		run.engine++;
+	target_sent(run.target, placement->tokens, placement->expected_ms, now,
+	    &run.send);
+	target_first_byte(run.target, &run.send,
+	    now + (time_us_t)(placement->expected_ms * US_PER_MS));
+	run.ends = peak->step + PEAK_RUN_STEPS - 25 +
+		   (int)(random_next(&peak->random) % 50);
+	peak->n_sends++;
+	peak->n_beyond += peak->busy[run.engine] >= PEAK_SLOTS;
+	peak->n_home += placement->home < PLACEMENT_HOMES;
+	peak->busy[run.engine]++;
+	g_array_append_val(instance->runs, run);
+}
+
+static void
+peak_pump(peak_t *peak, peak_instance_t *instance, int wait_steps,
+    uint32_t region_instances)
+{
+	for (int i = 0; i < instance->n_waiting; i++) {
+		char parts[64];
+		prompt_t prompt;
+		placement_request_t request = {.service = &peak->service,
+		    .prompt = &prompt,
+		    .region_instances = region_instances,
+		    .may_wait =
+			peak->step - instance->waits_since[i] < wait_steps,
+		    .random = random_next(&peak->random)};
+		placement_t placement;
+
+		snprintf(parts, sizeof(parts), "aa:2500,b%x:3800,c%x:2900",
+		    (unsigned)instance->subjects[i], peak->n_sends);
+		prompt_make(&prompt, parts, 9200);
+		placement =
+		    placement_pick(instance->targets, &request, peak_now(peak));
+		if (placement.verdict != PLACEMENT_START)
+			continue;
+		peak_send(peak, instance, &placement);
+		instance->n_waiting--;
+		memmove(&instance->subjects[i], &instance->subjects[i + 1],
+		    (size_t)(instance->n_waiting - i) * sizeof(int));
+		memmove(&instance->waits_since[i],
+		    &instance->waits_since[i + 1],
+		    (size_t)(instance->n_waiting - i) * sizeof(int));
+		i--;
+	}
+}
+
+static void
+peak_arrive(peak_t *peak, peak_instance_t *instance)
+{
+	double n = PEAK_ARRIVALS * (double)PEAK_STEP_US / US_PER_S;
+
+	for (; (double)(random_next(&peak->random) % 1000) < 1000 * n; n -= 1) {
+		if (instance->n_waiting == PEAK_WAITING)
+			return;
+		instance->subjects[instance->n_waiting] =
+		    (int)(random_next(&peak->random) % PEAK_SUBJECTS);
+		instance->waits_since[instance->n_waiting++] = peak->step;
+		if (n < 1)
+			return;
+	}
+}
+
+static peak_t *
+peak_play(int wait_steps, uint32_t region_instances)
+{
+	peak_t *peak = peak_create();
+
+	for (peak->step = 0; peak->step < PEAK_STEPS; peak->step++) {
+		if (peak->step % PEAK_LOAD_STEPS == 0)
+			peak_tell_loads(peak);
+		for (int i = 0; i < PEAK_INSTANCES; i++) {
+			peak_end_runs(peak, &peak->instances[i], false);
+			peak_arrive(peak, &peak->instances[i]);
+			peak_pump(peak, &peak->instances[i], wait_steps,
+			    region_instances);
+		}
+		for (int i = 0; i < PEAK_ENGINES; i++)
+			peak->used += (double)MIN(peak->busy[i], PEAK_SLOTS) /
+				      (PEAK_SLOTS * PEAK_ENGINES * PEAK_STEPS);
+	}
+	return peak;
+}
+
+/* Instances that know nothing of each other's intentions send to the same free
+ * places. Dividing these must spare half of the sends that find none. */
+TEST(places_at_a_peak_are_taken_once)
+{
+	peak_t *each_alone = peak_play(0, 1);
+	peak_t *divided = peak_play(0, PEAK_INSTANCES);
+
+	ck_assert_uint_le(divided->n_beyond, each_alone->n_beyond / 2);
+	ck_assert_double_ge(divided->used, each_alone->used - 0.05);
+	peak_destroy(each_alone);
+	peak_destroy(divided);
+}
+
+/* The wait keeps prompts at their homes, and costs few places. */
+TEST(wait_for_a_home_at_a_peak)
+{
+	peak_t *at_once = peak_play(0, PEAK_INSTANCES);
+	peak_t *waiting = peak_play(30, PEAK_INSTANCES);
+	ck_assert_double_ge(waiting->used, at_once->used - 0.1);
+	ck_assert_double_ge((double)waiting->n_home / waiting->n_sends,
+	    1.5 * at_once->n_home / at_once->n_sends);
+	peak_destroy(at_once);
+	peak_destroy(waiting);
+}
+
 TEST_MAIN("placement")
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -39,6 +39,7 @@
 	    "{\"host\":\"h\",\"prefix\":\"/p/long/\","
 	    "\"route_type\":\"streaming\",\"backends\":[{"
 	    "\"service\":\"s\",\"weight\":90}],\"public\":true,"
+	    "\"target_latency_ms\":600,\"gap_aim_ms\":400,"
 	    "\"resumable\":true}],\"tenants\":[{\"name\":\"t\","
 	    "\"api_keys\":[\"k1\",\"k2\"],\"unit\":\"tokens\","
 	    "\"rate_per_s\":50,\"burst\":60,\"plain_tokens\":200,"
@@ -52,6 +53,8 @@
 	route = catalog_route(catalog, "h:80", 4, "/p/long/x", 9);
 	ck_assert(route->open);
 	ck_assert_int_eq(route->kind, ROUTE_STREAM);
+	/* The longest of 2 s, four objectives and eight pauses. */
+	ck_assert_int_eq(route->patience_ms, 3200);
 	route = catalog_route(catalog, "H", 1, "/p/lon", 6);
 	ck_assert_str_eq(route->name, "r");
 	ck_assert(region_set_has(route->regions, 1));
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -388,6 +388,38 @@
 
 /* Guards against requests that are lost or end twice, wrong counts, and a team
  * or class that waits longer than the bound in queue.h. */
+static queue_answer_t
+only_third(queue_item_t item, void *context)
+{
+	return item.item == context ? QUEUE_START : QUEUE_SKIP;
+}
+
+/* Load pattern: the place that is free suits a request behind the oldest. */
+TEST(deeper_requests_of_a_team_are_asked)
+{
+	queue_t *queue = queue_create(10);
+	int items[3];
+	queue_request_t request = {
+	    .team = "a", .cost = 10, .deadline = US_PER_S};
+	queue_item_t item;
+
+	for (int i = 0; i < 3; i++) {
+		request.item = &items[i];
+		queue_push(queue, &request, 0);
+	}
+	ck_assert(!queue_pop(queue, only_third, &items[2], 0, &item));
+	queue_set_depth(queue, 2);
+	ck_assert(!queue_pop(queue, only_third, &items[2], 0, &item));
+	queue_set_depth(queue, 3);
+	ck_assert(queue_pop(queue, only_third, &items[2], 0, &item));
+	ck_assert_ptr_eq(item.item, &items[2]);
+	ck_assert_uint_eq(queue_length(queue), 2);
+	/* The order of the others is kept. */
+	ck_assert(queue_pop(queue, only_third, &items[0], 0, &item));
+	ck_assert(queue_pop(queue, only_third, &items[1], 0, &item));
+	queue_destroy(queue);
+}
+
 TEST(random_schedules_end_each_request_once)
 {
 	RANDOM_SCHEDULES(schedule_run);
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -215,21 +215,99 @@
 	target_load_t load = {target_short_id("t1"), 5, 700};
 	target_t *target;
 
-	targets_peer_load(f.targets, 1, &load, 1);
+	targets_peer_load(f.targets, 1, &load, 1, f.now);
 	target = put(&f, "t1");
-	targets_peer_load(f.targets, 2, &load, 1);
+	targets_peer_load(f.targets, 2, &load, 1, f.now);
 	ck_assert_uint_eq(target->peer_in_flight, 10);
 	ck_assert_double_eq(target->peer_pending_tokens, 1400);
 	load.in_flight = 1;
-	targets_peer_load(f.targets, 1, &load, 1);
+	targets_peer_load(f.targets, 1, &load, 1, f.now);
 	ck_assert_uint_eq(target->peer_in_flight, 6);
-	targets_peer_load(f.targets, 1, NULL, 0);
-	targets_peer_load(f.targets, 2, NULL, 0);
+	targets_peer_load(f.targets, 1, NULL, 0, f.now);
+	targets_peer_load(f.targets, 2, NULL, 0, f.now);
 	ck_assert_uint_eq(target->peer_in_flight, 0);
 	ck_assert_double_eq(target->peer_pending_tokens, 0);
 	fixture_destroy(&f);
 }
 
+/* An instance that was killed tells no end of its requests. */
+TEST(load_of_an_instance_that_stopped_is_dropped)
+{
+	fixture_t f = fixture_create();
+	target_load_t load = {target_short_id("t1"), 5, 700};
+	target_t *target = put(&f, "t1");
+
+	targets_peer_load(f.targets, 1, &load, 1, f.now);
+	f.now += TARGET_PEER_LOAD_LIFE_US / 2;
+	targets_peer_load(f.targets, 2, &load, 1, f.now);
+	targets_expire(f.targets, f.now);
+	ck_assert_uint_eq(target->peer_in_flight, 10);
+	f.now += TARGET_PEER_LOAD_LIFE_US / 2;
+	targets_expire(f.targets, f.now);
+	ck_assert_uint_eq(target->peer_in_flight, 5);
+	fixture_destroy(&f);
+}
+
+/* Load pattern: a third of the instances of a region can't hear each other, and
+ * all of them send to the same engines. */
+TEST(load_of_instances_not_heard_is_learned_from_the_target)
+{
+	fixture_t f = fixture_create();
+	target_t *target = put(&f, "t1");
+
+	for (int i = 0; i < 5; i++) {
+		f.now += 300 * US_PER_MS;
+		target_told_load(target, 3, 0, f.now);
+	}
+	f.now += US_PER_S;
+	ck_assert_uint_ge(target_in_flight(target, f.now), 1);
+	ck_assert_uint_le(target_in_flight(target, f.now), 3);
+	f.now += TARGET_UNHEARD_LIFE_US;
+	ck_assert_uint_eq(target_in_flight(target, f.now), 0);
+	fixture_destroy(&f);
+}
+
+TEST(the_busiest_targets_are_told)
+{
+	fixture_t f = fixture_create();
+	target_load_t loads[2];
+	target_send_t sends[4];
+	target_t *targets[3] = {put(&f, "t1"), put(&f, "t2"), put(&f, "t3")};
+
+	target_sent(targets[0], 0, 0, f.now, &sends[0]);
+	target_sent(targets[1], 0, 0, f.now, &sends[1]);
+	target_sent(targets[2], 0, 0, f.now, &sends[2]);
+	target_sent(targets[2], 0, 0, f.now, &sends[3]);
+	ck_assert_uint_eq(targets_own_load(f.targets, loads, 2), 2);
+	ck_assert_uint_eq(loads[0].target, target_short_id("t3"));
+	ck_assert_uint_eq(loads[0].in_flight, 2);
+	for (int i = 0; i < 4; i++)
+		target_done(
+		    targets[MIN(i, 2)], &sends[i], TARGET_RESULT_OK, f.now);
+	fixture_destroy(&f);
+}
+
+/* A prompt that had to be read again doesn't make its target a slow one. */
+TEST(doubt_about_a_prompt_is_not_slowness)
+{
+	fixture_t f = fixture_create();
+	target_t *target = put(&f, "t1");
+	double before = target->slowness;
+	target_send_t send;
+
+	target_sent(target, 1000, 50, f.now, &send);
+	send.doubt_ms = 70;
+	target_first_byte(target, &send, f.now + 110 * US_PER_MS);
+	target_done(target, &send, TARGET_RESULT_OK, f.now);
+	ck_assert_double_eq(target->slowness, before);
+	target_sent(target, 1000, 50, f.now, &send);
+	send.doubt_ms = 70;
+	target_first_byte(target, &send, f.now + 480 * US_PER_MS);
+	target_done(target, &send, TARGET_RESULT_OK, f.now);
+	ck_assert_double_gt(target->slowness, 1.3 * before);
+	fixture_destroy(&f);
+}
+
 TEST(oldest_prefixes_are_forgotten_first)
 {
 	fixture_t f = fixture_create();
