--- a/common/histogram.c
+++ b/common/histogram.c
@@ -111,6 +111,23 @@
 		   : histogram->sum / (double)histogram->count;
 }
 
+uint64_t
+histogram_count_to(const histogram_t *histogram, uint64_t value)
+{
+	unsigned int last = slot_of(MIN(value, HISTOGRAM_MAX));
+	uint64_t count = 0;
+
+	for (unsigned int i = 0; i <= last; i++)
+		count += histogram->counts[i];
+	return count;
+}
+
+double
+histogram_sum(const histogram_t *histogram)
+{
+	return histogram->sum;
+}
+
 uint64_t
 histogram_quantile(const histogram_t *histogram, double quantile)
 {
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -164,6 +164,13 @@
 	call->state = CALL_ENDED;
 }
 
+void
+call_time(const call_t *call, latency_t latency)
+{
+	latencies_record(call->gateway->latencies, latency, call->route->kind,
+	    gateway_now(call->gateway) - call->arrived_at);
+}
+
 static void
 call_finished(call_t *call, const char *reason)
 {
@@ -172,6 +179,7 @@
 	call->state = CALL_ENDED;
 	call->client = NULL;
 	ev_timer_stop(call->gateway->loop, &call->timer);
+	call_time(call, LATENCY_ANSWER);
 	counter_count("requests_answered", "reason", reason);
 	decision_log(call, "request_done", reason);
 	if (client != NULL)
@@ -222,8 +230,10 @@
 		return;
 	if (!call->head_sent)
 		answer_head_send(call);
-	if (call->first_byte_at == 0)
+	if (call->first_byte_at == 0) {
 		call->first_byte_at = gateway_now(call->gateway);
+		call_time(call, LATENCY_FIRST_BYTE);
+	}
 	client_body(call->client, data, len);
 	call->bytes_to_caller += len;
 	if (!call->paused && call->attempt != NULL &&
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -83,6 +83,9 @@
 /* Time until ends_at in ms, at least 0. */
 int64_t call_left_ms(const call_t *call);
 
+/* Records the time from the request until now. */
+void call_time(const call_t *call, latency_t latency);
+
 /* admission.c: the configuration's say. Answers and returns false when the
  * request is not admitted. */
 bool call_admit(call_t *call);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -42,6 +42,14 @@
 #define RELAY_REGION_MIN 6
 #define RELAY_KEY 0x73746f7265
 
+/*
+ * An instance that can't read the store for this long reads from another one of
+ * its region, and tries the store again after a while. Load pattern: the store
+ * serves some instances and turns others away.
+ */
+#define STORE_AWAY_US US_PER_S
+#define AWAY_RELAY_US (5 * US_PER_S)
+
 /* An instance that knows less than others for this long leaves its relay. */
 #define RELAY_BEHIND_US (700 * US_PER_MS)
 
@@ -341,6 +349,7 @@
 	gateway_t *gateway = owner;
 
 	targets_publisher(gateway->targets, reachable, gateway_now(gateway));
+	gateway->store_away_since = reachable ? 0 : gateway_now(gateway);
 	log_event(LOG_NOTICE, reachable ? "store_regained" : "store_lost",
 	    LOG_S("cause", cause));
 }
@@ -446,6 +455,26 @@
 	gateway->clock_gap_us = gap;
 }
 
+/* Another instance to read from while the store can't be read. */
+static bool
+away_relay_pick(gateway_t *gateway, time_us_t now)
+{
+	const member_t *member;
+
+	if (now < gateway->relay_until)
+		return true;
+	if (gateway->store_away_since == 0 ||
+	    now - gateway->store_away_since < STORE_AWAY_US)
+		return false;
+	member = members_pick(gateway->members, gateway->region, 0, now);
+	if (member == NULL)
+		return false;
+	gateway->away_relay =
+	    (net_address_t){member->entry.ip, gateway->own_peer.port};
+	gateway->relay_until = now + AWAY_RELAY_US;
+	return true;
+}
+
 /* In a large region few instances read from the store, and the others from
  * them. */
 static void
@@ -460,7 +489,9 @@
 		n = members_carers(
 		    gateway->members, RELAY_KEY, RELAY_COUNT, now, ips);
 	if (n == 0) {
-		store_set_relay(gateway->store, NULL);
+		store_set_relay(gateway->store, away_relay_pick(gateway, now)
+						    ? &gateway->away_relay
+						    : NULL);
 		return;
 	}
 	relay = (net_address_t){
@@ -792,6 +823,7 @@
 
 	clients_destroy(gateway);
 	fetch_destroy(gateway->fetch);
+	latencies_destroy(gateway->latencies);
 	if (gateway->store != NULL)
 		store_destroy(gateway->store);
 	listener_destroy(gateway->caller_listener);
@@ -834,6 +866,8 @@
 		gateway.settings_at = file.st_mtim;
 	members_start(&gateway);
 	gateway.fetch = fetch_create(&gateway);
+	gateway.latencies = latencies_create();
+	gateway.store_away_since = gateway.started_at;
 	net_address_parse(settings->store, &store);
 	log_collect();
 	if (sockets_start(&gateway, error)) {
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -28,6 +28,7 @@
 typedef struct gossip gossip_t;
 typedef struct pages pages_t;
 typedef struct fetch fetch_t;
+typedef struct latencies latencies_t;
 
 /* Requests that wait for a target, and retries, of one service. */
 typedef struct {
@@ -87,13 +88,17 @@
 	gossip_t *gossip;
 	fetch_t *fetch;
 	pages_t *pages;
+	latencies_t *latencies;
 	listener_t *caller_listener;
 	listener_t *peer_listener;
 	GHashTable *clients;
 	time_us_t started_at;
 	time_us_t leaving_at; /* 0: not asked to stop */
 	bool targets_loaded;
-	time_us_t behind_since; /* others have read more; 0: no */
+	time_us_t behind_since;	    /* others have read more; 0: no */
+	time_us_t store_away_since; /* 0: it can be read */
+	time_us_t relay_until;	    /* of away_relay */
+	net_address_t away_relay;   /* read from this instance meanwhile */
 	bool ready;
 	uint32_t n_calls;
 	ev_timer pump;
@@ -242,6 +247,21 @@
 pages_t *pages_create(gateway_t *gateway, GError **error);
 void pages_destroy(pages_t *pages);
 
+/* latency.c: latency histograms, by kind of route. */
+typedef enum {
+	LATENCY_WAIT,	    /* from the request to its first send */
+	LATENCY_FIRST_BYTE, /* from the request to the answer's first byte */
+	LATENCY_ANSWER,	    /* from the request to the end of its answer */
+	LATENCY_COUNT
+} latency_t;
+
+latencies_t *latencies_create(void);
+void latencies_destroy(latencies_t *latencies);
+void latencies_record(latencies_t *latencies, latency_t latency,
+    route_kind_t kind, time_us_t time);
+/* Appends all of them in the exposition format of common scrapers. */
+void latencies_write(const latencies_t *latencies, GString *text);
+
 /* journal of decisions: decision.c */
 void decision_log(const call_t *call, const char *event, const char *reason);
 
--- a/gateway/pages.c
+++ b/gateway/pages.c
@@ -114,9 +114,10 @@
 static void
 metrics_send(visitor_t *visitor)
 {
-	g_autoptr(GString) text = g_string_sized_new(4096);
+	g_autoptr(GString) text = g_string_sized_new(16384);
 
 	counter_write_all(text);
+	latencies_write(visitor->pages->gateway->latencies, text);
 	page_send(
 	    visitor, 200, "text/plain; version=0.0.4", text->str, text->len);
 }
--- a/include/common/histogram.h
+++ b/include/common/histogram.h
@@ -28,6 +28,12 @@
 uint64_t histogram_max(const histogram_t *histogram);
 double histogram_mean(const histogram_t *histogram);
 
+/* Number of values up to this one, to the width of a slot. */
+uint64_t histogram_count_to(const histogram_t *histogram, uint64_t value);
+
+/* Sum of the exact values. */
+double histogram_sum(const histogram_t *histogram);
+
 /*
  * Returns a value that at least the fraction quantile (0..1) of all values
  * doesn't exceed: the upper end of the slot in which it lies, or the maximum
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -29,6 +29,12 @@
 #define STORE_RETRY_MIN_MS 60
 #define STORE_RETRY_MAX_MS 1000
 
+/*
+ * Pause before the next watch of targets. Load pattern: when many targets
+ * change, each change answers a watch; in this time they are gathered in one.
+ */
+#define STORE_GATHER_MS 200
+
 typedef struct store store_t;
 
 typedef struct {
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -479,6 +479,48 @@
 	world_destroy(&world);
 }
 
+/* Load pattern: the store serves some instances and not this one, which has
+ * just started and knows no target. */
+TEST(targets_come_from_another_instance_while_the_store_is_away)
+{
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	world_start(&world, 1, "a-1", false, false);
+	WORLD_WAIT(
+	    status_of(&world, 1, "/read/ok", "t1", WORLD_KEY) == 200, 6000);
+	/* It also hears what changes. */
+	world_publish_worker(&world, 0, "draining");
+	world_publish_worker(&world, 1, "draining");
+	world_publish_worker(&world, 2, "draining");
+	WORLD_WAIT(
+	    status_of(&world, 1, "/read/ok", "t2", WORLD_KEY) == 503, 9000);
+	world_destroy(&world);
+}
+
+TEST(latencies_are_served_beside_the_counters)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	call_expect(&world, "GET", "/read/slow-300", "h1", NULL, 200, NULL);
+	answer = world_get(&world, 0, PORT_METRICS, "/metrics");
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert_ptr_nonnull(strstr(answer.body,
+	    "answer_seconds_bucket{kind=\"safe\",le=\"0.2\"} 0\n"));
+	ck_assert_ptr_nonnull(strstr(answer.body,
+	    "answer_seconds_bucket{kind=\"safe\",le=\"+Inf\"} 1\n"));
+	ck_assert_ptr_nonnull(
+	    strstr(answer.body, "answer_seconds_count{kind=\"safe\"} 1\n"));
+	ck_assert_ptr_nonnull(strstr(
+	    answer.body, "wait_seconds_bucket{kind=\"safe\",le=\"0.2\"} 1\n"));
+	world_answer_clear(&answer);
+	world_destroy(&world);
+}
+
 /* Targets take connections of their own region only: an instance elsewhere
  * passes requests on, and a caller that leaves is felt at the target. */
 TEST(request_is_passed_to_the_region_of_its_targets)
--- a/tests/test_histogram.c
+++ b/tests/test_histogram.c
@@ -64,6 +64,19 @@
 		histogram_destroy(parts[i]);
 }
 
+TEST(values_are_counted_up_to_a_bound)
+{
+	g_autoptr(histogram_t) histogram = histogram_create();
+
+	for (uint64_t value = 1; value <= 1000; value++)
+		histogram_record(histogram, value * 1000);
+	ck_assert_uint_eq(histogram_count_to(histogram, 0), 0);
+	ck_assert_uint_le(histogram_count_to(histogram, 500000), 504);
+	ck_assert_uint_ge(histogram_count_to(histogram, 500000), 500);
+	ck_assert_uint_eq(histogram_count_to(histogram, UINT64_MAX), 1000);
+	ck_assert_double_eq(histogram_sum(histogram), 500500000.0);
+}
+
 /* Guards against a write behind the last slot. */
 TEST(too_large_value_counts_as_the_maximum)
 {
