core: tell other instances how slow an engine's streams are

Engines of 128 places that always have prompts to read give their streams a step of 40 ms in place of 3.4 ms, and streams of 36 events are cut at their deadline of 12 s (2,904 requests whose last try was cut in the answer).

Cause: an engine with slow streams gets no more requests, but only from the instances that have streams there. 28 instances share it, and most of those that send it prompts don't see what they slow down.

Change: the load told each 100 ms carries the gap between events that the teller sees, in the same 8 bytes; an engine is slow when either is above the limit. slow_streams_of_other_instances_count fails without it.

--- a/core/targets.c
+++ b/core/targets.c
@@ -9,6 +9,8 @@
 /* Weight of the newest result in the moving averages. */
 #define FAILURE_WEIGHT 0.1
 #define SLOWNESS_WEIGHT 0.15
+/* Weight of one instance's gap between events among those that tell one. */
+#define PEER_GAP_WEIGHT 0.2
 /* Time constant of the gap between events. */
 #define EVENT_GAP_TAU_US (400 * US_PER_MS)
 
@@ -411,8 +413,24 @@
 bool
 target_is_slow(const target_t *target, double gap_limit_ms, time_us_t now)
 {
-	return gap_limit_ms > 0 && target->event_gap_ms > gap_limit_ms &&
-	       now - target->event_gap_at <= TARGET_GAP_LIFE_US;
+	if (gap_limit_ms <= 0)
+		return false;
+	return (target->event_gap_ms > gap_limit_ms &&
+		   now - target->event_gap_at <= TARGET_GAP_LIFE_US) ||
+	       (target->peer_gap_ms > gap_limit_ms &&
+		   now - target->peer_gap_at <= TARGET_GAP_LIFE_US);
+}
+
+/* Averages what several instances tell. */
+static void
+peer_gap_take(target_t *target, double ms, time_us_t now)
+{
+	if (now - target->peer_gap_at > TARGET_GAP_LIFE_US)
+		target->peer_gap_ms = ms;
+	else
+		target->peer_gap_ms +=
+		    PEER_GAP_WEIGHT * (ms - target->peer_gap_ms);
+	target->peer_gap_at = now;
 }
 
 void
@@ -694,6 +712,13 @@
 	load->n_loads = n_loads;
 	load->heard_at = now;
 	peer_load_apply(targets, load, 1);
+	for (size_t i = 0; i < n_loads; i++) {
+		target_t *target = g_hash_table_lookup(
+		    targets->by_short, GUINT_TO_POINTER(loads[i].target));
+
+		if (target != NULL && loads[i].event_gap_ms > 0)
+			peer_gap_take(target, loads[i].event_gap_ms, now);
+	}
 }
 
 static gint
@@ -708,7 +733,8 @@
 }
 
 size_t
-targets_own_load(const targets_t *targets, target_load_t *loads, size_t limit)
+targets_own_load(
+    const targets_t *targets, target_load_t *loads, size_t limit, time_us_t now)
 {
 	g_autoptr(GArray) all = g_array_new(FALSE, FALSE, sizeof(*loads));
 	size_t n;
@@ -716,7 +742,10 @@
 	for (guint i = 0; i < targets->all->len; i++) {
 		const target_t *target = g_ptr_array_index(targets->all, i);
 		target_load_t load = {target->short_id, target->in_flight,
-		    (uint32_t)MAX(0, target->pending_tokens)};
+		    (uint32_t)MAX(0, target->pending_tokens), 0};
+
+		if (now - target->event_gap_at <= TARGET_GAP_LIFE_US)
+			load.event_gap_ms = (uint32_t)target->event_gap_ms;
 
 		if (load.in_flight > 0 && !target->gone)
 			g_array_append_val(all, load);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -16,14 +16,18 @@
  * on targets and the demand of teams; others tell the sums of their region.
  */
 
-#define MESSAGE_VERSION 0x43530003
+#define MESSAGE_VERSION 0x43530004
 #define MESSAGE_BYTES 8192
 
 /* Entries of each list, so that a message stays near 1,400 bytes. */
 #define LOAD_LIMIT 128
 
-/* Pending tokens are told in units of this many. */
-#define LOAD_TOKENS_UNIT 16
+/* Three numbers of a load share a word. Pending tokens and gaps (ms) are told
+ * in units of this many. */
+#define LOAD_FIELD_BITS 10
+#define LOAD_FIELD_MAX ((1u << LOAD_FIELD_BITS) - 1)
+#define LOAD_TOKENS_UNIT 64
+#define LOAD_GAP_UNIT 4
 #define PEER_LIMIT 32
 
 /* Instances of a region that are told the load each time. */
@@ -82,13 +86,17 @@
 load_xdr(XDR *xdr, target_load_t *load)
 {
 	uint32_t packed =
-	    MIN(load->in_flight, UINT16_MAX) << 16 |
-	    MIN(load->pending_tokens / LOAD_TOKENS_UNIT, UINT16_MAX);
+	    MIN(load->in_flight, LOAD_FIELD_MAX) << 2 * LOAD_FIELD_BITS |
+	    MIN(load->pending_tokens / LOAD_TOKENS_UNIT, LOAD_FIELD_MAX)
+		<< LOAD_FIELD_BITS |
+	    MIN(load->event_gap_ms / LOAD_GAP_UNIT, LOAD_FIELD_MAX);
 
 	if (!xdr_uint32_t(xdr, &load->target) || !xdr_uint32_t(xdr, &packed))
 		return false;
-	load->in_flight = packed >> 16;
-	load->pending_tokens = (packed & UINT16_MAX) * LOAD_TOKENS_UNIT;
+	load->in_flight = packed >> 2 * LOAD_FIELD_BITS & LOAD_FIELD_MAX;
+	load->pending_tokens =
+	    (packed >> LOAD_FIELD_BITS & LOAD_FIELD_MAX) * LOAD_TOKENS_UNIT;
+	load->event_gap_ms = (packed & LOAD_FIELD_MAX) * LOAD_GAP_UNIT;
 	return true;
 }
 
@@ -173,7 +181,7 @@
 	message->n_capacities = 0;
 	if (near) {
 		message->n_loads = (uint32_t)targets_own_load(
-		    gateway->targets, message->loads, LOAD_LIMIT);
+		    gateway->targets, message->loads, LOAD_LIMIT, now);
 		message->n_demands = (uint32_t)team_rates_own(
 		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT);
 		return;
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -101,6 +101,7 @@
 	uint32_t target; /* target_short_id() */
 	uint32_t in_flight;
 	uint32_t pending_tokens;
+	uint32_t event_gap_ms; /* between events of its streams; 0: not seen */
 } target_load_t;
 
 typedef struct targets targets_t;
@@ -134,6 +135,8 @@
 	double slowness;     /* observed over expected time to first byte */
 	double event_gap_ms; /* between events of this instance's streams */
 	time_us_t event_gap_at;
+	double peer_gap_ms; /* the same, of other instances' streams */
+	time_us_t peer_gap_at;
 	time_us_t silent_since; /* of the requests in flight; 0: none */
 	/* Warm-up. */
 	time_us_t cold_until;
@@ -217,8 +220,9 @@
 void target_event_gap(target_t *target, time_us_t gap, time_us_t now);
 
 /*
- * Tells whether streams of the target lately had longer gaps between events.
- * 0: no limit.
+ * Tells whether streams of the target, of this instance or another one, lately
+ * had longer gaps between events. 0: no limit. Load pattern: the instances that
+ * send an engine long prompts aren't those whose streams they slow down.
  */
 bool target_is_slow(const target_t *target, double gap_limit_ms, time_us_t now);
 
@@ -278,7 +282,7 @@
     const target_load_t *loads, size_t n_loads, time_us_t now);
 
 /* Fills in the own load, busiest first. Returns how many. */
-size_t targets_own_load(
-    const targets_t *targets, target_load_t *loads, size_t limit);
+size_t targets_own_load(const targets_t *targets, target_load_t *loads,
+    size_t limit, time_us_t now);
 
 #endif
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -215,6 +215,31 @@
 	fixture_destroy(&f);
 }
 
+/* The instance that sends prompts has no streams there itself. */
+TEST(slow_streams_of_other_instances_count)
+{
+	fixture_t f = fixture_create(true);
+	placement_request_t request = {.service = &f.service,
+	    .prompt = &f.prompt,
+	    .region_instances = 3,
+	    .gap_limit_ms = 150};
+	target_load_t loads[TARGETS];
+
+	for (int i = 0; i < TARGETS; i++)
+		loads[i] =
+		    (target_load_t){f.all[i]->short_id, PLACEMENT_FEW, 0, 250};
+	targets_peer_load(f.targets, 1, loads, TARGETS, f.now);
+	ck_assert_int_eq(
+	    placement_pick(f.targets, &request, f.now).verdict, PLACEMENT_WAIT);
+	for (int i = 0; i < TARGETS; i++)
+		loads[i].event_gap_ms = 50;
+	for (int n = 0; n < 10; n++)
+		targets_peer_load(f.targets, 1, loads, TARGETS, f.now);
+	ck_assert_int_eq(placement_pick(f.targets, &request, f.now).verdict,
+	    PLACEMENT_START);
+	fixture_destroy(&f);
+}
+
 /* Load pattern: a target that fails, or refuses, at once is always idle. */
 static void
 black_hole(target_result_t result)
@@ -419,8 +444,8 @@
 {
 	for (int i = 0; i < PEAK_INSTANCES; i++) {
 		target_load_t loads[PEAK_ENGINES];
-		size_t n = targets_own_load(
-		    peak->instances[i].targets, loads, PEAK_ENGINES);
+		size_t n = targets_own_load(peak->instances[i].targets, loads,
+		    PEAK_ENGINES, peak_now(peak));
 
 		for (int j = 0; j < PEAK_INSTANCES; j++) {
 			if (j != i)
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -212,7 +212,7 @@
 TEST(load_of_other_instances_adds_up_whatever_the_order)
 {
 	fixture_t f = fixture_create();
-	target_load_t load = {target_short_id("t1"), 5, 700};
+	target_load_t load = {target_short_id("t1"), 5, 700, 0};
 	target_t *target;
 
 	targets_peer_load(f.targets, 1, &load, 1, f.now);
@@ -234,7 +234,7 @@
 TEST(load_of_an_instance_that_stopped_is_dropped)
 {
 	fixture_t f = fixture_create();
-	target_load_t load = {target_short_id("t1"), 5, 700};
+	target_load_t load = {target_short_id("t1"), 5, 700, 0};
 	target_t *target = put(&f, "t1");
 
 	targets_peer_load(f.targets, 1, &load, 1, f.now);
@@ -278,7 +278,7 @@
 	target_sent(targets[1], 0, 0, f.now, &sends[1]);
 	target_sent(targets[2], 0, 0, f.now, &sends[2]);
 	target_sent(targets[2], 0, 0, f.now, &sends[3]);
-	ck_assert_uint_eq(targets_own_load(f.targets, loads, 2), 2);
+	ck_assert_uint_eq(targets_own_load(f.targets, loads, 2, f.now), 2);
 	ck_assert_uint_eq(loads[0].target, target_short_id("t3"));
 	ck_assert_uint_eq(loads[0].in_flight, 2);
 	for (int i = 0; i < 4; i++)
