config, core, gateway: say each thing once

- config/settings.c and config/gateway_settings.c read their numbers and the log level by twin code: numbers_read() and log_level_read() of config/yaml_value.c serve both.
- placement_pick() looked for a target's place among the homes of a prefix up to four times, and summed what it holds twice, for each target: the candidate keeps both.
The wait limit of a request was never set, nor the count of usable targets ever read: removed.
- members_pick(), which draws a random instance, was asked whether there is one at all, in two loops: members_any_ready() stops at the first, and region_is_open() holds the test that both loops repeated.
- The live instances were counted again for each service in each tick, and a target's entry looked at all targets for cold ones in place of its own.
- LOSS_FAILED, call_t.resuming and catalog_route_t.affinity had no reader.
- Two limits of gossip.c had come to stand under another one's comment.

Ruled out: dropping the assertion in on_target(), which tells the analyser that an entry is there.

--- a/config/gateway_settings.c
+++ b/config/gateway_settings.c
@@ -8,15 +8,7 @@
 
 #define ROOT_KEY "gateway"
 
-typedef struct {
-	const char *key;
-	size_t offset;
-	uint32_t preset;
-	uint32_t min;
-	uint32_t max;
-} number_t;
-
-static const number_t numbers[] = {
+static const number_field_t numbers[] = {
     {"memory_mb", offsetof(gateway_settings_t, memory_mb), 256, 16, 65536},
     {"descriptor_limit", offsetof(gateway_settings_t, descriptor_limit), 4096,
 	64, 1 << 20},
@@ -78,23 +70,6 @@
 	return map_read(map, fields, n, error);
 }
 
-static bool
-numbers_read(
-    gateway_settings_t *settings, const members_t *members, GError **error)
-{
-	for (size_t i = 0; i < N_NUMBERS; i++) {
-		int64_t value = numbers[i].preset;
-
-		if (members->numbers[i] != NULL &&
-		    !node_integer(members->numbers[i], numbers[i].min,
-			numbers[i].max, &value, error))
-			return false;
-		G_STRUCT_MEMBER(uint32_t, settings, numbers[i].offset) =
-		    (uint32_t)value;
-	}
-	return true;
-}
-
 static bool
 addresses_read(
     gateway_settings_t *settings, const members_t *members, GError **error)
@@ -169,25 +144,17 @@
 static bool
 settings_read(gateway_settings_t *settings, const node_t *map, GError **error)
 {
-	static const char *const names[] = {
-	    "err", "warning", "info", "debug", NULL};
-	static const int levels[] = {LOG_ERR, LOG_WARNING, LOG_INFO, LOG_DEBUG};
 	members_t members = {0};
-	int choice = 2;
-
-	if (!members_read(map, &members, error) ||
-	    !node_name(members.instance, &settings->instance, error) ||
-	    !node_name(members.zone, &settings->zone, error) ||
-	    !addresses_read(settings, &members, error) ||
-	    !numbers_read(settings, &members, error) ||
-	    !seeds_read(settings, members.seeds, error) ||
-	    !zones_read(settings, &members, error))
-		return false;
-	if (members.log_level != NULL &&
-	    !node_choice(members.log_level, names, &choice, error))
-		return false;
-	settings->log_level = levels[choice];
-	return true;
+
+	return members_read(map, &members, error) &&
+	       node_name(members.instance, &settings->instance, error) &&
+	       node_name(members.zone, &settings->zone, error) &&
+	       addresses_read(settings, &members, error) &&
+	       numbers_read(
+		   settings, numbers, members.numbers, N_NUMBERS, error) &&
+	       seeds_read(settings, members.seeds, error) &&
+	       zones_read(settings, &members, error) &&
+	       log_level_read(members.log_level, &settings->log_level, error);
 }
 
 bool
--- a/config/settings.c
+++ b/config/settings.c
@@ -7,15 +7,7 @@
 #include "yaml_reader.h"
 
 /* One number of the settings with its default and range. */
-typedef struct {
-	const char *key;
-	size_t offset;
-	uint32_t preset;
-	uint32_t min;
-	uint32_t max;
-} number_t;
-
-static const number_t numbers[] = {
+static const number_field_t numbers[] = {
     {"memory_mb", offsetof(settings_t, memory_mb), 128, 16, 4096},
     {"body_limit_kb", offsetof(settings_t, body_limit_kb), 1024, 1, 16384},
     {"http_threads", offsetof(settings_t, http_threads), 4, 1, 64},
@@ -131,36 +123,6 @@
 		   node_text(authority, &settings->tls_authority, error));
 }
 
-static bool
-numbers_read(settings_t *settings, const members_t *members, GError **error)
-{
-	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-		int64_t value = numbers[i].preset;
-
-		if (members->numbers[i] != NULL &&
-		    !node_integer(members->numbers[i], numbers[i].min,
-			numbers[i].max, &value, error))
-			return false;
-		G_STRUCT_MEMBER(uint32_t, settings, numbers[i].offset) =
-		    (uint32_t)value;
-	}
-	return true;
-}
-
-static bool
-log_level_read(settings_t *settings, const node_t *node, GError **error)
-{
-	static const char *const names[] = {
-	    "err", "warning", "info", "debug", NULL};
-	static const int levels[] = {LOG_ERR, LOG_WARNING, LOG_INFO, LOG_DEBUG};
-	int choice = 2;
-
-	if (node != NULL && !node_choice(node, names, &choice, error))
-		return false;
-	settings->log_level = levels[choice];
-	return true;
-}
-
 static bool
 admin_read(settings_t *settings, const node_t *node, GError **error)
 {
@@ -200,8 +162,9 @@
 	return secrets_read(settings, members.fleet_secrets, error) &&
 	       (members.tls == NULL ||
 		   tls_read(settings, members.tls, error)) &&
-	       numbers_read(settings, &members, error) &&
-	       log_level_read(settings, members.log_level, error);
+	       numbers_read(settings, numbers, members.numbers,
+		   G_N_ELEMENTS(numbers), error) &&
+	       log_level_read(members.log_level, &settings->log_level, error);
 }
 
 settings_t *
--- a/config/yaml_reader.h
+++ b/config/yaml_reader.h
@@ -83,6 +83,23 @@
 bool node_integer(const node_t *node, int64_t min, int64_t max, int64_t *value,
     GError **error);
 
+/* A number of a settings file that has a preset. */
+typedef struct {
+	const char *key;
+	size_t offset; /* of a uint32_t in the settings */
+	uint32_t preset;
+	uint32_t min;
+	uint32_t max;
+} number_field_t;
+
+/* Reads the numbers into settings; nodes[i] is NULL where fields[i] is left
+ * out. */
+bool numbers_read(void *settings, const number_field_t *fields,
+    const node_t *const *nodes, size_t n_fields, GError **error);
+
+/* Reads a log level as a syslog(3) priority; LOG_INFO when node is NULL. */
+bool log_level_read(const node_t *node, int *level, GError **error);
+
 /* choices ends with NULL; *value is the position in it. */
 bool node_choice(
     const node_t *node, const char *const *choices, int *value, GError **error);
--- a/config/yaml_value.c
+++ b/config/yaml_value.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <string.h>
+#include <syslog.h>
 
 #include "core/types.h"
 #include "yaml_reader.h"
@@ -272,3 +273,33 @@
 	*value = g_steal_pointer(&canonical);
 	return true;
 }
+
+bool
+numbers_read(void *settings, const number_field_t *fields,
+    const node_t *const *nodes, size_t n_fields, GError **error)
+{
+	for (size_t i = 0; i < n_fields; i++) {
+		int64_t value = fields[i].preset;
+
+		if (nodes[i] != NULL && !node_integer(nodes[i], fields[i].min,
+					    fields[i].max, &value, error))
+			return false;
+		G_STRUCT_MEMBER(uint32_t, settings, fields[i].offset) =
+		    (uint32_t)value;
+	}
+	return true;
+}
+
+bool
+log_level_read(const node_t *node, int *level, GError **error)
+{
+	static const char *const names[] = {
+	    "err", "warning", "info", "debug", NULL};
+	static const int levels[] = {LOG_ERR, LOG_WARNING, LOG_INFO, LOG_DEBUG};
+	int choice = 2;
+
+	if (node != NULL && !node_choice(node, names, &choice, error))
+		return false;
+	*level = levels[choice];
+	return true;
+}
--- a/core/members.c
+++ b/core/members.c
@@ -385,6 +385,19 @@
 	return picked;
 }
 
+bool
+members_any_ready(const members_t *members, int region, time_us_t now)
+{
+	for (guint i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		if (member_region(members, member) == region &&
+		    takes_requests(members, member, now))
+			return true;
+	}
+	return false;
+}
+
 static bool
 any_live(const members_t *members, region_set_t regions, time_us_t now)
 {
--- a/core/placement.c
+++ b/core/placement.c
@@ -137,7 +137,9 @@
 
 typedef struct {
 	target_t *target;
-	double tokens;
+	size_t home;	/* place in the order; PLACEMENT_HOMES: none */
+	double to_read; /* tokens, as far as this instance knows */
+	double tokens;	/* the same, with what other instances sent */
 	double expected_ms;
 	double cost;
 } candidate_t;
@@ -149,16 +151,18 @@
 	size_t n;
 } preference_t;
 
-/* Place of a target in the order; n when it isn't among the first. */
+/* Place of a target in the order; PLACEMENT_HOMES when it isn't among the
+ * first. To a prompt without shared parts all are alike: 0. */
 static size_t
 preference_rank(const preference_t *preference, const target_t *target)
 {
-	size_t rank = 0;
-
-	while (rank < preference->n &&
-	       preference->short_id[rank] != target->short_id)
-		rank++;
-	return rank;
+	if (preference->n == 0)
+		return 0;
+	for (size_t rank = 0; rank < preference->n; rank++) {
+		if (preference->short_id[rank] == target->short_id)
+			return rank;
+	}
+	return PLACEMENT_HOMES;
 }
 
 /*
@@ -166,18 +170,12 @@
  * each further one as holding less of them: all instances send them there.
  */
 static double
-tokens_assumed(const target_t *target, const placement_request_t *request,
-    const preference_t *preference)
+tokens_assumed(const candidate_t *candidate, double own)
 {
-	double tokens = tokens_to_read(target, request->prompt);
-	double own = MAX(
-	    1.0, request->prompt->tokens_in - shared_tokens(request->prompt));
-
-	size_t rank = preference_rank(preference, target);
-
-	if (rank == preference->n || tokens <= own)
-		return tokens;
-	return own + (tokens - own) * (double)rank / PLACEMENT_HOMES;
+	if (candidate->to_read <= own)
+		return candidate->to_read;
+	return own + (candidate->to_read - own) * (double)candidate->home /
+			 PLACEMENT_HOMES;
 }
 
 static candidate_t
@@ -185,20 +183,22 @@
     const preference_t *preference, uint64_t *random, time_us_t now)
 {
 	const prompt_t *prompt = request->prompt;
-	double tokens = tokens_assumed(target, request, preference);
 	double shared = shared_tokens(prompt);
 	double own = MAX(1.0, prompt->tokens_in - shared);
-	candidate_t candidate = {target, tokens, 0, 0};
+	candidate_t candidate = {.target = target,
+	    .home = preference_rank(preference, target),
+	    .to_read = tokens_to_read(target, prompt)};
 	double spread = (double)(random_next(random) % 1024) / 1024 *
 			SPREAD_MS * request->region_instances /
 			(1.0 + shared / SPREAD_SHARED);
 
-	candidate.expected_ms = target_expected_ms(target, tokens);
-	candidate.cost =
-	    candidate.expected_ms +
-	    MISS_COST * MAX(0.0, tokens - own) / ENGINE_PREFILL_PER_MS +
-	    RUNNING_COST_MS * target_in_flight(target, now) + spread +
-	    FAILURE_COST_MS * target->failure_rate;
+	candidate.tokens = tokens_assumed(&candidate, own);
+	candidate.expected_ms = target_expected_ms(target, candidate.tokens);
+	candidate.cost = candidate.expected_ms +
+			 MISS_COST * MAX(0.0, candidate.tokens - own) /
+			     ENGINE_PREFILL_PER_MS +
+			 RUNNING_COST_MS * target_in_flight(target, now) +
+			 spread + FAILURE_COST_MS * target->failure_rate;
 	return candidate;
 }
 
@@ -210,24 +210,24 @@
 	/* Breaks ties between idle targets. */
 	double tie = (double)(random_next(random) % 1000) / 1e5;
 
-	return (candidate_t){target, 0, 0,
-	    (load + 0.2 + tie) * MAX(0.5, target->slowness) +
-		FAILURE_COST_LOAD * target->failure_rate};
+	return (candidate_t){.target = target,
+	    .cost = (load + 0.2 + tie) * MAX(0.5, target->slowness) +
+		    FAILURE_COST_LOAD * target->failure_rate};
 }
 
 /* A place that is better left to a request whose prompt is held there. */
 static bool
-is_held_back(const target_t *target, const placement_request_t *request,
-    const preference_t *preference, time_us_t now)
+is_held_back(const candidate_t *candidate, const placement_request_t *request,
+    time_us_t now)
 {
 	if (!request->may_wait || request->prompt == NULL ||
-	    preference_rank(preference, target) < preference->n)
+	    candidate->home < PLACEMENT_HOMES)
 		return false;
-	return tokens_to_read(target, request->prompt) -
-		       (request->prompt->tokens_in -
-			   shared_tokens(request->prompt)) >
+	return candidate->to_read - (request->prompt->tokens_in -
+					shared_tokens(request->prompt)) >
 		   PLACEMENT_MISS_TOKENS &&
-	       target_is_contended(target, request->region_instances, now);
+	       target_is_contended(
+		   candidate->target, request->region_instances, now);
 }
 
 /*
@@ -235,20 +235,17 @@
  * whose first home it is; any may send it what finds no room at its homes.
  */
 static uint32_t
-n_takers(const preference_t *preference, const target_t *target,
-    uint32_t region_instances)
+n_takers(const candidate_t *candidate, uint32_t region_instances)
 {
-	return preference_rank(preference, target) == 0
-		   ? region_instances / HOME_TAKERS_PART
-		   : region_instances;
+	return candidate->home == 0 ? region_instances / HOME_TAKERS_PART
+				    : region_instances;
 }
 
 static bool
-has_room(const target_t *target, const placement_request_t *request,
-    const preference_t *preference, const candidate_t *candidate, time_us_t now)
+has_room(const candidate_t *candidate, const placement_request_t *request,
+    time_us_t now)
 {
-	double limit = request->wait_limit_ms > 0 ? request->wait_limit_ms
-						  : PLACEMENT_WAIT_MS;
+	const target_t *target = candidate->target;
 	uint32_t in_flight = target_in_flight(target, now);
 	double slots = MAX(1u, target->entry.slots);
 
@@ -262,10 +259,9 @@
 	if (in_flight >= PLACEMENT_FEW &&
 	    target_is_slow(target, request->gap_limit_ms, now))
 		return false;
-	return candidate->expected_ms < limit &&
-	       target_has_place(target,
-		   n_takers(preference, target, request->region_instances),
-		   now);
+	return candidate->expected_ms < PLACEMENT_WAIT_MS &&
+	       target_has_place(
+		   target, n_takers(candidate, request->region_instances), now);
 }
 
 /* Keeps the highest scores, the highest first. */
@@ -350,12 +346,11 @@
 					      &preference, &random, now)
 					: plain_rate(target, &random, now);
 			if (candidate.cost >= best.cost ||
-			    !has_room(target, request, &preference, &candidate,
-				now) ||
+			    !has_room(&candidate, request, now) ||
 			    !target_cold_allows(
 				target, request->service->cold_per_s, now))
 				continue;
-			if (is_held_back(target, request, &preference, now)) {
+			if (is_held_back(&candidate, request, now)) {
 				placement.held_back = true;
 				continue;
 			}
@@ -374,7 +369,7 @@
 			    target_expected_ms(
 				best.target, request->prompt->tokens_in) -
 			    target_expected_ms(best.target, best.tokens);
-		placement.home = preference_rank(&preference, best.target);
+		placement.home = best.home;
 	}
 	return placement;
 }
@@ -383,7 +378,7 @@
 placement_capacity(
     const targets_t *targets, const catalog_service_t *service, time_us_t now)
 {
-	region_capacity_t capacity = {0, 0, INFINITY};
+	region_capacity_t capacity = {0, INFINITY};
 
 	for (size_t i = 0; i < targets_count(targets); i++) {
 		const target_t *target = targets_at(targets, i);
@@ -394,7 +389,6 @@
 		    !target_is_usable(targets, target) ||
 		    !target_is_healthy(target, now) || now < target->cold_until)
 			continue;
-		capacity.usable++;
 		in_flight = target_in_flight(target, now);
 		expected = target_expected_ms(target, 0);
 		capacity.expected_ms = MIN(capacity.expected_ms, expected);
--- a/gateway/call.h
+++ b/gateway/call.h
@@ -69,8 +69,7 @@
 	unsigned status;
 	bool streaming; /* by events */
 	bool head_sent;
-	bool passing;  /* body bytes go on as they come */
-	bool resuming; /* the head of this attempt isn't passed on */
+	bool passing; /* body bytes go on as they come */
 	bool paused;
 	GString *answer_head;
 	GByteArray *answer;
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -56,6 +56,18 @@
 			       ENGINE_TIME_MIN_US);
 }
 
+/* Tells whether the request may be passed to an instance there. */
+static bool
+region_is_open(const call_t *call, int region)
+{
+	gateway_t *gateway = call->gateway;
+
+	return region != gateway->region &&
+	       region_set_has(call->regions, region) &&
+	       members_any_ready(
+		   gateway->members, region, gateway_now(gateway));
+}
+
 /* Expected time to the first byte when it goes to the region, or a negative
  * value when it can't. */
 static double
@@ -65,10 +77,7 @@
 	const region_news_t *news = &gateway->news[region];
 	uint32_t service = target_short_id(call->service->name);
 
-	if (region == gateway->region ||
-	    !region_set_has(call->regions, region) ||
-	    members_pick(gateway->members, region, 0, gateway_now(gateway)) ==
-		NULL)
+	if (!region_is_open(call, region))
 		return -1;
 	if (gateway_now(gateway) - news->heard_at < NEWS_LIFE_US) {
 		for (size_t i = 0; i < news->n; i++) {
@@ -104,9 +113,7 @@
 	if (best != PLACE_NONE || !any)
 		return best;
 	for (int i = 0; i < places_n_regions(gateway->places); i++) {
-		if (i == gateway->region || !region_set_has(call->regions, i) ||
-		    members_pick(
-			gateway->members, i, 0, gateway_now(gateway)) == NULL)
+		if (!region_is_open(call, i))
 			continue;
 		seen++;
 		if (random_next(&gateway->random) % seen == 0)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -135,16 +135,15 @@
 	g_free(line);
 }
 
+/* n_instances: live ones, this one included. */
 static void
-line_set_limits(const gateway_t *gateway, line_t *line)
+line_set_limits(
+    line_t *line, const gateway_settings_t *settings, uint32_t n_instances)
 {
-	const gateway_settings_t *settings = gateway->settings;
-	uint32_t n = MAX(1u, members_n_live(gateway->members, PLACE_NONE,
-				 gateway_now((gateway_t *)gateway)));
+	double slack = RETRY_SLACK_PART * settings->retry_slack / n_instances;
 
 	retry_budget_set_limits(&line->retries,
-	    (int64_t)settings->retry_percent * 10,
-	    MAX(1, (int64_t)(RETRY_SLACK_PART * settings->retry_slack / n)));
+	    (int64_t)settings->retry_percent * 10, MAX(1, (int64_t)slack));
 }
 
 line_t *
@@ -160,7 +159,8 @@
 	queue_set_depth(line->queue, QUEUE_DEPTH);
 	line->streams = g_array_new(FALSE, TRUE, sizeof(stream_kind_t));
 	retry_budget_init(&line->retries, gateway_now(gateway));
-	line_set_limits(gateway, line);
+	line_set_limits(line, gateway->settings,
+	    members_n_live(gateway->members, PLACE_NONE, gateway_now(gateway)));
 	retry_budget_fill(&line->retries);
 	g_hash_table_insert(gateway->lines, line->name, line);
 	return line;
@@ -275,23 +275,17 @@
 
 /* Cold targets are left to a few instances of the region. */
 static void
-cold_senders_update(gateway_t *gateway)
+cold_sender_update(gateway_t *gateway, target_t *target)
 {
 	time_us_t now = gateway_now(gateway);
+
+	if (target->region != gateway->region || now >= target->cold_until)
+		return;
 	/* Instances that have just started, all at once maybe, each see
 	 * themselves alone. */
-	bool settled = now - gateway->started_at >= SETTLE_US;
-
-	for (size_t i = 0; i < targets_count(gateway->targets); i++) {
-		target_t *target = targets_at(gateway->targets, i);
-
-		if (target->region == gateway->region &&
-		    now < target->cold_until)
-			target->cold_sender =
-			    settled &&
-			    members_cares_for(gateway->members,
-				target->short_id, TARGET_COLD_SENDERS, now);
-	}
+	target->cold_sender = now - gateway->started_at >= SETTLE_US &&
+			      members_cares_for(gateway->members,
+				  target->short_id, TARGET_COLD_SENDERS, now);
 }
 
 static void
@@ -304,7 +298,8 @@
 		    old->entry.started_ms == entry->started_ms;
 
 	g_assert(entry != NULL);
-	targets_put(gateway->targets, entry, gateway_now(gateway));
+	cold_sender_update(gateway,
+	    targets_put(gateway->targets, entry, gateway_now(gateway)));
 	if (!same)
 		log_event(LOG_INFO, "target", LOG_S("target", entry->id),
 		    LOG_S("service", entry->service),
@@ -314,7 +309,6 @@
 			entry->state == TARGET_READY ? "ready" : "draining"),
 		    LOG_I("cold_ms", entry->cold_ms),
 		    LOG_I("started_ms", entry->started_ms));
-	cold_senders_update(gateway);
 	gateway_schedule_pump(gateway);
 }
 
@@ -603,6 +597,8 @@
 {
 	gateway_t *gateway = watcher->data;
 	time_us_t now = gateway_now(gateway);
+	uint32_t n_instances =
+	    members_n_live(gateway->members, PLACE_NONE, now);
 	GHashTableIter iter;
 	gpointer line;
 
@@ -612,12 +608,12 @@
 	targets_expire(gateway->targets, now);
 	gateway->region_instances =
 	    members_n_live(gateway->members, gateway->region, now);
-	team_rates_update(gateway->rates,
-	    members_n_live(gateway->members, PLACE_NONE, now), now);
+	team_rates_update(gateway->rates, n_instances, now);
 	g_hash_table_iter_init(&iter, gateway->lines);
 	while (g_hash_table_iter_next(&iter, NULL, &line))
-		line_set_limits(gateway, line);
-	cold_senders_update(gateway);
+		line_set_limits(line, gateway->settings, n_instances);
+	for (size_t i = 0; i < targets_count(gateway->targets); i++)
+		cold_sender_update(gateway, targets_at(gateway->targets, i));
 	relay_update(gateway, now);
 	pools_sweep(gateway, now);
 	ready_update(gateway);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -19,7 +19,7 @@
 #define MESSAGE_VERSION 0x43530004
 #define MESSAGE_BYTES 8192
 
-/* Entries of each list, so that a message stays near 1,400 bytes. */
+/* Targets in one message, so that it stays near 1,400 bytes. */
 #define LOAD_LIMIT 128
 
 /* Three numbers of a load share a word. Pending tokens and gaps (ms) are told
@@ -28,6 +28,8 @@
 #define LOAD_FIELD_MAX ((1u << LOAD_FIELD_BITS) - 1)
 #define LOAD_TOKENS_UNIT 64
 #define LOAD_GAP_UNIT 4
+
+/* Instances that are told the view in one round. */
 #define PEER_LIMIT 32
 
 /* Instances of a region that are told the load each time. */
@@ -166,13 +168,14 @@
 	return n;
 }
 
+/* n_members: at most so many entries of the sender's view, its own first. */
 static void
-message_fill(
-    const gateway_t *gateway, message_t *message, bool near, time_us_t now)
+message_fill(const gateway_t *gateway, message_t *message, bool near,
+    size_t n_members, time_us_t now)
 {
 	message->version = MESSAGE_VERSION;
 	message->n_members = (uint32_t)members_digest(
-	    gateway->members, now, message->members, MEMBER_DIGEST_LIMIT);
+	    gateway->members, now, message->members, n_members);
 	message->config_version =
 	    gateway->catalog ? catalog_version(gateway->catalog) : 0;
 	message->store_revision = store_revision(gateway->store);
@@ -245,10 +248,12 @@
 		bool near = is_near(gateway, ips[i]);
 
 		if (near && near_len == 0) {
-			message_fill(gateway, &gossip->message, true, now);
+			message_fill(gateway, &gossip->message, true,
+			    MEMBER_DIGEST_LIMIT, now);
 			near_len = message_encode(&gossip->message, near_bytes);
 		} else if (!near && far_len == 0) {
-			message_fill(gateway, &gossip->message, false, now);
+			message_fill(gateway, &gossip->message, false,
+			    MEMBER_DIGEST_LIMIT, now);
 			far_len = message_encode(&gossip->message, far_bytes);
 		}
 		message_send(gossip, ips[i], near ? near_bytes : far_bytes,
@@ -268,8 +273,7 @@
 
 	if (n == 0)
 		return;
-	message_fill(gateway, &gossip->message, true, now);
-	gossip->message.n_members = 1;
+	message_fill(gateway, &gossip->message, true, 1, now);
 	len = message_encode(&gossip->message, bytes);
 	for (size_t i = 0; i < n; i++)
 		message_send(gossip, ips[i], bytes, len);
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -170,7 +170,6 @@
 	LOSS_UNREACHABLE, /* no connection: not run */
 	LOSS_NOT_RUN,	  /* the target says that it hasn't run */
 	LOSS_BROKEN,	  /* may have run */
-	LOSS_FAILED,	  /* ran, and the target says that it failed */
 } loss_t;
 
 /* Called by attempt.c. */
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -41,7 +41,6 @@
 	int priority;	       /* 0 most urgent */
 	uint32_t max_attempts; /* targets that may run one request */
 	bool open;	       /* no key is asked for */
-	bool affinity;	       /* prompts are worth keeping on one target */
 	bool resumable;
 	region_set_t regions; /* where it may be served */
 	route_backend_t backends[ROUTE_BACKEND_LIMIT];
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -122,6 +122,9 @@
 const member_t *members_pick(
     members_t *members, int region, uint32_t exclude, time_us_t now);
 
+/* Tells whether members_pick() finds an instance of the region. */
+bool members_any_ready(const members_t *members, int region, time_us_t now);
+
 /*
  * Writes up to limit live and ready instances that callers in this region
  * should use: those of the region; without one, those of the regions in
--- a/include/core/placement.h
+++ b/include/core/placement.h
@@ -62,7 +62,6 @@
 	handle_t tried[PLACEMENT_TRIED_LIMIT];
 	size_t n_tried;
 	uint32_t region_instances; /* live ones, this one included */
-	double wait_limit_ms;	   /* 0: PLACEMENT_WAIT_MS */
 	double gap_limit_ms;	   /* between events; 0: none */
 	bool may_wait; /* there is time to wait for one that holds the prompt */
 	uint64_t random;
@@ -97,7 +96,6 @@
 
 /* Load of a service's targets in the own region, told to other regions. */
 typedef struct {
-	uint32_t usable;    /* targets */
 	uint32_t free;	    /* requests that could start now */
 	double expected_ms; /* to the first token of a short prompt */
 } region_capacity_t;
