gateway, platform: read from the second relay while the first is paused

When the store turns it away meanwhile it reads nothing, and the pause also held back the fallback relay.

Ruled out: a slow relay alone. It is left after 700 ms.

Change: relays are paused one by one, and the other one is used at once. A lag ends only when the missing version is reached (core/lag.c). A fetch ends when no byte comes for 1 s, begins 300 ms after a version was reported, and stops at its size limit. A document that is loaded is not decoded again. An instance without relay that lags counts the store as unreachable.

--- a/gateway/fetch.c
+++ b/gateway/fetch.c
@@ -2,8 +2,19 @@
 
 #include <string.h>
 
-/* Timeout for fetching a configuration from another instance. */
-#define FETCH_TIMEOUT_S 1.5
+/*
+ * Maximum time without a byte from the other instance, and in all. A document
+ * of 500 kB takes seconds on a busy link of 10 Mbit/s; a fetch that is
+ * abandoned while it progresses would start over and load the link again.
+ */
+#define FETCH_STALL_S 1.0
+#define FETCH_TIMEOUT_S 4.0
+
+/*
+ * Time for which a newer version is left to the watch of the store, which
+ * usually brings it first. An instance without a configuration fetches at once.
+ */
+#define FETCH_DELAY_US (300 * US_PER_MS)
 
 /* Size limit for a configuration: one value of the store. */
 #define FETCH_BODY_LIMIT (2 << 20)
@@ -20,7 +31,10 @@
 	http_reader_t *reader;
 	GByteArray *body;
 	unsigned status;
+	bool too_large;
+	ev_timer stall;
 	ev_timer timeout;
+	lag_t lag; /* of the configuration behind other instances */
 };
 
 static void
@@ -29,6 +43,7 @@
 	if (fetch->connection == NULL)
 		return;
 	ev_timer_stop(fetch->gateway->loop, &fetch->timeout);
+	ev_timer_stop(fetch->gateway->loop, &fetch->stall);
 	tcp_close(fetch->connection);
 	tcp_unref(fetch->connection);
 	fetch->connection = NULL;
@@ -39,11 +54,14 @@
 {
 	gateway_t *gateway = fetch->gateway;
 	g_autoptr(GError) error = NULL;
-	catalog_t *catalog =
-	    platform_catalog_read((const char *)fetch->body->data,
-		fetch->body->len, gateway->topology, &error);
+	catalog_t *catalog;
 	GBytes *text;
 
+	if (gateway_config_is_loaded(
+		gateway, fetch->body->data, fetch->body->len))
+		return;
+	catalog = platform_catalog_read((const char *)fetch->body->data,
+	    fetch->body->len, gateway->topology, &error);
 	if (catalog == NULL) {
 		log_event(LOG_ERR, "config_unreadable",
 		    LOG_S("source", "instance"),
@@ -70,6 +88,8 @@
 
 	if (fetch->body->len + len <= FETCH_BODY_LIMIT)
 		g_byte_array_append(fetch->body, data, (guint)len);
+	else
+		fetch->too_large = true;
 }
 
 static const http_sink_t sink = {on_head, on_body};
@@ -82,8 +102,10 @@
 	http_feed_t result =
 	    http_reader_feed(fetch->reader, data, len, &consumed);
 
-	if (result == HTTP_FEED_MORE)
+	if (result == HTTP_FEED_MORE && !fetch->too_large) {
+		ev_timer_again(fetch->gateway->loop, &fetch->stall);
 		return;
+	}
 	fetch_end(fetch);
 	if (result == HTTP_FEED_COMPLETE && fetch->status == 200)
 		fetch_apply(fetch);
@@ -119,6 +141,8 @@
 
 	fetch->gateway = gateway;
 	fetch->body = g_byte_array_new();
+	ev_timer_init(&fetch->stall, on_timeout, FETCH_STALL_S, FETCH_STALL_S);
+	fetch->stall.data = fetch;
 	ev_timer_init(&fetch->timeout, on_timeout, FETCH_TIMEOUT_S, 0);
 	fetch->timeout.data = fetch;
 	return fetch;
@@ -134,15 +158,13 @@
 	g_free(fetch);
 }
 
-void
+static void
 fetch_start(fetch_t *fetch, uint32_t ip)
 {
 	static const char request[] =
 	    "GET " PEER_CONFIG_PATH " HTTP/1.1\r\nHost: instance\r\n\r\n";
 	net_address_t address = {ip, fetch->gateway->own_peer.port};
 
-	if (fetch->connection != NULL)
-		return;
 	fetch->connection =
 	    tcp_connect(fetch->gateway->net, address, &events, fetch);
 	if (fetch->connection == NULL)
@@ -152,6 +174,28 @@
 	fetch->reader =
 	    http_reader_create(HTTP_RESPONSES, &sink, fetch, FETCH_HEAD_LIMIT);
 	g_byte_array_set_size(fetch->body, 0);
+	fetch->too_large = false;
 	tcp_send(fetch->connection, request, strlen(request));
+	ev_timer_set(&fetch->timeout, FETCH_TIMEOUT_S, 0);
 	ev_timer_start(fetch->gateway->loop, &fetch->timeout);
+	ev_timer_again(fetch->gateway->loop, &fetch->stall);
+}
+
+void
+fetch_note_version(fetch_t *fetch, uint64_t version, uint32_t ip)
+{
+	const gateway_t *gateway = fetch->gateway;
+	time_us_t now = gateway_now(fetch->gateway);
+
+	if (gateway->catalog == NULL) {
+		if (version == 0)
+			return;
+	} else if (lag_note(&fetch->lag,
+		       (int64_t)catalog_version(gateway->catalog),
+		       (int64_t)version, now) < FETCH_DELAY_US ||
+		   version <= catalog_version(gateway->catalog)) {
+		return;
+	}
+	if (fetch->connection == NULL)
+		fetch_start(fetch, ip);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -59,7 +59,7 @@
 
 /*
  * An instance whose revision lags behind others for this long abandons its
- * relay.
+ * relay, or counts the store as unreachable if it has none.
  */
 #define RELAY_BEHIND_US (700 * US_PER_MS)
 
@@ -285,16 +285,30 @@
 {
 	time_us_t now = gateway_now(gateway);
 
-	if (revision <= store_revision(gateway->store)) {
-		gateway->behind_since = 0;
+	if (lag_note(&gateway->store_lag, store_revision(gateway->store),
+		revision, now) < RELAY_BEHIND_US)
 		return;
-	}
-	if (gateway->behind_since == 0)
-		gateway->behind_since = now;
-	if (now - gateway->behind_since >= RELAY_BEHIND_US) {
-		store_abandon_relay(gateway->store);
-		gateway->behind_since = now;
-	}
+	store_note_behind(gateway->store);
+	lag_restart(&gateway->store_lag, now);
+}
+
+bool
+gateway_config_is_loaded(
+    const gateway_t *gateway, const uint8_t *text, size_t len)
+{
+	gsize loaded_len;
+	const void *loaded;
+
+	if (gateway->catalog_text == NULL)
+		return false;
+	loaded = g_bytes_get_data(gateway->catalog_text, &loaded_len);
+	return loaded_len == len && memcmp(loaded, text, len) == 0;
+}
+
+static bool
+on_config_is_loaded(void *owner, const uint8_t *text, size_t len)
+{
+	return gateway_config_is_loaded(owner, text, len);
 }
 
 static void
@@ -394,6 +408,7 @@
 }
 
 static const store_events_t store_events = {
+    .config_is_loaded = on_config_is_loaded,
     .config = on_config,
     .target = on_target,
     .target_removed = on_target_removed,
@@ -513,7 +528,7 @@
 	 * This instance lags because it couldn't read, not because of the
 	 * relay.
 	 */
-	gateway->behind_since = 0;
+	lag_restart(&gateway->store_lag, now);
 	return true;
 }
 
@@ -525,22 +540,24 @@
 relay_update(gateway_t *gateway, time_us_t now)
 {
 	uint32_t ips[RELAY_COUNT];
-	net_address_t relay;
 	size_t n = 0;
 
 	if (gateway->region_instances >= RELAY_REGION_MIN &&
 	    now - gateway->started_at >= VIEW_SETTLE_US)
 		n = members_responsible(
 		    gateway->members, RELAY_KEY, RELAY_COUNT, now, ips);
-	if (n == 0) {
-		store_set_relay(gateway->store,
-		    fallback_relay_pick(gateway, now) ? &gateway->fallback_relay
-						      : NULL);
+	for (size_t i = 0; i < n; i++) {
+		net_address_t relay = {ips[(gateway->own_peer.ip + i) % n],
+		    gateway->own_peer.port};
+
+		if (store_relay_is_paused(gateway->store, &relay))
+			continue;
+		store_set_relay(gateway->store, &relay);
 		return;
 	}
-	relay = (net_address_t){
-	    ips[gateway->own_peer.ip % n], gateway->own_peer.port};
-	store_set_relay(gateway->store, &relay);
+	store_set_relay(gateway->store, fallback_relay_pick(gateway, now)
+					    ? &gateway->fallback_relay
+					    : NULL);
 }
 
 static void
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -303,9 +303,7 @@
 		return;
 	members_merge(
 	    gateway->members, message->members, message->n_members, now);
-	if (message->config_version >
-	    (gateway->catalog ? catalog_version(gateway->catalog) : 0))
-		fetch_start(gateway->fetch, sender->ip);
+	fetch_note_version(gateway->fetch, message->config_version, sender->ip);
 	gateway_note_revision(gateway, message->store_revision);
 	region = topology_region_of(gateway->topology, sender->zone);
 	if (region == gateway->region) {
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -8,6 +8,7 @@
 #include "common/log.h"
 #include "config/gateway_settings.h"
 #include "core/catalog.h"
+#include "core/lag.h"
 #include "core/members.h"
 #include "core/placement.h"
 #include "core/queue.h"
@@ -103,11 +104,7 @@
 	time_us_t started_at;
 	time_us_t leaving_at; /* 0: not stopping */
 	bool targets_loaded;
-	/*
-	 * Since when other instances report a newer store revision, or since
-	 * the last relay was abandoned for that reason; 0: up to date.
-	 */
-	time_us_t behind_since;
+	lag_t store_lag; /* of the store revision behind other instances */
 	time_us_t store_unreachable_since; /* 0: reachable */
 	time_us_t fallback_until;     /* until when fallback_relay is used */
 	net_address_t fallback_relay; /* instance read from meanwhile */
@@ -129,6 +126,9 @@
 service_state_t *gateway_service_state(gateway_t *gateway, const char *service);
 void gateway_set_catalog(
     gateway_t *gateway, catalog_t *catalog, GBytes *text, const char *source);
+/* Whether this document is the loaded configuration. */
+bool gateway_config_is_loaded(
+    const gateway_t *gateway, const uint8_t *text, size_t len);
 /*
  * Updates the average stream length of a route with the expected events of a
  * request, and recomputes gap_limit_ms.
@@ -288,8 +288,12 @@
 
 fetch_t *fetch_create(gateway_t *gateway);
 void fetch_destroy(fetch_t *fetch);
-/* Starts a fetch, unless one is already running. */
-void fetch_start(fetch_t *fetch, uint32_t ip);
+/*
+ * Called when an instance reports a newer configuration version. Starts a
+ * fetch from it, unless one is already running or the watch of the store may
+ * still bring that version (FETCH_DELAY_US).
+ */
+void fetch_note_version(fetch_t *fetch, uint64_t version, uint32_t ip);
 
 /* endpoints.c: HTTP endpoints for directory, health check and metrics. */
 endpoints_t *endpoints_create(gateway_t *gateway, GError **error);
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -44,6 +44,12 @@
 typedef struct store store_t;
 
 typedef struct {
+	/*
+	 * Returns whether this document is the loaded configuration. It is then
+	 * not decoded again: with thousands of routes that takes hundreds of
+	 * milliseconds on a small instance.
+	 */
+	bool (*config_is_loaded)(void *owner, const uint8_t *text, size_t len);
 	/* text is the published document, kept to serve other instances. */
 	void (*config)(void *owner, catalog_t *catalog, GBytes *text);
 	void (*target)(void *owner, const target_entry_t *entry);
@@ -68,12 +74,22 @@
 #define STORE_RELAY_PAUSE_MS 5000
 void store_set_relay(store_t *store, const net_address_t *relay);
 
+/* Returns whether the relay failed or was left within STORE_RELAY_PAUSE_MS. */
+bool store_relay_is_paused(const store_t *store, const net_address_t *relay);
+
 /*
- * Reads from the store for STORE_RELAY_PAUSE_MS, as the relay lags behind the
- * store or has failed.
+ * Doesn't use the current relay for STORE_RELAY_PAUSE_MS, as it lags behind the
+ * store or has failed. Reads from the store until store_set_relay() names
+ * another one.
  */
 void store_abandon_relay(store_t *store);
 
+/*
+ * Called when other instances have read newer data than this one: abandons the
+ * relay, or counts the store as unreachable when there is none.
+ */
+void store_note_behind(store_t *store);
+
 /* Returns the revision of the newest change that was read. */
 int64_t store_revision(const store_t *store);
 
--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,164 @@
+#include "platform/store.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+
+#include "fake_store.h"
+#include "test.h"
+
+#define LOOPBACK UINT32_C(0x7f000001)
+
+/* One store client beside a store and two relays, which are stand-ins for the
+ * store themselves. */
+typedef struct {
+	struct ev_loop *loop;
+	net_t *net;
+	topology_t *places;
+	fake_store_t *store;
+	fake_store_t *relays[2];
+	net_address_t addresses[3]; /* store, relays */
+	store_t *client;
+	bool evacuated;
+	bool unreachable;
+} fixture_t;
+
+static bool
+on_config_is_loaded(void *owner, const uint8_t *text, size_t len)
+{
+	return false;
+}
+
+static void
+on_config(void *owner, catalog_t *catalog, GBytes *text)
+{
+}
+
+static void
+on_target(void *owner, const target_entry_t *entry)
+{
+}
+
+static void
+on_target_removed(void *owner, const char *id)
+{
+}
+
+static void
+on_evacuation(void *owner, const char *zone, bool evacuated)
+{
+	((fixture_t *)owner)->evacuated = evacuated;
+}
+
+static void
+on_reachable(void *owner, bool reachable, const char *cause)
+{
+	((fixture_t *)owner)->unreachable = !reachable;
+}
+
+static void
+on_loaded(void *owner)
+{
+}
+
+static const store_events_t events = {on_config_is_loaded, on_config, on_target,
+    on_target_removed, on_evacuation, on_reachable, on_loaded};
+
+static void
+fixture_create(fixture_t *fixture)
+{
+	uint16_t port;
+
+	*fixture = (fixture_t){.loop = ev_loop_new(0)};
+	fixture->net = net_create(fixture->loop);
+	fixture->places = topology_create();
+	topology_add(fixture->places, "a-1", "a");
+	fixture->store = fake_store_create(&port);
+	fixture->addresses[0] = (net_address_t){LOOPBACK, port};
+	for (size_t i = 0; i < 2; i++) {
+		fixture->relays[i] = fake_store_create(&port);
+		fixture->addresses[i + 1] = (net_address_t){LOOPBACK, port};
+	}
+	fixture->client = store_create(fixture->net, fixture->addresses[0],
+	    fixture->places, &events, fixture, 1);
+}
+
+static void
+fixture_destroy(fixture_t *fixture)
+{
+	store_destroy(fixture->client);
+	fake_store_destroy(fixture->store);
+	for (size_t i = 0; i < 2; i++)
+		fake_store_destroy(fixture->relays[i]);
+	net_destroy(fixture->net);
+	topology_destroy(fixture->places);
+	ev_loop_destroy(fixture->loop);
+}
+
+/* Runs the loop until the condition holds; returns false after the time. */
+static bool
+run_until(fixture_t *fixture, const bool *condition, gint64 ms)
+{
+	gint64 end = g_get_monotonic_time() + ms * 1000;
+
+	while (!*condition && g_get_monotonic_time() < end) {
+		ev_run(fixture->loop, EVRUN_NOWAIT);
+		g_usleep(1000);
+	}
+	return *condition;
+}
+
+static void
+run_for(fixture_t *fixture, gint64 ms)
+{
+	bool never = false;
+
+	run_until(fixture, &never, ms);
+}
+
+/*
+ * Guards against an instance that reads nothing for STORE_RELAY_PAUSE_MS: it
+ * left a relay that lagged while the store refused it, and the second relay,
+ * which works, was not used either. On a day with many new routes it refused a
+ * key with 401 for longer than a configuration may take.
+ */
+TEST(second_relay_is_used_while_the_first_is_paused)
+{
+	fixture_t fixture;
+
+	fixture_create(&fixture);
+	store_set_relay(fixture.client, &fixture.addresses[1]);
+	run_for(&fixture, 200);
+	fake_store_set_mode(fixture.store, STORE_REFUSES);
+	store_abandon_relay(fixture.client);
+	ck_assert(store_relay_is_paused(fixture.client, &fixture.addresses[1]));
+	ck_assert(
+	    !store_relay_is_paused(fixture.client, &fixture.addresses[2]));
+	run_for(&fixture, 200);
+	fake_store_put(fixture.relays[1], "op/evacuate/a-1", "{}");
+	store_set_relay(fixture.client, &fixture.addresses[2]);
+	ck_assert(run_until(
+	    &fixture, &fixture.evacuated, STORE_RELAY_PAUSE_MS - 2000));
+	fixture_destroy(&fixture);
+}
+
+/*
+ * Guards against waiting for the end of a watch (over 5 s) at a store that no
+ * longer tells this instance of changes while others read newer data. The store
+ * counts as unreachable until it answers a new request.
+ */
+TEST(pending_watch_is_abandoned_when_others_read_newer_data)
+{
+	fixture_t fixture;
+
+	fixture_create(&fixture);
+	run_for(&fixture, 300);
+	ck_assert(!fixture.unreachable);
+	store_note_behind(fixture.client);
+	ck_assert(fixture.unreachable);
+	fake_store_put(fixture.store, "op/evacuate/a-1", "{}");
+	ck_assert(run_until(&fixture, &fixture.evacuated, 2500));
+	ck_assert(!fixture.unreachable);
+	fixture_destroy(&fixture);
+}
+
+TEST_MAIN("store")
