gateway: serve callers while an instance starts, and the last one while it stops

A region's only instance closed its listener 2.5 s after SIGTERM, while callers keep its address for up to 6 s; 3,339 tries found no connection and 332 of 1,214 look-ups failed. After the start it refused requests as no_config.

Change: while no other instance of the region accepts requests, a stopping one goes on. Plain requests get the time that is left as their deadline; a stream is accepted if its whole deadline fits, else refused with the time until the instance is back. Connections accepted in the first 1.5 s after the start are read when configuration and targets are there; their requests count from the connection.

Tests: process_platform, three cases new. The case of a new connection to a stopping instance now starts a second instance, as the only one no longer refuses there; what it checks is the same.

--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -114,6 +114,35 @@
 	request->deadline = MIN(timeout, request->caller_deadline);
 }
 
+/* Time in which a stopping instance can still answer a plain request. */
+#define LEAVE_PLAIN_MIN_US US_PER_S
+
+/* From the exit of a stopping instance until it serves again. */
+#define RESTART_US (1500 * US_PER_MS)
+
+/*
+ * Load pattern: instances are restarted in turn, and in a small region all of
+ * them are stopping at once while callers still have their addresses. Plain
+ * requests take milliseconds and get the time that is left. A stream is
+ * accepted only if its whole deadline fits, as it can't be answered partly.
+ */
+static bool
+leave_limit_apply(request_t *request)
+{
+	time_us_t limit = gateway_leave_limit(request->gateway);
+	time_us_t left = limit - gateway_now(request->gateway);
+
+	if (limit == 0 || request->deadline <= limit)
+		return true;
+	if (request->route->kind != ROUTE_STREAM &&
+	    left >= LEAVE_PLAIN_MIN_US) {
+		request->deadline = limit;
+		return true;
+	}
+	request_refuse(request, 503, "stopping", MAX(left, 0) + RESTART_US);
+	return false;
+}
+
 static bool
 team_charge(request_t *request)
 {
@@ -191,6 +220,8 @@
 		return false;
 	}
 	deadlines_set(request);
+	if (!leave_limit_apply(request))
+		return false;
 	request->regions =
 	    route->regions &
 	    (request->team ? request->team->regions : REGION_SET_ALL);
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -38,6 +38,8 @@
 	uint64_t body_len;
 	replica_watch_t *watch; /* pending watch on the store */
 	time_us_t idle_since;	/* accepted, or last response ended */
+	time_us_t held_since;	/* see client_release_held(); 0: not held */
+	bool held;		/* not read before the instance can serve */
 	ev_timer timer;		/* header, body or idle timeout */
 };
 
@@ -467,6 +469,32 @@
     .drained = on_drained,
 };
 
+static void
+client_hold(client_t *client)
+{
+	client->held = true;
+	client->held_since = gateway_now(client->gateway);
+	tcp_pause(client->connection, true);
+}
+
+void
+client_release_held(client_t *client)
+{
+	if (!client->held)
+		return;
+	client->held = false;
+	tcp_pause(client->connection, false);
+}
+
+time_us_t
+client_request_arrival(client_t *client)
+{
+	time_us_t held_since = client->held_since;
+
+	client->held_since = 0;
+	return held_since != 0 ? held_since : gateway_now(client->gateway);
+}
+
 static void
 on_timer(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
@@ -517,4 +545,6 @@
 	client_set_timer(client, client_limits(client)->idle_timeout_ms);
 	g_hash_table_add(gateway->clients, client);
 	counter_increment("connections_accepted", NULL, NULL);
+	if (!from_peer && gateway_holds_callers(gateway))
+		client_hold(client);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -81,6 +81,14 @@
  */
 #define JOIN_WAIT_US (700 * US_PER_MS)
 
+/*
+ * Callers that still have the address of an instance from before its restart
+ * connect while it reads the configuration and the targets, which takes about a
+ * second. Their requests wait for at most this long after the start instead of
+ * being refused.
+ */
+#define START_HOLD_US (1500 * US_PER_MS)
+
 /*
  * A step of the boot time against the monotonic time that indicates that the
  * machine was suspended.
@@ -89,15 +97,23 @@
 
 /*
  * After SIGTERM, callers have this long to look up other instances. Then new
- * requests are refused, idle connections are closed, and the process exits when
- * its requests have ended and its connections are closed. From
- * 2 * CLIENT_IDLE_MIN_US later on, it no longer waits for connections.
+ * requests are refused if another instance of the region accepts them, idle
+ * connections are closed, and the process exits when its requests have ended
+ * and its connections are closed. From 2 * CLIENT_IDLE_MIN_US later on, it no
+ * longer waits for connections.
  */
 #define LEAVE_ACCEPT_US (2500 * US_PER_MS)
 
 /* Time before SIGKILL at which the process exits in any case. */
 #define LEAVE_RESERVE_US (500 * US_PER_MS)
 
+/*
+ * If no other instance of the region accepts requests, a stopping one goes on
+ * after LEAVE_ACCEPT_US with those that are answered at least this long before
+ * its exit, so that none is cut off.
+ */
+#define LEAVE_ANSWER_US (200 * US_PER_MS)
+
 /*
  * Share of the retry slack that is used; the rest is for instances that this
  * one doesn't know of.
@@ -137,13 +153,31 @@
 	return gateway->leaving_at != 0;
 }
 
-bool
-gateway_refuses_requests(gateway_t *gateway)
+/* Whether LEAVE_ACCEPT_US is over. */
+static bool
+leave_accept_is_over(gateway_t *gateway)
 {
 	return gateway->leaving_at != 0 &&
 	       gateway_now(gateway) - gateway->leaving_at >= LEAVE_ACCEPT_US;
 }
 
+bool
+gateway_refuses_requests(gateway_t *gateway)
+{
+	return leave_accept_is_over(gateway) &&
+	       members_any_ready(
+		   gateway->members, gateway->region, gateway_now(gateway));
+}
+
+time_us_t
+gateway_leave_limit(gateway_t *gateway)
+{
+	if (!leave_accept_is_over(gateway))
+		return 0;
+	return gateway->leaving_at + gateway->settings->grace_s * US_PER_S -
+	       LEAVE_RESERVE_US - LEAVE_ANSWER_US;
+}
+
 static void
 service_state_free(gpointer data)
 {
@@ -231,6 +265,23 @@
 	service_state->gap_limit_ms = limit;
 }
 
+bool
+gateway_holds_callers(gateway_t *gateway)
+{
+	return (gateway->catalog == NULL || !gateway->targets_loaded) &&
+	       gateway_now(gateway) - gateway->started_at < START_HOLD_US;
+}
+
+static void
+clients_release_held(gateway_t *gateway)
+{
+	g_autoptr(GList) clients = g_hash_table_get_keys(gateway->clients);
+
+	for (GList *item = clients; item != NULL; item = item->next)
+		client_release_held(item->data);
+	gateway->callers_released = true;
+}
+
 static void
 ready_update(gateway_t *gateway)
 {
@@ -248,6 +299,8 @@
 	members_set_ready(
 	    gateway->members, ready || (gateway->leaving_at != 0 &&
 					   !gateway_refuses_requests(gateway)));
+	if (!gateway->callers_released && !gateway_holds_callers(gateway))
+		clients_release_held(gateway);
 	if (ready == gateway->ready)
 		return;
 	gateway->ready = ready;
@@ -602,7 +655,7 @@
 		gateway->caller_listener = NULL;
 		clients_close_idle(gateway);
 	}
-	if ((gateway_refuses_requests(gateway) && gateway->n_requests == 0 &&
+	if ((leave_accept_is_over(gateway) && gateway->n_requests == 0 &&
 		(g_hash_table_size(gateway->clients) == 0 ||
 		    since >= LEAVE_ACCEPT_US + 2 * CLIENT_IDLE_MIN_US)) ||
 	    since >= limit)
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -104,6 +104,7 @@
 	time_us_t started_at;
 	time_us_t leaving_at; /* 0: not stopping */
 	bool targets_loaded;
+	bool callers_released; /* see gateway_holds_callers() */
 	lag_t store_lag; /* of the store revision behind other instances */
 	time_us_t store_unreachable_since; /* 0: reachable */
 	time_us_t fallback_until;     /* until when fallback_relay is used */
@@ -141,10 +142,21 @@
 void gateway_note_revision(gateway_t *gateway, int64_t revision);
 bool gateway_is_leaving(const gateway_t *gateway);
 /*
- * Whether the instance is stopping and the time in which it still accepts new
- * requests (LEAVE_ACCEPT_US) is over.
+ * Whether the instance is stopping, the time in which it still accepts new
+ * requests (LEAVE_ACCEPT_US) is over, and another instance of its region
+ * accepts them.
  */
 bool gateway_refuses_requests(gateway_t *gateway);
+/*
+ * The time at which all requests must have been answered, as the instance is
+ * about to exit; 0 while it is not, or not yet (LEAVE_ACCEPT_US).
+ */
+time_us_t gateway_leave_limit(gateway_t *gateway);
+/*
+ * Whether connections of callers are accepted but not read yet, as the instance
+ * has just started (START_HOLD_US) and has no configuration or no targets.
+ */
+bool gateway_holds_callers(gateway_t *gateway);
 
 /* client.c: connections from callers and from other instances. */
 void client_accept(gateway_t *gateway, int fd, bool from_peer);
@@ -179,6 +191,13 @@
  */
 void client_close_idle(client_t *client);
 void client_destroy(client_t *client);
+/* Begins to read a connection accepted while gateway_holds_callers(). */
+void client_release_held(client_t *client);
+/*
+ * Arrival time of the request that is being read. The first one of a held
+ * connection counts from the connection, as its caller has waited since.
+ */
+time_us_t client_request_arrival(client_t *client);
 
 /* request.c: the life of a request from its head to its response. */
 request_t *request_create(client_t *client, gateway_t *gateway,
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -69,7 +69,7 @@
 		peer_fields_read(request, head);
 	g_strlcpy(request->resume_after, request->parsed.resume_after,
 	    sizeof(request->resume_after));
-	request->arrived_at = gateway_now(gateway);
+	request->arrived_at = client_request_arrival(client);
 	request->caller_deadline =
 	    request->arrived_at +
 	    MAX(request->parsed.time_left_ms, 0) * US_PER_MS;
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -614,6 +614,8 @@
 
 	world_create(&world);
 	world_start(&world, 0, "a-1", true, true);
+	world_start(&world, 1, "a-1", true, true);
+	g_usleep(800000);
 	stop_at = g_get_monotonic_time();
 	world_signal(&world, 0, SIGTERM);
 	g_usleep(2400000);
@@ -648,6 +650,104 @@
 		ck_assert_int_lt(++tries, 5);
 }
 
+/*
+ * Load pattern: instances are restarted in turn, and the only one of a region
+ * is stopping. Guards against refusing what it can still answer: plain requests
+ * are served until shortly before its exit. Guards also against cutting off a
+ * stream that may last longer: it is refused, with the time until the instance
+ * is back.
+ */
+TEST(last_stopping_instance_of_a_region_serves_what_it_can_finish)
+{
+	world_t world;
+	world_answer_t answer;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	world_signal(&world, 0, SIGTERM);
+	/* Keeps the instance from exiting. */
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd,
+	    "POST /write/events-20-200 HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: l1\r\n" WORLD_KEY "Content-Length: 2\r\n\r\n{}");
+	g_usleep(3000000);
+	answer =
+	    world_call(&world, 0, "POST", "/order/ok", "l2", WORLD_KEY, "x");
+	ck_assert_int_eq(answer.status, 200);
+	world_answer_clear(&answer);
+	answer = world_call(
+	    &world, 0, "POST", "/write/events-2-10", "l3", WORLD_KEY, "{}");
+	ck_assert_int_eq(answer.status, 503);
+	ck_assert_ptr_nonnull(strstr(answer.head, "Retry-After: "));
+	ck_assert_int_eq(count_all(&world, "l3"), 0);
+	world_answer_clear(&answer);
+	answer = world_read(fd);
+	ck_assert(answer.whole);
+	world_answer_clear(&answer);
+	close(fd);
+	ck_assert_int_eq(world_wait_end(&world, 0, 5000), 0);
+	world_destroy(&world);
+}
+
+/*
+ * Guards against refusing callers that connect to an instance while it starts:
+ * the request waits until the configuration has been read. It is sent before
+ * the store answers.
+ */
+TEST(request_to_a_starting_instance_waits_for_the_configuration)
+{
+	world_t world;
+	world_answer_t answer;
+	int fd = -1;
+
+	world_create(&world);
+	fake_store_set_mode(world.store, STORE_REFUSES);
+	world_start(&world, 0, "a-1", true, false);
+	WORLD_WAIT(
+	    fd >= 0 || (fd = world_connect(&world, 0, PORT_CALLERS)) >= 0,
+	    3000);
+	world_send(fd,
+	    "GET /read/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: s1\r\n" WORLD_KEY
+	    "\r\n");
+	g_usleep(150000);
+	fake_store_set_mode(world.store, STORE_WORKS);
+	answer = world_read(fd);
+	ck_assert_int_eq(answer.status, 200);
+	world_answer_clear(&answer);
+	close(fd);
+	world_destroy(&world);
+}
+
+/*
+ * Guards against holding callers without end: with no configuration to be had
+ * the answer is a refusal, 2 s after the start at the latest.
+ */
+TEST(request_to_an_instance_without_configuration_is_refused_in_time)
+{
+	world_t world;
+	world_answer_t answer;
+	int fd = -1;
+	gint64 sent_at;
+
+	world_create(&world);
+	fake_store_set_mode(world.store, STORE_REFUSES);
+	world_start(&world, 0, "a-1", true, false);
+	WORLD_WAIT(
+	    fd >= 0 || (fd = world_connect(&world, 0, PORT_CALLERS)) >= 0,
+	    3000);
+	sent_at = g_get_monotonic_time();
+	world_send(fd,
+	    "GET /read/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: s2\r\n" WORLD_KEY
+	    "\r\n");
+	answer = world_read(fd);
+	ck_assert_int_eq(answer.status, 503);
+	ck_assert_int_lt(g_get_monotonic_time() - sent_at, 4000000);
+	world_answer_clear(&answer);
+	close(fd);
+	world_destroy(&world);
+}
+
 TEST(planned_stop_ends_what_runs_and_takes_no_more)
 {
 	world_t world;
