core, gateway: report loads within the zone, and its sum to other zones

Cause: every instance sent its load to every other one of the region ten times a second.

Change (core/zone_load.c): an instance reports to its zone; two instances of each zone, by rendezvous hash, send the zone's sum to the other zones of the region. A sum counts as a report of the zone, so that receivers need no correction for their own part. A sum of few instances doesn't replace one of many for 600 ms. Rounds carry members only, six in the zone and two in other zones. Messages have version 5; of version 4 the members, configuration version and revision are read. Messages between regions are as before.

Conclusion: bytes between zones now grow with the instances.

--- a/core/members.c
+++ b/core/members.c
@@ -74,6 +74,16 @@
 	return topology_region_of(members->topology, member->entry.zone);
 }
 
+static member_place_t
+member_place(const members_t *members, const member_t *member)
+{
+	if (member->entry.zone == members->self.zone)
+		return MEMBER_SAME_ZONE;
+	return member_region(members, member) == members->own_region
+		   ? MEMBER_SAME_REGION
+		   : MEMBER_OTHER_REGION;
+}
+
 bool
 members_is_live(const members_t *members, const member_t *member, time_us_t now)
 {
@@ -96,10 +106,10 @@
 		peers[(*n)++] = ip;
 }
 
-/* Adds up to fanout live instances, of the own region or of the others. */
+/* Adds up to fanout live instances at that place. */
 static void
-peers_add_live(members_t *members, bool local, size_t fanout, time_us_t now,
-    uint32_t *peers, size_t *n, size_t limit)
+peers_add_live(members_t *members, member_place_t place, size_t fanout,
+    time_us_t now, uint32_t *peers, size_t *n, size_t limit)
 {
 	guint len = members->all->len;
 	guint start =
@@ -121,8 +131,7 @@
 		pdata[at] = pdata[swap];
 		pdata[swap] = swapped;
 		member = pdata[at];
-		if ((member_region(members, member) == members->own_region) !=
-			local ||
+		if (member_place(members, member) != place ||
 		    !members_is_live(members, member, now))
 			continue;
 		peer_add(peers, n, limit, member->entry.ip);
@@ -150,15 +159,15 @@
 }
 
 size_t
-members_local(
-    const members_t *members, time_us_t now, uint32_t *ips, size_t limit)
+members_at(const members_t *members, member_place_t place, time_us_t now,
+    uint32_t *ips, size_t limit)
 {
 	size_t n = 0;
 
 	for (guint i = 0; i < members->all->len && n < limit; i++) {
 		const member_t *member = g_ptr_array_index(members->all, i);
 
-		if (member_region(members, member) == members->own_region &&
+		if (member_place(members, member) == place &&
 		    members_is_live(members, member, now))
 			ips[n++] = member->entry.ip;
 	}
@@ -188,10 +197,12 @@
 	members->self.heartbeat++;
 	members->rounds++;
 	members_forget(members, now);
-	peers_add_live(
-	    members, true, MEMBER_LOCAL_FANOUT, now, peers, &n, limit);
-	peers_add_live(
-	    members, false, MEMBER_REMOTE_FANOUT, now, peers, &n, limit);
+	peers_add_live(members, MEMBER_SAME_ZONE, MEMBER_ZONE_FANOUT, now,
+	    peers, &n, limit);
+	peers_add_live(members, MEMBER_SAME_REGION, MEMBER_LOCAL_FANOUT, now,
+	    peers, &n, limit);
+	peers_add_live(members, MEMBER_OTHER_REGION, MEMBER_REMOTE_FANOUT, now,
+	    peers, &n, limit);
 	if (members->rounds % DEAD_ROUNDS == 0)
 		peers_add_dead(members, now, peers, &n, limit);
 	for (size_t i = 0; i < members->n_seeds; i++) {
@@ -308,9 +319,10 @@
 	return random_next(&state);
 }
 
-bool
-members_is_responsible(
-    const members_t *members, uint64_t key, uint32_t count, time_us_t now)
+/* Whether this instance is one of the count highest up to that place. */
+static bool
+is_responsible(const members_t *members, uint64_t key, uint32_t count,
+    member_place_t place, time_us_t now)
 {
 	uint64_t own = rendezvous(key, members->self.ip);
 	uint32_t higher = 0;
@@ -318,7 +330,7 @@
 	for (guint i = 0; i < members->all->len; i++) {
 		const member_t *member = g_ptr_array_index(members->all, i);
 
-		if (member_region(members, member) == members->own_region &&
+		if (member_place(members, member) <= place &&
 		    members_is_live(members, member, now) &&
 		    rendezvous(key, member->entry.ip) > own)
 			higher++;
@@ -326,6 +338,20 @@
 	return higher < count;
 }
 
+bool
+members_is_responsible(
+    const members_t *members, uint64_t key, uint32_t count, time_us_t now)
+{
+	return is_responsible(members, key, count, MEMBER_SAME_REGION, now);
+}
+
+bool
+members_is_zone_responsible(
+    const members_t *members, uint64_t key, uint32_t count, time_us_t now)
+{
+	return is_responsible(members, key, count, MEMBER_SAME_ZONE, now);
+}
+
 size_t
 members_responsible(const members_t *members, uint64_t key, uint32_t count,
     time_us_t now, uint32_t *ips)
--- a/core/targets.c
+++ b/core/targets.c
@@ -45,7 +45,7 @@
 	bool evacuated[TOPOLOGY_ZONE_LIMIT];
 	bool publisher_down;
 	time_us_t publisher_recovered_at;
-	GHashTable *peers; /* instance -> peer_load_t */
+	GHashTable *peers; /* load_sender_t -> peer_load_t */
 	void (*on_free)(target_t *, void *);
 	void *on_free_context;
 };
@@ -711,18 +711,16 @@
 }
 
 void
-targets_peer_load(targets_t *targets, uint32_t instance,
+targets_peer_load(targets_t *targets, load_sender_t sender,
     const target_load_t *loads, size_t n_loads, time_us_t now)
 {
 	peer_load_t *load =
-	    g_hash_table_lookup(targets->peers, GUINT_TO_POINTER(instance));
+	    g_hash_table_lookup(targets->peers, GUINT_TO_POINTER(sender));
 
 	if (load == NULL) {
-		if (n_loads == 0)
-			return;
 		load = g_new0(peer_load_t, 1);
 		g_hash_table_insert(
-		    targets->peers, GUINT_TO_POINTER(instance), load);
+		    targets->peers, GUINT_TO_POINTER(sender), load);
 	}
 	peer_load_apply(targets, load, -1);
 	g_free(load->loads);
@@ -750,12 +748,11 @@
 		   : -(left->in_flight > right->in_flight);
 }
 
-size_t
-targets_own_load(
-    const targets_t *targets, target_load_t *loads, size_t limit, time_us_t now)
+/* Load that this instance puts on the listed targets. */
+static GArray *
+own_load(const targets_t *targets, time_us_t now)
 {
-	g_autoptr(GArray) all = g_array_new(FALSE, FALSE, sizeof(*loads));
-	size_t n;
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(target_load_t));
 
 	for (guint i = 0; i < targets->all->len; i++) {
 		const target_t *target = g_ptr_array_index(targets->all, i);
@@ -768,10 +765,85 @@
 		if (load.in_flight > 0 && !target->unlisted)
 			g_array_append_val(all, load);
 	}
-	n = MIN(all->len, limit);
+	return all;
+}
+
+/* Writes the busiest targets if there are more than limit. */
+static size_t
+loads_write(GArray *all, target_load_t *loads, size_t limit)
+{
+	size_t n = MIN(all->len, limit);
+
 	if (n < all->len)
 		g_array_sort(all, load_compare);
 	if (n > 0)
 		memcpy(loads, all->data, n * sizeof(*loads));
 	return n;
 }
+
+size_t
+targets_own_load(
+    const targets_t *targets, target_load_t *loads, size_t limit, time_us_t now)
+{
+	g_autoptr(GArray) all = own_load(targets, now);
+
+	return loads_write(all, loads, limit);
+}
+
+/* Adds a load to the entry of its target, which it creates if there is none. */
+static void
+load_add(GArray *all, GHashTable *index_by_target, const target_load_t *load)
+{
+	gpointer index;
+	target_load_t *sum;
+
+	if (!g_hash_table_lookup_extended(index_by_target,
+		GUINT_TO_POINTER(load->target), NULL, &index)) {
+		g_hash_table_insert(index_by_target,
+		    GUINT_TO_POINTER(load->target), GUINT_TO_POINTER(all->len));
+		g_array_append_val(all, *load);
+		return;
+	}
+	sum = &g_array_index(all, target_load_t, GPOINTER_TO_UINT(index));
+	/* The average gap of those streams whose gap is known. */
+	if (sum->event_gap_ms == 0)
+		sum->event_gap_ms = load->event_gap_ms;
+	else if (load->event_gap_ms > 0)
+		sum->event_gap_ms = (sum->event_gap_ms * sum->in_flight +
+					load->event_gap_ms * load->in_flight) /
+				    MAX(1, sum->in_flight + load->in_flight);
+	sum->in_flight += load->in_flight;
+	sum->pending_tokens += load->pending_tokens;
+}
+
+size_t
+targets_zone_load(const targets_t *targets, target_load_t *loads, size_t limit,
+    uint32_t *n_instances, time_us_t now)
+{
+	g_autoptr(GArray) all = own_load(targets, now);
+	g_autoptr(GHashTable) index_by_target = g_hash_table_new(NULL, NULL);
+	GHashTableIter iter;
+	gpointer sender;
+	gpointer value;
+
+	for (guint i = 0; i < all->len; i++) {
+		const target_load_t *load =
+		    &g_array_index(all, target_load_t, i);
+
+		g_hash_table_insert(index_by_target,
+		    GUINT_TO_POINTER(load->target), GUINT_TO_POINTER(i));
+	}
+	*n_instances = 1;
+	g_hash_table_iter_init(&iter, targets->peers);
+	while (g_hash_table_iter_next(&iter, &sender, &value)) {
+		const peer_load_t *load = value;
+
+		if (load_sender_is_zone(GPOINTER_TO_UINT(sender)) ||
+		    now - load->received_at >= TARGET_PEER_LOAD_MAX_AGE_US)
+			continue;
+		(*n_instances)++;
+		for (size_t i = 0; i < load->n_loads; i++)
+			load_add(all, index_by_target, &load->loads[i]);
+	}
+	return loads_write(all, loads, limit);
+}
--- a/core/team_rates.c
+++ b/core/team_rates.c
@@ -28,7 +28,7 @@
 struct team_rates {
 	int own_region;
 	GArray *teams;	       /* team_state_t, in catalog order */
-	GHashTable *instances; /* ip -> demand_report_t */
+	GHashTable *instances; /* load_sender_t -> demand_report_t */
 	demand_report_t regions[TOPOLOGY_REGION_LIMIT];
 	time_us_t updated_at;
 	uint32_t n_instances;
@@ -170,24 +170,31 @@
 	return 0;
 }
 
-/* Demand for a team at the other instances of the region. */
+/*
+ * Demand for a team that instances, or instances and other zones of the region,
+ * reported.
+ */
 static double
-region_demand(const team_rates_t *rates, uint32_t id, time_us_t now)
+reported_demand(
+    const team_rates_t *rates, uint32_t id, bool zones, time_us_t now)
 {
 	GHashTableIter iter;
-	gpointer value;
+	gpointer sender;
+	gpointer report;
 	double sum = 0;
 
 	g_hash_table_iter_init(&iter, rates->instances);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		sum += report_find(value, id, now);
+	while (g_hash_table_iter_next(&iter, &sender, &report)) {
+		if (zones || !load_sender_is_zone(GPOINTER_TO_UINT(sender)))
+			sum += report_find(report, id, now);
+	}
 	return sum;
 }
 
 static double
 others_demand(const team_rates_t *rates, uint32_t id, time_us_t now)
 {
-	double sum = region_demand(rates, id, now);
+	double sum = reported_demand(rates, id, true, now);
 
 	for (int region = 0; region < TOPOLOGY_REGION_LIMIT; region++) {
 		if (region != rates->own_region)
@@ -245,8 +252,8 @@
 	return n;
 }
 
-size_t
-team_rates_region_demand(const team_rates_t *rates, team_demand_t *demands,
+static size_t
+demand_sum(const team_rates_t *rates, bool zones, team_demand_t *demands,
     size_t limit, time_us_t now)
 {
 	size_t n = 0;
@@ -254,7 +261,8 @@
 	for (guint i = 0; i < rates->teams->len && n < limit; i++) {
 		const team_state_t *team =
 		    &g_array_index(rates->teams, team_state_t, i);
-		double sum = team->demand + region_demand(rates, team->id, now);
+		double sum =
+		    team->demand + reported_demand(rates, team->id, zones, now);
 
 		if (sum >= 1)
 			demands[n++] = (team_demand_t){team->id, (uint32_t)sum};
@@ -262,6 +270,20 @@
 	return n;
 }
 
+size_t
+team_rates_region_demand(const team_rates_t *rates, team_demand_t *demands,
+    size_t limit, time_us_t now)
+{
+	return demand_sum(rates, true, demands, limit, now);
+}
+
+size_t
+team_rates_zone_demand(const team_rates_t *rates, team_demand_t *demands,
+    size_t limit, time_us_t now)
+{
+	return demand_sum(rates, false, demands, limit, now);
+}
+
 static void
 report_set(demand_report_t *report, const team_demand_t *demands, size_t n,
     time_us_t now)
@@ -272,16 +294,16 @@
 }
 
 void
-team_rates_report_instance(team_rates_t *rates, uint32_t ip,
+team_rates_report_instance(team_rates_t *rates, load_sender_t sender,
     const team_demand_t *demands, size_t n, time_us_t now)
 {
 	demand_report_t *report =
-	    g_hash_table_lookup(rates->instances, GUINT_TO_POINTER(ip));
+	    g_hash_table_lookup(rates->instances, GUINT_TO_POINTER(sender));
 
 	if (report == NULL) {
 		report = g_new0(demand_report_t, 1);
 		g_hash_table_insert(
-		    rates->instances, GUINT_TO_POINTER(ip), report);
+		    rates->instances, GUINT_TO_POINTER(sender), report);
 	}
 	report_set(report, demands, n, now);
 }
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -12,13 +12,19 @@
 
 /*
  * Gossip messages between instances, encoded in XDR and sent over UDP. Those of
- * a round carry the sender's view of the membership, and load reports only the
- * sender's own entry. Messages within a region also carry the load that the
- * sender puts on targets and the demand of teams; messages to other regions
- * carry the sums of the sender's region.
+ * a round carry the sender's view of the membership; to other regions also the
+ * demand of teams in the sender's region and its capacity. Load reports carry
+ * only the sender's own entry, with the load on targets and the demand of teams
+ * that the sender or its zone causes (core/zone_load.h).
  */
 
-#define MESSAGE_VERSION 0x43530004
+#define MESSAGE_VERSION 0x43530005
+
+/*
+ * A message of this version is read up to the store revision. Its loads are
+ * meant for another way of adding them.
+ */
+#define MESSAGE_VERSION_OLD 0x43530004
 #define MESSAGE_BYTES 8192
 
 /*
@@ -39,19 +45,25 @@
 /* Maximum number of instances that receive the view in one round. */
 #define PEER_LIMIT 32
 
-/* Maximum number of instances of the region that receive each load report. */
-#define LOCAL_PEER_LIMIT 64
-
 /* Maximum number of datagrams read in one iteration of the event loop. */
 #define READ_BATCH 32
 
+typedef enum {
+	MESSAGE_MEMBERS,  /* members only */
+	MESSAGE_INSTANCE, /* load of the sender, for its zone */
+	MESSAGE_ZONE,	  /* load of the sender's zone, for its region */
+	MESSAGE_REGION,	  /* capacity of the sender's region, for others */
+	MESSAGE_KIND_COUNT
+} message_kind_t;
+
 typedef struct {
 	uint32_t version;
 	uint32_t n_members;
 	member_entry_t members[MEMBER_DIGEST_LIMIT];
 	uint64_t config_version;
 	int64_t store_revision; /* newest revision read */
-	uint32_t local;		/* sender and receiver are in the same region */
+	uint32_t kind;		/* message_kind_t */
+	uint32_t n_instances;	/* covered by the loads */
 	uint32_t n_loads;
 	target_load_t loads[LOAD_LIMIT];
 	uint32_t n_demands;
@@ -64,6 +76,8 @@
 	gateway_t *gateway;
 	ev_io watcher;
 	message_t message; /* buffer for encoding and decoding */
+	uint32_t n_load_ticks;
+	zone_sum_t zone_sums[TOPOLOGY_ZONE_LIMIT];
 };
 
 static bool
@@ -114,7 +128,8 @@
 message_xdr(XDR *xdr, message_t *message)
 {
 	if (!xdr_uint32_t(xdr, &message->version) ||
-	    message->version != MESSAGE_VERSION ||
+	    (message->version != MESSAGE_VERSION &&
+		message->version != MESSAGE_VERSION_OLD) ||
 	    !count_xdr(xdr, &message->n_members, MEMBER_DIGEST_LIMIT))
 		return false;
 	for (uint32_t i = 0; i < message->n_members; i++) {
@@ -122,8 +137,15 @@
 			return false;
 	}
 	if (!xdr_uint64_t(xdr, &message->config_version) ||
-	    !xdr_int64_t(xdr, &message->store_revision) ||
-	    !xdr_uint32_t(xdr, &message->local) ||
+	    !xdr_int64_t(xdr, &message->store_revision))
+		return false;
+	if (message->version == MESSAGE_VERSION_OLD) {
+		message->kind = MESSAGE_MEMBERS;
+		return true;
+	}
+	if (!xdr_uint32_t(xdr, &message->kind) ||
+	    message->kind >= MESSAGE_KIND_COUNT ||
+	    !xdr_uint32_t(xdr, &message->n_instances) ||
 	    !count_xdr(xdr, &message->n_loads, LOAD_LIMIT))
 		return false;
 	for (uint32_t i = 0; i < message->n_loads; i++) {
@@ -180,7 +202,7 @@
 
 /* Encodes the sender's view in at most n_members entries, its own first. */
 static void
-message_fill(const gateway_t *gateway, message_t *message, bool local,
+message_fill(const gateway_t *gateway, message_t *message, message_kind_t kind,
     size_t n_members, time_us_t now)
 {
 	message->version = MESSAGE_VERSION;
@@ -189,20 +211,34 @@
 	message->config_version =
 	    gateway->catalog ? catalog_version(gateway->catalog) : 0;
 	message->store_revision = store_revision(gateway->store);
-	message->local = local;
+	message->kind = kind;
+	message->n_instances = 1;
 	message->n_loads = 0;
+	message->n_demands = 0;
 	message->n_capacities = 0;
-	if (local) {
+	switch (kind) {
+	case MESSAGE_INSTANCE:
 		message->n_loads = (uint32_t)targets_own_load(
 		    gateway->targets, message->loads, LOAD_LIMIT, now);
 		message->n_demands = (uint32_t)team_rates_own_demand(
 		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT);
 		return;
+	case MESSAGE_ZONE:
+		message->n_loads = (uint32_t)targets_zone_load(gateway->targets,
+		    message->loads, LOAD_LIMIT, &message->n_instances, now);
+		message->n_demands = (uint32_t)team_rates_zone_demand(
+		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT, now);
+		return;
+	case MESSAGE_REGION:
+		message->n_demands = (uint32_t)team_rates_region_demand(
+		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT, now);
+		message->n_capacities =
+		    capacities_fill(gateway, message->capacities, now);
+		return;
+	case MESSAGE_MEMBERS:
+	case MESSAGE_KIND_COUNT:
+		return;
 	}
-	message->n_demands = (uint32_t)team_rates_region_demand(
-	    gateway->rates, message->demands, TEAM_DEMAND_LIMIT, now);
-	message->n_capacities =
-	    capacities_fill(gateway, message->capacities, now);
 }
 
 static size_t
@@ -258,12 +294,12 @@
 		bool local = is_local(gateway, ips[i]);
 
 		if (local && local_len == 0) {
-			message_fill(gateway, &gossip->message, true,
+			message_fill(gateway, &gossip->message, MESSAGE_MEMBERS,
 			    MEMBER_DIGEST_LIMIT, now);
 			local_len =
 			    message_encode(&gossip->message, local_bytes);
 		} else if (!local && remote_len == 0) {
-			message_fill(gateway, &gossip->message, false,
+			message_fill(gateway, &gossip->message, MESSAGE_REGION,
 			    MEMBER_DIGEST_LIMIT, now);
 			remote_len =
 			    message_encode(&gossip->message, remote_bytes);
@@ -273,24 +309,63 @@
 	}
 }
 
-void
-gossip_send_load(gossip_t *gossip)
+/* Sends one load report to all live instances at that place. */
+static void
+load_send(
+    gossip_t *gossip, message_kind_t kind, member_place_t place, time_us_t now)
 {
 	gateway_t *gateway = gossip->gateway;
-	time_us_t now = gateway_now(gateway);
-	uint32_t ips[LOCAL_PEER_LIMIT];
-	size_t n = members_local(gateway->members, now, ips, LOCAL_PEER_LIMIT);
+	uint32_t ips[MEMBER_LIMIT];
+	size_t n =
+	    members_at(gateway->members, place, now, ips, G_N_ELEMENTS(ips));
 	char bytes[MESSAGE_BYTES];
 	size_t len;
 
 	if (n == 0)
 		return;
-	message_fill(gateway, &gossip->message, true, 1, now);
+	message_fill(gateway, &gossip->message, kind, 1, now);
 	len = message_encode(&gossip->message, bytes);
 	for (size_t i = 0; i < n; i++)
 		message_send(gossip, ips[i], bytes, len);
 }
 
+void
+gossip_send_load(gossip_t *gossip)
+{
+	gateway_t *gateway = gossip->gateway;
+	time_us_t now = gateway_now(gateway);
+
+	load_send(gossip, MESSAGE_INSTANCE, MEMBER_SAME_ZONE, now);
+	if (++gossip->n_load_ticks % ZONE_SUM_TICKS == 0 &&
+	    members_is_zone_responsible(
+		gateway->members, ZONE_SPEAKER_KEY, ZONE_SPEAKERS, now))
+		load_send(gossip, MESSAGE_ZONE, MEMBER_SAME_REGION, now);
+}
+
+static void
+load_apply(gateway_t *gateway, load_sender_t sender, const message_t *message,
+    time_us_t now)
+{
+	targets_peer_load(
+	    gateway->targets, sender, message->loads, message->n_loads, now);
+	team_rates_report_instance(
+	    gateway->rates, sender, message->demands, message->n_demands, now);
+}
+
+static void
+region_apply(
+    gateway_t *gateway, int region, const message_t *message, time_us_t now)
+{
+	region_load_t *load = &gateway->region_loads[region];
+
+	team_rates_report_region(
+	    gateway->rates, region, message->demands, message->n_demands, now);
+	memcpy(load->services, message->capacities,
+	    message->n_capacities * sizeof(service_capacity_t));
+	load->n = message->n_capacities;
+	load->received_at = now;
+}
+
 static void
 message_apply(gossip_t *gossip, const message_t *message)
 {
@@ -306,28 +381,33 @@
 	fetch_note_version(gateway->fetch, message->config_version, sender->ip);
 	gateway_note_revision(gateway, message->store_revision);
 	region = topology_region_of(gateway->topology, sender->zone);
-	if (region == gateway->region) {
-		/*
-		 * A sender that doesn't know this instance yet sends
-		 * the sums of its region, which must not be added to the loads
-		 * of single instances.
-		 */
-		if (!message->local)
-			return;
-		targets_peer_load(gateway->targets, sender->ip, message->loads,
-		    message->n_loads, now);
-		team_rates_report_instance(gateway->rates, sender->ip,
-		    message->demands, message->n_demands, now);
-		return;
-	}
 	if (region == TOPOLOGY_NONE)
 		return;
-	team_rates_report_region(
-	    gateway->rates, region, message->demands, message->n_demands, now);
-	memcpy(gateway->region_loads[region].services, message->capacities,
-	    message->n_capacities * sizeof(service_capacity_t));
-	gateway->region_loads[region].n = message->n_capacities;
-	gateway->region_loads[region].received_at = now;
+	/*
+	 * A sender that doesn't know this instance yet takes it for one of
+	 * another region, so the kind has to match the place.
+	 */
+	switch ((message_kind_t)message->kind) {
+	case MESSAGE_INSTANCE:
+		if (sender->zone == gateway->zone)
+			load_apply(gateway, sender->ip, message, now);
+		return;
+	case MESSAGE_ZONE:
+		if (region == gateway->region &&
+		    sender->zone != gateway->zone &&
+		    zone_sum_accept(&gossip->zone_sums[sender->zone],
+			message->n_instances, now))
+			load_apply(gateway, load_sender_of_zone(sender->zone),
+			    message, now);
+		return;
+	case MESSAGE_REGION:
+		if (region != gateway->region)
+			region_apply(gateway, region, message, now);
+		return;
+	case MESSAGE_MEMBERS:
+	case MESSAGE_KIND_COUNT:
+		return;
+	}
 }
 
 static void
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -33,8 +33,12 @@
 /* A dead instance is probed occasionally for this long, to heal partitions. */
 #define MEMBER_FORGET_US (60 * US_PER_S)
 
-/* Instances of the own region, and of others, to send to in one round. */
-#define MEMBER_LOCAL_FANOUT 8
+/*
+ * Instances to send to in one round: of the own zone, of other zones of the
+ * region, and of other regions. Bytes between zones are expensive.
+ */
+#define MEMBER_ZONE_FANOUT 6
+#define MEMBER_LOCAL_FANOUT 2
 #define MEMBER_REMOTE_FANOUT 2
 
 /* Entries in one message, so that it stays below 1,400 bytes. */
@@ -70,10 +74,19 @@
 void members_set_leaving(members_t *members);
 const member_entry_t *members_self(const members_t *members);
 
-/* Writes up to limit other live instances of the own region. Returns how many.
+/* Places relative to this instance. */
+typedef enum {
+	MEMBER_SAME_ZONE,
+	MEMBER_SAME_REGION, /* in another zone */
+	MEMBER_OTHER_REGION,
+} member_place_t;
+
+/*
+ * Writes up to limit other live instances at that place. Returns how many;
+ * MEMBER_LIMIT is enough for all.
  */
-size_t members_local(
-    const members_t *members, time_us_t now, uint32_t *ips, size_t limit);
+size_t members_at(const members_t *members, member_place_t place, time_us_t now,
+    uint32_t *ips, size_t limit);
 
 /*
  * Begins a round: increments the own heartbeat and picks the peers to send to.
@@ -110,6 +123,10 @@
 bool members_is_responsible(
     const members_t *members, uint64_t key, uint32_t count, time_us_t now);
 
+/* The same among the live instances of the own zone. */
+bool members_is_zone_responsible(
+    const members_t *members, uint64_t key, uint32_t count, time_us_t now);
+
 /*
  * Writes the other instances that are responsible for key, at most count.
  * Writes none when this instance is one of those responsible.
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -9,6 +9,7 @@
 #include "core/handle.h"
 #include "core/topology.h"
 #include "core/types.h"
+#include "core/zone_load.h"
 
 /*
  * The targets that the publisher lists, with the load and health of each as
@@ -303,8 +304,8 @@
 void target_prefix_add(target_t *target, const uint64_t *chain,
     const uint32_t *tokens, size_t n_parts, uint64_t capacity, time_us_t now);
 
-/* Replaces the load reported by one instance of the region. */
-void targets_peer_load(targets_t *targets, uint32_t instance,
+/* Replaces the load reported by one instance or other zone of the region. */
+void targets_peer_load(targets_t *targets, load_sender_t sender,
     const target_load_t *loads, size_t n_loads, time_us_t now);
 
 /*
@@ -315,4 +316,12 @@
 size_t targets_own_load(const targets_t *targets, target_load_t *loads,
     size_t limit, time_us_t now);
 
+/*
+ * Writes the sum of this instance's load and of the loads that instances, not
+ * zones, reported; with reports from its own zone only, the load of the zone.
+ * Stores the number of instances that it covers.
+ */
+size_t targets_zone_load(const targets_t *targets, target_load_t *loads,
+    size_t limit, uint32_t *n_instances, time_us_t now);
+
 #endif
--- a/include/core/team_rates.h
+++ b/include/core/team_rates.h
@@ -7,6 +7,7 @@
 
 #include "core/catalog.h"
 #include "core/types.h"
+#include "core/zone_load.h"
 
 /*
  * Limits the rate of each team over all instances. Each instance takes a share
@@ -94,8 +95,12 @@
 size_t team_rates_region_demand(const team_rates_t *rates,
     team_demand_t *demands, size_t limit, time_us_t now);
 
-/* Replaces the report of an instance of the own region. */
-void team_rates_report_instance(team_rates_t *rates, uint32_t ip,
+/* Writes the demand of the own zone, to report to other zones of the region. */
+size_t team_rates_zone_demand(const team_rates_t *rates, team_demand_t *demands,
+    size_t limit, time_us_t now);
+
+/* Replaces the report of an instance, or of another zone, of the own region. */
+void team_rates_report_instance(team_rates_t *rates, load_sender_t sender,
     const team_demand_t *demands, size_t n, time_us_t now);
 
 /* Replaces the report about another region. */
