--- a/tests/test_lag.c
+++ b/tests/test_lag.c
@@ -11,7 +11,7 @@
 	ck_assert_int_eq(lag_note(&lag, 5, 5, US_PER_S), 0);
 	ck_assert_int_eq(lag_note(&lag, 5, 7, US_PER_S), 0);
 	for (int i = 1; i <= 10; i++) {
-		time_us_t now = US_PER_S + i * 100 * US_PER_MS;
+		time_us_t now = US_PER_S + (time_us_t)i * 100 * US_PER_MS;
 
 		ck_assert_int_eq(lag_note(&lag, 5, 4, now), now - US_PER_S);
 	}
@@ -53,7 +53,7 @@
 
 	lag_note(&lag, 5, 1000000, US_PER_S);
 	for (int i = 0; i < 40; i++)
-		lag_note(&lag, 5, 5, US_PER_S + i * 100 * US_PER_MS);
+		lag_note(&lag, 5, 5, US_PER_S + (time_us_t)i * 100 * US_PER_MS);
 	ck_assert_int_eq(lag_note(&lag, 5, 5, 6 * US_PER_S), 0);
 }
 
--- a/tests/test_zone_load.c
+++ b/tests/test_zone_load.c
@@ -72,6 +72,7 @@
 	uint32_t ips[MEMBER_LIMIT];
 	unsigned received[REGION_INSTANCES] = {0};
 	size_t sent = 0;
+	const size_t expected = (size_t)ZONE_SPEAKERS * REGION_INSTANCES;
 
 	region_create(topology, nodes);
 	for (int i = 0; i < REGION_INSTANCES; i++) {
@@ -85,7 +86,7 @@
 		for (size_t j = 0; j < n; j++)
 			received[ips[j] - instance_ip(0)]++;
 	}
-	ck_assert_uint_eq(sent, ZONE_SPEAKERS * REGION_INSTANCES);
+	ck_assert_uint_eq(sent, expected);
 	for (int i = 0; i < REGION_INSTANCES; i++)
 		ck_assert_uint_eq(received[i], ZONE_SPEAKERS);
 	region_destroy(nodes);
