gateway: count a held connection's time only for a request that waited

Cause: found on reading the change. The first request on a connection that was accepted while the instance started counted from the connection, also when its caller asked nothing until later: a route of 1 s answered 504 at once after 1.2 s of idle time.

Change: only a request read within 50 ms after the connection is released counts from it. Conclusion: the deadline of a caller is its own again.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -18,6 +18,12 @@
 #define CLIENT_DESCRIPTOR_SHARE 0.5
 #define DESCRIPTORS_RESERVED 200
 
+/*
+ * A request read within this time after its connection is no longer held came
+ * while it was held. Later ones are of callers that had nothing to ask yet.
+ */
+#define HELD_REQUEST_US (50 * US_PER_MS)
+
 struct client {
 	gateway_t *gateway;
 	tcp_t *connection;
@@ -39,8 +45,9 @@
 	replica_watch_t *watch; /* pending watch on the store */
 	time_us_t idle_since;	/* accepted, or last response ended */
 	time_us_t held_since;	/* see client_release_held(); 0: not held */
-	bool held;		/* not read before the instance can serve */
-	ev_timer timer;		/* header, body or idle timeout */
+	time_us_t released_at;
+	bool held;	/* not read before the instance can serve */
+	ev_timer timer; /* header, body or idle timeout */
 };
 
 static void client_continue(client_t *client);
@@ -483,16 +490,20 @@
 	if (!client->held)
 		return;
 	client->held = false;
+	client->released_at = gateway_now(client->gateway);
 	tcp_pause(client->connection, false);
 }
 
 time_us_t
 client_request_arrival(client_t *client)
 {
-	time_us_t held_since = client->held_since;
+	time_us_t now = gateway_now(client->gateway);
+	bool waited = client->held_since != 0 &&
+		      now - client->released_at < HELD_REQUEST_US;
+	time_us_t arrival = waited ? client->held_since : now;
 
 	client->held_since = 0;
-	return held_since != 0 ? held_since : gateway_now(client->gateway);
+	return arrival;
 }
 
 static void
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -719,6 +719,38 @@
 	world_destroy(&world);
 }
 
+/*
+ * Guards against counting the time of an idle connection against the deadline:
+ * a caller that connects while the instance starts and asks 1.2 s later, on a
+ * route that allows 1 s, has its whole second.
+ */
+TEST(idle_connection_from_the_start_costs_no_time)
+{
+	world_t world;
+	world_answer_t answer;
+	int fd = -1;
+
+	world_create(&world);
+	world_configure(&world, 4, "key-1",
+	    ",{\"name\":\"n\",\"host\":\"h\",\"prefix\":\"/new/\","
+	    "\"route_type\":\"safe\",\"timeout_ms\":1000,\"service\":\"pen\","
+	    "\"max_attempts\":1,\"public\":true}");
+	fake_store_set_mode(world.store, STORE_REFUSES);
+	world_start(&world, 0, "a-1", true, false);
+	WORLD_WAIT(
+	    fd >= 0 || (fd = world_connect(&world, 0, PORT_CALLERS)) >= 0,
+	    3000);
+	fake_store_set_mode(world.store, STORE_WORKS);
+	g_usleep(1200000);
+	world_send(
+	    fd, "GET /new/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: s3\r\n\r\n");
+	answer = world_read(fd);
+	ck_assert_int_eq(answer.status, 200);
+	world_answer_clear(&answer);
+	close(fd);
+	world_destroy(&world);
+}
+
 /*
  * Guards against holding callers without end: with no configuration to be had
  * the answer is a refusal, 2 s after the start at the latest.
