net, gateway: log and count what a close discards

The logs named no close at all, so that an idle close beside unread input, output dropped by a close and a request withdrawn by a configuration looked the same.

Each close by this side is counted; one that leaves input unread or drops output is logged, with the idle time. Input that comes after an orderly close and output dropped by its time limit are counted. The log line of a configuration has the idle timeout.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -112,6 +112,31 @@
 	client_release(client);
 }
 
+/* Counts a close, and logs one that loses input or output. */
+static void
+client_count_close(
+    const client_t *client, const char *reason, bool discards_output)
+{
+	size_t unread = tcp_unread(client->connection);
+	size_t unsent = discards_output ? tcp_pending(client->connection) : 0;
+
+	counter_increment("connections_closed", "reason", reason);
+	if (unread + unsent > 0)
+		log_event(LOG_NOTICE, "connection_closed",
+		    LOG_S("reason", reason),
+		    LOG_I("idle_ms",
+			(gateway_now(client->gateway) - client->idle_since) /
+			    US_PER_MS),
+		    LOG_I("unread", unread), LOG_I("unsent", unsent));
+}
+
+void
+client_exit(client_t *client)
+{
+	client_count_close(client, "exit", true);
+	client_destroy(client);
+}
+
 static void
 client_finish(client_t *client)
 {
@@ -133,6 +158,7 @@
 	 * A request that arrives during the close is never read, so its caller
 	 * may safely retry it elsewhere, idempotent or not.
 	 */
+	client_count_close(client, "stopping", true);
 	client_destroy(client);
 }
 
@@ -157,6 +183,7 @@
 	if (request != NULL)
 		request_unref(request);
 	if (client->close_after) {
+		client_count_close(client, "response_done", false);
 		client_finish(client);
 		return;
 	}
@@ -525,6 +552,7 @@
 		client_refuse(client, 408, "request_too_slow");
 		return;
 	}
+	client_count_close(client, "idle", false);
 	client_finish(client);
 }
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -329,7 +329,8 @@
 	team_rates_set_catalog(gateway->rates, catalog, gateway_now(gateway));
 	log_event(LOG_NOTICE, "config",
 	    LOG_I("version", catalog_version(catalog)), LOG_I("before", before),
-	    LOG_S("source", source));
+	    LOG_S("source", source),
+	    LOG_I("idle_timeout_ms", catalog_limits(catalog)->idle_timeout_ms));
 	ready_update(gateway);
 }
 
@@ -941,7 +942,7 @@
 	g_autoptr(GList) clients = g_hash_table_get_keys(gateway->clients);
 
 	for (GList *item = clients; item != NULL; item = item->next)
-		client_destroy(item->data);
+		client_exit(item->data);
 }
 
 static void
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -191,6 +191,8 @@
  */
 void client_close_idle(client_t *client);
 void client_destroy(client_t *client);
+/* Closes a connection as the process exits. */
+void client_exit(client_t *client);
 /* Begins to read a connection accepted while gateway_holds_callers(). */
 void client_release_held(client_t *client);
 /*
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -85,6 +85,9 @@
 /* Returns the number of bytes that are not written yet. */
 size_t tcp_pending(const tcp_t *connection);
 
+/* Returns the number of received bytes that have not been read yet. */
+size_t tcp_unread(const tcp_t *connection);
+
 /* Stops or resumes reading. */
 void tcp_pause(tcp_t *connection, bool paused);
 
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -7,9 +7,12 @@
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "common/counter.h"
+
 /* Empty output buffers larger than this are freed instead of reused. */
 #define OUTPUT_KEEP_BYTES 32768
 
@@ -207,6 +210,8 @@
 	return net;
 }
 
+static void tcp_close_finishing(tcp_t *connection, const char *reason);
+
 void
 net_destroy(net_t *net)
 {
@@ -218,7 +223,7 @@
 	g_hash_table_iter_init(&iter, net->finishing);
 	while (g_hash_table_iter_next(&iter, &connection, NULL)) {
 		g_hash_table_iter_steal(&iter);
-		tcp_close_socket(connection);
+		tcp_close_finishing(connection, "exit");
 	}
 	g_hash_table_destroy(net->finishing);
 	g_ptr_array_unref(net->flush_queue);
@@ -278,17 +283,28 @@
 		    connection, n == 0 ? TCP_CLOSED_BY_PEER : TCP_RESET);
 		return;
 	}
-	if (connection->state == STATE_FINISHING)
+	if (connection->state == STATE_FINISHING) {
+		counter_increment("input_discarded", NULL, NULL);
 		return;
+	}
 	tcp_ref(connection);
 	connection->events->received(connection->owner, read_buffer, (size_t)n);
 	tcp_unref(connection);
 }
 
+/* Closes a finishing connection that the peer hasn't closed. */
+static void
+tcp_close_finishing(tcp_t *connection, const char *reason)
+{
+	if (tcp_pending(connection) > 0)
+		counter_increment("output_discarded", "reason", reason);
+	tcp_close_socket(connection);
+}
+
 static void
 on_linger(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
-	tcp_close_socket(watcher->data);
+	tcp_close_finishing(watcher->data, "linger");
 }
 
 static tcp_t *
@@ -433,6 +449,17 @@
 		shutdown_if_finishing(connection);
 }
 
+size_t
+tcp_unread(const tcp_t *connection)
+{
+	int n = 0;
+
+	if (connection->state != STATE_OPEN ||
+	    ioctl(connection->fd, FIONREAD, &n) != 0)
+		return 0;
+	return (size_t)MAX(n, 0);
+}
+
 bool
 tcp_is_stale(const tcp_t *connection)
 {
