gateway, net: read a request that came before the idle close

Cause: an idle connection was closed when its timer fired, whatever its socket held, at exactly the timeout that callers are told, and in order: the close reads on and drops what comes. libev calls due timers before readable sockets, so after a stall (a large configuration is decoded in up to 250 ms) the timer always won; without a stall a request on its way at the timeout was read and dropped. A raised timeout left the old timers armed.

Why this works: input has priority over timers, a timer looks for unread input before it acts, the limit is computed from the configuration in force, and the close comes 1 s after the timeout and reads nothing any more, so that a caller whose request crosses it may repeat it.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -11,6 +11,16 @@
 #define HEADER_TIMEOUT_DEFAULT_MS 3000
 #define IDLE_TIMEOUT_DEFAULT_MS 15000
 
+/*
+ * A connection is closed this long after its idle timeout: a request that a
+ * caller sends at the timeout is still on its way, or in the socket of an
+ * instance that is stalled.
+ */
+#define IDLE_GRACE_MS 1000
+
+/* Time in which input that was unread at a timeout is read. */
+#define UNREAD_RECHECK_MS 50
+
 /*
  * Share of the file descriptors for connections of callers and instances, after
  * a fixed number reserved for other uses.
@@ -46,8 +56,9 @@
 	time_us_t idle_since;	/* accepted, or last response ended */
 	time_us_t held_since;	/* see client_release_held(); 0: not held */
 	time_us_t released_at;
-	bool held;	/* not read before the instance can serve */
-	ev_timer timer; /* header, body or idle timeout */
+	bool held;	 /* not read before the instance can serve */
+	bool rechecking; /* the timer was extended for unread input */
+	ev_timer timer;	 /* header, body or idle timeout */
 };
 
 static void client_continue(client_t *client);
@@ -68,11 +79,22 @@
 {
 	struct ev_loop *loop = client->gateway->loop;
 
+	client->rechecking = false;
 	ev_timer_stop(loop, &client->timer);
 	ev_timer_set(&client->timer, (double)ms / 1000, 0);
 	ev_timer_start(loop, &client->timer);
 }
 
+/* Time until an idle connection is closed. */
+static int64_t
+client_idle_left_ms(const client_t *client)
+{
+	time_us_t idle = gateway_now(client->gateway) - client->idle_since;
+
+	return client_limits(client)->idle_timeout_ms + IDLE_GRACE_MS -
+	       idle / US_PER_MS;
+}
+
 static void
 client_free(client_t *client)
 {
@@ -187,7 +209,7 @@
 		client_finish(client);
 		return;
 	}
-	client_set_timer(client, client_limits(client)->idle_timeout_ms);
+	client_set_timer(client, client_idle_left_ms(client));
 	client_continue(client);
 }
 
@@ -533,6 +555,24 @@
 	return arrival;
 }
 
+static void
+on_idle_timeout(client_t *client)
+{
+	int64_t left_ms = client_idle_left_ms(client);
+
+	/* The limit may have been raised since the timer was set. */
+	if (left_ms > 0) {
+		client_set_timer(client, left_ms);
+		return;
+	}
+	client_count_close(client, "idle", false);
+	/* See client_close_idle() for a request that is still on its way. */
+	if (tcp_pending(client->connection) > 0)
+		client_finish(client);
+	else
+		client_destroy(client);
+}
+
 static void
 on_timer(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
@@ -540,6 +580,12 @@
 
 	if (client->processing)
 		return;
+	/* Once, so that a caller can't extend its time byte by byte. */
+	if (!client->rechecking && tcp_unread(client->connection) > 0) {
+		client_set_timer(client, UNREAD_RECHECK_MS);
+		client->rechecking = true;
+		return;
+	}
 	if (client->request != NULL ||
 	    http_reader_is_mid_message(client->reader)) {
 		if (client->request != NULL) {
@@ -552,8 +598,7 @@
 		client_refuse(client, 408, "request_too_slow");
 		return;
 	}
-	client_count_close(client, "idle", false);
-	client_finish(client);
+	on_idle_timeout(client);
 }
 
 void
@@ -581,7 +626,7 @@
 	    tcp_adopt(gateway->net, fd, &connection_events, client);
 	ev_timer_init(&client->timer, on_timer, 0, 0);
 	client->timer.data = client;
-	client_set_timer(client, client_limits(client)->idle_timeout_ms);
+	client_set_timer(client, client_idle_left_ms(client));
 	g_hash_table_add(gateway->clients, client);
 	counter_increment("connections_accepted", NULL, NULL);
 	if (!from_peer && gateway_holds_callers(gateway))
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -28,6 +28,12 @@
 /* Maximum time from tcp_finish() until the connection is closed. */
 #define NET_LINGER_S 1.0
 
+/*
+ * libev priority of input. Above that of timers (0): after a stall, input that
+ * arrived before a timeout is handled before the timeout.
+ */
+#define NET_READ_PRIORITY 1
+
 /* Size of the read buffer. */
 #define NET_READ_BYTES 65536
 
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -321,6 +321,7 @@
 	connection->owner = owner;
 	connection->output = g_byte_array_new();
 	ev_io_init(&connection->reader, on_readable, fd, EV_READ);
+	ev_set_priority(&connection->reader, NET_READ_PRIORITY);
 	ev_io_init(&connection->writer, on_writable, fd, EV_WRITE);
 	ev_timer_init(&connection->linger, on_linger, NET_LINGER_S, 0);
 	connection->reader.data = connection;
--- a/tests/platform_world.c
+++ b/tests/platform_world.c
@@ -57,8 +57,9 @@
 	fake_store_put(world->store, key, value);
 }
 
-void
-world_configure(world_t *world, int version, const char *key, const char *extra)
+static void
+config_publish(world_t *world, int version, const char *key, const char *extra,
+    int idle_timeout_ms)
 {
 	g_autofree char *value = g_strdup_printf(
 	    "{\"version\":%d,\"routes\":["
@@ -76,14 +77,26 @@
 	    "\"services\":[{\"name\":\"pen\",\"max_connections\":100},"
 	    "{\"name\":\"desk\",\"max_connections\":100}],"
 	    "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
-	    "\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
+	    "\"header_timeout_ms\":1000,\"idle_timeout_ms\":%d},"
 	    "\"tenants\":[{\"name\":\"parish\",\"api_keys\":[\"%s\"],"
 	    "\"rate_per_s\":0,\"burst\":0}]}",
-	    version, extra, key);
+	    version, extra, idle_timeout_ms, key);
 
 	fake_store_put(world->store, "op/config", value);
 }
 
+void
+world_configure(world_t *world, int version, const char *key, const char *extra)
+{
+	config_publish(world, version, key, extra, 5000);
+}
+
+void
+world_configure_limits(world_t *world, int version, int idle_timeout_ms)
+{
+	config_publish(world, version, "key-1", "", idle_timeout_ms);
+}
+
 void
 world_create(world_t *world)
 {
@@ -219,19 +232,27 @@
 	return -1;
 }
 
-int
-world_connect(const world_t *world, int instance, world_port_t port)
+bool
+world_connect_socket(
+    const world_t *world, int instance, world_port_t port, int fd)
 {
 	char ip[32];
 	struct sockaddr_in to = {
 	    .sin_family = AF_INET, .sin_port = htons(world->ports[port])};
-	struct timeval limit = {.tv_sec = 15};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	instance_ip(world, instance, ip, sizeof(ip));
 	inet_pton(AF_INET, ip, &to.sin_addr);
+	return connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0;
+}
+
+int
+world_connect(const world_t *world, int instance, world_port_t port)
+{
+	struct timeval limit = {.tv_sec = 15};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0)
+	if (world_connect_socket(world, instance, port, fd))
 		return fd;
 	close(fd);
 	return -1;
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -2,6 +2,7 @@
 #define TESTS_PLATFORM_WORLD_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <sys/types.h>
 
 #include "fake_store.h"
@@ -49,6 +50,8 @@
 /* Publishes the configuration with this version. extra: further routes. */
 void world_configure(
     world_t *world, int version, const char *key, const char *extra);
+/* The same with this idle timeout for callers, and key-1. */
+void world_configure_limits(world_t *world, int version, int idle_timeout_ms);
 void world_publish_worker(world_t *world, int worker, const char *state);
 
 /* zone: "a-1" or "b-1". Waits until the instance is ready when wait is set. */
@@ -59,6 +62,9 @@
 int world_wait_end(world_t *world, int instance, int timeout_ms);
 
 int world_connect(const world_t *world, int instance, world_port_t port);
+/* Connects a socket that the test has made. */
+bool world_connect_socket(
+    const world_t *world, int instance, world_port_t port, int fd);
 /* Sends bytes as they are. */
 void world_send(int fd, const char *text);
 /* Reads one answer; fd stays open. */
--- /dev/null
+++ b/tests/process_close.c
@@ -0,0 +1,128 @@
+#include <check.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "platform_world.h"
+#include "test.h"
+
+/* Idle timeout of the default configuration. */
+#define IDLE_MS 5000
+
+#define READ_REQUEST(id)                                                       \
+	"GET /read/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: " id "\r\n" WORLD_KEY \
+	"\r\n"
+
+static void
+answer_expect(int fd, int status)
+{
+	world_answer_t answer = world_read(fd);
+
+	ck_assert_int_eq(answer.status, status);
+	ck_assert(answer.whole);
+	world_answer_clear(&answer);
+}
+
+/* Returns a connection on which one request has just been answered. */
+static int
+idle_connection(const world_t *world)
+{
+	int fd = world_connect(world, 0, PORT_CALLERS);
+
+	world_send(fd, READ_REQUEST("i1"));
+	answer_expect(fd, 200);
+	return fd;
+}
+
+/*
+ * Guards against an idle timer that is handled before the request which came
+ * earlier: while the instance stands still, the request arrives and then the
+ * idle timeout passes.
+ */
+TEST(request_before_the_idle_timeout_is_answered_after_a_stall)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = idle_connection(&world);
+	g_usleep((IDLE_MS - 600) * 1000);
+	world_signal(&world, 0, SIGSTOP);
+	world_send(fd, READ_REQUEST("i2"));
+	g_usleep(3000 * 1000);
+	world_signal(&world, 0, SIGCONT);
+	answer_expect(fd, 200);
+	close(fd);
+	world_destroy(&world);
+}
+
+/*
+ * Guards against losing a request that is on its way when the connection
+ * reaches its idle timeout: callers in another region hear of a close 80 ms
+ * later. Many connections are used at times around the timeout.
+ */
+TEST(request_at_the_idle_timeout_is_answered)
+{
+	enum { N = 9 };
+	world_t world;
+	int fds[N];
+	gint64 idle_since;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	for (int i = 0; i < N; i++)
+		fds[i] = idle_connection(&world);
+	idle_since = g_get_monotonic_time();
+	for (int i = 0; i < N; i++) {
+		gint64 at = idle_since + (IDLE_MS - 40 + i * 20) * 1000;
+
+		g_usleep((gulong)MAX(0, at - g_get_monotonic_time()));
+		world_send(fds[i], READ_REQUEST("i3"));
+	}
+	for (int i = 0; i < N; i++) {
+		answer_expect(fds[i], 200);
+		close(fds[i]);
+	}
+	world_destroy(&world);
+}
+
+/* Guards against a timer of the old limit after the idle timeout was raised. */
+TEST(raised_idle_timeout_holds_for_idle_connections)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_configure_limits(&world, 4, 1000);
+	world_start(&world, 0, "a-1", true, true);
+	fd = idle_connection(&world);
+	world_configure_limits(&world, 5, IDLE_MS);
+	g_usleep(3500 * 1000);
+	world_send(fd, READ_REQUEST("i4"));
+	answer_expect(fd, 200);
+	close(fd);
+	world_destroy(&world);
+}
+
+/* Guards against idle connections that are never closed. */
+TEST(connection_is_closed_after_the_idle_timeout)
+{
+	world_t world;
+	int fd;
+	char byte;
+	gint64 idle_since;
+
+	world_create(&world);
+	world_configure_limits(&world, 4, 1000);
+	world_start(&world, 0, "a-1", true, true);
+	fd = idle_connection(&world);
+	idle_since = g_get_monotonic_time();
+	ck_assert_int_eq(recv(fd, &byte, 1, 0), 0);
+	ck_assert_int_ge(g_get_monotonic_time() - idle_since, 1000 * 1000);
+	ck_assert_int_le(g_get_monotonic_time() - idle_since, 4000 * 1000);
+	close(fd);
+	world_destroy(&world);
+}
+
+TEST_MAIN("close")
