net, gateway: send a whole answer before its connection is closed

Callers would see (LOST, found while looking for the cause elsewhere): the end of an answer is missing for one that reads slowly, when its connection is to be closed after the answer, or while the instance stops.

Cause: same class as the idle close, a close that looks only at a timer. The orderly close gave up 1 s after the request had ended for the instance, whatever was unsent; a planned stop closed connections without a request, and the process exited, while up to 256 kB of an answer were still in the instance.

Why this works: the time limit of an orderly close begins with the end of the output, and while there is output, restarts with each write; a stopping instance counts unsent output and unread input as work, up to the end of its grace.

--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -211,6 +211,11 @@
 	if (sscanf(name, "slow-%d", &ms) == 1)
 		return run_wait(worker, run, fd, ms) &&
 		       raw_send_answer(fd, 200, signature, body);
+	if (sscanf(name, "large-%d", &n) == 1) {
+		g_autofree char *large = g_strnfill((gsize)n * 1024, 'x');
+
+		return raw_send_answer(fd, 200, signature, large);
+	}
 	if (sscanf(name, "events-%d-%d", &n, &ms) == 2)
 		return events_send(worker, run, fd, signature, n, ms, -1);
 	if (sscanf(name, "break-%d-%d", &n, &ms) == 2)
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -10,6 +10,7 @@
  *
  *	ok		200, signed, with the body "ID: " and the request's body
  *	slow-MS		the same after MS milliseconds
+ *	large-KB	200 with a body of that many KiB
  *	fail		500, signed
  *	full		503 that says it hasn't run
  *	unsigned	200 without a signature
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -166,6 +166,13 @@
 	client_release(client);
 }
 
+bool
+client_has_data_in_transit(const client_t *client)
+{
+	return tcp_pending(client->connection) > 0 ||
+	       tcp_unread(client->connection) > 0;
+}
+
 void
 client_close_idle(client_t *client)
 {
@@ -174,7 +181,7 @@
 	if (client->request != NULL || client->processing ||
 	    client->input->len > 0 ||
 	    http_reader_is_mid_message(client->reader) ||
-	    idle < CLIENT_IDLE_MIN_US)
+	    idle < CLIENT_IDLE_MIN_US || client_has_data_in_transit(client))
 		return;
 	/*
 	 * A request that arrives during the close is never read, so its caller
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -640,6 +640,24 @@
 		client_close_idle(item->data);
 }
 
+/*
+ * Whether an exit would lose a request that has arrived, or the end of an
+ * answer.
+ */
+static bool
+any_data_in_transit(gateway_t *gateway)
+{
+	GHashTableIter iter;
+	gpointer client;
+
+	g_hash_table_iter_init(&iter, gateway->clients);
+	while (g_hash_table_iter_next(&iter, &client, NULL)) {
+		if (client_has_data_in_transit(client))
+			return true;
+	}
+	return net_has_unsent(gateway->net);
+}
+
 static void
 leave_advance(gateway_t *gateway, time_us_t now)
 {
@@ -657,6 +675,7 @@
 		clients_close_idle(gateway);
 	}
 	if ((leave_accept_is_over(gateway) && gateway->n_requests == 0 &&
+		!any_data_in_transit(gateway) &&
 		(g_hash_table_size(gateway->clients) == 0 ||
 		    since >= LEAVE_ACCEPT_US + 2 * CLIENT_IDLE_MIN_US)) ||
 	    since >= limit)
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -179,6 +179,11 @@
 /* Aborts a response that can't be completed, so that it can't seem complete. */
 void client_abort(client_t *client);
 size_t client_pending(const client_t *client);
+/*
+ * Returns whether output isn't sent, or input isn't read, so that closing the
+ * connection would lose it.
+ */
+bool client_has_data_in_transit(const client_t *client);
 /*
  * Minimum idle time before client_close_idle() closes a connection. A caller in
  * another region needs three one-way trips of 80 ms, 240 ms in total, from its
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -25,9 +25,18 @@
 #define NET_KEEPALIVE_PROBES 2
 #define NET_USER_TIMEOUT_MS 4000
 
-/* Maximum time from tcp_finish() until the connection is closed. */
+/*
+ * Maximum time from the end of the output of a finished connection until it is
+ * closed.
+ */
 #define NET_LINGER_S 1.0
 
+/*
+ * A finished connection is closed when no output could be written for this
+ * long.
+ */
+#define NET_OUTPUT_STALL_S 5.0
+
 /*
  * libev priority of input. Above that of timers (0): after a stall, input that
  * arrived before a timeout is handled before the timeout.
@@ -67,6 +76,9 @@
 void net_destroy(net_t *net);
 struct ev_loop *net_loop(const net_t *net);
 
+/* Returns whether a connection after tcp_finish() still has output to send. */
+bool net_has_unsent(const net_t *net);
+
 /* Reads "A.B.C.D:PORT". Returns false for anything else. */
 bool net_address_parse(const char *text, net_address_t *address);
 
@@ -108,9 +120,9 @@
 
 /*
  * Sends pending output, shuts down the sending side and closes once the peer
- * has closed. Closes at the latest NET_LINGER_S after the call, even with
- * unsent output, and immediately when the connection isn't established. The
- * owner gets no further callbacks.
+ * has closed, at the latest NET_LINGER_S after the shutdown. Closes with unsent
+ * output when the peer reads nothing for NET_OUTPUT_STALL_S, and immediately
+ * when the connection isn't established. The owner gets no further callbacks.
  */
 void tcp_finish(tcp_t *connection);
 
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -133,6 +133,14 @@
 	}
 }
 
+static void
+finish_timer_set(tcp_t *connection, double seconds)
+{
+	ev_timer_stop(connection->net->loop, &connection->linger);
+	ev_timer_set(&connection->linger, seconds, 0);
+	ev_timer_start(connection->net->loop, &connection->linger);
+}
+
 static void
 shutdown_if_finishing(tcp_t *connection)
 {
@@ -140,6 +148,7 @@
 	    !connection->shutdown_sent) {
 		connection->shutdown_sent = true;
 		shutdown(connection->fd, SHUT_WR);
+		finish_timer_set(connection, NET_LINGER_S);
 	}
 }
 
@@ -171,6 +180,8 @@
 			return;
 		}
 		connection->written += (size_t)n;
+		if (connection->state == STATE_FINISHING)
+			finish_timer_set(connection, NET_OUTPUT_STALL_S);
 	}
 	ev_io_stop(connection->net->loop, &connection->writer);
 	output_clear(connection);
@@ -230,6 +241,20 @@
 	g_free(net);
 }
 
+bool
+net_has_unsent(const net_t *net)
+{
+	GHashTableIter iter;
+	gpointer connection;
+
+	g_hash_table_iter_init(&iter, net->finishing);
+	while (g_hash_table_iter_next(&iter, &connection, NULL)) {
+		if (tcp_pending(connection) > 0)
+			return true;
+	}
+	return false;
+}
+
 struct ev_loop *
 net_loop(const net_t *net)
 {
@@ -323,7 +348,7 @@
 	ev_io_init(&connection->reader, on_readable, fd, EV_READ);
 	ev_set_priority(&connection->reader, NET_READ_PRIORITY);
 	ev_io_init(&connection->writer, on_writable, fd, EV_WRITE);
-	ev_timer_init(&connection->linger, on_linger, NET_LINGER_S, 0);
+	ev_timer_init(&connection->linger, on_linger, 0, 0);
 	connection->reader.data = connection;
 	connection->writer.data = connection;
 	connection->linger.data = connection;
@@ -444,7 +469,7 @@
 	}
 	connection->state = STATE_FINISHING;
 	g_hash_table_add(connection->net->finishing, connection);
-	ev_timer_start(connection->net->loop, &connection->linger);
+	finish_timer_set(connection, NET_OUTPUT_STALL_S);
 	ev_io_start(connection->net->loop, &connection->reader);
 	if (tcp_pending(connection) == 0)
 		shutdown_if_finishing(connection);
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -1,5 +1,9 @@
+#include <arpa/inet.h>
 #include <check.h>
+#include <netinet/tcp.h>
 #include <signal.h>
+#include <stdio.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -125,4 +129,108 @@
 	world_destroy(&world);
 }
 
+#define LARGE_KB 300
+
+/*
+ * Connects with buffers that are too small for the answer, so that its end
+ * stays with the instance, and asks for it.
+ */
+static int
+slow_reader(const world_t *world, const char *field)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int buffer = 4096;
+	int segment = 536;
+	struct timeval limit = {.tv_sec = 15};
+	g_autofree char *request =
+	    g_strdup_printf("GET /read/large-%d HTTP/1.1\r\nHost: h\r\n"
+			    "Request-Id: s1\r\n%s" WORLD_KEY "\r\n",
+		LARGE_KB, field);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	ck_assert(world_connect_socket(world, 0, PORT_CALLERS, fd));
+	world_send(fd, request);
+	return fd;
+}
+
+/* Reads to the end of the connection. Returns the bytes of the body. */
+static gsize
+body_length(int fd)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	char buffer[4096];
+	ssize_t n;
+	const char *body;
+
+	while ((n = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
+		g_string_append_len(text, buffer, n);
+		g_usleep(1000);
+	}
+	ck_assert_int_eq(n, 0);
+	body = strstr(text->str, "\r\n\r\n");
+	ck_assert_ptr_nonnull(body);
+	return text->len - (gsize)(body + 4 - text->str);
+}
+
+/* Guards against closing a connection 1 s after the end of an answer that its
+ * caller is still reading. */
+TEST(slow_reader_gets_the_whole_answer_before_the_close)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = slow_reader(&world, "Connection: close\r\n");
+	g_usleep(2000 * 1000);
+	ck_assert_uint_eq(body_length(fd), LARGE_KB * 1024);
+	close(fd);
+	world_destroy(&world);
+}
+
+/* Guards against a planned stop that cuts an answer which its caller is still
+ * reading: 3 s after SIGTERM all requests have ended for the instance. */
+TEST(slow_reader_gets_the_whole_answer_of_a_stopping_instance)
+{
+	static const char *const fields[] = {"", "Connection: close\r\n"};
+	world_t world;
+
+	world_create(&world);
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		int fd;
+
+		world_start(&world, 0, "a-1", true, true);
+		world_start(&world, 1, "a-1", true, true);
+		g_usleep(600 * 1000);
+		fd = slow_reader(&world, fields[i]);
+		g_usleep(300 * 1000);
+		world_signal(&world, 0, SIGTERM);
+		g_usleep(3600 * 1000);
+		ck_assert_uint_eq(body_length(fd), LARGE_KB * 1024);
+		close(fd);
+		ck_assert_int_eq(world_wait_end(&world, 0, 4000), 0);
+		world_signal(&world, 1, SIGKILL);
+		ck_assert_int_eq(world_wait_end(&world, 1, 2000), -1);
+	}
+	world_destroy(&world);
+}
+
+/* Guards against an instance that never ends because a caller reads nothing. */
+TEST(stopping_instance_ends_beside_a_caller_that_reads_nothing)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = slow_reader(&world, "");
+	g_usleep(300 * 1000);
+	world_signal(&world, 0, SIGTERM);
+	ck_assert_int_eq(world_wait_end(&world, 0, 6000), 0);
+	close(fd);
+	world_destroy(&world);
+}
+
 TEST_MAIN("close")
