gateway: announce the idle timeout to callers

Cause: answers didn't say how long the connection is kept, so callers reused it until it was closed, and some requests met the close on their way.

Test: process_close answers_announce_the_idle_timeout, which failed before; process_close 8 of 8, process_platform 26 of 26.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#define MS_PER_S 1000
+
 /* Maximum bytes of pipelined requests buffered while one is processed. */
 #define INPUT_LIMIT 262144
 
@@ -234,6 +236,10 @@
 		    (guint64)length);
 	if (client->close_after)
 		g_string_append(head, "Connection: close\r\n");
+	else
+		g_string_append_printf(head,
+		    "Keep-Alive: timeout=%" G_GINT64_FORMAT "\r\n",
+		    client_limits(client)->idle_timeout_ms / MS_PER_S);
 	g_string_append(head, "\r\n");
 	tcp_send(client->connection, head->str, head->len);
 }
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -129,6 +129,27 @@
 	world_destroy(&world);
 }
 
+/* Guards against callers that can't know how long a connection may be idle:
+ * they reuse it until it is closed, and their request crosses the close. */
+TEST(answers_announce_the_idle_timeout)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	answer =
+	    world_call(&world, 0, "GET", "/read/ok", "k1", WORLD_KEY, NULL);
+	ck_assert_ptr_nonnull(strstr(answer.head, "Keep-Alive: timeout=5\r\n"));
+	world_answer_clear(&answer);
+	answer = world_call(&world, 0, "GET", "/read/ok", "k2",
+	    WORLD_KEY "Connection: close\r\n", NULL);
+	ck_assert_ptr_null(strstr(answer.head, "Keep-Alive"));
+	ck_assert_ptr_nonnull(strstr(answer.head, "Connection: close\r\n"));
+	world_answer_clear(&answer);
+	world_destroy(&world);
+}
+
 #define LARGE_KB 300
 
 /*
