core: hold features of requests that crash targets

The module keeps suspects, held and cleared features, without I/O or clock. Ruled out: counting every request that a target had at its crash (a popular part is on most of them; only those whose answer had not begun can be the cause); counting crashes in windows of time (a herd at one moment would count as many, a part with few requests as few); sums of the instances' counts (the same crash is seen by several).

--- /dev/null
+++ b/core/quarantine.c
@@ -0,0 +1,666 @@
+#include "core/quarantine.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define NEVER INT64_MIN
+
+/* Time for which an instance reports that an answer cleared a suspect. */
+#define CLEARED_REPORT_US (3 * US_PER_S)
+
+/* Differences in reported times that come from the time messages take. */
+#define REPORT_DELAY_US (200 * US_PER_MS)
+
+/* Bounds the time between probes; QUARANTINE_TTL_US is reached before. */
+#define PROBE_FAILURE_LIMIT 6
+
+/* Half of the reports are for held features, if there are as many. */
+#define HELD_REPORT_LIMIT (QUARANTINE_REPORT_LIMIT / 2)
+
+typedef struct {
+	uint32_t witness;
+	time_us_t at;
+} crash_t;
+
+/* Decides what is reported and what is evicted first. */
+typedef enum {
+	STANDING_KNOWN,	  /* no crash counts against it */
+	STANDING_CLEARED, /* the same, after an answer within CLEARED_REPORT_US
+			   */
+	STANDING_SUSPECT,
+	STANDING_HELD,
+	STANDING_COUNT
+} standing_t;
+
+typedef struct {
+	uint64_t id; /* hash key; must be the first member */
+	standing_t standing;
+	crash_t crashes[QUARANTINE_TRUSTED_CRASHES];
+	size_t n_crashes;
+	time_us_t answered_at;
+	time_us_t held_at;
+	time_us_t first_crash_at; /* while held */
+	time_us_t probe_until;	  /* a probe is in flight */
+	uint32_t n_failed;
+	GList link; /* in its standing */
+} entry_t;
+
+struct quarantine {
+	GHashTable *entries;		    /* id -> entry_t */
+	GQueue by_standing[STANDING_COUNT]; /* last changed at the tail */
+};
+
+quarantine_t *
+quarantine_create(void)
+{
+	quarantine_t *quarantine = g_new0(quarantine_t, 1);
+
+	quarantine->entries =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	return quarantine;
+}
+
+void
+quarantine_destroy(quarantine_t *quarantine)
+{
+	if (quarantine == NULL)
+		return;
+	g_hash_table_destroy(quarantine->entries);
+	g_free(quarantine);
+}
+
+static uint64_t
+service_seed(const char *service)
+{
+	return XXH3_64bits(service, strlen(service));
+}
+
+void
+features_add_part(features_t *features, const char *service, uint64_t part)
+{
+	/* The last place is for the request as a whole. */
+	if (features->n < QUARANTINE_FEATURE_LIMIT - 1)
+		features->ids[features->n++] = XXH3_64bits_withSeed(
+		    &part, sizeof(part), service_seed(service));
+}
+
+void
+features_add_request(features_t *features, const char *service,
+    const char *team, const char *path, const void *body, size_t len)
+{
+	uint64_t hash = service_seed(service);
+
+	if (team != NULL)
+		hash = XXH3_64bits_withSeed(team, strlen(team) + 1, hash);
+	hash = XXH3_64bits_withSeed(path, strlen(path) + 1, hash);
+	hash = XXH3_64bits_withSeed(body, len, hash);
+	features->request = hash;
+	features->ids[features->n++] = hash;
+}
+
+static entry_t *
+entry_find(const quarantine_t *quarantine, uint64_t id)
+{
+	return g_hash_table_lookup(quarantine->entries, &id);
+}
+
+static void
+entry_remove(quarantine_t *quarantine, entry_t *entry)
+{
+	g_queue_unlink(&quarantine->by_standing[entry->standing], &entry->link);
+	g_hash_table_remove(quarantine->entries, &entry->id);
+}
+
+/* Moves the entry to the tail of its standing. */
+static void
+entry_set_standing(
+    quarantine_t *quarantine, entry_t *entry, standing_t standing)
+{
+	g_queue_unlink(&quarantine->by_standing[entry->standing], &entry->link);
+	entry->standing = standing;
+	g_queue_push_tail_link(
+	    &quarantine->by_standing[standing], &entry->link);
+}
+
+/* Removes the entry whose loss matters least. */
+static void
+table_evict(quarantine_t *quarantine)
+{
+	for (standing_t standing = STANDING_KNOWN; standing < STANDING_COUNT;
+	     standing++) {
+		entry_t *entry =
+		    g_queue_peek_head(&quarantine->by_standing[standing]);
+
+		if (entry == NULL)
+			continue;
+		entry_remove(quarantine, entry);
+		return;
+	}
+}
+
+static entry_t *
+entry_get(quarantine_t *quarantine, uint64_t id)
+{
+	entry_t *entry = entry_find(quarantine, id);
+
+	if (entry != NULL)
+		return entry;
+	if (g_hash_table_size(quarantine->entries) >= QUARANTINE_TABLE_LIMIT)
+		table_evict(quarantine);
+	entry = g_new0(entry_t, 1);
+	entry->id = id;
+	entry->answered_at = NEVER;
+	entry->held_at = NEVER;
+	entry->probe_until = NEVER;
+	entry->link.data = entry;
+	g_queue_push_tail_link(
+	    &quarantine->by_standing[STANDING_KNOWN], &entry->link);
+	g_hash_table_insert(quarantine->entries, &entry->id, entry);
+	return entry;
+}
+
+static bool
+is_held(const entry_t *entry)
+{
+	return entry != NULL && entry->standing == STANDING_HELD;
+}
+
+static void
+crashes_drop_before(entry_t *entry, time_us_t at)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < entry->n_crashes; i++) {
+		if (entry->crashes[i].at >= at)
+			entry->crashes[n++] = entry->crashes[i];
+	}
+	entry->n_crashes = n;
+}
+
+static void
+crashes_drop_since(entry_t *entry, time_us_t at)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < entry->n_crashes; i++) {
+		if (entry->crashes[i].at < at)
+			entry->crashes[n++] = entry->crashes[i];
+	}
+	entry->n_crashes = n;
+}
+
+/* Returns whether the crash says something that those known don't. */
+static bool
+crash_is_new(const entry_t *entry, const crash_t *crash, time_us_t sent_at)
+{
+	if (entry->answered_at != NEVER && entry->answered_at >= crash->at)
+		return false;
+	for (size_t i = 0; i < entry->n_crashes; i++) {
+		const crash_t *known = &entry->crashes[i];
+
+		if (known->witness == crash->witness ||
+		    ABS(known->at - crash->at) < QUARANTINE_CRASH_GAP_US ||
+		    sent_at <= known->at)
+			return false;
+	}
+	return true;
+}
+
+/* sent_at: of the request; INT64_MAX if it isn't known. */
+static void
+entry_add_crash(quarantine_t *quarantine, entry_t *entry, const crash_t *crash,
+    time_us_t sent_at, time_us_t now)
+{
+	crashes_drop_before(entry, now - QUARANTINE_EVIDENCE_US);
+	if (crash->at < now - QUARANTINE_EVIDENCE_US ||
+	    entry->n_crashes == G_N_ELEMENTS(entry->crashes) ||
+	    !crash_is_new(entry, crash, sent_at))
+		return;
+	entry->crashes[entry->n_crashes++] = *crash;
+	entry_set_standing(quarantine, entry, STANDING_SUSPECT);
+}
+
+static bool
+is_guilty(const entry_t *entry, time_us_t now)
+{
+	bool trusted = entry->answered_at != NEVER &&
+		       now - entry->answered_at < QUARANTINE_TRUST_US;
+
+	return entry->standing == STANDING_SUSPECT &&
+	       entry->n_crashes >=
+		   (trusted ? QUARANTINE_TRUSTED_CRASHES : QUARANTINE_CRASHES);
+}
+
+static time_us_t
+first_crash(const entry_t *entry)
+{
+	time_us_t first = entry->crashes[0].at;
+
+	for (size_t i = 1; i < entry->n_crashes; i++)
+		first = MIN(first, entry->crashes[i].at);
+	return first;
+}
+
+static void
+entry_hold(quarantine_t *quarantine, entry_t *entry, time_us_t first_crash_at,
+    time_us_t now)
+{
+	entry->held_at = now;
+	entry->first_crash_at = first_crash_at;
+	entry->probe_until = NEVER;
+	entry->n_crashes = 0;
+	entry_set_standing(quarantine, entry, STANDING_HELD);
+}
+
+/* Drops the crashes that a held feature explains from all suspects. */
+static void
+suspects_absolve(quarantine_t *quarantine, time_us_t since)
+{
+	GList *next;
+
+	for (GList *item = quarantine->by_standing[STANDING_SUSPECT].head;
+	     item != NULL; item = next) {
+		entry_t *entry = item->data;
+
+		next = item->next;
+		crashes_drop_since(entry, since - QUARANTINE_CRASH_GAP_US);
+		if (entry->n_crashes == 0)
+			entry_set_standing(quarantine, entry, STANDING_KNOWN);
+	}
+}
+
+/* Holds all features with enough crashes. Returns how many. */
+static size_t
+suspects_judge(quarantine_t *quarantine, time_us_t now)
+{
+	time_us_t since = INT64_MAX;
+	size_t n = 0;
+	GList *next;
+
+	for (GList *item = quarantine->by_standing[STANDING_SUSPECT].head;
+	     item != NULL; item = next) {
+		entry_t *entry = item->data;
+		time_us_t first;
+
+		next = item->next;
+		if (!is_guilty(entry, now))
+			continue;
+		first = first_crash(entry);
+		entry_hold(quarantine, entry, first, now);
+		since = MIN(since, first);
+		n++;
+	}
+	if (n > 0)
+		suspects_absolve(quarantine, since);
+	return n;
+}
+
+static time_us_t
+probe_at(const entry_t *entry)
+{
+	return entry->held_at +
+	       (QUARANTINE_PROBE_MIN_US
+		   << (QUARANTINE_PROBE_FACTOR_BITS * entry->n_failed));
+}
+
+quarantine_check_t
+quarantine_check(
+    const quarantine_t *quarantine, const features_t *features, time_us_t now)
+{
+	quarantine_check_t check = {.verdict = QUARANTINE_PASS};
+
+	if (quarantine_n_held(quarantine) == 0)
+		return check;
+	for (size_t i = 0; i < features->n; i++) {
+		const entry_t *entry = entry_find(quarantine, features->ids[i]);
+		time_us_t wait;
+
+		if (!is_held(entry))
+			continue;
+		wait = probe_at(entry) - now;
+		if (wait <= 0 && entry->probe_until > now)
+			wait = QUARANTINE_PROBE_TURN_US;
+		check.feature = entry->id;
+		if (wait > 0) {
+			check.verdict = QUARANTINE_HOLD;
+			check.retry_after = MAX(check.retry_after, wait);
+		} else if (check.verdict == QUARANTINE_PASS) {
+			uint64_t turn =
+			    (uint64_t)(-wait / QUARANTINE_PROBE_TURN_US);
+
+			check.verdict = QUARANTINE_PROBE;
+			check.probe_turn = XXH3_64bits_withSeed(
+			    &turn, sizeof(turn), entry->id ^ entry->n_failed);
+		}
+	}
+	return check;
+}
+
+void
+quarantine_begin_probe(
+    quarantine_t *quarantine, const features_t *features, time_us_t now)
+{
+	for (size_t i = 0; i < features->n; i++) {
+		entry_t *entry = entry_find(quarantine, features->ids[i]);
+
+		if (is_held(entry))
+			entry->probe_until = now + QUARANTINE_PROBE_MAX_US;
+	}
+}
+
+void
+quarantine_end_probe(quarantine_t *quarantine, const features_t *features)
+{
+	for (size_t i = 0; i < features->n; i++) {
+		entry_t *entry = entry_find(quarantine, features->ids[i]);
+
+		if (entry != NULL)
+			entry->probe_until = NEVER;
+	}
+}
+
+static void
+entry_fail_probe(quarantine_t *quarantine, entry_t *entry, time_us_t now)
+{
+	entry->n_failed = MIN(entry->n_failed + 1, PROBE_FAILURE_LIMIT);
+	entry_hold(quarantine, entry, entry->first_crash_at, now);
+}
+
+/* Returns whether the request has a held feature, which explains its crash. */
+static bool
+witness_is_explained(
+    quarantine_t *quarantine, const crash_witness_t *witness, time_us_t now)
+{
+	bool explained = false;
+
+	for (size_t i = 0; i < witness->features.n; i++) {
+		entry_t *entry =
+		    entry_find(quarantine, witness->features.ids[i]);
+
+		if (!is_held(entry))
+			continue;
+		explained = true;
+		if (witness->probe)
+			entry_fail_probe(quarantine, entry, now);
+	}
+	return explained;
+}
+
+size_t
+quarantine_note_crash(quarantine_t *quarantine, uint64_t target,
+    const crash_witness_t *witnesses, size_t n, time_us_t now)
+{
+	bool explained = false;
+
+	for (size_t i = 0; i < n; i++)
+		explained |=
+		    witness_is_explained(quarantine, &witnesses[i], now);
+	if (explained)
+		return 0;
+	for (size_t i = 0; i < n; i++) {
+		const features_t *features = &witnesses[i].features;
+
+		for (size_t j = 0; j < features->n; j++) {
+			uint64_t id = features->ids[j];
+			crash_t crash = {(uint32_t)(id == features->request
+							? target
+							: features->request),
+			    now};
+
+			entry_add_crash(quarantine, entry_get(quarantine, id),
+			    &crash, witnesses[i].sent_at, now);
+		}
+	}
+	return suspects_judge(quarantine, now);
+}
+
+/* Returns whether the feature was held and no longer is. */
+static bool
+entry_clear(quarantine_t *quarantine, entry_t *entry, time_us_t answered_at)
+{
+	bool held = is_held(entry);
+	bool suspected = held || entry->n_crashes > 0;
+
+	entry->answered_at = answered_at;
+	if (held && answered_at <= entry->held_at)
+		return false;
+	crashes_drop_before(entry, answered_at + 1);
+	entry->held_at = NEVER;
+	entry->n_failed = 0;
+	entry->probe_until = NEVER;
+	if (entry->n_crashes == 0)
+		entry_set_standing(quarantine, entry,
+		    suspected ? STANDING_CLEARED : entry->standing);
+	return held;
+}
+
+size_t
+quarantine_note_answer(
+    quarantine_t *quarantine, const features_t *features, time_us_t now)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < features->n; i++) {
+		uint64_t id = features->ids[i];
+		entry_t *entry = entry_find(quarantine, id);
+
+		/* Few requests come twice, so they aren't remembered. */
+		if (entry == NULL && id == features->request)
+			continue;
+		if (entry == NULL)
+			entry = entry_get(quarantine, id);
+		n += entry_clear(quarantine, entry, now);
+	}
+	return n;
+}
+
+static int32_t
+age_ms(time_us_t at, time_us_t now)
+{
+	if (at == NEVER)
+		return -1;
+	return (int32_t)CLAMP((now - at) / US_PER_MS, 0, INT32_MAX);
+}
+
+static time_us_t
+time_of_age(int32_t age, time_us_t now)
+{
+	return age < 0 ? NEVER : now - age * US_PER_MS;
+}
+
+static void
+report_fill(quarantine_report_t *report, const entry_t *entry, time_us_t now)
+{
+	*report = (quarantine_report_t){
+	    .feature = entry->id,
+	    .answered_ms = age_ms(entry->answered_at, now),
+	    .held_ms = age_ms(entry->held_at, now),
+	    .n_failed = entry->n_failed,
+	};
+	if (is_held(entry)) {
+		report->crashes[report->n_crashes++].age_ms =
+		    age_ms(entry->first_crash_at, now);
+		return;
+	}
+	for (size_t i = 0; i < entry->n_crashes; i++)
+		report->crashes[report->n_crashes++] = (crash_report_t){
+		    entry->crashes[i].witness,
+		    age_ms(entry->crashes[i].at, now),
+		};
+}
+
+typedef struct {
+	quarantine_report_t *reports;
+	size_t n;
+	size_t limit;
+	time_us_t now;
+} export_t;
+
+/*
+ * Exports entries of one standing with at least min_crashes crashes, up to
+ * limit reports, least recently exported first.
+ */
+static void
+standing_export(quarantine_t *quarantine, export_t *export, standing_t standing,
+    size_t min_crashes, size_t limit)
+{
+	guint left = g_queue_get_length(&quarantine->by_standing[standing]);
+	GList *next;
+
+	for (GList *item = quarantine->by_standing[standing].head;
+	     left > 0 && export->n < limit; item = next, left--) {
+		entry_t *entry = item->data;
+
+		next = item->next;
+		if (entry->n_crashes < min_crashes)
+			continue;
+		report_fill(&export->reports[export->n++], entry, export->now);
+		entry_set_standing(quarantine, entry, standing);
+	}
+}
+
+/*
+ * Exports suspects with one crash, latest first: older ones that matter have
+ * been answered since, or have a second crash.
+ */
+static void
+singles_export(quarantine_t *quarantine, export_t *export, size_t limit)
+{
+	for (GList *item = quarantine->by_standing[STANDING_SUSPECT].tail;
+	     item != NULL && export->n < limit; item = item->prev) {
+		const entry_t *entry = item->data;
+
+		if (entry->n_crashes == 1)
+			report_fill(
+			    &export->reports[export->n++], entry, export->now);
+	}
+}
+
+size_t
+quarantine_export(quarantine_t *quarantine, quarantine_report_t *reports,
+    size_t limit, time_us_t now)
+{
+	export_t export = {reports, 0, limit, now};
+
+	standing_export(quarantine, &export, STANDING_HELD, 0,
+	    MIN(limit, HELD_REPORT_LIMIT));
+	standing_export(quarantine, &export, STANDING_SUSPECT, 2, limit);
+	standing_export(quarantine, &export, STANDING_CLEARED, 0, limit);
+	singles_export(quarantine, &export, limit);
+	return export.n;
+}
+
+static void
+import_held(quarantine_t *quarantine, entry_t *entry,
+    const quarantine_report_t *report, time_us_t now)
+{
+	time_us_t held_at = time_of_age(report->held_ms, now);
+	uint32_t n_failed = MIN(report->n_failed, PROBE_FAILURE_LIMIT);
+	time_us_t first = report->n_crashes > 0
+			      ? time_of_age(report->crashes[0].age_ms, now)
+			      : held_at;
+
+	if (now - held_at >= QUARANTINE_TTL_US ||
+	    (entry->answered_at != NEVER && entry->answered_at >= held_at))
+		return;
+	if (is_held(entry)) {
+		/* The earliest time, so that delays don't add up. */
+		if (n_failed > entry->n_failed ||
+		    (n_failed == entry->n_failed && held_at < entry->held_at))
+			entry->held_at = held_at;
+		entry->n_failed = MAX(entry->n_failed, n_failed);
+		return;
+	}
+	entry->n_failed = n_failed;
+	entry_hold(quarantine, entry,
+	    MAX(first, held_at - QUARANTINE_EVIDENCE_US), held_at);
+	suspects_absolve(quarantine, entry->first_crash_at);
+}
+
+static void
+report_import(
+    quarantine_t *quarantine, const quarantine_report_t *report, time_us_t now)
+{
+	time_us_t answered_at = time_of_age(report->answered_ms, now);
+	entry_t *entry = entry_get(quarantine, report->feature);
+
+	if (answered_at != NEVER &&
+	    (entry->answered_at == NEVER ||
+		answered_at > entry->answered_at + REPORT_DELAY_US) &&
+	    (!is_held(entry) || answered_at > entry->held_at + REPORT_DELAY_US))
+		entry_clear(quarantine, entry, answered_at);
+	if (report->held_ms >= 0) {
+		import_held(quarantine, entry, report, now);
+		return;
+	}
+	if (is_held(entry))
+		return;
+	for (size_t i = 0;
+	     i < MIN(report->n_crashes, G_N_ELEMENTS(report->crashes)); i++) {
+		crash_t crash = {report->crashes[i].witness,
+		    time_of_age(report->crashes[i].age_ms, now)};
+
+		if (crash.at != NEVER)
+			entry_add_crash(
+			    quarantine, entry, &crash, INT64_MAX, now);
+	}
+}
+
+size_t
+quarantine_import(quarantine_t *quarantine, const quarantine_report_t *reports,
+    size_t n, time_us_t now)
+{
+	size_t before = quarantine_n_held(quarantine);
+	size_t after;
+
+	for (size_t i = 0; i < n; i++)
+		report_import(quarantine, &reports[i], now);
+	suspects_judge(quarantine, now);
+	after = quarantine_n_held(quarantine);
+	return after > before ? after - before : 0;
+}
+
+void
+quarantine_expire(quarantine_t *quarantine, time_us_t now)
+{
+	GList *next;
+
+	for (GList *item = quarantine->by_standing[STANDING_HELD].head;
+	     item != NULL; item = next) {
+		entry_t *entry = item->data;
+
+		next = item->next;
+		if (now - entry->held_at >= QUARANTINE_TTL_US)
+			entry_remove(quarantine, entry);
+	}
+	for (GList *item = quarantine->by_standing[STANDING_CLEARED].head;
+	     item != NULL; item = next) {
+		entry_t *entry = item->data;
+
+		next = item->next;
+		if (now - entry->answered_at >= CLEARED_REPORT_US)
+			entry_set_standing(quarantine, entry, STANDING_KNOWN);
+	}
+	for (GList *item = quarantine->by_standing[STANDING_SUSPECT].head;
+	     item != NULL; item = next) {
+		entry_t *entry = item->data;
+
+		next = item->next;
+		crashes_drop_before(entry, now - QUARANTINE_EVIDENCE_US);
+		if (entry->n_crashes == 0)
+			entry_set_standing(quarantine, entry, STANDING_KNOWN);
+	}
+}
+
+size_t
+quarantine_n_held(const quarantine_t *quarantine)
+{
+	return quarantine->by_standing[STANDING_HELD].length;
+}
+
+size_t
+quarantine_n_known(const quarantine_t *quarantine)
+{
+	return g_hash_table_size(quarantine->entries);
+}
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -132,10 +132,11 @@
 } crash_witness_t;
 
 /*
- * Records the crash of a target with these requests. Returns the number of
- * features that are held because of it.
+ * Records the crash of a target with these requests. target identifies one
+ * start of a target. Returns the number of features that are held because of
+ * it.
  */
-size_t quarantine_note_crash(quarantine_t *quarantine,
+size_t quarantine_note_crash(quarantine_t *quarantine, uint64_t target,
     const crash_witness_t *witnesses, size_t n, time_us_t now);
 
 /*
@@ -145,17 +146,23 @@
 size_t quarantine_note_answer(
     quarantine_t *quarantine, const features_t *features, time_us_t now);
 
-/* What an instance tells others of one feature. Ages in ms; -1: never. */
+/*
+ * One crash that counts against a feature. witness identifies the request if
+ * the feature is a part, the target if it is a request as a whole.
+ */
+typedef struct {
+	uint32_t witness;
+	int32_t age_ms;
+} crash_report_t;
+
+/* What an instance reports of one feature. Ages in ms; -1: never. */
 typedef struct {
 	uint64_t feature;
 	int32_t answered_ms; /* last answer that began */
 	int32_t held_ms;     /* held, or last probe failed */
 	uint32_t n_failed;   /* probes that failed */
-	uint32_t n_crashes;
-	struct {
-		uint32_t request; /* low half of features_t.request */
-		int32_t age_ms;
-	} crashes[QUARANTINE_TRUSTED_CRASHES];
+	uint32_t n_crashes;  /* of a held feature: the first one only */
+	crash_report_t crashes[QUARANTINE_TRUSTED_CRASHES];
 } quarantine_report_t;
 
 /*
