gateway: hold requests with a part that crashes targets

A connection that ends before the answer has begun makes the instance connect to the target once: refused means that it crashed. The quarantine learns of the requests that had not begun, by their parts and as a whole. Suspects, held and cleared features travel at the end of the messages of the rounds; instances of the version before read the rest of the message and ignore them. Held requests are refused before they wait or leave, with the time to the next probe.

Ruled out: taking a lost connection for a crash (targets lose single answers, and drop idle connections); a table of bodies (no two requests are alike).

--- a/core/placement.c
+++ b/core/placement.c
@@ -38,13 +38,22 @@
 /* Fraction of a target's connection limit that is left unused. */
 #define CONNECTION_RESERVE 0.1
 
+static void
+parts_clear(prompt_t *prompt)
+{
+	prompt->n_parts = 0;
+	prompt->n_shared_ids = 0;
+}
+
 bool
 prompt_parse_parts(prompt_t *prompt, const char *text, size_t len)
 {
 	const char *end = text + len;
 	uint64_t hash = 0;
+	uint64_t id = 0;
+	size_t n = 0;
 
-	prompt->n_parts = 0;
+	parts_clear(prompt);
 	while (text < end) {
 		const char *comma = memchr(text, ',', (size_t)(end - text));
 		const char *part_end = comma ? comma : end;
@@ -54,16 +63,19 @@
 
 		if (colon == NULL || colon == text || colon + 1 == part_end ||
 		    part_end - colon > 10) {
-			prompt->n_parts = 0;
+			parts_clear(prompt);
 			return false;
 		}
 		for (const char *at = colon + 1; at < part_end; at++) {
 			if (*at < '0' || *at > '9') {
-				prompt->n_parts = 0;
+				parts_clear(prompt);
 				return false;
 			}
 			tokens = tokens * 10 + (uint64_t)(*at - '0');
 		}
+		if (n++ > 0 && prompt->n_shared_ids < PROMPT_ID_LIMIT)
+			prompt->shared_ids[prompt->n_shared_ids++] = id;
+		id = XXH3_64bits(text, (size_t)(colon - text));
 		hash = XXH3_64bits_withSeed(text, (size_t)(colon - text), hash);
 		if (prompt->n_parts < PROMPT_PART_LIMIT) {
 			prompt->chain[prompt->n_parts] = hash;
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -22,8 +22,8 @@
 	return MAX(RETRY_AFTER_MIN_US, MIN(after, left / RETRY_AFTER_DIVISOR));
 }
 
-void
-request_refuse(request_t *request, unsigned status, const char *reason,
+static void
+refuse(request_t *request, unsigned status, const char *reason,
     time_us_t retry_after)
 {
 	g_autoptr(GString) fields = g_string_new(NULL);
@@ -53,10 +53,8 @@
 	decision_log(request, "request_refused", reason);
 	platform_response_append_id(fields, request->parsed.id);
 	if (not_executed) {
-		time_us_t after = retry_after_clamp(request, retry_after);
-
-		g_string_append_printf(
-		    fields, "Retry-After: %.3f\r\n", (double)after / US_PER_S);
+		g_string_append_printf(fields, "Retry-After: %.3f\r\n",
+		    (double)retry_after / US_PER_S);
 		platform_response_append_not_executed(fields);
 	}
 	request->client = NULL;
@@ -65,6 +63,20 @@
 		    client, status, fields->str, "application/json", body);
 }
 
+void
+request_refuse(request_t *request, unsigned status, const char *reason,
+    time_us_t retry_after)
+{
+	refuse(
+	    request, status, reason, retry_after_clamp(request, retry_after));
+}
+
+void
+request_refuse_held(request_t *request, time_us_t retry_after)
+{
+	refuse(request, 503, "quarantined", retry_after);
+}
+
 static double
 request_cost(const request_t *request)
 {
@@ -189,6 +201,19 @@
 	    request->service_state, request->route, request->expected_events);
 }
 
+static void
+features_find(request_t *request)
+{
+	const prompt_t *prompt = &request->parsed.prompt;
+
+	for (size_t i = 0; i < prompt->n_shared_ids; i++)
+		features_add_part(&request->features, request->service->name,
+		    prompt->shared_ids[i]);
+	features_add_request(&request->features, request->service->name,
+	    request->team ? request->team->name : NULL, request->path,
+	    request->body->data, request->body->len);
+}
+
 /* Retry-After before the first configuration is loaded. */
 #define NO_CONFIG_RETRY_US (500 * US_PER_MS)
 
@@ -236,6 +261,7 @@
 	}
 	request->service_state =
 	    gateway_service_state(gateway, request->service->name);
+	features_find(request);
 	stream_length_note(request);
 	return team_charge(request);
 }
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -18,6 +18,8 @@
 	bool reused;
 	bool response_started; /* any byte of a response was received */
 	bool skipping;	       /* parsing another request's response */
+	bool probe;	       /* without a result yet; see QUARANTINE_PROBE */
+	features_t features;
 	ev_timer detached;
 };
 
@@ -39,6 +41,9 @@
 	if (target != NULL)
 		target_attempt_finish(target, &attempt->send, result,
 		    gateway_now(attempt->gateway));
+	if (attempt->probe)
+		quarantine_end_probe(
+		    attempt->gateway->quarantine, &attempt->features);
 	ev_timer_stop(attempt->gateway->loop, &attempt->detached);
 	g_free(attempt);
 }
@@ -73,6 +78,8 @@
 	attempt->gateway = gateway;
 	attempt->request = request;
 	attempt->upstream = upstream;
+	attempt->probe = plan->probe;
+	attempt->features = *plan->features;
 	g_strlcpy(
 	    attempt->request_id, plan->request_id, sizeof(attempt->request_id));
 	ev_timer_init(
@@ -167,6 +174,20 @@
 	attempt_fail(attempt, FAILURE_UNREACHABLE, TARGET_RESULT_UNREACHABLE);
 }
 
+/* Has the target checked if its crash would explain the end of the answer. */
+static void
+attempt_check_crash(attempt_t *attempt)
+{
+	const target_t *target = attempt_target(attempt);
+	crash_witness_t witness = {
+	    attempt->features, attempt->send.sent_at, attempt->probe};
+
+	if (target == NULL || attempt->send.first_byte)
+		return;
+	crash_check(attempt->gateway->crash_checks, target, &witness);
+	attempt->probe = false;
+}
+
 static void
 attempt_incomplete(attempt_t *attempt)
 {
@@ -176,10 +197,32 @@
 	 */
 	bool stale = attempt->reused && !attempt->response_started;
 
+	attempt_check_crash(attempt);
 	attempt_fail(attempt, FAILURE_MAYBE_EXECUTED,
 	    stale ? TARGET_RESULT_CANCELLED : TARGET_RESULT_BROKEN);
 }
 
+/* Called for the first bytes of an answer, for a stream of its first event. */
+static void
+attempt_first_byte(attempt_t *attempt, target_t *target, time_us_t now)
+{
+	size_t n_released;
+
+	if (attempt->send.first_byte)
+		return;
+	target_first_byte(target, &attempt->send, now);
+	if (attempt->response.not_run || attempt->response.status >= 300)
+		return;
+	attempt->probe = false;
+	n_released = quarantine_note_answer(
+	    attempt->gateway->quarantine, &attempt->features, now);
+	if (n_released > 0)
+		log_event(LOG_NOTICE, "quarantine_ended",
+		    LOG_S("request", attempt->request_id),
+		    LOG_S("target", target->entry.id),
+		    LOG_I("features", n_released));
+}
+
 static bool
 on_head(void *owner, const http_head_t *head)
 {
@@ -204,7 +247,7 @@
 			target_report_load(target, attempt->response.running,
 			    attempt->response.waiting, now);
 		if (!attempt->response.event_stream)
-			target_first_byte(target, &attempt->send, now);
+			attempt_first_byte(attempt, target, now);
 	}
 	if (attempt->request != NULL)
 		request_on_response(attempt->request, head, &attempt->response);
@@ -225,7 +268,7 @@
 		time_us_t now = gateway_now(upstream->gateway);
 
 		target_byte_received(target, now);
-		target_first_byte(target, &attempt->send, now);
+		attempt_first_byte(attempt, target, now);
 		if (attempt->response.event_stream &&
 		    attempt->last_body_at != 0)
 			target_event_gap(
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -142,6 +142,45 @@
 	return best;
 }
 
+/* Whether this instance sends the next probe of a held feature. */
+static bool
+sends_probe(gateway_t *gateway, uint64_t turn)
+{
+	int n_regions = topology_n_regions(gateway->topology);
+
+	return (int)(turn % (uint64_t)n_regions) == gateway->region &&
+	       members_is_responsible(
+		   gateway->members, turn, 1, gateway_now(gateway));
+}
+
+/* Returns whether the quarantine holds the request; sets choice if so. */
+static bool
+quarantine_choose(const request_t *request, choice_t *choice)
+{
+	gateway_t *gateway = request->gateway;
+	quarantine_check_t check = quarantine_check(
+	    gateway->quarantine, &request->features, gateway_now(gateway));
+
+	*choice = (choice_t){.kind = CHOICE_NONE, .region = TOPOLOGY_NONE};
+	choice->retry_after = check.retry_after;
+	switch (check.verdict) {
+	case QUARANTINE_PASS:
+		return false;
+	case QUARANTINE_PROBE:
+		choice->probe =
+		    region_set_has(request->regions, gateway->region) &&
+		    sends_probe(gateway, check.probe_turn);
+		if (choice->probe)
+			return false;
+		choice->retry_after = QUARANTINE_PROBE_TURN_US;
+		break;
+	case QUARANTINE_HOLD:
+		break;
+	}
+	choice->kind = CHOICE_HELD;
+	return true;
+}
+
 static void
 request_choose(request_t *request, choice_t *choice)
 {
@@ -159,7 +198,8 @@
 	    .random = random_next(&gateway->random),
 	};
 
-	*choice = (choice_t){.kind = CHOICE_NONE, .region = TOPOLOGY_NONE};
+	if (quarantine_choose(request, choice))
+		return;
 	memcpy(criteria.tried, request->tried, sizeof(criteria.tried));
 	if (local) {
 		choice->placement = placement_pick(
@@ -173,6 +213,9 @@
 		if (choice->placement.slot_left_free)
 			return;
 	}
+	/* Only targets of the own region are probed. */
+	if (choice->probe)
+		return;
 	choice->region = region_pick(request, choice->kind == CHOICE_NONE);
 	if (choice->region != TOPOLOGY_NONE)
 		choice->kind = CHOICE_REGION;
@@ -210,6 +253,7 @@
 	plan->request_id = request->parsed.id;
 	plan->no_response_body = request->no_response_body;
 	plan->repeatable = is_repeatable(request);
+	plan->features = &request->features;
 	attempt_count(request, to);
 	request->attempt = attempt_create(request->gateway, request, plan);
 	if (request->attempt == NULL)
@@ -227,15 +271,17 @@
 }
 
 static void
-request_send_target(request_t *request, const placement_t *placement)
+request_send_target(request_t *request, const choice_t *choice)
 {
+	const placement_t *placement = &choice->placement;
 	target_t *target = placement->target;
 	const prompt_t *prompt = &request->parsed.prompt;
 	attempt_plan_t plan = {.target = target,
 	    .tokens = placement->tokens,
 	    .expected_ms = placement->expected_ms,
 	    .cache_miss_ms = placement->cache_miss_ms,
-	    .head = attempt_head(request)};
+	    .head = attempt_head(request),
+	    .probe = choice->probe};
 
 	g_assert(target != NULL);
 	platform_request_append_fields(plan.head,
@@ -254,6 +300,13 @@
 	 * Counted by the instance that sends to targets, not by one that
 	 * forwards.
 	 */
+	if (choice->probe) {
+		log_event(LOG_NOTICE, "quarantine_probe",
+		    LOG_S("request", request->parsed.id),
+		    LOG_S("target", target->entry.id));
+		quarantine_begin_probe(request->gateway->quarantine,
+		    &request->features, gateway_now(request->gateway));
+	}
 	if (request->n_tried == 0)
 		retry_first_attempt(&request->service_state->retries);
 	request->sent_to_peer = false;
@@ -327,7 +380,7 @@
 {
 	switch (choice->kind) {
 	case CHOICE_TARGET:
-		request_send_target(request, &choice->placement);
+		request_send_target(request, choice);
 		return;
 	case CHOICE_REGION:
 		request_forward(request, choice->region);
@@ -340,12 +393,19 @@
 		    request->n_maybe_executed > 0 ? 502 : 503, "no_target",
 		    NO_TARGET_RETRY_US);
 		return;
+	case CHOICE_HELD:
+		request_refuse_held(request, choice->retry_after);
+		return;
 	}
 }
 
 void
 request_dispatch(request_t *request)
 {
+	if (quarantine_choose(request, &request->choice)) {
+		choice_apply(request, &request->choice);
+		return;
+	}
 	/* New requests queue behind those that already wait. */
 	if (queue_length(request->service_state->queue) > 0 &&
 	    request->n_attempts == 0 &&
@@ -367,6 +427,7 @@
 	case CHOICE_TARGET:
 	case CHOICE_REGION:
 	case CHOICE_NONE:
+	case CHOICE_HELD:
 		return QUEUE_START;
 	case CHOICE_WAIT:
 		return QUEUE_SKIP;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -753,6 +753,9 @@
 	if (++gateway->n_ticks % SETTINGS_TICKS == 0)
 		settings_check(gateway, "file");
 	targets_expire(gateway->targets, now);
+	quarantine_expire(gateway->quarantine, now);
+	counter_set(counter_get("quarantine_features", NULL, NULL),
+	    (int64_t)quarantine_n_held(gateway->quarantine));
 	gateway->region_instances =
 	    members_n_live(gateway->members, gateway->region, now);
 	team_rates_update(gateway->rates, n_instances, now);
@@ -949,6 +952,8 @@
 	gateway->targets = targets_create(settings->places, gateway->region);
 	targets_on_free(gateway->targets, on_target_free, gateway);
 	gateway->rates = team_rates_create(gateway->region);
+	gateway->quarantine = quarantine_create();
+	gateway->crash_checks = crash_checks_create(gateway);
 	gateway->service_states = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, service_state_free);
 	gateway->peer_pools = g_hash_table_new(NULL, NULL);
@@ -984,10 +989,12 @@
 	g_hash_table_iter_init(&iter, gateway->peer_pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		pool_destroy(pool);
+	crash_checks_destroy(gateway->crash_checks);
 	targets_destroy(gateway->targets);
 	if (gateway->members != NULL)
 		members_destroy(gateway->members);
 	team_rates_destroy(gateway->rates);
+	quarantine_destroy(gateway->quarantine);
 	g_hash_table_destroy(gateway->service_states);
 	g_hash_table_destroy(gateway->peer_pools);
 	g_hash_table_destroy(gateway->clients);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -70,6 +70,9 @@
 	team_demand_t demands[TEAM_DEMAND_LIMIT];
 	uint32_t n_capacities;
 	service_capacity_t capacities[CAPACITY_LIMIT];
+	/* At the end, and left out if there are none. */
+	uint32_t n_reports;
+	quarantine_report_t reports[QUARANTINE_REPORT_LIMIT];
 } message_t;
 
 struct gossip {
@@ -123,6 +126,35 @@
 	return true;
 }
 
+static bool
+report_xdr(XDR *xdr, quarantine_report_t *report)
+{
+	if (!xdr_uint64_t(xdr, &report->feature) ||
+	    !xdr_int32_t(xdr, &report->answered_ms) ||
+	    !xdr_int32_t(xdr, &report->held_ms) ||
+	    !xdr_uint32_t(xdr, &report->n_failed) ||
+	    !count_xdr(xdr, &report->n_crashes, QUARANTINE_TRUSTED_CRASHES))
+		return false;
+	for (uint32_t i = 0; i < report->n_crashes; i++) {
+		if (!xdr_uint32_t(xdr, &report->crashes[i].witness) ||
+		    !xdr_int32_t(xdr, &report->crashes[i].age_ms))
+			return false;
+	}
+	return true;
+}
+
+static bool
+reports_xdr(XDR *xdr, message_t *message)
+{
+	if (!count_xdr(xdr, &message->n_reports, QUARANTINE_REPORT_LIMIT))
+		return false;
+	for (uint32_t i = 0; i < message->n_reports; i++) {
+		if (!report_xdr(xdr, &message->reports[i]))
+			return false;
+	}
+	return true;
+}
+
 /* Encodes or decodes a message, depending on the mode of the XDR stream. */
 static bool
 message_xdr(XDR *xdr, message_t *message)
@@ -216,6 +248,7 @@
 	message->n_loads = 0;
 	message->n_demands = 0;
 	message->n_capacities = 0;
+	message->n_reports = 0;
 	switch (kind) {
 	case MESSAGE_INSTANCE:
 		message->n_loads = (uint32_t)targets_own_load(
@@ -248,12 +281,27 @@
 	size_t len = 0;
 
 	xdrmem_create(&xdr, bytes, MESSAGE_BYTES, XDR_ENCODE);
-	if (message_xdr(&xdr, message))
+	if (message_xdr(&xdr, message) &&
+	    (message->n_reports == 0 || reports_xdr(&xdr, message)))
 		len = xdr_getpos(&xdr);
 	xdr_destroy(&xdr);
 	return len;
 }
 
+static bool
+message_decode(message_t *message, char *bytes, size_t len)
+{
+	XDR xdr;
+	bool read;
+
+	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
+	message->n_reports = 0;
+	read = message_xdr(&xdr, message) &&
+	       (xdr_getpos(&xdr) == len || reports_xdr(&xdr, message));
+	xdr_destroy(&xdr);
+	return read;
+}
+
 static void
 message_send(const gossip_t *gossip, uint32_t ip, const char *bytes, size_t len)
 {
@@ -278,6 +326,13 @@
 				     member->entry.zone) == gateway->region;
 }
 
+static void
+reports_fill(gateway_t *gateway, message_t *message, time_us_t now)
+{
+	message->n_reports = (uint32_t)quarantine_export(gateway->quarantine,
+	    message->reports, QUARANTINE_REPORT_LIMIT, now);
+}
+
 void
 gossip_round(gossip_t *gossip)
 {
@@ -296,11 +351,13 @@
 		if (local && local_len == 0) {
 			message_fill(gateway, &gossip->message, MESSAGE_MEMBERS,
 			    MEMBER_DIGEST_LIMIT, now);
+			reports_fill(gateway, &gossip->message, now);
 			local_len =
 			    message_encode(&gossip->message, local_bytes);
 		} else if (!local && remote_len == 0) {
 			message_fill(gateway, &gossip->message, MESSAGE_REGION,
 			    MEMBER_DIGEST_LIMIT, now);
+			reports_fill(gateway, &gossip->message, now);
 			remote_len =
 			    message_encode(&gossip->message, remote_bytes);
 		}
@@ -380,6 +437,8 @@
 	    gateway->members, message->members, message->n_members, now);
 	fetch_note_version(gateway->fetch, message->config_version, sender->ip);
 	gateway_note_revision(gateway, message->store_revision);
+	quarantine_import(
+	    gateway->quarantine, message->reports, message->n_reports, now);
 	region = topology_region_of(gateway->topology, sender->zone);
 	if (region == TOPOLOGY_NONE)
 		return;
@@ -419,17 +478,14 @@
 	for (int i = 0; i < READ_BATCH; i++) {
 		ssize_t len =
 		    recv(watcher->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
-		XDR xdr;
 
 		if (len < 0)
 			return;
-		xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
-		if (message_xdr(&xdr, &gossip->message))
+		if (message_decode(&gossip->message, bytes, (size_t)len))
 			message_apply(gossip, &gossip->message);
 		else
 			counter_increment(
 			    "peer_messages_unreadable", NULL, NULL);
-		xdr_destroy(&xdr);
 	}
 }
 
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -11,6 +11,7 @@
 #include "core/lag.h"
 #include "core/members.h"
 #include "core/placement.h"
+#include "core/quarantine.h"
 #include "core/queue.h"
 #include "core/retry.h"
 #include "core/targets.h"
@@ -30,6 +31,7 @@
 typedef struct endpoints endpoints_t;
 typedef struct fetch fetch_t;
 typedef struct latencies latencies_t;
+typedef struct crash_checks crash_checks_t;
 
 /* Queue and retry budget of one service. */
 typedef struct {
@@ -89,6 +91,8 @@
 	targets_t *targets;
 	members_t *members;
 	team_rates_t *rates;
+	quarantine_t *quarantine;
+	crash_checks_t *crash_checks;
 	GHashTable *service_states; /* service name -> service_state_t */
 	GHashTable *peer_pools;	    /* ip -> pool_t */
 	region_load_t region_loads[TOPOLOGY_REGION_LIMIT];
@@ -257,6 +261,8 @@
 	 * that the other side may have closed.
 	 */
 	bool repeatable;
+	const features_t *features;
+	bool probe; /* see QUARANTINE_PROBE */
 } attempt_plan_t;
 
 attempt_t *attempt_create(
@@ -267,6 +273,17 @@
 void attempt_detach(attempt_t *attempt);
 void attempt_pause(attempt_t *attempt, bool paused);
 
+/* crash.c: finds out whether a target has crashed. */
+crash_checks_t *crash_checks_create(gateway_t *gateway);
+void crash_checks_destroy(crash_checks_t *checks);
+/*
+ * Called when the connection to a target ended before the answer began.
+ * Connects to the target: if that is refused, it has crashed, and the
+ * quarantine learns of the requests.
+ */
+void crash_check(crash_checks_t *checks, const target_t *target,
+    const crash_witness_t *witness);
+
 /* pool.c: idle connections to one address. */
 pool_t *pool_create(gateway_t *gateway, net_address_t address, bool remote);
 void pool_destroy(pool_t *pool);
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -18,9 +18,12 @@
 		CHOICE_REGION, /* an instance of another region */
 		CHOICE_WAIT,
 		CHOICE_NONE, /* no target or region can serve it now */
+		CHOICE_HELD, /* what it holds crashes targets */
 	} kind;
 	placement_t placement; /* CHOICE_TARGET */
 	int region;	       /* CHOICE_REGION */
+	time_us_t retry_after; /* CHOICE_HELD */
+	bool probe;	       /* see QUARANTINE_PROBE */
 } choice_t;
 
 struct request {
@@ -52,6 +55,7 @@
 	region_set_t regions;
 	double cost;
 	service_state_t *service_state;
+	features_t features;
 	double expected_events; /* in the response, by its hint; 0: unknown */
 	/* Attempts. */
 	attempt_t *attempt;
@@ -102,6 +106,13 @@
 void request_refuse(request_t *request, unsigned status, const char *reason,
     time_us_t retry_after);
 
+/*
+ * Refuses a request that the quarantine holds. Retry-After is the time to the
+ * next probe even if that is later than the caller waits, as a caller that came
+ * earlier would be refused again.
+ */
+void request_refuse_held(request_t *request, time_us_t retry_after);
+
 /* Ends a request whose response has begun and can't be completed. */
 void request_abort_response(request_t *request, const char *reason);
 
--- a/include/core/placement.h
+++ b/include/core/placement.h
@@ -27,6 +27,9 @@
  * load per slot is chosen.
  */
 
+/* Parts of a prompt whose ids are kept for core/quarantine.h. */
+#define PROMPT_ID_LIMIT 32
+
 /* Leading parts of a prompt that are compared; shared parts come first. */
 #define PROMPT_PART_LIMIT 8
 
@@ -55,7 +58,10 @@
 	uint64_t
 	    chain[PROMPT_PART_LIMIT]; /* hash of all parts up to this one */
 	uint32_t tokens[PROMPT_PART_LIMIT];
-	size_t n_parts;	     /* 0: unknown */
+	size_t n_parts; /* 0: unknown */
+	/* Hash of the id of each part but the last. */
+	uint64_t shared_ids[PROMPT_ID_LIMIT];
+	size_t n_shared_ids;
 	uint32_t tokens_in;  /* 0: unknown */
 	uint32_t tokens_out; /* maximum tokens of the response */
 } prompt_t;
