gateway, net: count timers from the present after a stall

Cause: the instance's clock was read when first asked for in an iteration of the event loop, libev's before the iteration. After a stall in between, the deadline of a request was computed from the present and counted from before the stall, so the request was ended early by the length of the stall; the connect timeout ran out at once. A change of configuration is when instances with an eighth of a core stall.

Why this works: both clocks are read together, and a timer counts from a reading at its start. Sockets and messages of other instances have priority over timers, so a connection that was established during a stall doesn't count as failed, nor do instances whose messages wait.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* Time for a detached response to end before its connection is closed. */
-#define DETACHED_LIMIT_S 0.3
+#define DETACHED_LIMIT_US (300 * US_PER_MS)
 
 struct attempt {
 	gateway_t *gateway;
@@ -82,8 +82,7 @@
 	attempt->features = *plan->features;
 	g_strlcpy(
 	    attempt->request_id, plan->request_id, sizeof(attempt->request_id));
-	ev_timer_init(
-	    &attempt->detached, on_detached_timeout, DETACHED_LIMIT_S, 0);
+	ev_timer_init(&attempt->detached, on_detached_timeout, 0, 0);
 	attempt->detached.data = attempt;
 	upstream->attempt = attempt;
 	if (plan->target != NULL) {
@@ -114,7 +113,8 @@
 {
 	attempt->request = NULL;
 	tcp_pause(attempt->upstream->connection, false);
-	ev_timer_start(attempt->gateway->loop, &attempt->detached);
+	gateway_start_timer(
+	    attempt->gateway, &attempt->detached, DETACHED_LIMIT_US);
 }
 
 void
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -79,12 +79,8 @@
 static void
 client_set_timer(client_t *client, int64_t ms)
 {
-	struct ev_loop *loop = client->gateway->loop;
-
 	client->rechecking = false;
-	ev_timer_stop(loop, &client->timer);
-	ev_timer_set(&client->timer, (double)ms / 1000, 0);
-	ev_timer_start(loop, &client->timer);
+	gateway_start_timer(client->gateway, &client->timer, ms * US_PER_MS);
 }
 
 /* Time until an idle connection is closed. */
--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -6,7 +6,7 @@
 #include <xxhash.h>
 
 /* A connection that isn't refused within this time says nothing. */
-#define CHECK_TIMEOUT_S 0.4
+#define CHECK_TIMEOUT_US (400 * US_PER_MS)
 
 /* Requests remembered of one crash; an engine has not begun many at a time. */
 #define WITNESS_LIMIT 32
@@ -165,7 +165,7 @@
 	check->target_start = target_start(target);
 	g_strlcpy(check->target_id, target->entry.id, sizeof(check->target_id));
 	check->witnesses = g_array_new(FALSE, FALSE, sizeof(crash_witness_t));
-	ev_timer_init(&check->timer, on_timeout, CHECK_TIMEOUT_S, 0);
+	ev_timer_init(&check->timer, on_timeout, 0, 0);
 	check->timer.data = check;
 	g_ptr_array_add(checks->running, check);
 	return check;
@@ -181,7 +181,7 @@
 	    (net_address_t){target->entry.ip, target->entry.port},
 	    &connection_events, check);
 	if (check->connection != NULL) {
-		ev_timer_start(gateway->loop, &check->timer);
+		gateway_start_timer(gateway, &check->timer, CHECK_TIMEOUT_US);
 		return;
 	}
 	if (errno == ECONNREFUSED)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -127,10 +127,38 @@
 gateway_now(gateway_t *gateway)
 {
 	if (iteration_now == 0)
-		iteration_now = clock_now();
+		gateway_refresh_now(gateway);
 	return iteration_now;
 }
 
+/*
+ * Both clocks are read at the same moment: a timer whose time is computed from
+ * one and counted from an older reading of the other would be early by the time
+ * between them.
+ */
+void
+gateway_refresh_now(gateway_t *gateway)
+{
+	ev_now_update(gateway->loop);
+	iteration_now = clock_now();
+}
+
+void
+gateway_start_timer(gateway_t *gateway, ev_timer *timer, time_us_t after)
+{
+	gateway_refresh_now(gateway);
+	ev_timer_stop(gateway->loop, timer);
+	ev_timer_set(timer, (double)MAX(after, 0) / US_PER_S, 0);
+	ev_timer_start(gateway->loop, timer);
+}
+
+void
+gateway_start_timer_at(gateway_t *gateway, ev_timer *timer, time_us_t at)
+{
+	gateway_refresh_now(gateway);
+	gateway_start_timer(gateway, timer, at - gateway_now(gateway));
+}
+
 static void
 on_iteration_start(struct ev_loop *loop, ev_check *watcher, int revents)
 {
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -513,6 +513,7 @@
 	gossip = g_new0(gossip_t, 1);
 	gossip->gateway = gateway;
 	ev_io_init(&gossip->watcher, on_readable, fd, EV_READ);
+	ev_set_priority(&gossip->watcher, NET_SOCKET_PRIORITY);
 	gossip->watcher.data = gossip;
 	ev_io_start(gateway->loop, &gossip->watcher);
 	return gossip;
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -127,6 +127,16 @@
 /* CLOCK_BOOTTIME in microseconds, read once per iteration of the event loop. */
 time_us_t gateway_now(gateway_t *gateway);
 
+/* Reads the clock again, after a call that may have taken long. */
+void gateway_refresh_now(gateway_t *gateway);
+
+/*
+ * Starts or restarts a one-shot timer. The time counts from the call, not from
+ * the start of the iteration, however long this one has taken.
+ */
+void gateway_start_timer(gateway_t *gateway, ev_timer *timer, time_us_t after);
+void gateway_start_timer_at(gateway_t *gateway, ev_timer *timer, time_us_t at);
+
 /* gateway.c */
 service_state_t *gateway_service_state(gateway_t *gateway, const char *service);
 void gateway_set_catalog(
--- a/gateway/pool.c
+++ b/gateway/pool.c
@@ -3,10 +3,10 @@
 #include "attempt.h"
 
 /* Connect timeout for targets, which are in the same region. */
-#define CONNECT_TIMEOUT_S 0.4
+#define CONNECT_TIMEOUT_US (400 * US_PER_MS)
 
 /* Connect timeout for an instance in another region. */
-#define CONNECT_TIMEOUT_REMOTE_S 1.0
+#define CONNECT_TIMEOUT_REMOTE_US US_PER_S
 
 /*
  * Idle connections are closed this long before the idle timeout that the other
@@ -143,10 +143,10 @@
 	}
 	upstream->reader = http_reader_create(
 	    HTTP_RESPONSES, &attempt_sink, upstream, RESPONSE_HEAD_LIMIT);
-	ev_timer_init(&upstream->connect_timer, on_connect_timeout,
-	    pool->remote ? CONNECT_TIMEOUT_REMOTE_S : CONNECT_TIMEOUT_S, 0);
+	ev_timer_init(&upstream->connect_timer, on_connect_timeout, 0, 0);
 	upstream->connect_timer.data = upstream;
-	ev_timer_start(gateway->loop, &upstream->connect_timer);
+	gateway_start_timer(gateway, &upstream->connect_timer,
+	    pool->remote ? CONNECT_TIMEOUT_REMOTE_US : CONNECT_TIMEOUT_US);
 	counter_increment("upstream_connections", NULL, NULL);
 	return upstream;
 }
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -128,16 +128,10 @@
 void
 request_start(request_t *request)
 {
-	gateway_t *gateway = request->gateway;
-	time_us_t left;
-
 	request_ref(request);
 	if (request_admit(request)) {
-		left = request->deadline - DEADLINE_MARGIN_US -
-		       gateway_now(gateway);
-		ev_timer_set(
-		    &request->timer, MAX(left, 0) / (double)US_PER_S, 0);
-		ev_timer_start(gateway->loop, &request->timer);
+		gateway_start_timer_at(request->gateway, &request->timer,
+		    request->deadline - DEADLINE_MARGIN_US);
 		request_dispatch(request);
 	}
 	request_unref(request);
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -38,10 +38,10 @@
 #define NET_OUTPUT_STALL_S 5.0
 
 /*
- * libev priority of input. Above that of timers (0): after a stall, input that
+ * libev priority of sockets. Above that of timers (0): after a stall, what
  * arrived before a timeout is handled before the timeout.
  */
-#define NET_READ_PRIORITY 1
+#define NET_SOCKET_PRIORITY 1
 
 /* Size of the read buffer. */
 #define NET_READ_BYTES 65536
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -346,8 +346,9 @@
 	connection->owner = owner;
 	connection->output = g_byte_array_new();
 	ev_io_init(&connection->reader, on_readable, fd, EV_READ);
-	ev_set_priority(&connection->reader, NET_READ_PRIORITY);
+	ev_set_priority(&connection->reader, NET_SOCKET_PRIORITY);
 	ev_io_init(&connection->writer, on_writable, fd, EV_WRITE);
+	ev_set_priority(&connection->writer, NET_SOCKET_PRIORITY);
 	ev_timer_init(&connection->linger, on_linger, 0, 0);
 	connection->reader.data = connection;
 	connection->writer.data = connection;
--- a/tests/platform_world.c
+++ b/tests/platform_world.c
@@ -211,6 +211,27 @@
 		WORLD_WAIT(is_ready(world, instance), 10000);
 }
 
+void
+world_start_stalling(world_t *world, int instance)
+{
+	g_autofree char *library = g_build_filename(
+	    g_getenv("CYCLAMENSAIL_BUILD"), "tests", "libstall.so", NULL);
+	g_autofree char *sanitizer = g_strdup(g_getenv("ASAN_OPTIONS"));
+	g_autofree char *options =
+	    g_strdup_printf("%s%sverify_asan_link_order=0",
+		sanitizer ? sanitizer : "", sanitizer ? ":" : "");
+
+	g_setenv("LD_PRELOAD", library, TRUE);
+	g_setenv("ASAN_OPTIONS", options, TRUE);
+	world_start(world, instance, "a-1", true, false);
+	g_unsetenv("LD_PRELOAD");
+	if (sanitizer != NULL)
+		g_setenv("ASAN_OPTIONS", sanitizer, TRUE);
+	else
+		g_unsetenv("ASAN_OPTIONS");
+	WORLD_WAIT(is_ready(world, instance), 10000);
+}
+
 void
 world_signal(world_t *world, int instance, int signal)
 {
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -57,6 +57,12 @@
 /* zone: "a-1" or "b-1". Waits until the instance is ready when wait is set. */
 void world_start(world_t *world, int instance, const char *zone,
     bool store_reachable, bool wait);
+/*
+ * The same for zone "a-1", ready, with a stall of STALL_MS in the iteration of
+ * the event loop that reads a request with the field X-Stall.
+ */
+#define STALL_MS 1200
+void world_start_stalling(world_t *world, int instance);
 void world_signal(world_t *world, int instance, int signal);
 /* Waits for the process to end. Returns its exit status, or -1. */
 int world_wait_end(world_t *world, int instance, int timeout_ms);
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -157,6 +157,36 @@
 	world_destroy(&world);
 }
 
+#define SHORT_DEADLINE                    \
+	"Authorization: Bearer key-1\r\n" \
+	"Request-Deadline: 2000\r\nX-Stall: 1\r\n"
+
+/*
+ * Guards against timers that count from a clock read before a stall: a request
+ * of 1 s and a stream of 1.5 s were ended 1.2 s before their deadline, and the
+ * connection to a target counted as failed.
+ */
+TEST(request_read_after_a_stall_has_its_whole_deadline)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start_stalling(&world, 0);
+	answer = world_call(
+	    &world, 0, "GET", "/read/slow-1000", "d1", SHORT_DEADLINE, NULL);
+	ck_assert_int_eq(answer.status, 200);
+	world_answer_clear(&answer);
+	answer = world_call(&world, 0, "POST", "/write/events-15-100", "d2",
+	    SHORT_DEADLINE, "{}");
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert(answer.whole);
+	world_answer_clear(&answer);
+	for (int i = 0; i < WORLD_WORKERS; i++)
+		ck_assert_uint_le(fake_worker_count(world.workers[i], "d1"), 1);
+	world_destroy(&world);
+}
+
 #define LARGE_KB 300UL
 
 /*
