gateway: keep a connection for as long as was announced

Limits below a second were announced as 0, which tells callers not to reuse the connection.

Cause: the timeout is announced at the start of an answer and the timer was computed from the limit at its end.

Why this works: the larger of the announced time and the limit in force counts; whole seconds are announced, at least one.

Test: process_close announced_idle_timeout_is_kept_when_it_is_lowered, which failed before (no answer 3 s after an answer that announced 5 s).

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -58,9 +58,10 @@
 	time_us_t idle_since;	/* accepted, or last response ended */
 	time_us_t held_since;	/* see client_release_held(); 0: not held */
 	time_us_t released_at;
-	bool held;	 /* not read before the instance can serve */
-	bool rechecking; /* the timer was extended for unread input */
-	ev_timer timer;	 /* header, body or idle timeout */
+	bool held;		 /* not read before the instance can serve */
+	bool rechecking;	 /* the timer was extended for unread input */
+	int64_t idle_timeout_ms; /* as last announced */
+	ev_timer timer;		 /* header, body or idle timeout */
 };
 
 static void client_continue(client_t *client);
@@ -88,9 +89,10 @@
 client_idle_left_ms(const client_t *client)
 {
 	time_us_t idle = gateway_now(client->gateway) - client->idle_since;
+	int64_t timeout_ms = MAX(
+	    client->idle_timeout_ms, client_limits(client)->idle_timeout_ms);
 
-	return client_limits(client)->idle_timeout_ms + IDLE_GRACE_MS -
-	       idle / US_PER_MS;
+	return timeout_ms + IDLE_GRACE_MS - idle / US_PER_MS;
 }
 
 static void
@@ -230,12 +232,17 @@
 		g_string_append_printf(head,
 		    "Content-Length: %" G_GUINT64_FORMAT "\r\n",
 		    (guint64)length);
-	if (client->close_after)
+	if (client->close_after) {
 		g_string_append(head, "Connection: close\r\n");
-	else
+	} else {
+		/* Whole seconds; 0 would tell callers not to reuse it. */
+		int64_t timeout_s =
+		    MAX(1, client_limits(client)->idle_timeout_ms / MS_PER_S);
+
+		client->idle_timeout_ms = timeout_s * MS_PER_S;
 		g_string_append_printf(head,
-		    "Keep-Alive: timeout=%" G_GINT64_FORMAT "\r\n",
-		    client_limits(client)->idle_timeout_ms / MS_PER_S);
+		    "Keep-Alive: timeout=%" G_GINT64_FORMAT "\r\n", timeout_s);
+	}
 	g_string_append(head, "\r\n");
 	tcp_send(client->connection, head->str, head->len);
 }
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -157,6 +157,33 @@
 	world_destroy(&world);
 }
 
+/* Guards against closing sooner than was announced, after the idle timeout was
+ * lowered while the answer was sent. */
+TEST(announced_idle_timeout_is_kept_when_it_is_lowered)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd,
+	    "POST /write/events-10-100 HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: l1\r\n" WORLD_KEY "Content-Length: 2\r\n\r\n{}");
+	sleep_ms(300);
+	world_configure_limits(&world, 4, 500);
+	answer_expect(fd, 200);
+	sleep_ms(3000);
+	world_send(fd, READ_REQUEST("l2"));
+	answer_expect(fd, 200);
+	/* The answer announced the new one, of at least 1 s. */
+	sleep_ms(900);
+	world_send(fd, READ_REQUEST("l3"));
+	answer_expect(fd, 200);
+	close(fd);
+	world_destroy(&world);
+}
+
 #define SHORT_DEADLINE                    \
 	"Authorization: Bearer key-1\r\n" \
 	"Request-Deadline: 2000\r\nX-Stall: 1\r\n"
