gateway, net: count the idle time of a caller from the end of its answer

Cause: the idle time counted from the moment at which the answer was handed to the connection, so it could be over before the caller had read the answer.

Why this works: while bytes of the answer are undelivered and become fewer, the caller isn't idle. One that reads nothing for a whole timeout is given up.

Test: process_close slow_reader_may_reuse_its_connection (an answer read over 2 to 3 s with an idle timeout of 1 s), which failed before.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -61,6 +61,7 @@
 	bool held;		 /* not read before the instance can serve */
 	bool rechecking;	 /* the timer was extended for unread input */
 	int64_t idle_timeout_ms; /* as last announced */
+	size_t undelivered;	 /* at the last idle timeout */
 	ev_timer timer;		 /* header, body or idle timeout */
 };
 
@@ -209,6 +210,7 @@
 	client->request = NULL;
 	client->processing = false;
 	client->idle_since = gateway_now(client->gateway);
+	client->undelivered = 0;
 	if (request != NULL)
 		request_unref(request);
 	if (client->close_after) {
@@ -571,22 +573,39 @@
 	return arrival;
 }
 
+/*
+ * A caller that still reads its last answer isn't idle: its time begins with
+ * the end of the answer, as the caller sees it. One that reads nothing for a
+ * whole timeout is given up.
+ */
+static bool
+client_is_reading(client_t *client)
+{
+	size_t undelivered = tcp_undelivered(client->connection);
+	bool reading =
+	    undelivered > 0 &&
+	    (client->undelivered == 0 || undelivered < client->undelivered);
+
+	client->undelivered = undelivered;
+	return reading;
+}
+
 static void
 on_idle_timeout(client_t *client)
 {
-	int64_t left_ms = client_idle_left_ms(client);
+	int64_t left_ms;
 
+	if (client_is_reading(client))
+		client->idle_since = gateway_now(client->gateway);
 	/* The limit may have been raised since the timer was set. */
+	left_ms = client_idle_left_ms(client);
 	if (left_ms > 0) {
 		client_set_timer(client, left_ms);
 		return;
 	}
-	client_count_close(client, "idle", false);
+	client_count_close(client, "idle", true);
 	/* See client_close_idle() for a request that is still on its way. */
-	if (tcp_pending(client->connection) > 0)
-		client_finish(client);
-	else
-		client_destroy(client);
+	client_destroy(client);
 }
 
 static void
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -103,6 +103,9 @@
 /* Returns the number of bytes that are not written yet. */
 size_t tcp_pending(const tcp_t *connection);
 
+/* The same with the bytes that the peer has not acknowledged. */
+size_t tcp_undelivered(const tcp_t *connection);
+
 /* Returns the number of received bytes that have not been read yet. */
 size_t tcp_unread(const tcp_t *connection);
 
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -487,6 +488,16 @@
 	return (size_t)MAX(n, 0);
 }
 
+size_t
+tcp_undelivered(const tcp_t *connection)
+{
+	int n = 0;
+
+	if (connection->fd < 0 || ioctl(connection->fd, SIOCOUTQ, &n) != 0)
+		n = 0;
+	return tcp_pending(connection) + (size_t)MAX(n, 0);
+}
+
 bool
 tcp_is_stale(const tcp_t *connection)
 {
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -275,6 +275,37 @@
 	world_destroy(&world);
 }
 
+/* Guards against counting the time in which a caller reads its answer as idle:
+ * it sends its next request at once, 3 s after the instance sent the answer. */
+TEST(slow_reader_may_reuse_its_connection)
+{
+	world_t world;
+	int fd;
+	gsize n = 0;
+	char buffer[4096];
+
+	world_create(&world);
+	world_configure_limits(&world, 4, 1000);
+	world_start(&world, 0, "a-1", true, true);
+	fd = slow_reader(&world, "");
+	sleep_ms(1500);
+	while (n < LARGE_KB * 1024) {
+		ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
+
+		ck_assert_int_gt(got, 0);
+		n += (gsize)got;
+		sleep_ms(20);
+	}
+	/* What is left of the head and the body. */
+	sleep_ms(300);
+	while (recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT) > 0)
+		;
+	world_send(fd, READ_REQUEST("s2"));
+	answer_expect(fd, 200);
+	close(fd);
+	world_destroy(&world);
+}
+
 /* Guards against a planned stop that cuts an answer which its caller is still
  * reading: 3 s after SIGTERM all requests have ended for the instance. */
 TEST(slow_reader_gets_the_whole_answer_of_a_stopping_instance)
