gateway: let blank lines not extend the idle timeout

Operators would see connections that never close: a blank line every half second kept one open without end, as each restarted the timeout of a head.

The timeout of a head now begins with its first byte that isn't a blank line. Test: process_close blank_lines_do_not_extend_the_idle_timeout, which failed before.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -461,7 +461,9 @@
 		return;
 	switch (result) {
 	case HTTP_FEED_MORE:
-		if (!inside && client->request == NULL)
+		/* Blank lines before a request don't begin one. */
+		if (!inside && client->request == NULL &&
+		    http_reader_is_mid_message(client->reader))
 			client_set_timer(
 			    client, client_limits(client)->header_timeout_ms);
 		return;
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <check.h>
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
@@ -184,6 +185,27 @@
 	world_destroy(&world);
 }
 
+/* Guards against a connection that blank lines keep open. */
+TEST(blank_lines_do_not_extend_the_idle_timeout)
+{
+	world_t world;
+	char byte;
+	int fd;
+	int n = 0;
+
+	world_create(&world);
+	world_configure_limits(&world, 4, 1000);
+	world_start(&world, 0, "a-1", true, true);
+	fd = idle_connection(&world);
+	while (recv(fd, &byte, 1, MSG_DONTWAIT) < 0 && errno == EAGAIN) {
+		ck_assert_int_lt(n++, 16);
+		world_send(fd, "\r\n");
+		sleep_ms(250);
+	}
+	close(fd);
+	world_destroy(&world);
+}
+
 #define SHORT_DEADLINE                    \
 	"Authorization: Bearer key-1\r\n" \
 	"Request-Deadline: 2000\r\nX-Stall: 1\r\n"
