gateway: answer a request that came before the close of a planned stop

Cause: the first answer after SIGTERM announced the close, whatever had arrived. Now it doesn't while more input is there; the next answer does.

Test: process_close stopping_instance_answers_a_pipelined_request, which failed before.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -222,10 +222,20 @@
 	client_continue(client);
 }
 
+/* Returns whether another request, or a part of it, has arrived. */
+static bool
+client_has_next(const client_t *client)
+{
+	/* While it is parsed, the input still holds the present request. */
+	return !client->feeding &&
+	       (client->input->len > 0 || tcp_unread(client->connection) > 0);
+}
+
 void
 client_begin_response(client_t *client, GString *head, uint64_t length)
 {
-	if (gateway_is_leaving(client->gateway))
+	/* A request that has come already is answered before the close. */
+	if (gateway_is_leaving(client->gateway) && !client_has_next(client))
 		client->close_after = true;
 	client->chunked = length == HTTP_LENGTH_UNKNOWN;
 	if (client->chunked)
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -355,6 +355,27 @@
 	world_destroy(&world);
 }
 
+/* Guards against a planned stop that drops a request which came behind one that
+ * is being answered. */
+TEST(stopping_instance_answers_a_pipelined_request)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd, "GET /read/slow-1000 HTTP/1.1\r\nHost: h\r\nRequest-Id: "
+		       "p1\r\n" WORLD_KEY "\r\n" READ_REQUEST("p2"));
+	sleep_ms(300);
+	world_signal(&world, 0, SIGTERM);
+	answer_expect(fd, 200);
+	answer_expect(fd, 200);
+	close(fd);
+	ck_assert_int_eq(world_wait_end(&world, 0, 6000), 0);
+	world_destroy(&world);
+}
+
 /* Guards against an instance that never ends because a caller reads nothing. */
 TEST(stopping_instance_ends_beside_a_caller_that_reads_nothing)
 {
