gateway: deliver an answer that came before the deadline of its request

The priority of sockets doesn't help when the wait for events was interrupted by a signal: due timers then run before any socket is looked at.

The deadline looks for unread bytes of the answer and waits once for 50 ms.

Test: process_close answer_that_came_before_the_deadline_is_delivered_after_a_stall, which failed before (504).

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -117,6 +117,12 @@
 	    attempt->gateway, &attempt->detached, DETACHED_LIMIT_US);
 }
 
+bool
+attempt_has_unread(const attempt_t *attempt)
+{
+	return tcp_unread(attempt->upstream->connection) > 0;
+}
+
 void
 attempt_pause(attempt_t *attempt, bool paused)
 {
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -253,7 +253,6 @@
  */
 queue_decision_t request_choose_queued(request_t *request);
 void request_dispatch_queued(request_t *request);
-void request_expire(request_t *request);
 
 /* attempt.c: one send of a request to a target or another instance. */
 typedef struct {
@@ -281,6 +280,8 @@
 void attempt_cancel(attempt_t *attempt);
 /* Discards the rest of the response; the connection is kept if it ends soon. */
 void attempt_detach(attempt_t *attempt);
+/* Returns whether bytes of an answer have arrived and are unread. */
+bool attempt_has_unread(const attempt_t *attempt);
 void attempt_pause(attempt_t *attempt, bool paused);
 
 /* crash.c: finds out whether a target has crashed. */
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -14,15 +14,12 @@
 /* Unsent bytes to a slow caller at which reading from the target pauses. */
 #define BACKLOG_LIMIT 262144
 
+/* Time in which an answer that is unread at the deadline is read. */
+#define UNREAD_RECHECK_US (50 * US_PER_MS)
+
 /* Time reserved so that the response reaches the caller before its deadline. */
 #define DEADLINE_MARGIN_US (15 * US_PER_MS)
 
-static void
-on_timer(struct ev_loop *loop, ev_timer *watcher, int revents)
-{
-	request_expire(watcher->data);
-}
-
 static void
 peer_fields_read(request_t *request, const http_head_t *head)
 {
@@ -33,6 +30,8 @@
 		    g_strndup(team->value.text, team->value.len);
 }
 
+static void on_timer(struct ev_loop *loop, ev_timer *watcher, int revents);
+
 request_t *
 request_create(client_t *client, gateway_t *gateway, const http_head_t *head,
     bool from_peer)
@@ -202,7 +201,8 @@
 		client_abort(client);
 }
 
-void
+/* Ends the request at its deadline. */
+static void
 request_expire(request_t *request)
 {
 	bool sent = request->attempt != NULL || request->n_maybe_executed > 0;
@@ -218,6 +218,25 @@
 	request_unref(request);
 }
 
+/*
+ * After a stall, the answer may have arrived before the deadline and be unread:
+ * it is delivered, though late.
+ */
+static void
+on_timer(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	request_t *request = watcher->data;
+
+	if (!request->rechecking && request->attempt != NULL &&
+	    attempt_has_unread(request->attempt)) {
+		request->rechecking = true;
+		gateway_start_timer(
+		    request->gateway, &request->timer, UNREAD_RECHECK_US);
+		return;
+	}
+	request_expire(request);
+}
+
 static void
 response_head_send(request_t *request)
 {
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -45,6 +45,7 @@
 	time_us_t deadline; /* min of caller_deadline and route timeout */
 	time_us_t caller_deadline;
 	ev_timer timer;
+	bool rechecking; /* the timer was extended for an unread answer */
 	/* From the configuration. */
 	catalog_t *catalog;
 	const catalog_route_t *route;
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -236,6 +236,28 @@
 	world_destroy(&world);
 }
 
+/* Guards against ending a request at its deadline while its answer has come and
+ * is unread, as after a stall of the instance. */
+TEST(answer_that_came_before_the_deadline_is_delivered_after_a_stall)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = world_connect(&world, 0, PORT_CALLERS);
+	world_send(fd,
+	    "GET /read/slow-600 HTTP/1.1\r\nHost: h\r\nRequest-Id: f1\r\n"
+	    "Authorization: Bearer key-1\r\nRequest-Deadline: 1500\r\n\r\n");
+	sleep_ms(300);
+	world_signal(&world, 0, SIGSTOP);
+	sleep_ms(2000);
+	world_signal(&world, 0, SIGCONT);
+	answer_expect(fd, 200);
+	close(fd);
+	world_destroy(&world);
+}
+
 #define LARGE_KB 300UL
 
 /*
