net: let a caller pause for ten seconds while it reads an answer

Cause: two limits, of which the shorter one was meant for connections to targets; and a timer that acts after a stall before it tries to send.

Test: process_close answer_survives_a_pause_of_its_reader_or_of_the_instance, which failed before.

--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -32,10 +32,10 @@
 #define NET_LINGER_S 1.0
 
 /*
- * A finished connection is closed when no output could be written for this
- * long.
+ * An accepted connection is closed when its peer reads nothing for this long
+ * while there is output. Callers may read slowly and with pauses.
  */
-#define NET_OUTPUT_STALL_S 5.0
+#define NET_OUTPUT_STALL_MS 10000
 
 /*
  * libev priority of sockets. Above that of timers (0): after a stall, what
@@ -124,7 +124,7 @@
 /*
  * Sends pending output, shuts down the sending side and closes once the peer
  * has closed, at the latest NET_LINGER_S after the shutdown. Closes with unsent
- * output when the peer reads nothing for NET_OUTPUT_STALL_S, and immediately
+ * output when the peer reads nothing for NET_OUTPUT_STALL_MS, and immediately
  * when the connection isn't established. The owner gets no further callbacks.
  */
 void tcp_finish(tcp_t *connection);
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -77,13 +77,12 @@
 
 /* Failures are ignored: the connection works without these options. */
 static void
-socket_set_options(int fd)
+socket_set_options(int fd, unsigned timeout)
 {
 	int on = 1;
 	int idle = NET_KEEPALIVE_IDLE_S;
 	int interval = NET_KEEPALIVE_INTERVAL_S;
 	int probes = NET_KEEPALIVE_PROBES;
-	unsigned timeout = NET_USER_TIMEOUT_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
@@ -182,7 +181,8 @@
 		}
 		connection->written += (size_t)n;
 		if (connection->state == STATE_FINISHING)
-			finish_timer_set(connection, NET_OUTPUT_STALL_S);
+			finish_timer_set(
+			    connection, NET_OUTPUT_STALL_MS / 1000.0);
 	}
 	ev_io_stop(connection->net->loop, &connection->writer);
 	output_clear(connection);
@@ -330,7 +330,17 @@
 static void
 on_linger(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
-	tcp_close_finishing(watcher->data, "linger");
+	tcp_t *connection = watcher->data;
+	size_t pending = tcp_pending(connection);
+
+	/* After a stall the peer may have read, and be about to read more. */
+	tcp_ref(connection);
+	if (pending > 0)
+		tcp_flush(connection);
+	if (connection->state != STATE_CLOSED &&
+	    (pending == 0 || tcp_pending(connection) == pending))
+		tcp_close_finishing(connection, "linger");
+	tcp_unref(connection);
 }
 
 static tcp_t *
@@ -354,7 +364,8 @@
 	connection->reader.data = connection;
 	connection->writer.data = connection;
 	connection->linger.data = connection;
-	socket_set_options(fd);
+	socket_set_options(fd, state == STATE_CONNECTING ? NET_USER_TIMEOUT_MS
+							 : NET_OUTPUT_STALL_MS);
 	if (state == STATE_CONNECTING)
 		ev_io_start(net->loop, &connection->writer);
 	else
@@ -471,7 +482,7 @@
 	}
 	connection->state = STATE_FINISHING;
 	g_hash_table_add(connection->net->finishing, connection);
-	finish_timer_set(connection, NET_OUTPUT_STALL_S);
+	finish_timer_set(connection, NET_OUTPUT_STALL_MS / 1000.0);
 	ev_io_start(connection->net->loop, &connection->reader);
 	if (tcp_pending(connection) == 0)
 		shutdown_if_finishing(connection);
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -284,21 +284,37 @@
 	return fd;
 }
 
-/* Reads to the end of the connection. Returns the bytes of the body. */
-static gsize
-body_length(int fd)
+/* Reads to the end of the connection. */
+static GString *
+rest_read(int fd)
 {
-	g_autoptr(GString) text = g_string_new(NULL);
+	GString *text = g_string_new(NULL);
 	char buffer[4096];
 	ssize_t n;
-	const char *body;
 
 	while ((n = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
 		g_string_append_len(text, buffer, n);
 		g_usleep(1000);
 	}
 	ck_assert_int_eq(n, 0);
-	body = strstr(text->str, "\r\n\r\n");
+	return text;
+}
+
+static gsize
+rest_length(int fd)
+{
+	g_autoptr(GString) text = rest_read(fd);
+
+	return text->len;
+}
+
+/* Reads to the end of the connection. Returns the bytes of the body. */
+static gsize
+body_length(int fd)
+{
+	g_autoptr(GString) text = rest_read(fd);
+	const char *body = strstr(text->str, "\r\n\r\n");
+
 	ck_assert_ptr_nonnull(body);
 	return text->len - (gsize)(body + 4 - text->str);
 }
@@ -350,6 +366,36 @@
 	world_destroy(&world);
 }
 
+/* Guards against cutting the answer of a caller that pauses for some seconds,
+ * or because the instance stood still while it read. */
+TEST(answer_survives_a_pause_of_its_reader_or_of_the_instance)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = slow_reader(&world, "Connection: close\r\n");
+	sleep_ms(6000);
+	ck_assert_uint_eq(body_length(fd), LARGE_KB * 1024);
+	close(fd);
+	fd = slow_reader(&world, "Connection: close\r\n");
+	sleep_ms(300);
+	world_signal(&world, 0, SIGSTOP);
+	for (int i = 0; i < 110; i++) {
+		char buffer[4096];
+
+		while (recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT) > 0)
+			;
+		sleep_ms(100);
+	}
+	world_signal(&world, 0, SIGCONT);
+	/* To the end in order; a connection that was given up is reset. */
+	ck_assert_uint_gt(rest_length(fd), LARGE_KB * 1024 / 2);
+	close(fd);
+	world_destroy(&world);
+}
+
 /* Guards against a planned stop that cuts an answer which its caller is still
  * reading: 3 s after SIGTERM all requests have ended for the instance. */
 TEST(slow_reader_gets_the_whole_answer_of_a_stopping_instance)
