net, gateway: count connections that are being closed against the limit

The oldest of these connections is closed when a new one would exceed the limit of connections of callers.

Test: process_close callers_that_read_nothing_give_way_to_new_ones, which failed before.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -662,6 +662,11 @@
 		close(fd);
 		return;
 	}
+	/* Callers that don't read their last answer give way to new ones. */
+	if (g_hash_table_size(gateway->clients) +
+		net_n_finishing(gateway->net) >=
+	    limit)
+		net_close_oldest_finishing(gateway->net);
 	client = g_new0(client_t, 1);
 	client->gateway = gateway;
 	client->from_peer = from_peer;
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -79,6 +79,10 @@
 /* Returns whether a connection after tcp_finish() still has output to send. */
 bool net_has_unsent(const net_t *net);
 
+/* Connections after tcp_finish() that are not closed yet. */
+size_t net_n_finishing(const net_t *net);
+void net_close_oldest_finishing(net_t *net);
+
 /* Reads "A.B.C.D:PORT". Returns false for anything else. */
 bool net_address_parse(const char *text, net_address_t *address);
 
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -21,8 +21,7 @@
 	struct ev_loop *loop;
 	ev_prepare flush;
 	GPtrArray *flush_queue; /* connections to flush in this iteration */
-	GHashTable
-	    *finishing; /* in STATE_FINISHING, without further callbacks */
+	GQueue finishing;	/* in STATE_FINISHING, oldest first */
 	uint8_t read_buffer[NET_READ_BYTES];
 };
 
@@ -47,6 +46,7 @@
 	bool flush_pending;
 	bool paused;
 	bool shutdown_sent;
+	GList finishing_link;
 };
 
 bool
@@ -98,8 +98,10 @@
 {
 	if (connection->state == STATE_CLOSED)
 		return;
+	if (connection->state == STATE_FINISHING)
+		g_queue_unlink(
+		    &connection->net->finishing, &connection->finishing_link);
 	connection->state = STATE_CLOSED;
-	g_hash_table_remove(connection->net->finishing, connection);
 	ev_io_stop(connection->net->loop, &connection->reader);
 	ev_io_stop(connection->net->loop, &connection->writer);
 	ev_timer_stop(connection->net->loop, &connection->linger);
@@ -215,7 +217,6 @@
 
 	net->loop = loop;
 	net->flush_queue = g_ptr_array_new();
-	net->finishing = g_hash_table_new(NULL, NULL);
 	ev_prepare_init(&net->flush, on_flush);
 	net->flush.data = net;
 	ev_prepare_start(loop, &net->flush);
@@ -227,17 +228,10 @@
 void
 net_destroy(net_t *net)
 {
-	GHashTableIter iter;
-	gpointer connection;
-
 	on_flush(net->loop, &net->flush, 0);
 	ev_prepare_stop(net->loop, &net->flush);
-	g_hash_table_iter_init(&iter, net->finishing);
-	while (g_hash_table_iter_next(&iter, &connection, NULL)) {
-		g_hash_table_iter_steal(&iter);
-		tcp_close_finishing(connection, "exit");
-	}
-	g_hash_table_destroy(net->finishing);
+	while (!g_queue_is_empty(&net->finishing))
+		tcp_close_finishing(g_queue_peek_head(&net->finishing), "exit");
 	g_ptr_array_unref(net->flush_queue);
 	g_free(net);
 }
@@ -245,17 +239,29 @@
 bool
 net_has_unsent(const net_t *net)
 {
-	GHashTableIter iter;
-	gpointer connection;
-
-	g_hash_table_iter_init(&iter, net->finishing);
-	while (g_hash_table_iter_next(&iter, &connection, NULL)) {
-		if (tcp_pending(connection) > 0)
+	for (const GList *item = net->finishing.head; item != NULL;
+	     item = item->next) {
+		if (tcp_pending(item->data) > 0)
 			return true;
 	}
 	return false;
 }
 
+size_t
+net_n_finishing(const net_t *net)
+{
+	return net->finishing.length;
+}
+
+void
+net_close_oldest_finishing(net_t *net)
+{
+	tcp_t *connection = g_queue_peek_head(&net->finishing);
+
+	if (connection != NULL)
+		tcp_close_finishing(connection, "limit");
+}
+
 struct ev_loop *
 net_loop(const net_t *net)
 {
@@ -481,7 +487,9 @@
 		return;
 	}
 	connection->state = STATE_FINISHING;
-	g_hash_table_add(connection->net->finishing, connection);
+	connection->finishing_link.data = connection;
+	g_queue_push_tail_link(
+	    &connection->net->finishing, &connection->finishing_link);
 	finish_timer_set(connection, NET_OUTPUT_STALL_MS / 1000.0);
 	ev_io_start(connection->net->loop, &connection->reader);
 	if (tcp_pending(connection) == 0)
--- a/tests/platform_world.c
+++ b/tests/platform_world.c
@@ -169,6 +169,13 @@
 	    instance, zone, ip, world->ports[0], ip, world->ports[1], ip,
 	    world->ports[2], ip, world->ports[3], ip, world->ports[4],
 	    store_reachable ? world->store_port : world->dead_port, seed);
+	if (world->descriptor_limit > 0) {
+		char *unlimited = text;
+
+		text = g_strdup_printf("%s  descriptor_limit: %u\n", unlimited,
+		    world->descriptor_limit);
+		g_free(unlimited);
+	}
 	ck_assert(g_file_set_contents(path, text, -1, NULL));
 	return path;
 }
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -25,6 +25,7 @@
 	fake_worker_t *workers[WORLD_WORKERS];
 	uint16_t worker_ports[WORLD_WORKERS];
 	pid_t pids[WORLD_INSTANCES]; /* 0: not running */
+	unsigned descriptor_limit;   /* in the settings; 0: default */
 } world_t;
 
 typedef enum {
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -444,6 +444,36 @@
 	world_destroy(&world);
 }
 
+/* Guards against connections that are being closed, and count nowhere, taking
+ * all descriptors: their callers don't read, and new ones are served. */
+TEST(callers_that_read_nothing_give_way_to_new_ones)
+{
+	enum { LIMIT = 32, N = 3 * LIMIT };
+	world_t world;
+	world_answer_t answer;
+	int fds[N];
+
+	world_create(&world);
+	world.descriptor_limit = 264; /* half of 64 are for connections */
+	world_start(&world, 0, "a-1", true, true);
+	for (int i = 0; i < N; i++) {
+		fds[i] = slow_reader(&world, "Connection: close\r\n");
+		sleep_ms(10);
+	}
+	sleep_ms(500);
+	answer =
+	    world_call(&world, 0, "GET", "/read/ok", "n1", WORLD_KEY, NULL);
+	ck_assert_int_eq(answer.status, 200);
+	world_answer_clear(&answer);
+	answer = world_get(&world, 0, PORT_METRICS, "/metrics");
+	ck_assert_ptr_nonnull(
+	    strstr(answer.body, "output_discarded{reason=\"limit\"}"));
+	world_answer_clear(&answer);
+	for (int i = 0; i < N; i++)
+		close(fds[i]);
+	world_destroy(&world);
+}
+
 /* Guards against an instance that never ends because a caller reads nothing. */
 TEST(stopping_instance_ends_beside_a_caller_that_reads_nothing)
 {
