gateway: answer the directory's callers before the exit

Cause: the exit looked at callers' connections only, and connections of the directory and of checks were closed before their output was sent.

Test: process_close exiting_instance_answers_the_directory, which failed before.

--- a/gateway/endpoints.c
+++ b/gateway/endpoints.c
@@ -206,7 +206,11 @@
 static void
 on_idle(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
-	endpoint_client_close(watcher->data);
+	endpoint_client_t *client = watcher->data;
+
+	/* A request that is unread after a stall is answered first. */
+	if (tcp_unread(client->connection) == 0)
+		endpoint_client_close(client);
 }
 
 static void
@@ -228,6 +232,20 @@
 	g_hash_table_add(endpoints->clients, client);
 }
 
+bool
+endpoints_have_unread(const endpoints_t *endpoints)
+{
+	GHashTableIter iter;
+	gpointer client;
+
+	g_hash_table_iter_init(&iter, endpoints->clients);
+	while (g_hash_table_iter_next(&iter, &client, NULL)) {
+		if (tcp_unread(((endpoint_client_t *)client)->connection) > 0)
+			return true;
+	}
+	return false;
+}
+
 endpoints_t *
 endpoints_create(gateway_t *gateway, GError **error)
 {
@@ -270,7 +288,7 @@
 		listener_destroy(endpoints->listeners[kind]);
 	g_hash_table_iter_init(&iter, endpoints->clients);
 	while (g_hash_table_iter_next(&iter, &client, NULL)) {
-		tcp_close(((endpoint_client_t *)client)->connection);
+		tcp_finish(((endpoint_client_t *)client)->connection);
 		g_hash_table_iter_steal(&iter);
 		endpoint_client_destroy(client);
 	}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -683,7 +683,8 @@
 		if (client_has_data_in_transit(client))
 			return true;
 	}
-	return net_has_unsent(gateway->net);
+	return endpoints_have_unread(gateway->endpoints) ||
+	       net_has_unsent(gateway->net);
 }
 
 static void
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -351,6 +351,8 @@
 
 /* endpoints.c: HTTP endpoints for directory, health check and metrics. */
 endpoints_t *endpoints_create(gateway_t *gateway, GError **error);
+/* Returns whether a request has arrived and is unread. */
+bool endpoints_have_unread(const endpoints_t *endpoints);
 void endpoints_destroy(endpoints_t *endpoints);
 
 /* latency.c: latency histograms by kind of route. */
--- a/tests/process_close.c
+++ b/tests/process_close.c
@@ -444,6 +444,30 @@
 	world_destroy(&world);
 }
 
+/* Guards against an exit that drops a request to the directory which came while
+ * the instance stood still. */
+TEST(exiting_instance_answers_the_directory)
+{
+	world_t world;
+	int fd;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fd = world_connect(&world, 0, PORT_DIRECTORY);
+	sleep_ms(200);
+	world_signal(&world, 0, SIGTERM);
+	sleep_ms(1500);
+	world_signal(&world, 0, SIGSTOP);
+	world_send(
+	    fd, "GET /resolve?name=h&region=a HTTP/1.1\r\nHost: h\r\n\r\n");
+	sleep_ms(3000);
+	world_signal(&world, 0, SIGCONT);
+	answer_expect(fd, 200);
+	close(fd);
+	ck_assert_int_eq(world_wait_end(&world, 0, 4000), 0);
+	world_destroy(&world);
+}
+
 /* Guards against connections that are being closed, and count nowhere, taking
  * all descriptors: their callers don't read, and new ones are served. */
 TEST(callers_that_read_nothing_give_way_to_new_ones)
