gateway: treat a stream that ends inside an event as broken

Callers saw: a stream whose target ended its body inside an event, in order (last chunk, stated length reached, or close of the connection), was passed on with the partial event and ended as complete, so that its last events were missing.

Cause: a response counted as complete by its HTTP framing alone. What was left in the buffer after the last complete event was sent to the caller, and the target's result was a success.

Why this works: all three framings end in attempt_complete(), which now asks whether the rest of an event stream (status 200) ends inside an event, and if so takes the path of a reset: result broken, connection dropped, the rest discarded, then resume after the last event that was passed on, or abort. With nothing passed on yet the answer is 502 or another run, as for a reset. Complete comment lines and empty lines are no events; a line without its end may be the start of one, so it counts as cut. A stream without events, and a response to HEAD, is complete as before. Streams whose lines end with CR alone still pass whole: events_complete() doesn't know this line end, so it is accepted for the rest only.

Tests: process_platform, seven new cases, each for chunks, length and close where it applies.

--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -123,6 +123,76 @@
 	return raw_send(fd, "0\r\n\r\n");
 }
 
+/* Replaces the LF at the end of each line. */
+static void
+lines_end_with(GString *body, const char *line_end)
+{
+	g_auto(GStrv) lines = g_strsplit(body->str, "\n", 0);
+	g_autofree char *text = g_strjoinv(line_end, lines);
+
+	g_string_assign(body, text);
+}
+
+/* The body of a stream of n events that ends as the header says. */
+static GString *
+stream_body(const char *resume_after, const char *end, int n)
+{
+	bool resumed = *resume_after != '\0';
+	bool cut = !resumed &&
+		   (strcmp(end, "field") == 0 || strcmp(end, "line") == 0 ||
+		       strcmp(end, "half") == 0);
+	int last = cut ? n / 2 : n;
+	GString *body = g_string_new(NULL);
+
+	for (int i = resumed ? atoi(resume_after) + 1 : 1; i <= last; i++)
+		g_string_append_printf(body, "id: %d\ndata: word %d\n\n", i, i);
+	if (strcmp(end, "blank") == 0)
+		g_string_append(body, "\n\n");
+	else if (strcmp(end, "comment") == 0)
+		g_string_append(body, ": end\n");
+	else if (strcmp(end, "crlf") == 0 || strcmp(end, "half") == 0)
+		lines_end_with(body, "\r\n");
+	else if (strcmp(end, "cr") == 0)
+		lines_end_with(body, "\r");
+	if (cut && strcmp(end, "field") == 0)
+		g_string_append_printf(body, "id: %d\n", last + 1);
+	else if (cut && strcmp(end, "line") == 0)
+		g_string_append_printf(body, "id: %d\nda", last + 1);
+	else if (cut && body->len > 0)
+		g_string_truncate(body, body->len - 1);
+	return body;
+}
+
+/* Returns whether the connection stays open. */
+static bool
+stream_send(int fd, const raw_request_t *request, const worker_run_t *run,
+    const char *signature, const char *framing, const char *end, int n)
+{
+	g_autoptr(GString) body = stream_body(run->resume_after, end, n);
+	g_autoptr(GString) answer = g_string_new(NULL);
+	bool no_body = strcmp(request->method, "HEAD") == 0;
+
+	g_string_append_printf(answer,
+	    "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n",
+	    signature);
+	if (strcmp(framing, "chunks") == 0)
+		g_string_append(answer, "Transfer-Encoding: chunked\r\n\r\n");
+	else if (strcmp(framing, "length") == 0)
+		g_string_append_printf(
+		    answer, "Content-Length: %zu\r\n\r\n", body->len);
+	else
+		g_string_append(answer, "\r\n");
+	if (!no_body && strcmp(framing, "chunks") != 0) {
+		g_string_append(answer, body->str);
+	} else if (!no_body) {
+		if (body->len > 0)
+			g_string_append_printf(
+			    answer, "%zx\r\n%s\r\n", body->len, body->str);
+		g_string_append(answer, "0\r\n\r\n");
+	}
+	return raw_send(fd, answer->str) && strcmp(framing, "close") != 0;
+}
+
 /* Behaviours without a number. Returns false when the name is none of them. */
 static bool
 plain_serve(fake_worker_t *worker, worker_run_t *run, int fd, const char *name,
@@ -189,6 +259,8 @@
 		request->body->len ? (const char *)request->body->data : "");
 	const char *id = raw_field(request, "request-id");
 	worker_run_t *run;
+	char framing[8];
+	char end[8];
 	int n;
 	int ms;
 	bool open;
@@ -220,6 +292,9 @@
 		return events_send(worker, run, fd, signature, n, ms, -1);
 	if (sscanf(name, "break-%d-%d", &n, &ms) == 2)
 		return events_send(worker, run, fd, signature, n, ms, n / 2);
+	if (sscanf(name, "stream-%7[a-z]-%7[a-z]-%d", framing, end, &n) == 3)
+		return stream_send(
+		    fd, request, run, signature, framing, end, n);
 	return raw_send_answer(fd, 404, signature, "no such behaviour");
 }
 
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -24,6 +24,19 @@
  *	cutframe	no length; the connection is reset in the body
  *	events-N-MS	N events, MS milliseconds apart
  *	break-N-MS	the same, but cut within event N/2 unless resumed
+ *	stream-FRAMING-END-N
+ *			N events at once, framed as FRAMING says: "chunks",
+ *			"length" or "close" (the end of the connection). Their
+ *			end, by END:
+ *			event	the last event
+ *			blank	two more empty lines
+ *			comment	a line with a comment
+ *			crlf	the last event; all lines end with CR LF
+ *			cr	the last event; all lines end with CR
+ *			field	a whole line of event N/2 + 1, unless resumed
+ *			line	part of a line of that event, unless resumed
+ *			half	CR LF lines, the last line without its LF, of
+ *				event N/2, unless resumed
  */
 typedef struct fake_worker fake_worker_t;
 
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -125,31 +125,6 @@
 					       : TARGET_RESULT_OK;
 }
 
-/* Called when the response is complete. */
-static void
-attempt_complete(attempt_t *attempt, bool reusable)
-{
-	request_t *request = attempt->request;
-	upstream_t *upstream = attempt->upstream;
-	int64_t idle_ms = attempt->response.idle_ms;
-	target_result_t result = response_result(attempt);
-
-	/*
-	 * The connection can't be reused while the request's body is still
-	 * being sent.
-	 */
-	if (tcp_pending(upstream->connection) > 0)
-		reusable = false;
-	upstream->attempt = NULL;
-	if (reusable)
-		pool_release(upstream->pool, upstream, idle_ms);
-	else
-		pool_drop(upstream);
-	attempt_free(attempt, result);
-	if (request != NULL)
-		request_on_complete(request);
-}
-
 static void
 attempt_fail(attempt_t *attempt, failure_t failure, target_result_t result)
 {
@@ -180,6 +155,35 @@
 	    stale ? TARGET_RESULT_CANCELLED : TARGET_RESULT_BROKEN);
 }
 
+/* Called when the response is complete by its framing. */
+static void
+attempt_complete(attempt_t *attempt, bool reusable)
+{
+	request_t *request = attempt->request;
+	upstream_t *upstream = attempt->upstream;
+	int64_t idle_ms = attempt->response.idle_ms;
+	target_result_t result = response_result(attempt);
+
+	if (request != NULL && !request_response_is_whole(request)) {
+		attempt_incomplete(attempt);
+		return;
+	}
+	/*
+	 * The connection can't be reused while the request's body is still
+	 * being sent.
+	 */
+	if (tcp_pending(upstream->connection) > 0)
+		reusable = false;
+	upstream->attempt = NULL;
+	if (reusable)
+		pool_release(upstream->pool, upstream, idle_ms);
+	else
+		pool_drop(upstream);
+	attempt_free(attempt, result);
+	if (request != NULL)
+		request_on_complete(request);
+}
+
 static bool
 on_head(void *owner, const http_head_t *head)
 {
--- a/gateway/events.c
+++ b/gateway/events.c
@@ -55,3 +55,30 @@
 	}
 	return complete;
 }
+
+bool
+events_truncated(const char *text, size_t len)
+{
+	bool inside = false;
+	size_t pos = 0;
+
+	/* A line may end with CR alone; the last one is empty here. */
+	if (len >= 2 && memcmp(text + len - 2, "\r\r", 2) == 0)
+		return false;
+	while (pos < len) {
+		const char *end = memchr(text + pos, '\n', len - pos);
+		size_t line_len;
+
+		if (end == NULL)
+			return true;
+		line_len = (size_t)(end - text) - pos;
+		if (line_len > 0 && text[pos + line_len - 1] == '\r')
+			line_len--;
+		if (line_len == 0)
+			inside = false;
+		else if (text[pos] != ':')
+			inside = true;
+		pos = (size_t)(end - text) + 1;
+	}
+	return inside;
+}
--- a/gateway/events.h
+++ b/gateway/events.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_EVENTS_H
 #define GATEWAY_EVENTS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 /*
@@ -11,4 +12,10 @@
 size_t events_complete(
     const char *text, size_t len, char *last_id, size_t size);
 
+/*
+ * Returns whether a stream ends within an event or within a line. text is what
+ * follows its last complete event. Comments and empty lines are not events.
+ */
+bool events_truncated(const char *text, size_t len);
+
 #endif
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -229,6 +229,11 @@
 void request_on_response(request_t *request, const http_head_t *head,
     const target_response_t *response);
 void request_on_body(request_t *request, const uint8_t *data, size_t len);
+/*
+ * Returns whether a response that is complete by its framing is so by its
+ * content: an event stream must not end inside an event.
+ */
+bool request_response_is_whole(const request_t *request);
 void request_on_complete(request_t *request);
 void request_on_failure(
     request_t *request, failure_t failure, const target_response_t *response);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -424,6 +424,14 @@
 	}
 }
 
+bool
+request_response_is_whole(const request_t *request)
+{
+	return !request->streaming ||
+	       !events_truncated((const char *)request->response->data,
+		   request->response->len);
+}
+
 void
 request_on_complete(request_t *request)
 {
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "core/targets.h"
 #include "platform_world.h"
 #include "test.h"
 
@@ -347,6 +348,266 @@
 	world_destroy(&world);
 }
 
+/* A streaming route that may not be resumed, beside the usual ones. */
+#define ROUTE_TELL                                                             \
+	",{\"name\":\"tell\",\"host\":\"h\",\"prefix\":\"/tell/\","            \
+	"\"route_type\":\"streaming\",\"timeout_ms\":8000,\"service\":"        \
+	"\"pen\",\"target_latency_ms\":800,\"max_attempts\":2,\"priority\":0," \
+	"\"resumable\":false}"
+
+static const char *const framings[] = {"chunks", "length", "close"};
+
+/* Ends of the stand-in target that lie inside an event. */
+static const char *const cuts[] = {"field", "line", "half"};
+
+/* The first n events of a stand-in target. */
+static GString *
+events_text(int n)
+{
+	GString *text = g_string_new(NULL);
+
+	for (int i = 1; i <= n; i++)
+		g_string_append_printf(text, "id: %d\ndata: word %d\n\n", i, i);
+	return text;
+}
+
+/* The text with LF alone as the end of lines. */
+static char *
+lf_only(const char *text)
+{
+	g_auto(GStrv) parts = g_strsplit(text, "\r", 0);
+
+	return g_strjoinv("", parts);
+}
+
+static world_answer_t
+stream_call(const world_t *world, const char *route, const char *framing,
+    const char *end, int n, const char *id)
+{
+	g_autofree char *path =
+	    g_strdup_printf("/%s/stream-%s-%s-%d", route, framing, end, n);
+
+	return world_call(world, 0, "POST", path, id, WORLD_KEY, "{}");
+}
+
+/* Guards against events that are missing at the end of a stream that is framed
+ * properly, but ends inside an event. It goes on at the other target. */
+static void
+check_resumed(const world_t *world, const char *framing, const char *cut)
+{
+	g_autoptr(GString) expected = events_text(6);
+	world_answer_t answer =
+	    stream_call(world, "write", framing, cut, 6, cut);
+	g_autofree char *body = lf_only(answer.body);
+
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert_msg(answer.whole, "%s %s: not whole", framing, cut);
+	ck_assert_msg(
+	    strcmp(body, expected->str) == 0, "%s %s: %s", framing, cut, body);
+	ck_assert_uint_eq(count_all(world, cut), 2);
+	world_answer_clear(&answer);
+}
+
+TEST(stream_that_ends_inside_an_event_is_resumed)
+{
+	/* One world each: broken streams make an instance avoid a target. */
+	for (size_t i = 0; i < G_N_ELEMENTS(framings); i++) {
+		world_t world;
+
+		world_create(&world);
+		world_start(&world, 0, "a-1", true, true);
+		for (size_t j = 0; j < G_N_ELEMENTS(cuts); j++)
+			check_resumed(&world, framings[i], cuts[j]);
+		world_destroy(&world);
+	}
+}
+
+/* Guards against an end that looks complete where a stream may not go on at
+ * another target. */
+static void
+check_broken_off(const world_t *world, const char *framing, const char *cut)
+{
+	g_autoptr(GString) expected = events_text(6);
+	world_answer_t answer =
+	    stream_call(world, "tell", framing, cut, 6, cut);
+	g_autofree char *body = lf_only(answer.body);
+
+	/* The reset may overtake the head: there is no answer then. */
+	ck_assert_msg(!answer.whole, "%s %s: whole, %d: %s", framing, cut,
+	    answer.status, body);
+	ck_assert_msg(answer.status == 200 || answer.status == 0, "%s %s: %d",
+	    framing, cut, answer.status);
+	ck_assert_msg(g_str_has_prefix(expected->str, body), "%s %s: %s",
+	    framing, cut, body);
+	ck_assert_uint_eq(count_all(world, cut), 1);
+	world_answer_clear(&answer);
+}
+
+TEST(stream_that_ends_inside_an_event_is_broken_off)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(framings); i++) {
+		world_t world;
+
+		world_create(&world);
+		world_configure(&world, 4, "key-1", ROUTE_TELL);
+		world_start(&world, 0, "a-1", true, true);
+		for (size_t j = 0; j < G_N_ELEMENTS(cuts); j++)
+			check_broken_off(&world, framings[i], cuts[j]);
+		world_destroy(&world);
+	}
+}
+
+/* Nothing has been passed on yet, so that a refusal can be sent. */
+TEST(stream_that_ends_inside_its_first_event_fails)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(framings); i++) {
+		world_t world;
+		world_answer_t answer;
+
+		world_create(&world);
+		world_configure(&world, 4, "key-1", ROUTE_TELL);
+		world_start(&world, 0, "a-1", true, true);
+		answer =
+		    stream_call(&world, "tell", framings[i], "line", 1, "b1");
+		ck_assert_int_eq(answer.status, 502);
+		ck_assert_uint_eq(count_all(&world, "b1"), 1);
+		world_answer_clear(&answer);
+		answer =
+		    stream_call(&world, "write", framings[i], "line", 1, "b2");
+		ck_assert_int_eq(answer.status, 502);
+		ck_assert_uint_eq(count_all(&world, "b2"), 2);
+		world_answer_clear(&answer);
+		world_destroy(&world);
+	}
+}
+
+/* Guards against whole streams that are taken for broken ones. */
+TEST(stream_that_ends_between_events_is_complete)
+{
+	static const char *const ends[] = {
+	    "event", "blank", "comment", "crlf", "cr"};
+	world_t world;
+	g_autoptr(GString) events = events_text(4);
+
+	world_create(&world);
+	world_configure(&world, 4, "key-1", ROUTE_TELL);
+	world_start(&world, 0, "a-1", true, true);
+	for (size_t i = 0; i < G_N_ELEMENTS(framings) * G_N_ELEMENTS(ends);
+	     i++) {
+		const char *framing = framings[i / G_N_ELEMENTS(ends)];
+		const char *end = ends[i % G_N_ELEMENTS(ends)];
+		g_autofree char *id = g_strdup_printf("c%zu", i);
+		g_autoptr(GString) expected = g_string_new(events->str);
+		world_answer_t answer = stream_call(
+		    &world, i % 2 ? "tell" : "write", framing, end, 4, id);
+
+		if (strcmp(end, "blank") == 0)
+			g_string_append(expected, "\n\n");
+		else if (strcmp(end, "comment") == 0)
+			g_string_append(expected, ": end\n");
+		else if (strcmp(end, "crlf") == 0)
+			g_string_replace(expected, "\n", "\r\n", 0);
+		else if (strcmp(end, "cr") == 0)
+			g_string_replace(expected, "\n", "\r", 0);
+		ck_assert_int_eq(answer.status, 200);
+		ck_assert_msg(answer.whole, "%s %s: not whole", framing, end);
+		ck_assert_msg(strcmp(answer.body, expected->str) == 0,
+		    "%s %s: %s", framing, end, answer.body);
+		ck_assert_uint_eq(count_all(&world, id), 1);
+		world_answer_clear(&answer);
+	}
+	world_destroy(&world);
+}
+
+/* A run that is resumed after its last event has none to send, and a response
+ * to HEAD has no body. */
+TEST(stream_without_events_is_complete)
+{
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	for (size_t i = 0; i < G_N_ELEMENTS(framings); i++) {
+		g_autofree char *path =
+		    g_strdup_printf("/write/stream-%s-event-4", framings[i]);
+		g_autofree char *head = g_strdup_printf("h%zu", i);
+		g_autofree char *none = g_strdup_printf("z%zu", i);
+		world_answer_t answer =
+		    world_call(&world, 0, "HEAD", path, head, WORLD_KEY, NULL);
+
+		ck_assert_int_eq(answer.status, 200);
+		ck_assert(answer.whole);
+		ck_assert_uint_eq(count_all(&world, head), 1);
+		world_answer_clear(&answer);
+		answer = world_call(&world, 0, "POST", path, none,
+		    WORLD_KEY "Last-Event-Id: 4\r\n", "{}");
+		ck_assert_int_eq(answer.status, 200);
+		ck_assert(answer.whole);
+		ck_assert_str_eq(answer.body, "");
+		ck_assert_uint_eq(count_all(&world, none), 1);
+		world_answer_clear(&answer);
+	}
+	world_destroy(&world);
+}
+
+/* The stream that an instance passes on for another one ends as broken, too. */
+TEST(stream_from_another_region_that_ends_inside_an_event_goes_on)
+{
+	world_t world;
+	g_autoptr(GString) expected = events_text(6);
+	world_answer_t answer;
+
+	world_create(&world);
+	world_configure(&world, 4, "key-1", ROUTE_TELL);
+	world_start(&world, 0, "a-1", true, true);
+	world_start(&world, 1, "b-1", true, true);
+	g_usleep(800000);
+	answer = world_call(&world, 1, "POST", "/write/stream-close-line-6",
+	    "f1", WORLD_KEY, "{}");
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert(answer.whole);
+	ck_assert_str_eq(answer.body, expected->str);
+	world_answer_clear(&answer);
+	answer = world_call(&world, 1, "POST", "/tell/stream-close-line-6",
+	    "f2", WORLD_KEY, "{}");
+	/* The other instance's reset may overtake its head: a refusal then. */
+	ck_assert(!answer.whole || answer.status == 502);
+	ck_assert_uint_eq(count_all(&world, "f2"), 1);
+	world_answer_clear(&answer);
+	world_destroy(&world);
+}
+
+/* Streams that break count against their target like resets: after some in a
+ * row it is left out for a time, and gets one request at the end of it. */
+TEST(target_whose_streams_end_inside_an_event_is_left_out)
+{
+	world_t world;
+	g_autoptr(GString) expected = events_text(6);
+	g_autoptr(GPtrArray) runs = NULL;
+	gint64 began;
+	gint64 n_backoffs;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	fake_worker_force(world.workers[0], "stream-close-line-6");
+	began = g_get_monotonic_time();
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *id = g_strdup_printf("a%d", i);
+		world_answer_t answer =
+		    stream_call(&world, "write", "chunks", "event", 6, id);
+
+		ck_assert_int_eq(answer.status, 200);
+		ck_assert(answer.whole);
+		ck_assert_str_eq(answer.body, expected->str);
+		world_answer_clear(&answer);
+	}
+	n_backoffs = (g_get_monotonic_time() - began) / TARGET_BACKOFF_MIN_US;
+	runs = fake_worker_runs(world.workers[0]);
+	ck_assert_uint_gt(runs->len, 0);
+	ck_assert_int_le(runs->len, TARGET_MAX_CONSECUTIVE_BREAKS + n_backoffs);
+	world_destroy(&world);
+}
+
 TEST(caller_that_leaves_ends_the_run)
 {
 	world_t world;
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -38,4 +38,39 @@
 	ck_assert_str_eq(id, "");
 }
 
+static bool
+truncated(const char *text)
+{
+	return events_truncated(text, strlen(text));
+}
+
+/* Guards against a stream that ends early and is passed on as complete. */
+TEST(stream_that_ends_inside_an_event_is_truncated)
+{
+	ck_assert(truncated("id: 1\n"));
+	ck_assert(truncated("id: 1\nda"));
+	ck_assert(truncated("id: 1\ndata: x\n"));
+	ck_assert(truncated("id: 1\r\ndata: x\r\n"));
+	ck_assert(truncated("id: 1\r\ndata: x\r\n\r"));
+	ck_assert(truncated("id: 1\rdata: x\r"));
+	ck_assert(truncated("data"));
+	ck_assert(truncated("data: x\n: comment\n"));
+	ck_assert(truncated(": comment\ndata: x\n"));
+	/* The line goes on, and an event may follow. */
+	ck_assert(truncated(": comm"));
+}
+
+TEST(stream_that_ends_between_events_is_not_truncated)
+{
+	ck_assert(!truncated(""));
+	ck_assert(!truncated("\n\n"));
+	ck_assert(!truncated("\r\n"));
+	ck_assert(!truncated(": comment\n"));
+	ck_assert(!truncated(": comment\r\n"));
+	ck_assert(!truncated("id: 1\ndata: x\n\n"));
+	ck_assert(!truncated("id: 1\r\ndata: x\r\n\r\n"));
+	ck_assert(!truncated("id: 1\rdata: x\r\r"));
+	ck_assert(!truncated("data: x\n\n: comment\n"));
+}
+
 TEST_MAIN("events")
