core, gateway: count a crash that many instances report once, and widen the probes

A crash now carries the start of the target, and reported ones count as separate from 300 ms on. - An instance that had just started knew nothing and sent what others held. Reports also go with the loads, every 100 ms within the zone. - A sound part that was held wrongly was probed by one instance at a time, which rarely had a request with it. The number of instances that may probe doubles every 4 s; a report says that a probe is in flight. - Made-up parts could push out what is known of sound ones: suspects take at most half of the table, and a crash adds at most 256. What is known expires. - A round wrote its reports twice, so that near and far instances got different ones; suspects with one crash now take turns.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -18,8 +18,18 @@
 /* Half of the reports are for held features, if there are as many. */
 #define HELD_REPORT_LIMIT (QUARANTINE_REPORT_LIMIT / 2)
 
+/* Suspects don't push out what is known of sound features beyond this. */
+#define SUSPECT_LIMIT (QUARANTINE_TABLE_LIMIT / 2)
+
+/* Features of one crash that become suspects. */
+#define CRASH_FEATURE_LIMIT 256
+
+/* Bounds 2^stage. */
+#define PROBE_STAGE_LIMIT 16
+
 typedef struct {
-	uint32_t witness;
+	uint32_t request;
+	uint32_t target;
 	time_us_t at;
 } crash_t;
 
@@ -49,6 +59,7 @@
 struct quarantine {
 	GHashTable *entries;		    /* id -> entry_t */
 	GQueue by_standing[STANDING_COUNT]; /* last changed at the tail */
+	guint single_turn; /* next suspect with one crash to export */
 };
 
 quarantine_t *
@@ -127,6 +138,13 @@
 static void
 table_evict(quarantine_t *quarantine)
 {
+	entry_t *suspect =
+	    g_queue_peek_head(&quarantine->by_standing[STANDING_SUSPECT]);
+
+	if (quarantine->by_standing[STANDING_SUSPECT].length >= SUSPECT_LIMIT) {
+		entry_remove(quarantine, suspect);
+		return;
+	}
 	for (standing_t standing = STANDING_KNOWN; standing < STANDING_COUNT;
 	     standing++) {
 		entry_t *entry =
@@ -190,32 +208,37 @@
 	entry->n_crashes = n;
 }
 
-/* Returns whether the crash says something that those known don't. */
+/*
+ * Returns whether the crash says something that those known don't: another
+ * target, after the crashes before, and for a part another request.
+ */
 static bool
-crash_is_new(const entry_t *entry, const crash_t *crash, time_us_t sent_at)
+crash_is_new(const entry_t *entry, const crash_t *crash, time_us_t sent_at,
+    time_us_t gap)
 {
+	bool whole = crash->request == (uint32_t)entry->id;
+
 	if (entry->answered_at != NEVER && entry->answered_at >= crash->at)
 		return false;
 	for (size_t i = 0; i < entry->n_crashes; i++) {
 		const crash_t *known = &entry->crashes[i];
 
-		if (known->witness == crash->witness ||
-		    ABS(known->at - crash->at) < QUARANTINE_CRASH_GAP_US ||
-		    sent_at <= known->at)
+		if (known->target == crash->target ||
+		    (!whole && known->request == crash->request) ||
+		    ABS(known->at - crash->at) < gap || sent_at <= known->at)
 			return false;
 	}
 	return true;
 }
 
-/* sent_at: of the request; INT64_MAX if it isn't known. */
 static void
 entry_add_crash(quarantine_t *quarantine, entry_t *entry, const crash_t *crash,
-    time_us_t sent_at, time_us_t now)
+    time_us_t sent_at, time_us_t gap, time_us_t now)
 {
 	crashes_drop_before(entry, now - QUARANTINE_EVIDENCE_US);
 	if (crash->at < now - QUARANTINE_EVIDENCE_US ||
 	    entry->n_crashes == G_N_ELEMENTS(entry->crashes) ||
-	    !crash_is_new(entry, crash, sent_at))
+	    !crash_is_new(entry, crash, sent_at, gap))
 		return;
 	entry->crashes[entry->n_crashes++] = *crash;
 	entry_set_standing(quarantine, entry, STANDING_SUSPECT);
@@ -329,6 +352,10 @@
 			uint64_t turn =
 			    (uint64_t)(-wait / QUARANTINE_PROBE_TURN_US);
 
+			check.probe_stage =
+			    (uint32_t)MIN(turn / QUARANTINE_PROBE_STAGE_TURNS,
+				PROBE_STAGE_LIMIT);
+
 			check.verdict = QUARANTINE_PROBE;
 			check.probe_turn = XXH3_64bits_withSeed(
 			    &turn, sizeof(turn), entry->id ^ entry->n_failed);
@@ -387,31 +414,41 @@
 	return explained;
 }
 
+/*
+ * Makes up to limit features of the request suspects. Returns how many. The
+ * request as a whole is the last one.
+ */
+static size_t
+witness_suspect(quarantine_t *quarantine, const crash_witness_t *witness,
+    uint64_t target, size_t limit, time_us_t now)
+{
+	const features_t *features = &witness->features;
+	const crash_t crash = {
+	    (uint32_t)features->request, (uint32_t)target, now};
+	size_t n = MIN(features->n, limit);
+
+	for (size_t i = features->n - n; i < features->n; i++)
+		entry_add_crash(quarantine,
+		    entry_get(quarantine, features->ids[i]), &crash,
+		    witness->sent_at, QUARANTINE_CRASH_GAP_US, now);
+	return n;
+}
+
 size_t
 quarantine_note_crash(quarantine_t *quarantine, uint64_t target,
     const crash_witness_t *witnesses, size_t n, time_us_t now)
 {
 	bool explained = false;
+	size_t n_features = 0;
 
 	for (size_t i = 0; i < n; i++)
 		explained |=
 		    witness_is_explained(quarantine, &witnesses[i], now);
 	if (explained)
 		return 0;
-	for (size_t i = 0; i < n; i++) {
-		const features_t *features = &witnesses[i].features;
-
-		for (size_t j = 0; j < features->n; j++) {
-			uint64_t id = features->ids[j];
-			crash_t crash = {(uint32_t)(id == features->request
-							? target
-							: features->request),
-			    now};
-
-			entry_add_crash(quarantine, entry_get(quarantine, id),
-			    &crash, witnesses[i].sent_at, now);
-		}
-	}
+	for (size_t i = 0; i < n; i++)
+		n_features += witness_suspect(quarantine, &witnesses[i], target,
+		    CRASH_FEATURE_LIMIT - n_features, now);
 	return suspects_judge(quarantine, now);
 }
 
@@ -477,6 +514,7 @@
 	    .answered_ms = age_ms(entry->answered_at, now),
 	    .held_ms = age_ms(entry->held_at, now),
 	    .n_failed = entry->n_failed,
+	    .probing = is_held(entry) && entry->probe_until > now,
 	};
 	if (is_held(entry)) {
 		report->crashes[report->n_crashes++].age_ms =
@@ -485,7 +523,8 @@
 	}
 	for (size_t i = 0; i < entry->n_crashes; i++)
 		report->crashes[report->n_crashes++] = (crash_report_t){
-		    entry->crashes[i].witness,
+		    entry->crashes[i].request,
+		    entry->crashes[i].target,
 		    age_ms(entry->crashes[i].at, now),
 		};
 }
@@ -520,20 +559,33 @@
 	}
 }
 
-/*
- * Exports suspects with one crash, latest first: older ones that matter have
- * been answered since, or have a second crash.
- */
 static void
-singles_export(quarantine_t *quarantine, export_t *export, size_t limit)
+single_export(export_t *export, const entry_t *entry)
 {
-	for (GList *item = quarantine->by_standing[STANDING_SUSPECT].tail;
-	     item != NULL && export->n < limit; item = item->prev) {
-		const entry_t *entry = item->data;
+	if (entry->n_crashes == 1 && export->n < export->limit)
+		report_fill(&export->reports[export->n++], entry, export->now);
+}
 
-		if (entry->n_crashes == 1)
-			report_fill(
-			    &export->reports[export->n++], entry, export->now);
+/*
+ * Exports suspects with one crash, half of them the latest: most others that
+ * matter have been answered since, or have a second crash.
+ */
+static void
+singles_export(quarantine_t *quarantine, export_t *export)
+{
+	GQueue *suspects = &quarantine->by_standing[STANDING_SUSPECT];
+	size_t limit = export->limit;
+	const GList *item;
+
+	export->limit = export->n + (limit - export->n + 1) / 2;
+	for (item = suspects->tail; item != NULL && export->n < export->limit;
+	     item = item->prev)
+		single_export(export, item->data);
+	export->limit = limit;
+	for (guint i = 0; i < suspects->length && export->n < limit; i++) {
+		item = g_queue_peek_nth_link(
+		    suspects, quarantine->single_turn++ % suspects->length);
+		single_export(export, item->data);
 	}
 }
 
@@ -547,7 +599,7 @@
 	    MIN(limit, HELD_REPORT_LIMIT));
 	standing_export(quarantine, &export, STANDING_SUSPECT, 2, limit);
 	standing_export(quarantine, &export, STANDING_CLEARED, 0, limit);
-	singles_export(quarantine, &export, limit);
+	singles_export(quarantine, &export);
 	return export.n;
 }
 
@@ -570,6 +622,9 @@
 		    (n_failed == entry->n_failed && held_at < entry->held_at))
 			entry->held_at = held_at;
 		entry->n_failed = MAX(entry->n_failed, n_failed);
+		if (report->probing == 1 && n_failed == entry->n_failed)
+			entry->probe_until = MAX(
+			    entry->probe_until, now + QUARANTINE_PROBE_MAX_US);
 		return;
 	}
 	entry->n_failed = n_failed;
@@ -598,12 +653,13 @@
 		return;
 	for (size_t i = 0;
 	     i < MIN(report->n_crashes, G_N_ELEMENTS(report->crashes)); i++) {
-		crash_t crash = {report->crashes[i].witness,
+		crash_t crash = {report->crashes[i].request,
+		    report->crashes[i].target,
 		    time_of_age(report->crashes[i].age_ms, now)};
 
 		if (crash.at != NEVER)
-			entry_add_crash(
-			    quarantine, entry, &crash, INT64_MAX, now);
+			entry_add_crash(quarantine, entry, &crash, INT64_MAX,
+			    QUARANTINE_REPORT_GAP_US, now);
 	}
 }
 
@@ -621,6 +677,18 @@
 	return after > before ? after - before : 0;
 }
 
+static void
+known_expire(quarantine_t *quarantine, time_us_t now)
+{
+	entry_t *entry;
+
+	while ((entry = g_queue_peek_head(
+		    &quarantine->by_standing[STANDING_KNOWN])) != NULL &&
+	       (entry->answered_at == NEVER ||
+		   now - entry->answered_at >= QUARANTINE_TTL_US))
+		entry_remove(quarantine, entry);
+}
+
 void
 quarantine_expire(quarantine_t *quarantine, time_us_t now)
 {
@@ -634,6 +702,7 @@
 		if (now - entry->held_at >= QUARANTINE_TTL_US)
 			entry_remove(quarantine, entry);
 	}
+	known_expire(quarantine, now);
 	for (GList *item = quarantine->by_standing[STANDING_CLEARED].head;
 	     item != NULL; item = next) {
 		entry_t *entry = item->data;
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -142,15 +142,21 @@
 	return best;
 }
 
-/* Whether this instance sends the next probe of a held feature. */
+/*
+ * Whether this instance may probe a held feature: at first one of a region,
+ * then more and more of each region.
+ */
 static bool
-sends_probe(gateway_t *gateway, uint64_t turn)
+may_probe(gateway_t *gateway, const quarantine_check_t *check)
 {
-	int n_regions = topology_n_regions(gateway->topology);
+	uint64_t n_regions = (uint64_t)topology_n_regions(gateway->topology);
 
-	return (int)(turn % (uint64_t)n_regions) == gateway->region &&
-	       members_is_responsible(
-		   gateway->members, turn, 1, gateway_now(gateway));
+	if (check->probe_stage == 0 &&
+	    (int)(check->probe_turn % n_regions) != gateway->region)
+		return false;
+	return members_is_responsible(gateway->members, check->probe_turn,
+	    1u << (check->probe_stage > 0 ? check->probe_stage - 1 : 0),
+	    gateway_now(gateway));
 }
 
 /* Returns whether the quarantine holds the request; sets choice if so. */
@@ -169,7 +175,7 @@
 	case QUARANTINE_PROBE:
 		choice->probe =
 		    region_set_has(request->regions, gateway->region) &&
-		    sends_probe(gateway, check.probe_turn);
+		    may_probe(gateway, &check);
 		if (choice->probe)
 			return false;
 		choice->retry_after = QUARANTINE_PROBE_TURN_US;
@@ -306,6 +312,7 @@
 		    LOG_S("target", target->entry.id));
 		quarantine_begin_probe(request->gateway->quarantine,
 		    &request->features, gateway_now(request->gateway));
+		gossip_round(request->gateway->gossip);
 	}
 	if (request->n_tried == 0)
 		retry_first_attempt(&request->service_state->retries);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -133,10 +133,12 @@
 	    !xdr_int32_t(xdr, &report->answered_ms) ||
 	    !xdr_int32_t(xdr, &report->held_ms) ||
 	    !xdr_uint32_t(xdr, &report->n_failed) ||
+	    !xdr_uint32_t(xdr, &report->probing) ||
 	    !count_xdr(xdr, &report->n_crashes, QUARANTINE_TRUSTED_CRASHES))
 		return false;
 	for (uint32_t i = 0; i < report->n_crashes; i++) {
-		if (!xdr_uint32_t(xdr, &report->crashes[i].witness) ||
+		if (!xdr_uint32_t(xdr, &report->crashes[i].request) ||
+		    !xdr_uint32_t(xdr, &report->crashes[i].target) ||
 		    !xdr_int32_t(xdr, &report->crashes[i].age_ms))
 			return false;
 	}
@@ -248,7 +250,6 @@
 	message->n_loads = 0;
 	message->n_demands = 0;
 	message->n_capacities = 0;
-	message->n_reports = 0;
 	switch (kind) {
 	case MESSAGE_INSTANCE:
 		message->n_loads = (uint32_t)targets_own_load(
@@ -274,6 +275,13 @@
 	}
 }
 
+static void
+reports_fill(gateway_t *gateway, message_t *message, time_us_t now)
+{
+	message->n_reports = (uint32_t)quarantine_export(gateway->quarantine,
+	    message->reports, QUARANTINE_REPORT_LIMIT, now);
+}
+
 static size_t
 message_encode(message_t *message, char *bytes)
 {
@@ -326,13 +334,6 @@
 				     member->entry.zone) == gateway->region;
 }
 
-static void
-reports_fill(gateway_t *gateway, message_t *message, time_us_t now)
-{
-	message->n_reports = (uint32_t)quarantine_export(gateway->quarantine,
-	    message->reports, QUARANTINE_REPORT_LIMIT, now);
-}
-
 void
 gossip_round(gossip_t *gossip)
 {
@@ -345,19 +346,18 @@
 	size_t local_len = 0;
 	size_t remote_len = 0;
 
+	reports_fill(gateway, &gossip->message, now);
 	for (size_t i = 0; i < n; i++) {
 		bool local = is_local(gateway, ips[i]);
 
 		if (local && local_len == 0) {
 			message_fill(gateway, &gossip->message, MESSAGE_MEMBERS,
 			    MEMBER_DIGEST_LIMIT, now);
-			reports_fill(gateway, &gossip->message, now);
 			local_len =
 			    message_encode(&gossip->message, local_bytes);
 		} else if (!local && remote_len == 0) {
 			message_fill(gateway, &gossip->message, MESSAGE_REGION,
 			    MEMBER_DIGEST_LIMIT, now);
-			reports_fill(gateway, &gossip->message, now);
 			remote_len =
 			    message_encode(&gossip->message, remote_bytes);
 		}
@@ -381,6 +381,13 @@
 	if (n == 0)
 		return;
 	message_fill(gateway, &gossip->message, kind, 1, now);
+	/*
+	 * Within the zone, where these messages are more frequent than rounds,
+	 * reports reach an instance that has just started before callers do.
+	 */
+	gossip->message.n_reports = 0;
+	if (kind == MESSAGE_INSTANCE)
+		reports_fill(gateway, &gossip->message, now);
 	len = message_encode(&gossip->message, bytes);
 	for (size_t i = 0; i < n; i++)
 		message_send(gossip, ips[i], bytes, len);
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -50,6 +50,9 @@
  */
 #define QUARANTINE_CRASH_GAP_US (100 * US_PER_MS)
 
+/* The same for a crash that was reported, whose time is less exact. */
+#define QUARANTINE_REPORT_GAP_US (300 * US_PER_MS)
+
 /* Crashes older than this no longer count against a feature. */
 #define QUARANTINE_EVIDENCE_US (60 * US_PER_S)
 
@@ -60,9 +63,15 @@
 /* Time after which a probe that had no result no longer counts as in flight. */
 #define QUARANTINE_PROBE_MAX_US (15 * US_PER_S)
 
-/* Interval at which another instance becomes the one that may probe. */
+/* Interval at which other instances become those that may probe. */
 #define QUARANTINE_PROBE_TURN_US (2 * US_PER_S)
 
+/*
+ * Turns after which twice as many instances may probe, as those before had no
+ * request to probe with. Few at first, as each probe may crash a target.
+ */
+#define QUARANTINE_PROBE_STAGE_TURNS 2
+
 /* A held feature is forgotten this long after its last crash. */
 #define QUARANTINE_TTL_US (600 * US_PER_S)
 
@@ -108,7 +117,8 @@
 	quarantine_verdict_t verdict;
 	uint64_t feature;      /* that is held; 0: none */
 	time_us_t retry_after; /* QUARANTINE_HOLD: time to the next probe */
-	uint64_t probe_turn;   /* QUARANTINE_PROBE: selects the instance */
+	uint64_t probe_turn;   /* QUARANTINE_PROBE: selects the instances */
+	uint32_t probe_stage;  /* QUARANTINE_PROBE: 2^stage of them */
 } quarantine_check_t;
 
 /*
@@ -146,12 +156,10 @@
 size_t quarantine_note_answer(
     quarantine_t *quarantine, const features_t *features, time_us_t now);
 
-/*
- * One crash that counts against a feature. witness identifies the request if
- * the feature is a part, the target if it is a request as a whole.
- */
+/* One crash that counts against a feature. */
 typedef struct {
-	uint32_t witness;
+	uint32_t request; /* low half of features_t.request */
+	uint32_t target;  /* start of the target */
 	int32_t age_ms;
 } crash_report_t;
 
@@ -161,13 +169,15 @@
 	int32_t answered_ms; /* last answer that began */
 	int32_t held_ms;     /* held, or last probe failed */
 	uint32_t n_failed;   /* probes that failed */
+	uint32_t probing;    /* 1: a probe is in flight */
 	uint32_t n_crashes;  /* of a held feature: the first one only */
 	crash_report_t crashes[QUARANTINE_TRUSTED_CRASHES];
 } quarantine_report_t;
 
 /*
- * Writes reports, held features first, and takes turns if there are more than
- * limit. Returns how many.
+ * Writes reports: held features, suspects with several crashes and cleared
+ * ones, each in turns if there are more than fit, then the latest suspects with
+ * one crash. Returns how many.
  */
 size_t quarantine_export(quarantine_t *quarantine, quarantine_report_t *reports,
     size_t limit, time_us_t now);
