--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -24,6 +24,12 @@
 /* Features of one crash that become suspects. */
 #define CRASH_FEATURE_LIMIT 256
 
+/*
+ * Reported probes closer than this to a known one are the same: messages make
+ * their starts seem later.
+ */
+#define SAME_PROBE_US (2 * US_PER_S)
+
 /* Bounds 2^stage. */
 #define PROBE_STAGE_LIMIT 16
 
@@ -51,7 +57,7 @@
 	time_us_t answered_at;
 	time_us_t held_at;
 	time_us_t first_crash_at; /* while held */
-	time_us_t probe_until;	  /* a probe is in flight */
+	time_us_t probe_at;	  /* start of the last probe, of any instance */
 	uint32_t n_failed;
 	GList link; /* in its standing */
 } entry_t;
@@ -170,7 +176,7 @@
 	entry->id = id;
 	entry->answered_at = NEVER;
 	entry->held_at = NEVER;
-	entry->probe_until = NEVER;
+	entry->probe_at = NEVER;
 	entry->link.data = entry;
 	g_queue_push_tail_link(
 	    &quarantine->by_standing[STANDING_KNOWN], &entry->link);
@@ -271,7 +277,7 @@
 {
 	entry->held_at = now;
 	entry->first_crash_at = first_crash_at;
-	entry->probe_until = NEVER;
+	entry->probe_at = NEVER;
 	entry->n_crashes = 0;
 	entry_set_standing(quarantine, entry, STANDING_HELD);
 }
@@ -320,13 +326,20 @@
 }
 
 static time_us_t
-probe_at(const entry_t *entry)
+probe_due(const entry_t *entry)
 {
 	return entry->held_at +
 	       (QUARANTINE_PROBE_MIN_US
 		   << (QUARANTINE_PROBE_FACTOR_BITS * entry->n_failed));
 }
 
+static bool
+probe_is_in_flight(const entry_t *entry, time_us_t now)
+{
+	return entry->probe_at != NEVER &&
+	       now - entry->probe_at < QUARANTINE_PROBE_MAX_US;
+}
+
 quarantine_check_t
 quarantine_check(
     const quarantine_t *quarantine, const features_t *features, time_us_t now)
@@ -341,8 +354,8 @@
 
 		if (!is_held(entry))
 			continue;
-		wait = probe_at(entry) - now;
-		if (wait <= 0 && entry->probe_until > now)
+		wait = probe_due(entry) - now;
+		if (wait <= 0 && probe_is_in_flight(entry, now))
 			wait = QUARANTINE_PROBE_TURN_US;
 		check.feature = entry->id;
 		if (wait > 0) {
@@ -372,7 +385,7 @@
 		entry_t *entry = entry_find(quarantine, features->ids[i]);
 
 		if (is_held(entry))
-			entry->probe_until = now + QUARANTINE_PROBE_MAX_US;
+			entry->probe_at = now;
 	}
 }
 
@@ -383,7 +396,7 @@
 		entry_t *entry = entry_find(quarantine, features->ids[i]);
 
 		if (entry != NULL)
-			entry->probe_until = NEVER;
+			entry->probe_at = NEVER;
 	}
 }
 
@@ -465,7 +478,7 @@
 	crashes_drop_before(entry, answered_at + 1);
 	entry->held_at = NEVER;
 	entry->n_failed = 0;
-	entry->probe_until = NEVER;
+	entry->probe_at = NEVER;
 	if (entry->n_crashes == 0)
 		entry_set_standing(quarantine, entry,
 		    suspected ? STANDING_CLEARED : entry->standing);
@@ -514,7 +527,7 @@
 	    .answered_ms = age_ms(entry->answered_at, now),
 	    .held_ms = age_ms(entry->held_at, now),
 	    .n_failed = entry->n_failed,
-	    .probing = is_held(entry) && entry->probe_until > now,
+	    .probe_ms = is_held(entry) ? age_ms(entry->probe_at, now) : -1,
 	};
 	if (is_held(entry)) {
 		report->crashes[report->n_crashes++].age_ms =
@@ -608,6 +621,7 @@
     const quarantine_report_t *report, time_us_t now)
 {
 	time_us_t held_at = time_of_age(report->held_ms, now);
+	time_us_t probe_at = time_of_age(report->probe_ms, now);
 	uint32_t n_failed = MIN(report->n_failed, PROBE_FAILURE_LIMIT);
 	time_us_t first = report->n_crashes > 0
 			      ? time_of_age(report->crashes[0].age_ms, now)
@@ -622,9 +636,10 @@
 		    (n_failed == entry->n_failed && held_at < entry->held_at))
 			entry->held_at = held_at;
 		entry->n_failed = MAX(entry->n_failed, n_failed);
-		if (report->probing == 1 && n_failed == entry->n_failed)
-			entry->probe_until = MAX(
-			    entry->probe_until, now + QUARANTINE_PROBE_MAX_US);
+		if (n_failed == entry->n_failed && probe_at != NEVER &&
+		    (entry->probe_at == NEVER ||
+			probe_at > entry->probe_at + SAME_PROBE_US))
+			entry->probe_at = probe_at;
 		return;
 	}
 	entry->n_failed = n_failed;
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -133,7 +133,7 @@
 	    !xdr_int32_t(xdr, &report->answered_ms) ||
 	    !xdr_int32_t(xdr, &report->held_ms) ||
 	    !xdr_uint32_t(xdr, &report->n_failed) ||
-	    !xdr_uint32_t(xdr, &report->probing) ||
+	    !xdr_int32_t(xdr, &report->probe_ms) ||
 	    !count_xdr(xdr, &report->n_crashes, QUARANTINE_TRUSTED_CRASHES))
 		return false;
 	for (uint32_t i = 0; i < report->n_crashes; i++) {
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -169,7 +169,7 @@
 	int32_t answered_ms; /* last answer that began */
 	int32_t held_ms;     /* held, or last probe failed */
 	uint32_t n_failed;   /* probes that failed */
-	uint32_t probing;    /* 1: a probe is in flight */
+	int32_t probe_ms;    /* start of the last probe */
 	uint32_t n_crashes;  /* of a held feature: the first one only */
 	crash_report_t crashes[QUARANTINE_TRUSTED_CRASHES];
 } quarantine_report_t;
