tests: quarantine of deadly parts over processes

The stand-in target can crash: it resets all connections and refuses new ones for a while, because of a part, of a body, or when a test says so. It keeps its port meanwhile.

--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -19,6 +19,10 @@
 	GMutex lock;
 	GPtrArray *runs;
 	char *forced;
+	char *deadly_part; /* NULL: none */
+	int down_ms;
+	unsigned n_deadly;
+	GArray *crashes; /* gint64 */
 };
 
 static void
@@ -93,16 +97,23 @@
 }
 
 static bool
-events_send(fake_worker_t *worker, worker_run_t *run, int fd,
-    const char *signature, int n, int gap_ms, int broken_at)
+events_head_send(int fd, const char *signature)
 {
-	int first = *run->resume_after ? atoi(run->resume_after) + 1 : 1;
 	g_autofree char *head = g_strdup_printf(
 	    "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n",
 	    signature);
 
-	if (!raw_send(fd, head))
+	return raw_send(fd, head);
+}
+
+static bool
+events_send(fake_worker_t *worker, worker_run_t *run, int fd,
+    const char *signature, int n, int gap_ms, int broken_at)
+{
+	int first = *run->resume_after ? atoi(run->resume_after) + 1 : 1;
+
+	if (!events_head_send(fd, signature))
 		return false;
 	for (int i = first; i <= n; i++) {
 		g_autofree char *event =
@@ -123,6 +134,67 @@
 	return raw_send(fd, "0\r\n\r\n");
 }
 
+/* Whether the part occurs before the last one of a valid list ID:TOKENS,... */
+static bool
+list_has_part(const char *list, const char *part)
+{
+	g_auto(GStrv) items = g_strsplit(list, ",", 0);
+	bool found = false;
+
+	for (char **item = items; *item != NULL; item++) {
+		char *colon = strchr(g_strstrip(*item), ':');
+
+		if (colon == NULL || !g_ascii_string_to_unsigned(colon + 1, 10,
+					 0, G_MAXUINT32, NULL, NULL))
+			return false;
+		*colon = '\0';
+		found |= item[1] != NULL && strcmp(*item, part) == 0;
+	}
+	return found;
+}
+
+/* Returns the time for which the request ends the target; 0: it doesn't. */
+static int
+deadly_ms(fake_worker_t *worker, const raw_request_t *request, const char *name)
+{
+	const char *list = raw_field(request, "prompt-prefix");
+	int ms = 0;
+
+	if (sscanf(name, "crash-%d", &ms) == 1)
+		return ms;
+	if (sscanf(name, "deadly-%d", &ms) == 1)
+		return request->body->len >= 6 &&
+			       memcmp(request->body->data, "deadly", 6) == 0
+			   ? ms
+			   : 0;
+	g_mutex_lock(&worker->lock);
+	if (list != NULL && worker->deadly_part != NULL &&
+	    list_has_part(list, worker->deadly_part)) {
+		worker->n_deadly++;
+		ms = worker->down_ms;
+	}
+	g_mutex_unlock(&worker->lock);
+	return ms;
+}
+
+/* Crashes at the moment at which the first byte or event would be sent. */
+static void
+crash_serve(fake_worker_t *worker, worker_run_t *run, int fd, const char *name,
+    const char *signature, int down_ms)
+{
+	int n;
+	int ms = 0;
+
+	if (sscanf(name, "events-%d-%d", &n, &ms) == 2 ||
+	    sscanf(name, "break-%d-%d", &n, &ms) == 2)
+		events_head_send(fd, signature);
+	else
+		sscanf(name, "slow-%d", &ms);
+	if (run_wait(worker, run, fd, ms))
+		fake_worker_crash(worker, down_ms);
+	raw_reset_on_close(fd);
+}
+
 /* Replaces the LF at the end of each line. */
 static void
 lines_end_with(GString *body, const char *line_end)
@@ -263,6 +335,7 @@
 	char end[8];
 	int n;
 	int ms;
+	int down_ms;
 	bool open;
 
 	g_mutex_lock(&worker->lock);
@@ -278,8 +351,16 @@
 	signature = g_strdup_printf(
 	    "Request-Id: %s\r\nServer-Stamp: %s\r\nServer-Load: 0,0,8\r\n",
 	    id ? id : "", worker->id);
+	down_ms = deadly_ms(worker, request, name);
+	if (down_ms > 0 && strcmp(name, "reset") != 0 &&
+	    strcmp(name, "mute") != 0) {
+		crash_serve(worker, run, fd, name, signature, down_ms);
+		return false;
+	}
 	if (plain_serve(worker, run, fd, name, signature, body, &open))
 		return open;
+	if (g_str_has_prefix(name, "deadly-"))
+		return raw_send_answer(fd, 200, signature, body);
 	if (sscanf(name, "slow-%d", &ms) == 1)
 		return run_wait(worker, run, fd, ms) &&
 		       raw_send_answer(fd, 200, signature, body);
@@ -306,6 +387,7 @@
 	worker->id = g_strdup(id);
 	g_mutex_init(&worker->lock);
 	worker->runs = g_ptr_array_new_with_free_func(run_free);
+	worker->crashes = g_array_new(FALSE, FALSE, sizeof(gint64));
 	worker->server = raw_server_create(on_request, worker, port);
 	return worker;
 }
@@ -315,7 +397,9 @@
 {
 	raw_server_destroy(worker->server);
 	g_ptr_array_unref(worker->runs);
+	g_array_unref(worker->crashes);
 	g_free(worker->forced);
+	g_free(worker->deadly_part);
 	g_free(worker->id);
 	g_mutex_clear(&worker->lock);
 	g_free(worker);
@@ -363,3 +447,48 @@
 	worker->forced = g_strdup(behaviour);
 	g_mutex_unlock(&worker->lock);
 }
+
+void
+fake_worker_set_deadly_part(
+    fake_worker_t *worker, const char *part, int down_ms)
+{
+	g_mutex_lock(&worker->lock);
+	g_free(worker->deadly_part);
+	worker->deadly_part = g_strdup(part);
+	worker->down_ms = down_ms;
+	g_mutex_unlock(&worker->lock);
+}
+
+unsigned
+fake_worker_n_deadly(fake_worker_t *worker)
+{
+	unsigned n;
+
+	g_mutex_lock(&worker->lock);
+	n = worker->n_deadly;
+	g_mutex_unlock(&worker->lock);
+	return n;
+}
+
+void
+fake_worker_crash(fake_worker_t *worker, int down_ms)
+{
+	gint64 now = g_get_monotonic_time();
+
+	/* Locked, as the crash must be counted before a caller sees it. */
+	g_mutex_lock(&worker->lock);
+	if (raw_server_crash(worker->server, down_ms))
+		g_array_append_val(worker->crashes, now);
+	g_mutex_unlock(&worker->lock);
+}
+
+GArray *
+fake_worker_crashes(fake_worker_t *worker)
+{
+	GArray *copy;
+
+	g_mutex_lock(&worker->lock);
+	copy = g_array_copy(worker->crashes);
+	g_mutex_unlock(&worker->lock);
+	return copy;
+}
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -37,6 +37,8 @@
  *			line	part of a line of that event, unless resumed
  *			half	CR LF lines, the last line without its LF, of
  *				event N/2, unless resumed
+ *	crash-MS	crashes the target, which is back after MS milliseconds
+ *	deadly-MS	the same if the body begins with "deadly", else as ok
  */
 typedef struct fake_worker fake_worker_t;
 
@@ -63,4 +65,20 @@
 /* Answers all requests like the path that ends in this; NULL: their own. */
 void fake_worker_force(fake_worker_t *worker, const char *behaviour);
 
+/*
+ * From now on a request whose list of parts has this one, not as the last,
+ * crashes the target when its answer would begin. NULL: none.
+ */
+void fake_worker_set_deadly_part(
+    fake_worker_t *worker, const char *part, int down_ms);
+
+/* Requests with the deadly part that reached the target. */
+unsigned fake_worker_n_deadly(fake_worker_t *worker);
+
+/* Resets all connections and refuses new ones for down_ms. */
+void fake_worker_crash(fake_worker_t *worker, int down_ms);
+
+/* Times of the crashes so far, gint64; free with g_array_unref(). */
+GArray *fake_worker_crashes(fake_worker_t *worker);
+
 #endif
--- a/fakes/raw_http.c
+++ b/fakes/raw_http.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #define HEAD_LIMIT 65536
+#define BACKLOG 64
 
 struct raw_server {
 	int fd;
@@ -16,15 +17,17 @@
 	void *owner;
 	GThread *acceptor;
 	GMutex lock;
-	GCond ended;
-	GArray *connections; /* int */
+	GCond changed;
+	GPtrArray *connections; /* connection_t */
 	unsigned n_threads;
+	gint64 down_until; /* 0: listening */
 	bool stopping;
 };
 
 typedef struct {
 	raw_server_t *server;
 	int fd;
+	bool crashed; /* handles no further request */
 } connection_t;
 
 static void
@@ -113,21 +116,30 @@
 }
 
 static void
-connection_forget(raw_server_t *server, int fd)
+connection_forget(connection_t *connection)
 {
+	raw_server_t *server = connection->server;
+
 	g_mutex_lock(&server->lock);
-	for (guint i = 0; i < server->connections->len; i++) {
-		if (g_array_index(server->connections, int, i) == fd) {
-			g_array_remove_index_fast(server->connections, i);
-			break;
-		}
-	}
-	close(fd);
+	g_ptr_array_remove_fast(server->connections, connection);
+	close(connection->fd);
+	g_free(connection);
 	server->n_threads--;
-	g_cond_signal(&server->ended);
+	g_cond_broadcast(&server->changed);
 	g_mutex_unlock(&server->lock);
 }
 
+static bool
+connection_crashed(connection_t *connection)
+{
+	bool crashed;
+
+	g_mutex_lock(&connection->server->lock);
+	crashed = connection->crashed;
+	g_mutex_unlock(&connection->server->lock);
+	return crashed;
+}
+
 static gpointer
 connection_run(gpointer data)
 {
@@ -136,16 +148,34 @@
 	raw_request_t request = {0};
 	bool open = true;
 
-	while (open && request_read(connection->fd, &request)) {
+	while (open && request_read(connection->fd, &request) &&
+	       !connection_crashed(connection)) {
 		open = server->handler(connection->fd, &request, server->owner);
 		request_clear(&request);
 	}
 	request_clear(&request);
-	connection_forget(server, connection->fd);
-	g_free(connection);
+	connection_forget(connection);
 	return NULL;
 }
 
+/* Waits for the end of a crash. Returns false when the server stops. */
+static bool
+listen_again(raw_server_t *server)
+{
+	bool listening;
+
+	g_mutex_lock(&server->lock);
+	while (!server->stopping && g_get_monotonic_time() < server->down_until)
+		g_cond_wait_until(
+		    &server->changed, &server->lock, server->down_until);
+	listening = !server->stopping && server->down_until != 0;
+	if (listening && listen(server->fd, BACKLOG) != 0)
+		g_error("stand-in can't listen again: %s", g_strerror(errno));
+	server->down_until = 0;
+	g_mutex_unlock(&server->lock);
+	return listening;
+}
+
 static gpointer
 acceptor_run(gpointer data)
 {
@@ -155,17 +185,21 @@
 		int fd = accept(server->fd, NULL, NULL);
 		connection_t *connection;
 
-		if (fd < 0)
-			return NULL;
+		if (fd < 0) {
+			if (!listen_again(server))
+				return NULL;
+			continue;
+		}
 		g_mutex_lock(&server->lock);
-		if (server->stopping) {
+		if (server->stopping || server->down_until != 0) {
+			raw_reset_on_close(fd);
 			close(fd);
 			g_mutex_unlock(&server->lock);
-			return NULL;
+			continue;
 		}
 		connection = g_new(connection_t, 1);
-		*connection = (connection_t){server, fd};
-		g_array_append_val(server->connections, fd);
+		*connection = (connection_t){server, fd, false};
+		g_ptr_array_add(server->connections, connection);
 		server->n_threads++;
 		g_thread_unref(
 		    g_thread_new("connection", connection_run, connection));
@@ -173,26 +207,41 @@
 	}
 }
 
+/* Returns a socket that is bound to the address; with port 0, to a free one. */
+static int
+socket_bind(struct sockaddr_in *at)
+{
+	socklen_t len = sizeof(*at);
+	int reuse = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	/* Without it, listening again fails while a connection is left. */
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+	if (fd < 0 || bind(fd, (struct sockaddr *)at, len) != 0 ||
+	    getsockname(fd, (struct sockaddr *)at, &len) != 0)
+		g_error("stand-in can't bind: %s", g_strerror(errno));
+	return fd;
+}
+
 raw_server_t *
 raw_server_create(raw_handler_t handler, void *owner, uint16_t *port)
 {
 	struct sockaddr_in at = {
 	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(at);
 	raw_server_t *server = g_new0(raw_server_t, 1);
+	int chosen = socket_bind(&at);
 
-	server->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (server->fd < 0 ||
-	    bind(server->fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
-	    listen(server->fd, 64) != 0 ||
-	    getsockname(server->fd, (struct sockaddr *)&at, &len) != 0)
+	/* Only a port that is bound by its number stays after shutdown(). */
+	server->fd = socket_bind(&at);
+	close(chosen);
+	if (listen(server->fd, BACKLOG) != 0)
 		g_error("stand-in can't listen: %s", g_strerror(errno));
 	*port = ntohs(at.sin_port);
 	server->handler = handler;
 	server->owner = owner;
-	server->connections = g_array_new(FALSE, FALSE, sizeof(int));
+	server->connections = g_ptr_array_new();
 	g_mutex_init(&server->lock);
-	g_cond_init(&server->ended);
+	g_cond_init(&server->changed);
 	server->acceptor = g_thread_new("acceptor", acceptor_run, server);
 	return server;
 }
@@ -202,12 +251,39 @@
 {
 	g_mutex_lock(&server->lock);
 	for (guint i = 0; i < server->connections->len; i++) {
-		int fd = g_array_index(server->connections, int, i);
+		const connection_t *connection =
+		    g_ptr_array_index(server->connections, i);
+
+		raw_reset_on_close(connection->fd);
+		shutdown(connection->fd, SHUT_RDWR);
+	}
+	g_mutex_unlock(&server->lock);
+}
+
+bool
+raw_server_crash(raw_server_t *server, int down_ms)
+{
+	gint64 now = g_get_monotonic_time();
+
+	g_mutex_lock(&server->lock);
+	if (server->stopping || server->down_until != 0) {
+		g_mutex_unlock(&server->lock);
+		return false;
+	}
+	server->down_until = now + (gint64)down_ms * 1000;
+	/* The socket keeps its port, so that nobody takes it meanwhile. */
+	shutdown(server->fd, SHUT_RDWR);
+	for (guint i = 0; i < server->connections->len; i++) {
+		connection_t *connection =
+		    g_ptr_array_index(server->connections, i);
 
-		raw_reset_on_close(fd);
-		shutdown(fd, SHUT_RDWR);
+		connection->crashed = true;
+		raw_reset_on_close(connection->fd);
+		/* Wakes the thread, and sends no end before the reset. */
+		shutdown(connection->fd, SHUT_RD);
 	}
 	g_mutex_unlock(&server->lock);
+	return true;
 }
 
 void
@@ -215,6 +291,7 @@
 {
 	g_mutex_lock(&server->lock);
 	server->stopping = true;
+	g_cond_broadcast(&server->changed);
 	g_mutex_unlock(&server->lock);
 	shutdown(server->fd, SHUT_RDWR);
 	g_thread_join(server->acceptor);
@@ -222,11 +299,11 @@
 	raw_server_reset(server);
 	g_mutex_lock(&server->lock);
 	while (server->n_threads > 0)
-		g_cond_wait(&server->ended, &server->lock);
+		g_cond_wait(&server->changed, &server->lock);
 	g_mutex_unlock(&server->lock);
-	g_array_unref(server->connections);
+	g_ptr_array_unref(server->connections);
 	g_mutex_clear(&server->lock);
-	g_cond_clear(&server->ended);
+	g_cond_clear(&server->changed);
 	g_free(server);
 }
 
--- a/fakes/raw_http.h
+++ b/fakes/raw_http.h
@@ -33,6 +33,12 @@
 /* Resets the open connections; new ones are accepted. */
 void raw_server_reset(raw_server_t *server);
 
+/*
+ * Refuses connections for down_ms and resets the open ones; then listens on the
+ * same port again. Returns false if the server is down already.
+ */
+bool raw_server_crash(raw_server_t *server, int down_ms);
+
 /* Return false when the peer is gone. */
 bool raw_send(int fd, const char *text);
 bool raw_send_answer(
--- a/tests/platform_world.c
+++ b/tests/platform_world.c
@@ -13,6 +13,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+/* The only target of its service. */
+#define DESK_WORKER 2
+
 extern char **environ;
 
 static void
@@ -52,8 +55,8 @@
 		    "\"zone\":\"a-1\",\"version\":\"v1\",\"slots\":8,"
 		    "\"state\":\"%s\",\"cold_remaining_ms\":0,\"seq\":1,"
 		    "\"born\":1}",
-		    worker < 2 ? "pen" : "desk", world->worker_ports[worker],
-		    state);
+		    worker == DESK_WORKER ? "desk" : "pen",
+		    world->worker_ports[worker], state);
 	fake_store_put(world->store, key, value);
 }
 
@@ -97,6 +100,18 @@
 	config_publish(world, version, "key-1", "", idle_timeout_ms);
 }
 
+void
+world_add_worker(world_t *world)
+{
+	int worker = world->n_workers++;
+	g_autofree char *id = g_strdup_printf("w%d", worker);
+
+	ck_assert_int_lt(worker, WORLD_WORKERS_LIMIT);
+	world->workers[worker] =
+	    fake_worker_create(id, &world->worker_ports[worker]);
+	world_publish_worker(world, worker, "ready");
+}
+
 void
 world_create(world_t *world)
 {
@@ -116,13 +131,8 @@
 	}
 	world->dead_port = free_port(world);
 	world->store = fake_store_create(&world->store_port);
-	for (int i = 0; i < WORLD_WORKERS; i++) {
-		g_autofree char *id = g_strdup_printf("w%d", i);
-
-		world->workers[i] =
-		    fake_worker_create(id, &world->worker_ports[i]);
-		world_publish_worker(world, i, "ready");
-	}
+	for (int i = 0; i < WORLD_WORKERS; i++)
+		world_add_worker(world);
 	world_configure(world, 3, "key-1", "");
 }
 
@@ -135,7 +145,7 @@
 			waitpid(world->pids[i], NULL, 0);
 		}
 	}
-	for (int i = 0; i < WORLD_WORKERS; i++)
+	for (int i = 0; i < world->n_workers; i++)
 		fake_worker_destroy(world->workers[i]);
 	fake_store_destroy(world->store);
 	g_free(world->folder);
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -13,7 +13,8 @@
  * Each instance has a loopback address of its own, as the platform gives it.
  */
 #define WORLD_INSTANCES 4
-#define WORLD_WORKERS 3
+#define WORLD_WORKERS 3	      /* at the start */
+#define WORLD_WORKERS_LIMIT 8 /* with those that a test adds */
 
 typedef struct {
 	char *folder;
@@ -22,8 +23,9 @@
 	fake_store_t *store;
 	uint16_t store_port;
 	uint16_t dead_port; /* nobody listens */
-	fake_worker_t *workers[WORLD_WORKERS];
-	uint16_t worker_ports[WORLD_WORKERS];
+	int n_workers;
+	fake_worker_t *workers[WORLD_WORKERS_LIMIT];
+	uint16_t worker_ports[WORLD_WORKERS_LIMIT];
 	pid_t pids[WORLD_INSTANCES]; /* 0: not running */
 	unsigned descriptor_limit;   /* in the settings; 0: default */
 } world_t;
@@ -53,6 +55,8 @@
     world_t *world, int version, const char *key, const char *extra);
 /* The same with this idle timeout for callers, and key-1. */
 void world_configure_limits(world_t *world, int version, int idle_timeout_ms);
+/* Adds a target of the service "pen". */
+void world_add_worker(world_t *world);
 void world_publish_worker(world_t *world, int worker, const char *state);
 
 /* zone: "a-1" or "b-1". Waits until the instance is ready when wait is set. */
