tests: lone queued request starts when a slot is free

Guards against a request that waits alone until its deadline: nothing arms the timer of the queues when the first request is queued. Found by a run of cut_of_power_holds_nothing, in which two requests waited for 4 s beside idle targets.

--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -1085,4 +1085,35 @@
 	world_destroy(&world);
 }
 
+/* Requests that one instance sends to a target with 8 slots at a time. */
+#define N_FULL 12
+
+/* Guards against a request that waits alone for a slot and isn't started when
+ * one is free: no other request and no change of a target comes meanwhile. */
+TEST(lone_queued_request_starts_when_a_slot_is_free)
+{
+	world_t world;
+	int fds[N_FULL + 1];
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	for (int i = 0; i <= N_FULL; i++) {
+		fds[i] = world_connect(&world, 0, PORT_CALLERS);
+		if (i == N_FULL)
+			g_usleep(200000);
+		world_send(fds[i],
+		    "GET /order/slow-1000 HTTP/1.1\r\nHost: h\r\n" WORLD_KEY
+		    "\r\n");
+	}
+	for (int i = 0; i <= N_FULL; i++) {
+		world_answer_t answer = world_read(fds[i]);
+
+		ck_assert_msg(answer.status == 200, "request %d: %d %s", i,
+		    answer.status, answer.body);
+		world_answer_clear(&answer);
+		close(fds[i]);
+	}
+	world_destroy(&world);
+}
+
 TEST_MAIN("platform")
