gateway: start a request that waits alone when a slot is free

Callers would see: 503 after the whole deadline beside idle targets. A request that began to wait while no other did armed no timer; only a second one, or a change of a target, made the instance look at the queue again. Found by the process test of the quarantine, in one failure of cut_of_power_holds_nothing; older than it.

Each request that begins to wait now arms the timer. Test: process_platform lone_queued_request_starts_when_a_slot_is_free, which failed before (503 after 3,985 ms).

--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -373,6 +373,7 @@
 	}
 	request->state = REQUEST_QUEUED;
 	request->queued = pushed.handle;
+	gateway_schedule_queues(request->gateway);
 	if (pushed.evicted.handle != HANDLE_NONE) {
 		request_t *evicted = pushed.evicted.item;
 
@@ -418,8 +419,6 @@
 	    request->n_attempts == 0 &&
 	    region_set_has(request->regions, request->gateway->region)) {
 		request_enqueue(request);
-		if (request->state == REQUEST_QUEUED)
-			gateway_schedule_queues(request->gateway);
 		return;
 	}
 	request_choose(request, &request->choice);
