core: let repeats, late reports and void probes not mislead the quarantine

A held request as a whole now explains nothing. - An instance that answers a part all the time refuted reports about it and said nothing; one without requests held the part. It now reports the answer. - A hold that an answer had ended came back with reports whose times seemed later. Doubt of 200 ms now goes in favour of the answer: a deadly part is never answered. - A probe that was refused or cancelled was followed by another at once (200 in 2 s); the next one is now sent a turn later. - A probe with two held features extended both; only one with a single one is sent. - A held feature was forgotten 600 s after its crash, before its fourth probe at 640 s; now after 1,800 s. - Requests with many made-up parts kept others of the same crash from being looked at; each has a share of the limit.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -12,8 +12,8 @@
 /* Differences in reported times that come from the time messages take. */
 #define REPORT_DELAY_US (200 * US_PER_MS)
 
-/* Bounds the time between probes; QUARANTINE_TTL_US is reached before. */
-#define PROBE_FAILURE_LIMIT 6
+/* Bounds the time between probes, to less than QUARANTINE_TTL_US. */
+#define PROBE_FAILURE_LIMIT 3
 
 /* Half of the reports are for held features, if there are as many. */
 #define HELD_REPORT_LIMIT (QUARANTINE_REPORT_LIMIT / 2)
@@ -22,7 +22,7 @@
 #define SUSPECT_LIMIT (QUARANTINE_TABLE_LIMIT / 2)
 
 /* Features of one crash that become suspects. */
-#define CRASH_FEATURE_LIMIT 256
+#define CRASH_FEATURE_LIMIT ((size_t)256)
 
 /*
  * Reported probes closer than this to a known one are the same: messages make
@@ -30,6 +30,9 @@
  */
 #define SAME_PROBE_US (2 * US_PER_S)
 
+/* Features of one request that become suspects, however many requests. */
+#define WITNESS_FEATURE_MIN ((size_t)4)
+
 /* Bounds 2^stage. */
 #define PROBE_STAGE_LIMIT 16
 
@@ -56,8 +59,9 @@
 	size_t n_crashes;
 	time_us_t answered_at;
 	time_us_t held_at;
-	time_us_t first_crash_at; /* while held */
-	time_us_t probe_at;	  /* start of the last probe, of any instance */
+	crash_t first_crash; /* while held */
+	time_us_t cleared_at;
+	time_us_t probe_at; /* start of the last probe, of any instance */
 	uint32_t n_failed;
 	GList link; /* in its standing */
 } entry_t;
@@ -214,6 +218,13 @@
 	entry->n_crashes = n;
 }
 
+/* Returns whether the feature is a request as a whole. */
+static bool
+crash_is_of_whole(const entry_t *entry, const crash_t *crash)
+{
+	return crash->request == (uint32_t)entry->id;
+}
+
 /*
  * Returns whether the crash says something that those known don't: another
  * target, after the crashes before, and for a part another request.
@@ -222,7 +233,7 @@
 crash_is_new(const entry_t *entry, const crash_t *crash, time_us_t sent_at,
     time_us_t gap)
 {
-	bool whole = crash->request == (uint32_t)entry->id;
+	bool whole = crash_is_of_whole(entry, crash);
 
 	if (entry->answered_at != NEVER && entry->answered_at >= crash->at)
 		return false;
@@ -241,6 +252,8 @@
 entry_add_crash(quarantine_t *quarantine, entry_t *entry, const crash_t *crash,
     time_us_t sent_at, time_us_t gap, time_us_t now)
 {
+	if (is_held(entry))
+		return;
 	crashes_drop_before(entry, now - QUARANTINE_EVIDENCE_US);
 	if (crash->at < now - QUARANTINE_EVIDENCE_US ||
 	    entry->n_crashes == G_N_ELEMENTS(entry->crashes) ||
@@ -261,33 +274,42 @@
 		   (trusted ? QUARANTINE_TRUSTED_CRASHES : QUARANTINE_CRASHES);
 }
 
-static time_us_t
+static crash_t
 first_crash(const entry_t *entry)
 {
-	time_us_t first = entry->crashes[0].at;
+	crash_t first = entry->crashes[0];
 
-	for (size_t i = 1; i < entry->n_crashes; i++)
-		first = MIN(first, entry->crashes[i].at);
+	for (size_t i = 1; i < entry->n_crashes; i++) {
+		if (entry->crashes[i].at < first.at)
+			first = entry->crashes[i];
+	}
 	return first;
 }
 
 static void
-entry_hold(quarantine_t *quarantine, entry_t *entry, time_us_t first_crash_at,
+entry_hold(quarantine_t *quarantine, entry_t *entry, const crash_t *first_crash,
     time_us_t now)
 {
 	entry->held_at = now;
-	entry->first_crash_at = first_crash_at;
+	entry->first_crash = *first_crash;
 	entry->probe_at = NEVER;
 	entry->n_crashes = 0;
 	entry_set_standing(quarantine, entry, STANDING_HELD);
 }
 
-/* Drops the crashes that a held feature explains from all suspects. */
+/*
+ * Drops the crashes that a held feature explains from all suspects. A request
+ * as a whole that comes again and again says nothing about the parts of others.
+ */
 static void
-suspects_absolve(quarantine_t *quarantine, time_us_t since)
+suspects_absolve(quarantine_t *quarantine, const entry_t *held)
 {
+	time_us_t since = held->first_crash.at;
 	GList *next;
 
+	if (crash_is_of_whole(held, &held->first_crash))
+		return;
+
 	for (GList *item = quarantine->by_standing[STANDING_SUSPECT].head;
 	     item != NULL; item = next) {
 		entry_t *entry = item->data;
@@ -303,25 +325,27 @@
 static size_t
 suspects_judge(quarantine_t *quarantine, time_us_t now)
 {
-	time_us_t since = INT64_MAX;
+	entry_t *earliest = NULL;
 	size_t n = 0;
 	GList *next;
 
 	for (GList *item = quarantine->by_standing[STANDING_SUSPECT].head;
 	     item != NULL; item = next) {
 		entry_t *entry = item->data;
-		time_us_t first;
+		crash_t first;
 
 		next = item->next;
 		if (!is_guilty(entry, now))
 			continue;
 		first = first_crash(entry);
-		entry_hold(quarantine, entry, first, now);
-		since = MIN(since, first);
+		entry_hold(quarantine, entry, &first, now);
 		n++;
+		if (!crash_is_of_whole(entry, &first) &&
+		    (earliest == NULL || first.at < earliest->first_crash.at))
+			earliest = entry;
 	}
-	if (n > 0)
-		suspects_absolve(quarantine, since);
+	if (earliest != NULL)
+		suspects_absolve(quarantine, earliest);
 	return n;
 }
 
@@ -345,6 +369,7 @@
     const quarantine_t *quarantine, const features_t *features, time_us_t now)
 {
 	quarantine_check_t check = {.verdict = QUARANTINE_PASS};
+	size_t n_held = 0;
 
 	if (quarantine_n_held(quarantine) == 0)
 		return check;
@@ -355,6 +380,9 @@
 		if (!is_held(entry))
 			continue;
 		wait = probe_due(entry) - now;
+		/* With several, a crash wouldn't say which one it was. */
+		if (n_held++ > 0)
+			wait = MAX(wait, QUARANTINE_PROBE_TURN_US);
 		if (wait <= 0 && probe_is_in_flight(entry, now))
 			wait = QUARANTINE_PROBE_TURN_US;
 		check.feature = entry->id;
@@ -390,13 +418,15 @@
 }
 
 void
-quarantine_end_probe(quarantine_t *quarantine, const features_t *features)
+quarantine_end_probe(
+    quarantine_t *quarantine, const features_t *features, time_us_t now)
 {
 	for (size_t i = 0; i < features->n; i++) {
 		entry_t *entry = entry_find(quarantine, features->ids[i]);
 
 		if (entry != NULL)
-			entry->probe_at = NEVER;
+			entry->probe_at = now + QUARANTINE_PROBE_TURN_US -
+					  QUARANTINE_PROBE_MAX_US;
 	}
 }
 
@@ -404,7 +434,7 @@
 entry_fail_probe(quarantine_t *quarantine, entry_t *entry, time_us_t now)
 {
 	entry->n_failed = MIN(entry->n_failed + 1, PROBE_FAILURE_LIMIT);
-	entry_hold(quarantine, entry, entry->first_crash_at, now);
+	entry_hold(quarantine, entry, &entry->first_crash, now);
 }
 
 /* Returns whether the request has a held feature, which explains its crash. */
@@ -420,7 +450,7 @@
 
 		if (!is_held(entry))
 			continue;
-		explained = true;
+		explained |= !crash_is_of_whole(entry, &entry->first_crash);
 		if (witness->probe)
 			entry_fail_probe(quarantine, entry, now);
 	}
@@ -461,27 +491,52 @@
 		return 0;
 	for (size_t i = 0; i < n; i++)
 		n_features += witness_suspect(quarantine, &witnesses[i], target,
-		    CRASH_FEATURE_LIMIT - n_features, now);
+		    MIN(CRASH_FEATURE_LIMIT - n_features,
+			MAX(WITNESS_FEATURE_MIN, CRASH_FEATURE_LIMIT / n)),
+		    now);
 	return suspects_judge(quarantine, now);
 }
 
+/*
+ * Whether the answer began after that time. Reported times seem up to
+ * REPORT_DELAY_US later than they are. A feature that crashes targets is never
+ * answered, so the doubt goes in favour of the answer.
+ */
+static bool
+answer_refutes(time_us_t answered_at, time_us_t at)
+{
+	return answered_at != NEVER && answered_at > at - REPORT_DELAY_US;
+}
+
+/* Has others learn that the feature was answered. */
+static void
+entry_report_cleared(quarantine_t *quarantine, entry_t *entry, time_us_t now)
+{
+	entry->cleared_at = now;
+	entry_set_standing(quarantine, entry, STANDING_CLEARED);
+}
+
 /* Returns whether the feature was held and no longer is. */
 static bool
-entry_clear(quarantine_t *quarantine, entry_t *entry, time_us_t answered_at)
+entry_clear(quarantine_t *quarantine, entry_t *entry, time_us_t answered_at,
+    time_us_t now)
 {
 	bool held = is_held(entry);
 	bool suspected = held || entry->n_crashes > 0;
 
 	entry->answered_at = answered_at;
-	if (held && answered_at <= entry->held_at)
+	if (held && !answer_refutes(answered_at, entry->held_at))
 		return false;
 	crashes_drop_before(entry, answered_at + 1);
 	entry->held_at = NEVER;
 	entry->n_failed = 0;
 	entry->probe_at = NEVER;
-	if (entry->n_crashes == 0)
-		entry_set_standing(quarantine, entry,
-		    suspected ? STANDING_CLEARED : entry->standing);
+	if (entry->n_crashes > 0)
+		return held;
+	if (suspected)
+		entry_report_cleared(quarantine, entry, now);
+	else
+		entry_set_standing(quarantine, entry, entry->standing);
 	return held;
 }
 
@@ -500,7 +555,7 @@
 			continue;
 		if (entry == NULL)
 			entry = entry_get(quarantine, id);
-		n += entry_clear(quarantine, entry, now);
+		n += entry_clear(quarantine, entry, now, now);
 	}
 	return n;
 }
@@ -519,6 +574,20 @@
 	return age < 0 ? NEVER : now - age * US_PER_MS;
 }
 
+static crash_report_t
+crash_report(const crash_t *crash, time_us_t now)
+{
+	return (crash_report_t){
+	    crash->request, crash->target, age_ms(crash->at, now)};
+}
+
+static crash_t
+crash_of_report(const crash_report_t *report, time_us_t now)
+{
+	return (crash_t){
+	    report->request, report->target, time_of_age(report->age_ms, now)};
+}
+
 static void
 report_fill(quarantine_report_t *report, const entry_t *entry, time_us_t now)
 {
@@ -530,16 +599,13 @@
 	    .probe_ms = is_held(entry) ? age_ms(entry->probe_at, now) : -1,
 	};
 	if (is_held(entry)) {
-		report->crashes[report->n_crashes++].age_ms =
-		    age_ms(entry->first_crash_at, now);
+		report->crashes[report->n_crashes++] =
+		    crash_report(&entry->first_crash, now);
 		return;
 	}
 	for (size_t i = 0; i < entry->n_crashes; i++)
-		report->crashes[report->n_crashes++] = (crash_report_t){
-		    entry->crashes[i].request,
-		    entry->crashes[i].target,
-		    age_ms(entry->crashes[i].at, now),
-		};
+		report->crashes[report->n_crashes++] =
+		    crash_report(&entry->crashes[i], now);
 }
 
 typedef struct {
@@ -623,13 +689,14 @@
 	time_us_t held_at = time_of_age(report->held_ms, now);
 	time_us_t probe_at = time_of_age(report->probe_ms, now);
 	uint32_t n_failed = MIN(report->n_failed, PROBE_FAILURE_LIMIT);
-	time_us_t first = report->n_crashes > 0
-			      ? time_of_age(report->crashes[0].age_ms, now)
-			      : held_at;
+	crash_t first = {.at = held_at};
 
-	if (now - held_at >= QUARANTINE_TTL_US ||
-	    (entry->answered_at != NEVER && entry->answered_at >= held_at))
+	if (now - held_at >= QUARANTINE_TTL_US)
 		return;
+	if (answer_refutes(entry->answered_at, held_at)) {
+		entry_report_cleared(quarantine, entry, now);
+		return;
+	}
 	if (is_held(entry)) {
 		/* The earliest time, so that delays don't add up. */
 		if (n_failed > entry->n_failed ||
@@ -643,9 +710,11 @@
 		return;
 	}
 	entry->n_failed = n_failed;
-	entry_hold(quarantine, entry,
-	    MAX(first, held_at - QUARANTINE_EVIDENCE_US), held_at);
-	suspects_absolve(quarantine, entry->first_crash_at);
+	if (report->n_crashes > 0 && report->crashes[0].age_ms >= 0)
+		first = crash_of_report(&report->crashes[0], now);
+	first.at = MAX(first.at, held_at - QUARANTINE_EVIDENCE_US);
+	entry_hold(quarantine, entry, &first, held_at);
+	suspects_absolve(quarantine, entry);
 }
 
 static void
@@ -658,8 +727,8 @@
 	if (answered_at != NEVER &&
 	    (entry->answered_at == NEVER ||
 		answered_at > entry->answered_at + REPORT_DELAY_US) &&
-	    (!is_held(entry) || answered_at > entry->held_at + REPORT_DELAY_US))
-		entry_clear(quarantine, entry, answered_at);
+	    (!is_held(entry) || answer_refutes(answered_at, entry->held_at)))
+		entry_clear(quarantine, entry, answered_at, now);
 	if (report->held_ms >= 0) {
 		import_held(quarantine, entry, report, now);
 		return;
@@ -668,10 +737,11 @@
 		return;
 	for (size_t i = 0;
 	     i < MIN(report->n_crashes, G_N_ELEMENTS(report->crashes)); i++) {
-		crash_t crash = {report->crashes[i].request,
-		    report->crashes[i].target,
-		    time_of_age(report->crashes[i].age_ms, now)};
+		crash_t crash = crash_of_report(&report->crashes[i], now);
 
+		if (crash.at != NEVER && entry->n_crashes == 0 &&
+		    answer_refutes(entry->answered_at, crash.at))
+			entry_report_cleared(quarantine, entry, now);
 		if (crash.at != NEVER)
 			entry_add_crash(quarantine, entry, &crash, INT64_MAX,
 			    QUARANTINE_REPORT_GAP_US, now);
@@ -723,7 +793,7 @@
 		entry_t *entry = item->data;
 
 		next = item->next;
-		if (now - entry->answered_at >= CLEARED_REPORT_US)
+		if (now - entry->cleared_at >= CLEARED_REPORT_US)
 			entry_set_standing(quarantine, entry, STANDING_KNOWN);
 	}
 	for (GList *item = quarantine->by_standing[STANDING_SUSPECT].head;
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -42,8 +42,8 @@
 		target_attempt_finish(target, &attempt->send, result,
 		    gateway_now(attempt->gateway));
 	if (attempt->probe)
-		quarantine_end_probe(
-		    attempt->gateway->quarantine, &attempt->features);
+		quarantine_end_probe(attempt->gateway->quarantine,
+		    &attempt->features, gateway_now(attempt->gateway));
 	ev_timer_stop(attempt->gateway->loop, &attempt->detached);
 	g_free(attempt);
 }
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -26,9 +26,9 @@
  *   a cut of power that ends many targets at once counts as one crash. A
  * feature with which answers began within QUARANTINE_TRUST_US needs
  *   QUARANTINE_TRUSTED_CRASHES.
- * - When a feature is held, the crashes since its first one no longer count
+ * - When a part is held, the crashes since its first one no longer count
  *   against other features, as it explains them. A crash of a target that had
- *   a request with a held feature counts against held features only.
+ *   a request with a held part counts against held features only.
  * - While it is held, requests with it are refused. From time to time one is
  *   sent as a probe, by one instance. An answer ends the quarantine everywhere;
  *   a crash makes the time to the next probe four times as long.
@@ -73,7 +73,7 @@
 #define QUARANTINE_PROBE_STAGE_TURNS 2
 
 /* A held feature is forgotten this long after its last crash. */
-#define QUARANTINE_TTL_US (600 * US_PER_S)
+#define QUARANTINE_TTL_US (1800 * US_PER_S)
 
 /* Features of one request that are looked at. */
 #define QUARANTINE_FEATURE_LIMIT 33
@@ -109,7 +109,7 @@
 
 typedef enum {
 	QUARANTINE_PASS,
-	QUARANTINE_PROBE, /* all held features of the request may be probed */
+	QUARANTINE_PROBE, /* its only held feature may be probed */
 	QUARANTINE_HOLD,
 } quarantine_verdict_t;
 
@@ -131,8 +131,12 @@
 void quarantine_begin_probe(
     quarantine_t *quarantine, const features_t *features, time_us_t now);
 
-/* Ends a probe that had no result: it was refused or cancelled. */
-void quarantine_end_probe(quarantine_t *quarantine, const features_t *features);
+/*
+ * Ends a probe that had no result: it was refused or cancelled. The next one is
+ * sent a turn later.
+ */
+void quarantine_end_probe(
+    quarantine_t *quarantine, const features_t *features, time_us_t now);
 
 /* A request whose answer had not begun when its target crashed. */
 typedef struct {
