--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -126,7 +126,9 @@
 {
 	crash_check_t *check = owner;
 
-	if (end == TCP_CONNECT_FAILED)
+	/* A target with too many connections resets them. */
+	if (end == TCP_CONNECT_FAILED &&
+	    tcp_connect_error(check->connection) == ECONNREFUSED)
 		check_confirm(check);
 	check_end(check);
 }
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -104,6 +104,9 @@
 
 void tcp_send(tcp_t *connection, const void *data, size_t len);
 
+/* Returns the errno of TCP_CONNECT_FAILED. */
+int tcp_connect_error(const tcp_t *connection);
+
 /* Returns the number of bytes that are not written yet. */
 size_t tcp_pending(const tcp_t *connection);
 
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -46,6 +46,7 @@
 	bool flush_pending;
 	bool paused;
 	bool shutdown_sent;
+	int connect_error;
 	GList finishing_link;
 };
 
@@ -277,6 +278,7 @@
 	if (getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &error, &len) !=
 		0 ||
 	    error != 0) {
+		connection->connect_error = error;
 		tcp_close_and_notify(connection, TCP_CONNECT_FAILED);
 		return;
 	}
@@ -496,6 +498,12 @@
 		shutdown_if_finishing(connection);
 }
 
+int
+tcp_connect_error(const tcp_t *connection)
+{
+	return connection->connect_error;
+}
+
 size_t
 tcp_unread(const tcp_t *connection)
 {
