--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -304,8 +304,10 @@
 
 	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
 	message->n_reports = 0;
-	read = message_xdr(&xdr, message) &&
-	       (xdr_getpos(&xdr) == len || reports_xdr(&xdr, message));
+	read = message_xdr(&xdr, message);
+	/* The rest is of use without them. */
+	if (read && xdr_getpos(&xdr) < len && !reports_xdr(&xdr, message))
+		message->n_reports = 0;
 	xdr_destroy(&xdr);
 	return read;
 }
