gateway: wait for the check of a target before a request is sent again

Each confirmed crash now also goes to others at once, and reported crashes count as separate from 250 ms on: requests 300 ms apart at three instances were held after six crashes in some runs, as the crash before had not been heard of.

Until the check ends, 0.1 to 3 ms within a region, the request counts as one that may have run. Ruled out: deciding by the number of requests at the target, as the one without an answer is mostly alone.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -155,32 +155,32 @@
 	attempt_fail(attempt, FAILURE_UNREACHABLE, TARGET_RESULT_UNREACHABLE);
 }
 
-/* Has the target checked if its crash would explain the end of the answer. */
 static void
-attempt_check_crash(attempt_t *attempt)
+attempt_incomplete(attempt_t *attempt)
 {
+	gateway_t *gateway = attempt->gateway;
+	request_t *request = attempt->request;
 	const target_t *target = attempt_target(attempt);
+	bool unanswered = target != NULL && !attempt->send.first_byte;
 	crash_witness_t witness = {
 	    attempt->features, attempt->send.sent_at, attempt->probe};
-
-	if (target == NULL || attempt->send.first_byte)
-		return;
-	crash_check(attempt->gateway->crash_checks, target, &witness);
-	attempt->probe = false;
-}
-
-static void
-attempt_incomplete(attempt_t *attempt)
-{
 	/*
 	 * A reused connection that closes before any byte says nothing about
 	 * the target: its idle timeout may just have expired.
 	 */
 	bool stale = attempt->reused && !attempt->response_started;
 
-	attempt_check_crash(attempt);
-	attempt_fail(attempt, FAILURE_MAYBE_EXECUTED,
-	    stale ? TARGET_RESULT_CANCELLED : TARGET_RESULT_BROKEN);
+	/* A crash is the result of a probe; the check tells. */
+	if (unanswered)
+		attempt->probe = false;
+	pool_drop(attempt->upstream);
+	attempt_free(
+	    attempt, stale ? TARGET_RESULT_CANCELLED : TARGET_RESULT_BROKEN);
+	if (unanswered &&
+	    crash_check(gateway->crash_checks, target, &witness, request))
+		return;
+	if (request != NULL)
+		request_on_failure(request, FAILURE_MAYBE_EXECUTED, NULL);
 }
 
 /* Called for the first bytes of an answer, for a stream of its first event. */
--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -18,7 +18,8 @@
 	char target_id[NAME_LIMIT + 1];
 	tcp_t *connection;
 	ev_timer timer;
-	GArray *witnesses; /* crash_witness_t */
+	GArray *witnesses;   /* crash_witness_t */
+	GPtrArray *requests; /* request_t that wait for the result */
 } crash_check_t;
 
 struct crash_checks {
@@ -45,6 +46,7 @@
 		tcp_unref(check->connection);
 	}
 	g_array_unref(check->witnesses);
+	g_ptr_array_unref(check->requests);
 	g_free(check);
 }
 
@@ -57,11 +59,23 @@
 	g_free(checks);
 }
 
+static void
+on_request_removed(gpointer request)
+{
+	request_unref(request);
+}
+
 static void
 check_end(crash_check_t *check)
 {
+	GPtrArray *requests = g_ptr_array_ref(check->requests);
+
 	g_ptr_array_remove_fast(check->checks->running, check);
 	check_free(check);
+	for (guint i = 0; i < requests->len; i++)
+		request_on_failure(g_ptr_array_index(requests, i),
+		    FAILURE_MAYBE_EXECUTED, NULL);
+	g_ptr_array_unref(requests);
 }
 
 static uint64_t
@@ -104,10 +118,11 @@
 	log_event(LOG_NOTICE, "target_crashed",
 	    LOG_S("target", check->target_id),
 	    LOG_I("unanswered", check->witnesses->len), LOG_I("held", n_held));
-	if (n_held > 0) {
+	if (n_held > 0)
 		held_log(check);
-		gossip_round(gateway->gossip);
-	}
+	/* Others learn of it before they send the next request with the part.
+	 */
+	gossip_round(gateway->gossip);
 }
 
 static void
@@ -167,6 +182,7 @@
 	check->target_start = target_start(target);
 	g_strlcpy(check->target_id, target->entry.id, sizeof(check->target_id));
 	check->witnesses = g_array_new(FALSE, FALSE, sizeof(crash_witness_t));
+	check->requests = g_ptr_array_new_with_free_func(on_request_removed);
 	ev_timer_init(&check->timer, on_timeout, 0, 0);
 	check->timer.data = check;
 	g_ptr_array_add(checks->running, check);
@@ -191,21 +207,25 @@
 	check_end(check);
 }
 
-void
+bool
 crash_check(crash_checks_t *checks, const target_t *target,
-    const crash_witness_t *witness)
+    const crash_witness_t *witness, request_t *request)
 {
 	crash_check_t *check = check_find(checks, target->handle);
+	bool starts = check == NULL;
 
 	/* A target that leaves refuses connections as well. */
 	if (target->unlisted || target->entry.state != TARGET_READY)
-		return;
-	if (check != NULL) {
-		if (check->witnesses->len < WITNESS_LIMIT)
-			g_array_append_val(check->witnesses, *witness);
-		return;
+		return false;
+	if (starts)
+		check = check_create(checks, target);
+	if (check->witnesses->len < WITNESS_LIMIT)
+		g_array_append_val(check->witnesses, *witness);
+	if (request != NULL) {
+		request_await_check(request);
+		g_ptr_array_add(check->requests, request_ref(request));
 	}
-	check = check_create(checks, target);
-	g_array_append_val(check->witnesses, *witness);
-	check_start(check, target);
+	if (starts)
+		check_start(check, target);
+	return true;
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -249,6 +249,8 @@
  */
 bool request_response_is_whole(const request_t *request);
 void request_on_complete(request_t *request);
+/* The last attempt failed; request_on_failure() is called a little later. */
+void request_await_check(request_t *request);
 void request_on_failure(
     request_t *request, failure_t failure, const target_response_t *response);
 /*
@@ -295,10 +297,13 @@
 /*
  * Called when the connection to a target ended before the answer began.
  * Connects to the target: if that is refused, it has crashed, and the
- * quarantine learns of the requests.
+ * quarantine learns of the requests. Returns false if there is no check; else
+ * request_on_failure() is called at its end, so that a request that crashes
+ * targets isn't sent to the next one before the quarantine knows. request may
+ * be NULL.
  */
-void crash_check(crash_checks_t *checks, const target_t *target,
-    const crash_witness_t *witness);
+bool crash_check(crash_checks_t *checks, const target_t *target,
+    const crash_witness_t *witness, request_t *request);
 
 /* pool.c: idle connections to one address. */
 pool_t *pool_create(gateway_t *gateway, net_address_t address, bool remote);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -205,7 +205,8 @@
 static void
 request_expire(request_t *request)
 {
-	bool sent = request->attempt != NULL || request->n_maybe_executed > 0;
+	bool sent = request->attempt != NULL || request->awaiting_check ||
+		    request->n_maybe_executed > 0;
 
 	request_ref(request);
 	request_withdraw(request);
@@ -492,6 +493,13 @@
 		    after);
 }
 
+void
+request_await_check(request_t *request)
+{
+	request->attempt = NULL;
+	request->awaiting_check = true;
+}
+
 void
 request_on_failure(
     request_t *request, failure_t failure, const target_response_t *response)
@@ -502,6 +510,7 @@
 	bool retrying;
 
 	request->attempt = NULL;
+	request->awaiting_check = false;
 	request->paused = false;
 	request->pass_through = false;
 	if (request->client == NULL)
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -67,6 +67,7 @@
 	size_t n_tried;
 	unsigned n_attempts;
 	unsigned n_maybe_executed; /* attempts that may have been executed */
+	bool awaiting_check;	   /* see crash_check() */
 	bool forwarded;
 	bool sent_to_peer; /* the last attempt went to an instance */
 	char sent_to[NAME_LIMIT + 1];
--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -51,7 +51,7 @@
 #define QUARANTINE_CRASH_GAP_US (100 * US_PER_MS)
 
 /* The same for a crash that was reported, whose time is less exact. */
-#define QUARANTINE_REPORT_GAP_US (300 * US_PER_MS)
+#define QUARANTINE_REPORT_GAP_US (250 * US_PER_MS)
 
 /* Crashes older than this no longer count against a feature. */
 #define QUARANTINE_EVIDENCE_US (60 * US_PER_S)
