core, docs: state what the quarantine counts and who probes

Comments of quarantine.h said "with another request" for whole requests too, and one probing instance only. No code changed.

--- a/include/core/quarantine.h
+++ b/include/core/quarantine.h
@@ -21,16 +21,17 @@
  *
  * - Suspects are the features of requests whose answer had not begun when their
  *   target crashed. An answer that begins clears all features of its request.
- * - A feature is held after QUARANTINE_CRASHES crashes without an answer in
- *   between, each with another request that was sent after the crash before:
- *   a cut of power that ends many targets at once counts as one crash. A
- * feature with which answers began within QUARANTINE_TRUST_US needs
- *   QUARANTINE_TRUSTED_CRASHES.
+ * - A feature is held after QUARANTINE_CRASHES crashes of different targets
+ *   without an answer in between, each with a request that was sent after the
+ *   crash before: a cut of power that ends many targets at once counts as one
+ *   crash. For a part, the requests differ as well. A feature with which
+ *   answers began within QUARANTINE_TRUST_US needs QUARANTINE_TRUSTED_CRASHES.
  * - When a part is held, the crashes since its first one no longer count
  *   against other features, as it explains them. A crash of a target that had
  *   a request with a held part counts against held features only.
  * - While it is held, requests with it are refused. From time to time one is
- *   sent as a probe, by one instance. An answer ends the quarantine everywhere;
+ *   sent as a probe: by one instance at first, by more if that one has no
+ *   request for it. An answer ends the quarantine everywhere;
  *   a crash makes the time to the next probe four times as long.
  *
  * Instances exchange reports of suspects, held and cleared features. Times in
