tests: a cut-off instance and a target that turned cold

The stand-in target states in its health answers how long it stays cold, as the platform's targets do. An instance whose store is silent sends 24 requests in one second to a target that allows 6.

--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -22,7 +22,8 @@
 	char *deadly_part; /* NULL: none */
 	int down_ms;
 	unsigned n_deadly;
-	GArray *crashes; /* gint64 */
+	gint64 cold_until; /* monotonic time */
+	GArray *crashes;   /* gint64 */
 };
 
 static void
@@ -69,6 +70,7 @@
 	run->smuggled = g_strdup(smuggled->str);
 	run->time_left_ms = left ? atoll(left) : -1;
 	run->closed_after_ms = -1;
+	run->arrived_us = g_get_monotonic_time();
 	run->body_len = request->body->len;
 	g_mutex_lock(&worker->lock);
 	g_ptr_array_add(worker->runs, run);
@@ -320,6 +322,21 @@
 	return true;
 }
 
+static bool
+health_serve(fake_worker_t *worker, int fd)
+{
+	g_autofree char *fields = NULL;
+	gint64 cold_ms;
+
+	g_mutex_lock(&worker->lock);
+	cold_ms = (worker->cold_until - g_get_monotonic_time()) / 1000;
+	g_mutex_unlock(&worker->lock);
+	fields = g_strdup_printf("Instance-Id: %s\r\nCold-Ms: %" G_GINT64_FORMAT
+				 "\r\n",
+	    worker->id, MAX(cold_ms, 0));
+	return raw_send_answer(fd, 200, fields, "");
+}
+
 static bool
 on_request(int fd, const raw_request_t *request, void *owner)
 {
@@ -338,6 +355,8 @@
 	int down_ms;
 	bool open;
 
+	if (strcmp(request->path, "/health") == 0)
+		return health_serve(worker, fd);
 	g_mutex_lock(&worker->lock);
 	if (worker->forced != NULL) {
 		g_free(name);
@@ -470,6 +489,35 @@
 	return n;
 }
 
+void
+fake_worker_set_cold(fake_worker_t *worker, int cold_ms)
+{
+	g_mutex_lock(&worker->lock);
+	worker->cold_until = g_get_monotonic_time() + (gint64)cold_ms * 1000;
+	g_mutex_unlock(&worker->lock);
+}
+
+unsigned
+fake_worker_busiest_window(fake_worker_t *worker, int window_ms)
+{
+	g_autoptr(GPtrArray) runs = fake_worker_runs(worker);
+	unsigned busiest = 0;
+
+	for (guint i = 0; i < runs->len; i++) {
+		const worker_run_t *first = g_ptr_array_index(runs, i);
+		unsigned n = 0;
+
+		for (guint j = 0; j < runs->len; j++) {
+			const worker_run_t *run = g_ptr_array_index(runs, j);
+			gint64 since = run->arrived_us - first->arrived_us;
+
+			n += since >= 0 && since < (gint64)window_ms * 1000;
+		}
+		busiest = MAX(busiest, n);
+	}
+	return busiest;
+}
+
 void
 fake_worker_crash(fake_worker_t *worker, int down_ms)
 {
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -52,6 +52,7 @@
 	char *smuggled; /* fields that must not arrive, or "" */
 	int64_t time_left_ms;
 	int64_t closed_after_ms; /* the sender left; -1: it didn't */
+	int64_t arrived_us;	 /* monotonic time */
 	gsize body_len;
 } worker_run_t;
 
@@ -75,6 +76,15 @@
 /* Requests with the deadly part that reached the target. */
 unsigned fake_worker_n_deadly(fake_worker_t *worker);
 
+/*
+ * Makes the target cold for this time, which its health answers state. They
+ * are not among its runs.
+ */
+void fake_worker_set_cold(fake_worker_t *worker, int cold_ms);
+
+/* Highest number of runs that arrived within one window of this length. */
+unsigned fake_worker_busiest_window(fake_worker_t *worker, int window_ms);
+
 /* Resets all connections and refuses new ones for down_ms. */
 void fake_worker_crash(fake_worker_t *worker, int down_ms);
 
