core: let few instances send to a cold target in a cut, too

Cause: each instance chose the senders to a cold target among the instances that it hears. In a cut each group chose two of its own, an instance alone chose itself, and one that restarted alone did so after its settling time. The bound holds for three senders at half of the rate each.

Ruled out: a fixed owner, as its target would be idle for as long as it is gone; a lease, which needs an agreement.

Why it works: only the group that hears most of the known instances of the region hands a share on, and only after those that may have lost it have seen that they lost most of the region; elsewhere only the first of all known ones sends. Right after a cut has healed an instance hears most but maybe not the responsible ones, so it waits until it has heard most for as long. An instance that knows nobody since its start uses no share.

--- a/core/members.c
+++ b/core/members.c
@@ -22,6 +22,8 @@
 	size_t n_seeds;
 	uint64_t random;
 	uint32_t rounds;
+	time_us_t started_at;
+	time_us_t majority_since; /* hears most of its region; 0: it doesn't */
 };
 
 members_t *
@@ -38,6 +40,7 @@
 	members->seeds = g_memdup2(seeds, n_seeds * sizeof(*seeds));
 	members->n_seeds = n_seeds;
 	members->random = random;
+	members->started_at = now;
 	return members;
 }
 
@@ -188,6 +191,59 @@
 	}
 }
 
+/* Whether the member may run, though it isn't heard: it hasn't stopped. */
+static bool
+may_run(const members_t *members, const member_t *member, time_us_t now)
+{
+	return !member->entry.leaving || members_is_live(members, member, now);
+}
+
+/*
+ * Instances of the own region that may run, this one included. While this
+ * instance may not have heard of all since its start, a zone without a known
+ * one counts as much as the own.
+ */
+static uint32_t
+n_may_run(const members_t *members, time_us_t now)
+{
+	uint32_t by_zone[TOPOLOGY_ZONE_LIMIT] = {0};
+	uint32_t n = 0;
+
+	by_zone[members->self.zone] = 1;
+	for (guint i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		if (member_region(members, member) == members->own_region &&
+		    may_run(members, member, now))
+			by_zone[member->entry.zone]++;
+	}
+	for (int zone = 0; zone < topology_n_zones(members->topology); zone++) {
+		if (topology_region_of(members->topology, zone) !=
+		    members->own_region)
+			continue;
+		if (by_zone[zone] == 0 &&
+		    now - members->started_at < MEMBER_FORGET_US)
+			n += by_zone[members->self.zone];
+		n += by_zone[zone];
+	}
+	return n;
+}
+
+/*
+ * Right after a cut has healed, an instance hears most of its region, but maybe
+ * not those that are responsible; majority_since tells for how long it does.
+ */
+static void
+majority_update(members_t *members, time_us_t now)
+{
+	uint32_t n_live = members_n_live(members, members->own_region, now);
+
+	if (2 * n_live <= n_may_run(members, now))
+		members->majority_since = 0;
+	else if (members->majority_since == 0)
+		members->majority_since = now;
+}
+
 size_t
 members_begin_round(
     members_t *members, time_us_t now, uint32_t *peers, size_t limit)
@@ -197,6 +253,7 @@
 	members->self.heartbeat++;
 	members->rounds++;
 	members_forget(members, now);
+	majority_update(members, now);
 	peers_add_live(members, MEMBER_SAME_ZONE, MEMBER_ZONE_FANOUT, now,
 	    peers, &n, limit);
 	peers_add_live(members, MEMBER_SAME_REGION, MEMBER_LOCAL_FANOUT, now,
@@ -352,6 +409,65 @@
 	return is_responsible(members, key, count, MEMBER_SAME_ZONE, now);
 }
 
+static bool
+has_other_seed(const members_t *members)
+{
+	for (size_t i = 0; i < members->n_seeds; i++) {
+		if (members->seeds[i] != members->self.ip)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Number of the region's instances that come before this one for key, of those
+ * that may run and were seen within this time.
+ */
+static uint32_t
+n_before(const members_t *members, uint64_t key, time_us_t seen_within,
+    time_us_t now)
+{
+	uint64_t own = rendezvous(key, members->self.ip);
+	uint32_t n = 0;
+
+	for (guint i = 0; i < members->all->len; i++) {
+		const member_t *member = g_ptr_array_index(members->all, i);
+
+		if (member_region(members, member) == members->own_region &&
+		    now - member->last_seen < seen_within &&
+		    may_run(members, member, now) &&
+		    rendezvous(key, member->entry.ip) > own)
+			n++;
+	}
+	return n;
+}
+
+bool
+members_hears_region(const members_t *members, uint32_t *n_known, time_us_t now)
+{
+	*n_known = n_may_run(members, now);
+	return *n_known > 1 && members->majority_since != 0;
+}
+
+bool
+members_may_use_share(
+    const members_t *members, uint64_t key, uint32_t count, time_us_t now)
+{
+	uint32_t n_known = n_may_run(members, now);
+
+	if (members->all->len == 0 && has_other_seed(members) &&
+	    now - members->started_at < MEMBER_FORGET_US)
+		return false;
+	if (n_known <= count + 1)
+		return n_before(members, key, MEMBER_LOCAL_TIMEOUT_US, now) <
+		       count;
+	if (members->majority_since != 0 &&
+	    now - members->majority_since >= MEMBER_LOCAL_TIMEOUT_US)
+		return n_before(members, key, MEMBER_SHARE_TIMEOUT_US, now) <
+		       count;
+	return n_before(members, key, MEMBER_FORGET_US, now) == 0;
+}
+
 size_t
 members_responsible(const members_t *members, uint64_t key, uint32_t count,
     time_us_t now, uint32_t *ips)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -415,7 +415,7 @@
 	 * each other yet, and each would choose itself.
 	 */
 	target->cold_sender = now - gateway->started_at >= VIEW_SETTLE_US &&
-			      members_is_responsible(gateway->members,
+			      members_may_use_share(gateway->members,
 				  target->short_id, TARGET_COLD_SENDERS, now);
 }
 
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -30,6 +30,14 @@
 #define MEMBER_LOCAL_TIMEOUT_US (6 * MEMBER_ROUND_US)
 #define MEMBER_REMOTE_TIMEOUT_US (12 * MEMBER_ROUND_US)
 
+/*
+ * Time without a new heartbeat after which others take over the shares of an
+ * instance. Longer than an instance that is cut off takes to see that it no
+ * longer hears most of its region (MEMBER_LOCAL_TIMEOUT_US), and gives up its
+ * shares.
+ */
+#define MEMBER_SHARE_TIMEOUT_US (2 * MEMBER_LOCAL_TIMEOUT_US)
+
 /* A dead instance is probed occasionally for this long, to heal partitions. */
 #define MEMBER_FORGET_US (60 * US_PER_S)
 
@@ -127,6 +135,25 @@
 bool members_is_zone_responsible(
     const members_t *members, uint64_t key, uint32_t count, time_us_t now);
 
+/*
+ * Returns whether this instance may use a share that at most count + 1
+ * instances of its region use at once, also while groups of them can't hear
+ * each other. In the group that has heard most of the region's known instances
+ * for MEMBER_LOCAL_TIMEOUT_US, the count ones responsible for key may that were
+ * seen within MEMBER_SHARE_TIMEOUT_US; elsewhere only the one responsible among
+ * all known ones. An instance that has heard of no other since its start may
+ * not for MEMBER_FORGET_US, unless it has no other seed.
+ */
+bool members_may_use_share(
+    const members_t *members, uint64_t key, uint32_t count, time_us_t now);
+
+/*
+ * Returns whether this instance hears most of its region's known instances.
+ * Stores the number of those known, this one included.
+ */
+bool members_hears_region(
+    const members_t *members, uint32_t *n_known, time_us_t now);
+
 /*
  * Writes the other instances that are responsible for key, at most count.
  * Writes none when this instance is one of those responsible.
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -287,4 +287,119 @@
 	sim_destroy(&sim);
 }
 
+#define SHARE_KEYS 20
+#define SHARE_COUNT 2
+
+/* Asserts that in region a few enough instances use the share of each key. */
+static void
+shares_check(const sim_t *sim)
+{
+	for (uint64_t key = 1; key <= SHARE_KEYS; key++) {
+		unsigned n = 0;
+
+		for (size_t i = 0; i < sim->n; i += 3)
+			n += !sim->dead[i] &&
+			     members_may_use_share(
+				 sim->nodes[i], key, SHARE_COUNT, sim->now);
+		ck_assert_uint_le(n, SHARE_COUNT + 1);
+	}
+}
+
+/* Number of keys whose share is used by an instance of region a. */
+static unsigned
+shares_used(const sim_t *sim)
+{
+	unsigned n = 0;
+
+	for (uint64_t key = 1; key <= SHARE_KEYS; key++) {
+		bool used = false;
+
+		for (size_t i = 0; i < sim->n; i += 3)
+			used |= !sim->dead[i] &&
+				members_may_use_share(
+				    sim->nodes[i], key, SHARE_COUNT, sim->now);
+		n += used;
+	}
+	return n;
+}
+
+static void
+sim_run_checked(sim_t *sim, time_us_t duration)
+{
+	for (time_us_t end = sim->now + duration; sim->now < end;) {
+		sim_run(sim, MEMBER_ROUND_US);
+		shares_check(sim);
+	}
+}
+
+/* Each group of a cut chose two senders to a cold target of its own. */
+TEST(groups_that_are_cut_off_share_no_more_than_all)
+{
+	static const size_t n_groups[] = {2, 3, 5, 28};
+
+	for (size_t cut = 0; cut < G_N_ELEMENTS(n_groups); cut++) {
+		sim_t sim;
+
+		sim_create(&sim, 84);
+		sim_run(&sim, 3 * US_PER_S);
+		ck_assert_uint_eq(shares_used(&sim), SHARE_KEYS);
+		for (size_t i = 0; i < sim.n; i++)
+			sim.partition[i] = (int)(i / 3 % n_groups[cut]);
+		sim_run_checked(&sim, 12 * US_PER_S);
+		memset(sim.partition, 0, sizeof(sim.partition));
+		sim_run_checked(&sim, 6 * US_PER_S);
+		ck_assert_uint_eq(shares_used(&sim), SHARE_KEYS);
+		sim_destroy(&sim);
+	}
+}
+
+/* Those that see most of the region go on without the others. */
+TEST(majority_uses_the_shares_of_lost_instances)
+{
+	sim_t sim;
+
+	sim_create(&sim, 84);
+	sim_run(&sim, 3 * US_PER_S);
+	for (size_t i = 0; i < 36; i++)
+		sim.dead[i] = true;
+	sim_run_checked(&sim, 4 * US_PER_S);
+	ck_assert_uint_eq(shares_used(&sim), SHARE_KEYS);
+	sim_destroy(&sim);
+}
+
+/* It knows nobody, and others that know nobody may run. */
+TEST(restarted_instance_alone_uses_no_share)
+{
+	sim_t sim;
+
+	sim_create(&sim, 84);
+	sim_run(&sim, 3 * US_PER_S);
+	for (size_t i = 0; i < sim.n; i += 2) {
+		sim.partition[i] = 1 + (int)i;
+		node_start(&sim, i, 200);
+	}
+	sim_run_checked(&sim, 10 * US_PER_S);
+	for (uint64_t key = 1; key <= SHARE_KEYS; key++)
+		ck_assert(!members_may_use_share(
+		    sim.nodes[12], key, SHARE_COUNT, sim.now));
+	memset(sim.partition, 0, sizeof(sim.partition));
+	sim_run_checked(&sim, 6 * US_PER_S);
+	ck_assert_uint_eq(shares_used(&sim), SHARE_KEYS);
+	sim_destroy(&sim);
+}
+
+/* In a region of three, all may use a share, so that none is left idle. */
+TEST(small_region_uses_its_shares_in_a_cut)
+{
+	sim_t sim;
+
+	sim_create(&sim, 9);
+	sim_run(&sim, 3 * US_PER_S);
+	for (size_t i = 0; i < sim.n; i++)
+		sim.partition[i] = (int)i;
+	sim_run_checked(&sim, 5 * US_PER_S);
+	ck_assert_uint_eq(shares_used(&sim), SHARE_KEYS);
+	sim_destroy(&sim);
+}
+
 TEST_MAIN("members")
