core, gateway: ask targets themselves while their list is stale

What callers saw: a target of an evacuated zone that had turned cold got up to 12 requests a second, 8.7 allowed (FAILBACK), and such targets crash.

Cause: an instance knew a target to be cold from its entry in the store alone. One that was cut off before the evacuation knew neither of it nor of its end, used the zone as ever, and took its targets for warm. Class: state of a target that has one source, and no notion of that source's age.

Change: the list counts as stale after 2 s without an answer of the store or a change from a relay; the watch of targets returns every second for that. Meanwhile two instances of those that hear each other ask each target for its health, twice a second, and tell the others what it states; an entry doesn't end what a target stated itself. An instance that moreover doesn't hear most of its region keeps to its part of the cold rate at each target, as the health answer comes too late for what it sent just before; beyond that it refuses at once, and callers are served by others.

Why it works: what such instances send to one target together stays below the cold rate, whatever the target's state, and ends within half a second of a statement.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -17,7 +17,10 @@
 static void
 service_clear(gpointer data)
 {
-	g_free(((catalog_service_t *)data)->name);
+	catalog_service_t *service = data;
+
+	g_free(service->name);
+	g_free(service->health_path);
 }
 
 static void
--- a/core/placement.c
+++ b/core/placement.c
@@ -359,19 +359,23 @@
 	     pass < PASS_COUNT && placement.n_usable == 0; pass++) {
 		for (size_t i = 0; i < targets_count(targets); i++) {
 			target_t *target = targets_at(targets, i);
+			target_admission_t admission;
 			candidate_t candidate;
 
 			if (!is_candidate(targets, request, target, pass, now))
 				continue;
+			admission = target_admits(
+			    targets, target, request->service->cold_per_s, now);
+			if (admission == TARGET_CLOSED)
+				continue;
 			placement.n_usable++;
 			candidate = request->prompt != NULL
 					? engine_candidate(target, request,
 					      &preference, &random, now)
 					: plain_candidate(target, &random, now);
-			if (candidate.cost >= best.cost ||
-			    !has_room(&candidate, request, now) ||
-			    !target_cold_allows(
-				target, request->service->cold_per_s, now))
+			if (admission != TARGET_OPEN ||
+			    candidate.cost >= best.cost ||
+			    !has_room(&candidate, request, now))
 				continue;
 			if (is_left_free(&candidate, request, now)) {
 				placement.slot_left_free = true;
@@ -410,7 +414,8 @@
 
 		if (strcmp(target->entry.service, service->name) != 0 ||
 		    !target_is_usable(targets, target) ||
-		    !target_is_healthy(target, now) || now < target->cold_until)
+		    !target_is_healthy(target, now) ||
+		    target_is_cold(target, now))
 			continue;
 		in_flight = target_in_flight(target, now);
 		expected = target_expected_ms(target, 0);
--- a/core/targets.c
+++ b/core/targets.c
@@ -20,6 +20,12 @@
 /* Load that a target reported is used for this long. */
 #define REPORTED_LOAD_MAX_AGE_US (400 * US_PER_MS)
 
+/*
+ * The age of a notice doesn't include the time of its way here, so that an
+ * answer that comes back by way of others looks newer by up to this.
+ */
+#define NOTICE_TRANSIT_US (250 * US_PER_MS)
+
 /* Maximum number of prefixes remembered for one target of known capacity. */
 #define PREFIX_LIMIT 4096
 
@@ -45,7 +51,10 @@
 	bool evacuated[TOPOLOGY_ZONE_LIMIT];
 	bool publisher_down;
 	time_us_t publisher_recovered_at;
-	GHashTable *peers; /* load_sender_t -> peer_load_t */
+	uint32_t isolated_instances; /* see targets_set_isolated() */
+	time_us_t listed_at;	     /* see targets_note_listed() */
+	guint notices_cursor;	     /* index of the next target to export */
+	GHashTable *peers;	     /* load_sender_t -> peer_load_t */
 	void (*on_free)(target_t *, void *);
 	void *on_free_context;
 };
@@ -365,24 +374,131 @@
 	       now - target->last_activity_at < TARGET_SILENCE_US;
 }
 
+void
+targets_note_listed(targets_t *targets, time_us_t now)
+{
+	targets->listed_at = now;
+}
+
 bool
-target_cold_allows(target_t *target, double cold_per_s, time_us_t now)
+targets_list_is_stale(const targets_t *targets, time_us_t now)
 {
-	double rate = cold_per_s / TARGET_COLD_SENDERS;
+	return now - targets->listed_at > TARGET_LIST_MAX_AGE_US;
+}
 
-	if (now >= target->cold_until || cold_per_s <= 0)
-		return true;
-	if (!target->cold_sender)
-		return false;
-	if (target->cold_refilled_at == 0)
-		target->cold_allowance = 1;
+bool
+target_is_cold(const target_t *target, time_us_t now)
+{
+	return now < target->cold_until || now < target->stated_cold_until;
+}
+
+void
+target_note_cold(target_t *target, int64_t cold_ms, time_us_t now)
+{
+	target->stated_at = now;
+	target->stated_cold_until = cold_ms > 0 ? now + cold_ms * US_PER_MS : 0;
+}
+
+uint32_t
+target_start_id(const target_t *target)
+{
+	return (uint32_t)XXH3_64bits(
+	    &target->entry.started_ms, sizeof(target->entry.started_ms));
+}
+
+size_t
+targets_export_notices(
+    targets_t *targets, target_notice_t *notices, size_t limit, time_us_t now)
+{
+	guint len = targets->all->len;
+	size_t n = 0;
+
+	for (guint step = 0; step < len && n < limit; step++) {
+		guint at = targets->notices_cursor++ % len;
+		const target_t *target = g_ptr_array_index(targets->all, at);
+
+		if (target->unlisted || now >= target->stated_cold_until)
+			continue;
+		notices[n++] = (target_notice_t){target->short_id,
+		    target_start_id(target),
+		    (uint32_t)((now - target->stated_at) / US_PER_MS),
+		    (uint32_t)((target->stated_cold_until - now) / US_PER_MS)};
+	}
+	return n;
+}
+
+target_t *
+targets_import_notice(
+    targets_t *targets, const target_notice_t *notice, time_us_t now)
+{
+	target_t *target = g_hash_table_lookup(
+	    targets->by_short, GUINT_TO_POINTER(notice->target));
+	time_us_t stated_at = now - (time_us_t)notice->age_ms * US_PER_MS;
+
+	if (target == NULL || target_start_id(target) != notice->start ||
+	    stated_at <= target->stated_at + NOTICE_TRANSIT_US)
+		return NULL;
+	target_note_cold(target, notice->cold_ms, now);
+	target->stated_at = stated_at;
+	return target;
+}
+
+void
+targets_set_isolated(targets_t *targets, uint32_t n_instances)
+{
+	targets->isolated_instances = n_instances;
+}
+
+/*
+ * Refills the allowance at this rate. Returns whether there is a request in it.
+ * initial: allowance after a time without a limit.
+ */
+static bool
+allowance_refill(target_t *target, double per_s, double initial, time_us_t now)
+{
+	if (target->allowance_at == 0)
+		target->allowance = initial;
 	else
-		target->cold_allowance = MIN(
-		    1.0, target->cold_allowance +
-			     rate * (double)(now - target->cold_refilled_at) /
-				 US_PER_S);
-	target->cold_refilled_at = now;
-	return target->cold_allowance >= 1.0;
+		target->allowance =
+		    MIN(1.0, target->allowance +
+				 per_s * (double)(now - target->allowance_at) /
+				     US_PER_S);
+	target->allowance_at = now;
+	return target->allowance >= 1.0;
+}
+
+/*
+ * Instances that are cut off at the same moment must not all send to the same
+ * target at once.
+ */
+static double
+isolated_initial(const target_t *target, time_us_t now)
+{
+	uint64_t random = (uint64_t)now ^ (uint64_t)target->short_id << 32;
+
+	return (double)(random_next(&random) >> 11) / (double)(1ULL << 53);
+}
+
+target_admission_t
+target_admits(const targets_t *targets, target_t *target, double cold_per_s,
+    time_us_t now)
+{
+	if (cold_per_s <= 0)
+		return TARGET_OPEN;
+	if (target_is_cold(target, now))
+		return target->cold_sender &&
+			       allowance_refill(target,
+				   cold_per_s / TARGET_COLD_SENDERS, 1.0, now)
+			   ? TARGET_OPEN
+			   : TARGET_OPEN_LATER;
+	if (targets->isolated_instances > 0)
+		return allowance_refill(target,
+			   cold_per_s / targets->isolated_instances,
+			   isolated_initial(target, now), now)
+			   ? TARGET_OPEN
+			   : TARGET_CLOSED;
+	target->allowance_at = 0;
+	return TARGET_OPEN;
 }
 
 void
@@ -397,8 +513,7 @@
 	if (target->granted_slots > 0)
 		target->granted_slots--;
 	target->pending_tokens += tokens;
-	if (now < target->cold_until)
-		target->cold_allowance -= 1;
+	target->allowance -= 1;
 	if (target->backoff > 0)
 		target->probing = true;
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -408,7 +408,7 @@
 {
 	time_us_t now = gateway_now(gateway);
 
-	if (target->region != gateway->region || now >= target->cold_until)
+	if (target->region != gateway->region || !target_is_cold(target, now))
 		return;
 	/*
 	 * Instances that have just started, possibly all at once, don't know of
@@ -419,6 +419,22 @@
 				  target->short_id, TARGET_COLD_SENDERS, now);
 }
 
+void
+gateway_note_target(gateway_t *gateway, target_t *target, const char *source)
+{
+	time_us_t now = gateway_now(gateway);
+
+	cold_sender_update(gateway, target);
+	counter_increment("target_notices", "source", source);
+	log_event(LOG_INFO, "target_notice", LOG_S("target", target->entry.id),
+	    LOG_S("source", source),
+	    LOG_I(
+		"cold_ms", MAX(target->stated_cold_until - now, 0) / US_PER_MS),
+	    LOG_I("age_ms", (now - target->stated_at) / US_PER_MS),
+	    LOG_I("started_ms", target->entry.started_ms),
+	    LOG_I("sender", target->cold_sender));
+}
+
 static void
 on_target(void *owner, const target_entry_t *entry)
 {
@@ -468,6 +484,14 @@
 	    LOG_S("zone", zone));
 }
 
+static void
+on_targets_listed(void *owner)
+{
+	gateway_t *gateway = owner;
+
+	targets_note_listed(gateway->targets, gateway_now(gateway));
+}
+
 static void
 on_store_reachable(void *owner, bool reachable, const char *cause)
 {
@@ -495,6 +519,7 @@
     .target = on_target,
     .target_removed = on_target_removed,
     .evacuation = on_evacuation,
+    .targets_listed = on_targets_listed,
     .reachable = on_store_reachable,
     .loaded = on_store_loaded,
 };
@@ -768,6 +793,22 @@
 	settings_reload(gateway, cause);
 }
 
+static void
+isolation_update(gateway_t *gateway, time_us_t now)
+{
+	uint32_t n_known;
+	bool isolated = gateway->targets_loaded &&
+			targets_list_is_stale(gateway->targets, now) &&
+			!members_hears_region(gateway->members, &n_known, now);
+
+	targets_set_isolated(gateway->targets, isolated ? n_known : 0);
+	if (isolated == gateway->isolated)
+		return;
+	gateway->isolated = isolated;
+	log_event(LOG_NOTICE, isolated ? "isolated" : "in_touch",
+	    LOG_I("known", isolated ? n_known : 0));
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
@@ -792,6 +833,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &service_state))
 		service_state_set_limits(
 		    service_state, gateway->settings, n_instances);
+	isolation_update(gateway, now);
 	for (size_t i = 0; i < targets_count(gateway->targets); i++)
 		cold_sender_update(gateway, targets_at(gateway->targets, i));
 	relay_update(gateway, now);
@@ -810,6 +852,7 @@
 	store_expire_watches(gateway->store, gateway_now(gateway) / US_PER_MS);
 	targets_divide_slots(gateway->targets, gateway->region_instances,
 	    &gateway->random, gateway_now(gateway));
+	health_checks_update(gateway->health_checks);
 	gossip_send_load(gateway->gossip);
 }
 
@@ -983,6 +1026,7 @@
 	gateway->rates = team_rates_create(gateway->region);
 	gateway->quarantine = quarantine_create();
 	gateway->crash_checks = crash_checks_create(gateway);
+	gateway->health_checks = health_checks_create(gateway);
 	gateway->service_states = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, service_state_free);
 	gateway->peer_pools = g_hash_table_new(NULL, NULL);
@@ -1019,6 +1063,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		pool_destroy(pool);
 	crash_checks_destroy(gateway->crash_checks);
+	health_checks_destroy(gateway->health_checks);
 	targets_destroy(gateway->targets);
 	if (gateway->members != NULL)
 		members_destroy(gateway->members);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -42,6 +42,9 @@
 #define LOAD_TOKENS_UNIT 64
 #define LOAD_GAP_UNIT 4
 
+/* Notices of targets in one message; further ones follow in the next. */
+#define NOTICE_LIMIT 32
+
 /* Maximum number of instances that receive the view in one round. */
 #define PEER_LIMIT 32
 
@@ -73,6 +76,8 @@
 	/* At the end, and left out if there are none. */
 	uint32_t n_reports;
 	quarantine_report_t reports[QUARANTINE_REPORT_LIMIT];
+	uint32_t n_notices;
+	target_notice_t notices[NOTICE_LIMIT];
 } message_t;
 
 struct gossip {
@@ -157,6 +162,23 @@
 	return true;
 }
 
+static bool
+notices_xdr(XDR *xdr, message_t *message)
+{
+	if (!count_xdr(xdr, &message->n_notices, NOTICE_LIMIT))
+		return false;
+	for (uint32_t i = 0; i < message->n_notices; i++) {
+		target_notice_t *notice = &message->notices[i];
+
+		if (!xdr_uint32_t(xdr, &notice->target) ||
+		    !xdr_uint32_t(xdr, &notice->start) ||
+		    !xdr_uint32_t(xdr, &notice->age_ms) ||
+		    !xdr_uint32_t(xdr, &notice->cold_ms))
+			return false;
+	}
+	return true;
+}
+
 /* Encodes or decodes a message, depending on the mode of the XDR stream. */
 static bool
 message_xdr(XDR *xdr, message_t *message)
@@ -282,6 +304,13 @@
 	    message->reports, QUARANTINE_REPORT_LIMIT, now);
 }
 
+static void
+notices_fill(gateway_t *gateway, message_t *message, time_us_t now)
+{
+	message->n_notices = (uint32_t)targets_export_notices(
+	    gateway->targets, message->notices, NOTICE_LIMIT, now);
+}
+
 static size_t
 message_encode(message_t *message, char *bytes)
 {
@@ -290,7 +319,9 @@
 
 	xdrmem_create(&xdr, bytes, MESSAGE_BYTES, XDR_ENCODE);
 	if (message_xdr(&xdr, message) &&
-	    (message->n_reports == 0 || reports_xdr(&xdr, message)))
+	    ((message->n_reports == 0 && message->n_notices == 0) ||
+		reports_xdr(&xdr, message)) &&
+	    (message->n_notices == 0 || notices_xdr(&xdr, message)))
 		len = xdr_getpos(&xdr);
 	xdr_destroy(&xdr);
 	return len;
@@ -304,10 +335,15 @@
 
 	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
 	message->n_reports = 0;
+	message->n_notices = 0;
 	read = message_xdr(&xdr, message);
 	/* The rest is of use without them. */
-	if (read && xdr_getpos(&xdr) < len && !reports_xdr(&xdr, message))
-		message->n_reports = 0;
+	if (read && xdr_getpos(&xdr) < len) {
+		if (!reports_xdr(&xdr, message))
+			message->n_reports = 0;
+		else if (xdr_getpos(&xdr) < len && !notices_xdr(&xdr, message))
+			message->n_notices = 0;
+	}
 	xdr_destroy(&xdr);
 	return read;
 }
@@ -349,6 +385,7 @@
 	size_t remote_len = 0;
 
 	reports_fill(gateway, &gossip->message, now);
+	notices_fill(gateway, &gossip->message, now);
 	for (size_t i = 0; i < n; i++) {
 		bool local = is_local(gateway, ips[i]);
 
@@ -388,8 +425,11 @@
 	 * reports reach an instance that has just started before callers do.
 	 */
 	gossip->message.n_reports = 0;
-	if (kind == MESSAGE_INSTANCE)
+	gossip->message.n_notices = 0;
+	if (kind == MESSAGE_INSTANCE) {
 		reports_fill(gateway, &gossip->message, now);
+		notices_fill(gateway, &gossip->message, now);
+	}
 	len = message_encode(&gossip->message, bytes);
 	for (size_t i = 0; i < n; i++)
 		message_send(gossip, ips[i], bytes, len);
@@ -432,6 +472,18 @@
 	load->received_at = now;
 }
 
+static void
+notices_apply(gateway_t *gateway, const message_t *message, time_us_t now)
+{
+	for (uint32_t i = 0; i < message->n_notices; i++) {
+		target_t *target = targets_import_notice(
+		    gateway->targets, &message->notices[i], now);
+
+		if (target != NULL)
+			gateway_note_target(gateway, target, "instance");
+	}
+}
+
 static void
 message_apply(gossip_t *gossip, const message_t *message)
 {
@@ -448,6 +500,7 @@
 	gateway_note_revision(gateway, message->store_revision);
 	quarantine_import(
 	    gateway->quarantine, message->reports, message->n_reports, now);
+	notices_apply(gateway, message, now);
 	region = topology_region_of(gateway->topology, sender->zone);
 	if (region == TOPOLOGY_NONE)
 		return;
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -32,6 +32,7 @@
 typedef struct fetch fetch_t;
 typedef struct latencies latencies_t;
 typedef struct crash_checks crash_checks_t;
+typedef struct health_checks health_checks_t;
 
 /* Queue and retry budget of one service. */
 typedef struct {
@@ -93,6 +94,7 @@
 	team_rates_t *rates;
 	quarantine_t *quarantine;
 	crash_checks_t *crash_checks;
+	health_checks_t *health_checks;
 	GHashTable *service_states; /* service name -> service_state_t */
 	GHashTable *peer_pools;	    /* ip -> pool_t */
 	region_load_t region_loads[TOPOLOGY_REGION_LIMIT];
@@ -114,6 +116,7 @@
 	time_us_t fallback_until;     /* until when fallback_relay is used */
 	net_address_t fallback_relay; /* instance read from meanwhile */
 	bool ready;
+	bool isolated; /* see targets_set_isolated() */
 	uint32_t n_requests;
 	ev_timer queue_timer;
 	ev_timer tick;
@@ -154,6 +157,12 @@
 void gateway_schedule_queues(gateway_t *gateway);
 /* Called when another instance reports the store revision it has read. */
 void gateway_note_revision(gateway_t *gateway, int64_t revision);
+/*
+ * Called when a target's own statement changed what is known of it. source is
+ * for logs.
+ */
+void gateway_note_target(
+    gateway_t *gateway, target_t *target, const char *source);
 bool gateway_is_leaving(const gateway_t *gateway);
 /*
  * Whether the instance is stopping, the time in which it still accepts new
@@ -305,6 +314,15 @@
 bool crash_check(crash_checks_t *checks, const target_t *target,
     const crash_witness_t *witness, request_t *request);
 
+/*
+ * health.c: asks targets for their health while the list of targets is stale,
+ * as a target may have turned cold without a new entry.
+ */
+health_checks_t *health_checks_create(gateway_t *gateway);
+void health_checks_destroy(health_checks_t *checks);
+/* Starts the checks that are due. Call several times a second. */
+void health_checks_update(health_checks_t *checks);
+
 /* pool.c: idle connections to one address. */
 pool_t *pool_create(gateway_t *gateway, net_address_t address, bool remote);
 void pool_destroy(pool_t *pool);
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -51,6 +51,7 @@
 	char *name;
 	uint32_t connection_limit; /* per target, for all callers; 0: none */
 	double cold_per_s;	   /* request rate of a cold target; 0: any */
+	char *health_path;	   /* of its targets; NULL: none */
 	bool engine;		   /* model engine; otherwise a plain service */
 	uint32_t engine_slots;
 	uint64_t cache_tokens; /* prefix cache of one engine */
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -25,6 +25,12 @@
  */
 #define TARGET_REMOVAL_GRACE_US (2500 * US_PER_MS)
 
+/*
+ * Targets renew their entries more often than once in this time, so that a
+ * current list changes.
+ */
+#define TARGET_LIST_MAX_AGE_US (2 * US_PER_S)
+
 /* Backoff of a target that is unreachable or failed repeatedly; doubles up to
  * the maximum. */
 #define TARGET_BACKOFF_MIN_US (400 * US_PER_MS)
@@ -55,7 +61,8 @@
  * the rate that the target can handle. Without a limit, dozens of instances
  * would send to a new target with an empty queue at the same moment. Two, so
  * that the target isn't left idle when one of them stops, and isn't
- * overloaded when a third instance with an outdated member list also sends.
+ * overloaded when a third instance with another view of the members also sends
+ * (members_may_use_share()).
  */
 #define TARGET_COLD_SENDERS 2
 
@@ -112,6 +119,17 @@
 	uint32_t event_gap_ms; /* between events of its streams; 0: unknown */
 } target_load_t;
 
+/*
+ * What a target said of itself in an answer to an instance, as instances report
+ * it to each other.
+ */
+typedef struct {
+	uint32_t target; /* target_short_id() */
+	uint32_t start;	 /* target_start_id() */
+	uint32_t age_ms; /* since the answer */
+	uint32_t cold_ms;
+} target_notice_t;
+
 typedef struct targets targets_t;
 
 typedef struct {
@@ -148,9 +166,12 @@
 	time_us_t last_activity_at; /* last byte received, or start of the first
 			     attempt in flight; 0: none in flight */
 	/* Warm-up. */
-	time_us_t cold_until;
-	double cold_allowance; /* token bucket: requests that may be sent */
-	time_us_t cold_refilled_at;
+	time_us_t cold_until;	     /* by its entry */
+	time_us_t stated_cold_until; /* by its own answer */
+	time_us_t stated_at;	     /* time of that answer; 0: none */
+	time_us_t next_check_at;     /* see gateway/health.c */
+	double allowance; /* token bucket: requests that may be sent */
+	time_us_t allowance_at;
 	bool cold_sender;     /* this instance is one of TARGET_COLD_SENDERS */
 	time_us_t removal_at; /* 0: none */
 	GHashTable *prefixes; /* chain hash -> prefix_t */
@@ -210,11 +231,55 @@
  */
 bool target_is_healthy(const target_t *target, time_us_t now);
 
+/* Records that the publisher's list was read and is up to date. */
+void targets_note_listed(targets_t *targets, time_us_t now);
+
+/*
+ * Returns whether the list is older than TARGET_LIST_MAX_AGE_US, so that
+ * targets may have changed without a new entry.
+ */
+bool targets_list_is_stale(const targets_t *targets, time_us_t now);
+
+/*
+ * Sets whether this instance can't learn which targets are cold: its list is
+ * stale, and it doesn't hear most of its region. n_instances: those known in
+ * the region, each of which may be in the same situation; 0: it can.
+ */
+void targets_set_isolated(targets_t *targets, uint32_t n_instances);
+
+bool target_is_cold(const target_t *target, time_us_t now);
+
+/* Records that the target stated how long it stays cold; 0: it is warm. */
+void target_note_cold(target_t *target, int64_t cold_ms, time_us_t now);
+
+/* Distinguishes starts of a target under the same id. */
+uint32_t target_start_id(const target_t *target);
+
+/*
+ * Writes what targets said of themselves and still holds, beginning after the
+ * last one that was written. Returns the number written, at most limit.
+ */
+size_t targets_export_notices(
+    targets_t *targets, target_notice_t *notices, size_t limit, time_us_t now);
+
+/* Applies a notice unless a later answer of the target is known. Returns the
+ * target if it changed. */
+target_t *targets_import_notice(
+    targets_t *targets, const target_notice_t *notice, time_us_t now);
+
+typedef enum {
+	TARGET_OPEN,
+	TARGET_OPEN_LATER, /* it is cold, and its allowance is used up */
+	TARGET_CLOSED,	   /* for longer than a request waits */
+} target_admission_t;
+
 /*
- * Returns whether a cold target accepts another request of this instance.
- * cold_per_s: rate of requests that the target can handle; 0: no limit.
+ * Returns whether a target accepts another request of this instance.
+ * cold_per_s: rate of requests that it can handle while it is cold; 0: no
+ * limit. An isolated instance keeps to its part of that rate at each target.
  */
-bool target_cold_allows(target_t *target, double cold_per_s, time_us_t now);
+target_admission_t target_admits(const targets_t *targets, target_t *target,
+    double cold_per_s, time_us_t now);
 
 typedef struct {
 	handle_t target;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -25,6 +25,12 @@
  */
 #define STORE_WATCH_WAIT_MS 4000
 
+/*
+ * The same for the watch of targets, so that a list without changes is known to
+ * be current (TARGET_LIST_MAX_AGE_US).
+ */
+#define STORE_TARGETS_WAIT_MS 1000
+
 /* Timeout of a request, in addition to the wait of a watch. */
 #define STORE_RESPONSE_TIMEOUT_MS 1200
 
@@ -55,6 +61,8 @@
 	void (*target)(void *owner, const target_entry_t *entry);
 	void (*target_removed)(void *owner, const char *id);
 	void (*evacuation)(void *owner, const char *zone, bool evacuated);
+	/* The list of targets is up to date, as far as the source knows. */
+	void (*targets_listed)(void *owner);
 	/* The store became reachable or unreachable. cause is for logs. */
 	void (*reachable)(void *owner, bool reachable, const char *cause);
 	/* All keys have been read once. */
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -76,6 +76,18 @@
 	int64_t retry_after_ms; /* -1: absent */
 } target_response_t;
 
+/* What a target's health answer states. */
+typedef struct {
+	unsigned status;
+	char target[NAME_LIMIT + 1]; /* id; "" when absent */
+	int64_t cold_ms;	     /* -1: absent or malformed */
+} target_health_t;
+
+void platform_health_read(const http_head_t *head, target_health_t *health);
+
+/* Returns the request for the health of a target of this address. */
+GString *platform_health_request(const char *path, net_address_t address);
+
 void platform_response_read(
     const http_head_t *head, const char *request_id, target_response_t *answer);
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -49,6 +49,11 @@
 	((fixture_t *)owner)->evacuated = evacuated;
 }
 
+static void
+on_targets_listed(void *owner)
+{
+}
+
 static void
 on_reachable(void *owner, bool reachable, const char *cause)
 {
@@ -61,7 +66,8 @@
 }
 
 static const store_events_t events = {on_config_is_loaded, on_config, on_target,
-    on_target_removed, on_evacuation, on_reachable, on_loaded};
+    on_target_removed, on_evacuation, on_targets_listed, on_reachable,
+    on_loaded};
 
 static void
 fixture_create(fixture_t *fixture)
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -182,12 +182,14 @@
 
 		entry.cold_ms = 20000;
 		target = targets_put(f.targets, &entry, f.now);
-		ck_assert(!target_cold_allows(target, rate, f.now));
+		ck_assert(target_admits(f.targets, target, rate, f.now) !=
+			  TARGET_OPEN);
 		target->cold_sender = true;
 		for (int step = 0; step < 100; step++) {
 			target_attempt_t attempt;
 
-			while (target_cold_allows(target, rate, f.now)) {
+			while (target_admits(f.targets, target, rate, f.now) ==
+			       TARGET_OPEN) {
 				target_attempt_begin(
 				    target, 0, 0, f.now, &attempt);
 				sent[step]++;
@@ -329,4 +331,175 @@
 	fixture_destroy(&f);
 }
 
+#define COLD_PER_S 2.0
+
+static bool
+is_open(const fixture_t *f, target_t *target)
+{
+	return target_admits(f->targets, target, COLD_PER_S, f->now) ==
+	       TARGET_OPEN;
+}
+
+/* Its entry is from before it turned cold, and may arrive again. */
+TEST(entry_does_not_end_what_the_target_stated)
+{
+	fixture_t f = fixture_create();
+	target_t *target = put(&f, "t1");
+
+	ck_assert(is_open(&f, target));
+	target_note_cold(target, 3000, f.now);
+	ck_assert(!is_open(&f, target));
+	put(&f, "t1");
+	ck_assert(target_is_cold(target, f.now));
+	f.now += 3 * US_PER_S;
+	ck_assert(is_open(&f, target));
+	fixture_destroy(&f);
+}
+
+/* A later answer of the target replaces an earlier one. */
+TEST(target_that_states_to_be_warm_is_warm)
+{
+	fixture_t f = fixture_create();
+	target_t *target = put(&f, "t1");
+
+	target_note_cold(target, 3000, f.now);
+	f.now += US_PER_S;
+	target_note_cold(target, 0, f.now);
+	ck_assert(!target_is_cold(target, f.now));
+	fixture_destroy(&f);
+}
+
+static size_t
+notices_pass(fixture_t *from, fixture_t *to, time_us_t transit)
+{
+	target_notice_t notices[8];
+	size_t n = targets_export_notices(
+	    from->targets, notices, G_N_ELEMENTS(notices), from->now);
+
+	from->now += transit;
+	to->now += transit;
+	for (size_t i = 0; i < n; i++)
+		targets_import_notice(to->targets, &notices[i], to->now);
+	return n;
+}
+
+TEST(notice_reaches_others_and_comes_back_no_newer)
+{
+	fixture_t a = fixture_create();
+	fixture_t b = fixture_create();
+	target_t *at_a = put(&a, "t1");
+	target_t *at_b = put(&b, "t1");
+	time_us_t end = a.now + 3 * US_PER_S;
+
+	target_note_cold(at_a, 3000, a.now);
+	for (int i = 0; i < 20; i++) {
+		ck_assert_uint_eq(notices_pass(&a, &b, 20 * US_PER_MS), 1);
+		ck_assert_uint_eq(notices_pass(&b, &a, 20 * US_PER_MS), 1);
+	}
+	ck_assert_int_eq(at_a->stated_cold_until, end);
+	ck_assert_int_le(at_b->stated_cold_until, end + 40 * US_PER_MS);
+	/* It turned warm early, which a later answer tells. */
+	target_note_cold(at_a, 0, a.now);
+	notices_pass(&b, &a, 20 * US_PER_MS);
+	ck_assert(!target_is_cold(at_a, a.now));
+	ck_assert_uint_eq(notices_pass(&a, &b, 0), 0);
+	fixture_destroy(&a);
+	fixture_destroy(&b);
+}
+
+/* It started again under its id, or another has the id of a hash. */
+TEST(notice_of_an_earlier_start_is_ignored)
+{
+	fixture_t a = fixture_create();
+	fixture_t b = fixture_create();
+	target_entry_t entry = entry_make("t1");
+	target_t *restarted;
+
+	target_note_cold(put(&a, "t1"), 3000, a.now);
+	entry.started_ms = 2;
+	restarted = targets_put(b.targets, &entry, b.now);
+	notices_pass(&a, &b, 0);
+	ck_assert(!target_is_cold(restarted, b.now));
+	fixture_destroy(&a);
+	fixture_destroy(&b);
+}
+
+/* All are told in turn, however few fit in one message. */
+TEST(notices_beyond_the_limit_follow)
+{
+	fixture_t f = fixture_create();
+	g_autoptr(GHashTable) told = g_hash_table_new(NULL, NULL);
+
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf("t%d", i);
+
+		target_note_cold(put(&f, id), 3000, f.now);
+	}
+	for (int i = 0; i < 4; i++) {
+		target_notice_t notices[3];
+		size_t n = targets_export_notices(f.targets, notices, 3, f.now);
+
+		ck_assert_uint_eq(n, 3);
+		for (size_t j = 0; j < n; j++)
+			g_hash_table_add(
+			    told, GUINT_TO_POINTER(notices[j].target));
+	}
+	ck_assert_uint_eq(g_hash_table_size(told), 10);
+	fixture_destroy(&f);
+}
+
+/* Half of a region's instances are cut off; the others don't use the target. */
+TEST(isolated_instances_keep_to_their_part_of_the_cold_rate)
+{
+	enum { INSTANCES = 28, ISOLATED = 14 };
+	fixture_t f[ISOLATED];
+	target_t *target[ISOLATED];
+	target_attempt_t attempt;
+	unsigned sent[40] = {0};
+	unsigned total = 0;
+	double rate = 3.8;
+
+	for (int i = 0; i < ISOLATED; i++) {
+		f[i] = fixture_create();
+		f[i].now += i;
+		target[i] = put(&f[i], "t1");
+		targets_set_isolated(f[i].targets, INSTANCES);
+	}
+	for (int step = 0; step < 4000; step++) {
+		for (int i = 0; i < ISOLATED; i++) {
+			f[i].now += 10 * US_PER_MS;
+			if (target_admits(f[i].targets, target[i], rate,
+				f[i].now) != TARGET_OPEN)
+				continue;
+			target_attempt_begin(
+			    target[i], 0, 0, f[i].now, &attempt);
+			sent[step / 100]++;
+			total++;
+		}
+	}
+	for (size_t s = 0; s < G_N_ELEMENTS(sent); s++)
+		ck_assert_uint_le(sent[s], (unsigned)(1.5 * rate + 3));
+	ck_assert_uint_ge(total, (unsigned)(0.9 * 40 * rate / 2));
+	/* Back in touch: no limit is left over. */
+	targets_set_isolated(f[0].targets, 0);
+	for (int n = 0; n < 20; n++) {
+		ck_assert(target_admits(f[0].targets, target[0], rate,
+			      f[0].now) == TARGET_OPEN);
+		target_attempt_begin(target[0], 0, 0, f[0].now, &attempt);
+	}
+	for (int i = 0; i < ISOLATED; i++)
+		fixture_destroy(&f[i]);
+}
+
+TEST(list_without_changes_is_stale)
+{
+	fixture_t f = fixture_create();
+
+	targets_note_listed(f.targets, f.now);
+	f.now += TARGET_LIST_MAX_AGE_US;
+	ck_assert(!targets_list_is_stale(f.targets, f.now));
+	ck_assert(targets_list_is_stale(f.targets, f.now + 1));
+	fixture_destroy(&f);
+}
+
 TEST_MAIN("targets")
