platform: let no older item replace a newer one

What callers could see: a target that is taken for warm while it is cold, or for ready while it drains, or a zone that seems to be back.

Cause: an instance that reads everything again, after a suspension or when its history is gone, may read from a relay that lags. The items of that range were applied whatever their revision, and keys that it lacked were removed.

Evidence: test_store, older_items_of_a_relay_replace_no_newer_ones: before, the cold time of a target went from 3000 to 0 by an older entry.

--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -20,6 +20,8 @@
 	store_t *client;
 	bool evacuated;
 	bool unreachable;
+	bool listed; /* a target */
+	int64_t cold_ms;
 } fixture_t;
 
 static bool
@@ -36,11 +38,16 @@
 static void
 on_target(void *owner, const target_entry_t *entry)
 {
+	fixture_t *fixture = owner;
+
+	fixture->listed = true;
+	fixture->cold_ms = entry->cold_ms;
 }
 
 static void
 on_target_removed(void *owner, const char *id)
 {
+	((fixture_t *)owner)->listed = false;
 }
 
 static void
@@ -167,4 +174,51 @@
 	fixture_destroy(&fixture);
 }
 
+static void
+target_publish(fake_store_t *store, int cold_ms)
+{
+	g_autofree char *value = g_strdup_printf(
+	    "{\"service\":\"pen\",\"address\":\"127.0.0.1:80\","
+	    "\"zone\":\"a-1\",\"version\":\"v1\",\"slots\":8,"
+	    "\"state\":\"ready\",\"cold_remaining_ms\":%d,\"seq\":1,"
+	    "\"born\":1}",
+	    cold_ms);
+
+	fake_store_put(store, "servers/w", value);
+}
+
+/*
+ * A relay that lags ends neither the cold time of a target nor an evacuation,
+ * and removes no target, when all is read from it again.
+ */
+TEST(older_items_of_a_relay_replace_no_newer_ones)
+{
+	fixture_t fixture;
+
+	fixture_create(&fixture);
+	target_publish(fixture.relays[0], 0);
+	target_publish(fixture.store, 0);
+	target_publish(fixture.store, 3000);
+	fake_store_put(fixture.store, "op/evacuate/a-1", "{}");
+	ck_assert(run_until(&fixture, &fixture.evacuated, 2000));
+	ck_assert(run_until(&fixture, &fixture.listed, 2000));
+	run_for(&fixture, 600);
+	ck_assert_int_eq(fixture.cold_ms, 3000);
+	store_set_relay(fixture.client, &fixture.addresses[1]);
+	store_refresh(fixture.client);
+	run_for(&fixture, 600);
+	ck_assert_int_eq(fixture.cold_ms, 3000);
+	ck_assert(fixture.evacuated);
+	store_set_relay(fixture.client, &fixture.addresses[2]);
+	store_refresh(fixture.client);
+	run_for(&fixture, 600);
+	ck_assert(fixture.listed);
+	/* Newer ones do. */
+	store_set_relay(fixture.client, NULL);
+	target_publish(fixture.store, 0);
+	run_for(&fixture, 1000);
+	ck_assert_int_eq(fixture.cold_ms, 0);
+	fixture_destroy(&fixture);
+}
+
 TEST_MAIN("store")
