--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -23,6 +23,7 @@
 	int down_ms;
 	unsigned n_deadly;
 	gint64 cold_until; /* monotonic time */
+	char *limit;	   /* NULL: none */
 	GArray *crashes;   /* gint64 */
 };
 
@@ -322,6 +323,19 @@
 	return true;
 }
 
+static char *
+limit_field(fake_worker_t *worker)
+{
+	char *field;
+
+	g_mutex_lock(&worker->lock);
+	field = worker->limit != NULL
+		    ? g_strdup_printf("Server-Limit: %s\r\n", worker->limit)
+		    : g_strdup("");
+	g_mutex_unlock(&worker->lock);
+	return field;
+}
+
 static bool
 health_serve(fake_worker_t *worker, int fd)
 {
@@ -343,6 +357,7 @@
 	fake_worker_t *worker = owner;
 	g_autofree char *name = g_path_get_basename(request->path);
 	g_autofree char *signature = NULL;
+	g_autofree char *limit = NULL;
 	g_autofree char *body =
 	    g_strdup_printf("%s: %.*s", worker->id, (int)request->body->len,
 		request->body->len ? (const char *)request->body->data : "");
@@ -367,9 +382,10 @@
 		return raw_send_answer(
 		    fd, 503, "Not-Executed: 1\r\n", "no room");
 	run = run_add(worker, request);
+	limit = limit_field(worker);
 	signature = g_strdup_printf(
-	    "Request-Id: %s\r\nServer-Stamp: %s\r\nServer-Load: 0,0,8\r\n",
-	    id ? id : "", worker->id);
+	    "Request-Id: %s\r\nServer-Stamp: %s\r\nServer-Load: 0,0,8\r\n%s",
+	    id ? id : "", worker->id, limit);
 	down_ms = deadly_ms(worker, request, name);
 	if (down_ms > 0 && strcmp(name, "reset") != 0 &&
 	    strcmp(name, "mute") != 0) {
@@ -418,6 +434,7 @@
 	g_ptr_array_unref(worker->runs);
 	g_array_unref(worker->crashes);
 	g_free(worker->forced);
+	g_free(worker->limit);
 	g_free(worker->deadly_part);
 	g_free(worker->id);
 	g_mutex_clear(&worker->lock);
@@ -497,8 +514,36 @@
 	g_mutex_unlock(&worker->lock);
 }
 
+void
+fake_worker_set_limit(fake_worker_t *worker, const char *per_s)
+{
+	g_mutex_lock(&worker->lock);
+	g_free(worker->limit);
+	worker->limit = g_strdup(per_s);
+	g_mutex_unlock(&worker->lock);
+}
+
+unsigned
+fake_worker_runs_since(fake_worker_t *worker, gint64 since)
+{
+	g_autoptr(GPtrArray) runs = fake_worker_runs(worker);
+	unsigned n = 0;
+
+	for (guint i = 0; i < runs->len; i++)
+		n += ((worker_run_t *)g_ptr_array_index(runs, i))->arrived_us >=
+		     since;
+	return n;
+}
+
 unsigned
 fake_worker_busiest_window(fake_worker_t *worker, int window_ms)
+{
+	return fake_worker_busiest_window_since(worker, window_ms, 0);
+}
+
+unsigned
+fake_worker_busiest_window_since(
+    fake_worker_t *worker, int window_ms, gint64 since)
 {
 	g_autoptr(GPtrArray) runs = fake_worker_runs(worker);
 	unsigned busiest = 0;
@@ -507,11 +552,13 @@
 		const worker_run_t *first = g_ptr_array_index(runs, i);
 		unsigned n = 0;
 
+		if (first->arrived_us < since)
+			continue;
 		for (guint j = 0; j < runs->len; j++) {
 			const worker_run_t *run = g_ptr_array_index(runs, j);
-			gint64 since = run->arrived_us - first->arrived_us;
+			gint64 after = run->arrived_us - first->arrived_us;
 
-			n += since >= 0 && since < (gint64)window_ms * 1000;
+			n += after >= 0 && after < (gint64)window_ms * 1000;
 		}
 		busiest = MAX(busiest, n);
 	}
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -82,8 +82,20 @@
  */
 void fake_worker_set_cold(fake_worker_t *worker, int cold_ms);
 
+/*
+ * From now on all answers have this value of the field Server-Limit. NULL: none
+ * has it.
+ */
+void fake_worker_set_limit(fake_worker_t *worker, const char *per_s);
+
+/* Number of runs that arrived since this monotonic time. */
+unsigned fake_worker_runs_since(fake_worker_t *worker, gint64 since);
+
 /* Highest number of runs that arrived within one window of this length. */
 unsigned fake_worker_busiest_window(fake_worker_t *worker, int window_ms);
+/* The same of those that arrived since this monotonic time. */
+unsigned fake_worker_busiest_window_since(
+    fake_worker_t *worker, int window_ms, gint64 since);
 
 /* Resets all connections and refuses new ones for down_ms. */
 void fake_worker_crash(fake_worker_t *worker, int down_ms);
--- /dev/null
+++ b/tests/process_limit.c
@@ -0,0 +1,89 @@
+#include <check.h>
+#include <unistd.h>
+
+#include "platform_world.h"
+#include "test.h"
+
+/* See RULES, LIMIT, in issue 25: requests in WINDOW_MS at a limit of 1 a
+ * second. */
+#define WINDOW_MS 4000
+#define ALLOWED (WINDOW_MS / 1000 * 3 / 2 + 5)
+
+/* Time after the first answer with a limit from which it is binding. */
+#define STABLE_MS 6000
+
+#define INSTANCES 3
+#define REQUEST_INTERVAL_US 20000
+
+/* Sends requests to the instances in turn for this time. */
+static void
+requests_send(const world_t *world, int ms, GArray *fds)
+{
+	gint64 end = g_get_monotonic_time() + (gint64)ms * 1000;
+
+	for (int i = 0; g_get_monotonic_time() < end; i++) {
+		g_autofree char *request = g_strdup_printf(
+		    "GET /read/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: l%d-%u\r\n"
+		    "Authorization: Bearer key-1\r\nRequest-Deadline: 1500\r\n"
+		    "Connection: close\r\n\r\n",
+		    i, fds->len);
+		int fd = world_connect(world, i % INSTANCES, PORT_CALLERS);
+
+		ck_assert_int_ge(fd, 0);
+		world_send(fd, request);
+		g_array_append_val(fds, fd);
+		g_usleep(REQUEST_INTERVAL_US);
+	}
+}
+
+/* Reads all answers; each is whole and a success. */
+static void
+answers_read(GArray *fds)
+{
+	for (guint i = 0; i < fds->len; i++) {
+		int fd = g_array_index(fds, int, i);
+		world_answer_t answer = world_read(fd);
+
+		ck_assert(answer.whole);
+		ck_assert_int_eq(answer.status, 200);
+		world_answer_clear(&answer);
+		close(fd);
+	}
+	g_array_set_size(fds, 0);
+}
+
+TEST(instances_keep_a_limit_that_a_target_named_together)
+{
+	world_t world;
+	g_autoptr(GArray) fds = g_array_new(FALSE, FALSE, sizeof(int));
+	gint64 since;
+
+	world_create(&world);
+	for (int i = 0; i < INSTANCES; i++)
+		world_start(&world, i, "a-1", true, true);
+	g_usleep(3000 * 1000);
+	fake_worker_set_limit(world.workers[0], "1");
+	requests_send(&world, STABLE_MS, fds);
+	answers_read(fds);
+	since = g_get_monotonic_time();
+	requests_send(&world, 2 * WINDOW_MS, fds);
+	answers_read(fds);
+	ck_assert_uint_le(fake_worker_busiest_window_since(
+			      world.workers[0], WINDOW_MS, since),
+	    ALLOWED);
+	/* It is used at the rate that it allows, and others serve the rest. */
+	ck_assert_uint_ge(
+	    fake_worker_runs_since(world.workers[0], since), WINDOW_MS / 1000);
+	/* An answer without the field ends the limit for all. */
+	fake_worker_set_limit(world.workers[0], NULL);
+	requests_send(&world, 5000, fds);
+	answers_read(fds);
+	since = g_get_monotonic_time();
+	requests_send(&world, 2000, fds);
+	answers_read(fds);
+	ck_assert_uint_ge(
+	    fake_worker_runs_since(world.workers[0], since), 2 * ALLOWED);
+	world_destroy(&world);
+}
+
+TEST_MAIN("limit")
