core, gateway: keep the limit that a target names, all instances together

What callers saw: a target in need that named a limit of 1.2 requests a second got 53 in 4 s, 12 allowed (LIMIT), and answered others late.

Cause: Server-Limit wasn't among the fields that are decoded, and nothing that a target says in its answers was told to other instances.

Change: the limit is one more thing that a target states of itself, and shares its mechanism: reported between instances with its age and the start of the target, kept by a few senders that divide the rate (one for each request a second, at least two), also in a cut. Others treat the target as closed and place or refuse at once. An answer without the field ends the limit, unless its request was sent before the limit was named; others are told so for 5 s, and again when they report the old one. A limit of 0 still lets one request pass in 4 s, as only an answer tells that it has ended. A value that can't be read changes nothing and is logged. The rate is divided among no more senders than there are instances.

Why it works: what the senders may send in 4 s is at most 1.5 times the limit and their one request each, also while one instance too many thinks that it is a sender; the rest send nothing after the first notice.

--- a/core/members.c
+++ b/core/members.c
@@ -198,13 +198,8 @@
 	return !member->entry.leaving || members_is_live(members, member, now);
 }
 
-/*
- * Instances of the own region that may run, this one included. While this
- * instance may not have heard of all since its start, a zone without a known
- * one counts as much as the own.
- */
-static uint32_t
-n_may_run(const members_t *members, time_us_t now)
+uint32_t
+members_n_known(const members_t *members, time_us_t now)
 {
 	uint32_t by_zone[TOPOLOGY_ZONE_LIMIT] = {0};
 	uint32_t n = 0;
@@ -238,7 +233,7 @@
 {
 	uint32_t n_live = members_n_live(members, members->own_region, now);
 
-	if (2 * n_live <= n_may_run(members, now))
+	if (2 * n_live <= members_n_known(members, now))
 		members->majority_since = 0;
 	else if (members->majority_since == 0)
 		members->majority_since = now;
@@ -443,17 +438,17 @@
 }
 
 bool
-members_hears_region(const members_t *members, uint32_t *n_known, time_us_t now)
+members_hears_region(const members_t *members, time_us_t now)
 {
-	*n_known = n_may_run(members, now);
-	return *n_known > 1 && members->majority_since != 0;
+	return members_n_known(members, now) > 1 &&
+	       members->majority_since != 0;
 }
 
 bool
 members_may_use_share(
     const members_t *members, uint64_t key, uint32_t count, time_us_t now)
 {
-	uint32_t n_known = n_may_run(members, now);
+	uint32_t n_known = members_n_known(members, now);
 
 	if (members->all->len == 0 && has_other_seed(members) &&
 	    now - members->started_at < MEMBER_FORGET_US)
--- a/core/placement.c
+++ b/core/placement.c
@@ -415,7 +415,7 @@
 		if (strcmp(target->entry.service, service->name) != 0 ||
 		    !target_is_usable(targets, target) ||
 		    !target_is_healthy(target, now) ||
-		    target_is_cold(target, now))
+		    target_n_senders(target, now) > 0)
 			continue;
 		in_flight = target_in_flight(target, now);
 		expected = target_expected_ms(target, 0);
--- a/core/targets.c
+++ b/core/targets.c
@@ -26,6 +26,9 @@
  */
 #define NOTICE_TRANSIT_US (250 * US_PER_MS)
 
+/* A target may state both that it is cold and that it has a limit. */
+#define NOTICES_PER_TARGET 2
+
 /* Maximum number of prefixes remembered for one target of known capacity. */
 #define PREFIX_LIMIT 4096
 
@@ -169,6 +172,7 @@
 
 	target->entry = *entry;
 	target->slowness = 1.0;
+	target->limit_per_s = TARGET_NO_LIMIT;
 	target->short_id = target_short_id(entry->id);
 	target->region = topology_region_of(targets->topology, entry->zone);
 	target->prefixes =
@@ -406,6 +410,75 @@
 	    &target->entry.started_ms, sizeof(target->entry.started_ms));
 }
 
+bool
+target_is_limited(const target_t *target)
+{
+	return target->limit_per_s >= 0;
+}
+
+static bool
+limit_set(target_t *target, double per_s, time_us_t at, time_us_t now)
+{
+	bool changed = per_s != target->limit_per_s;
+
+	target->limit_at = at;
+	if (!changed)
+		return false;
+	target->limit_per_s = per_s;
+	target->limit_told_until = now + TARGET_LIMIT_END_TELL_US;
+	return true;
+}
+
+bool
+target_note_limit(
+    target_t *target, double per_s, time_us_t sent_at, time_us_t now)
+{
+	if (per_s < 0 &&
+	    (!target_is_limited(target) || sent_at < target->limit_at))
+		return false;
+	return limit_set(target, per_s, now, now);
+}
+
+uint32_t
+target_n_senders(const target_t *target, time_us_t now)
+{
+	if (target_is_cold(target, now))
+		return TARGET_COLD_SENDERS;
+	if (target_is_limited(target))
+		return (uint32_t)CLAMP(target->limit_per_s, TARGET_COLD_SENDERS,
+		    TARGET_LIMIT_SENDERS_MAX);
+	return 0;
+}
+
+static target_notice_t
+notice_create(const target_t *target, target_notice_kind_t kind, time_us_t at,
+    double value, time_us_t now)
+{
+	return (target_notice_t){target->short_id, target_start_id(target),
+	    kind, (uint32_t)((now - at) / US_PER_MS), (uint32_t)value};
+}
+
+/* Writes the notices of a target, at most NOTICES_PER_TARGET. */
+static size_t
+notices_of(const target_t *target, target_notice_t *notices, time_us_t now)
+{
+	size_t n = 0;
+
+	if (now < target->stated_cold_until)
+		notices[n++] = notice_create(target, TARGET_NOTICE_COLD,
+		    target->stated_at,
+		    (double)(target->stated_cold_until - now) / US_PER_MS, now);
+	if (target_is_limited(target))
+		notices[n++] = notice_create(target, TARGET_NOTICE_LIMIT,
+		    target->limit_at,
+		    MIN(target->limit_per_s * 1000, TARGET_NOTICE_NO_LIMIT - 1),
+		    now);
+	else if (now < target->limit_told_until)
+		notices[n++] = notice_create(target, TARGET_NOTICE_LIMIT,
+		    target->limit_at, TARGET_NOTICE_NO_LIMIT, now);
+	return n;
+}
+
 size_t
 targets_export_notices(
     targets_t *targets, target_notice_t *notices, size_t limit, time_us_t now)
@@ -413,20 +486,44 @@
 	guint len = targets->all->len;
 	size_t n = 0;
 
-	for (guint step = 0; step < len && n < limit; step++) {
+	for (guint step = 0; step < len && n + NOTICES_PER_TARGET <= limit;
+	     step++) {
 		guint at = targets->notices_cursor++ % len;
 		const target_t *target = g_ptr_array_index(targets->all, at);
 
-		if (target->unlisted || now >= target->stated_cold_until)
-			continue;
-		notices[n++] = (target_notice_t){target->short_id,
-		    target_start_id(target),
-		    (uint32_t)((now - target->stated_at) / US_PER_MS),
-		    (uint32_t)((target->stated_cold_until - now) / US_PER_MS)};
+		if (!target->unlisted)
+			n += notices_of(target, &notices[n], now);
 	}
 	return n;
 }
 
+static bool
+limit_import(
+    target_t *target, uint32_t value, time_us_t stated_at, time_us_t now)
+{
+	double per_s =
+	    value == TARGET_NOTICE_NO_LIMIT ? TARGET_NO_LIMIT : value / 1000.0;
+
+	if (stated_at > target->limit_at + NOTICE_TRANSIT_US)
+		return limit_set(target, per_s, stated_at, now);
+	/* The sender doesn't know of a later answer. */
+	if (stated_at < target->limit_at - NOTICE_TRANSIT_US &&
+	    per_s != target->limit_per_s)
+		target->limit_told_until = now + TARGET_LIMIT_END_TELL_US;
+	return false;
+}
+
+static bool
+cold_import(
+    target_t *target, uint32_t cold_ms, time_us_t stated_at, time_us_t now)
+{
+	if (stated_at <= target->stated_at + NOTICE_TRANSIT_US)
+		return false;
+	target_note_cold(target, cold_ms, now);
+	target->stated_at = stated_at;
+	return true;
+}
+
 target_t *
 targets_import_notice(
     targets_t *targets, const target_notice_t *notice, time_us_t now)
@@ -434,13 +531,21 @@
 	target_t *target = g_hash_table_lookup(
 	    targets->by_short, GUINT_TO_POINTER(notice->target));
 	time_us_t stated_at = now - (time_us_t)notice->age_ms * US_PER_MS;
+	bool changed = false;
 
-	if (target == NULL || target_start_id(target) != notice->start ||
-	    stated_at <= target->stated_at + NOTICE_TRANSIT_US)
+	if (target == NULL || target_start_id(target) != notice->start)
 		return NULL;
-	target_note_cold(target, notice->cold_ms, now);
-	target->stated_at = stated_at;
-	return target;
+	switch ((target_notice_kind_t)notice->kind) {
+	case TARGET_NOTICE_COLD:
+		changed = cold_import(target, notice->value, stated_at, now);
+		break;
+	case TARGET_NOTICE_LIMIT:
+		changed = limit_import(target, notice->value, stated_at, now);
+		break;
+	case TARGET_NOTICE_KIND_COUNT:
+		break;
+	}
+	return changed ? target : NULL;
 }
 
 void
@@ -479,19 +584,34 @@
 	return (double)(random_next(&random) >> 11) / (double)(1ULL << 53);
 }
 
+/* Rate of all senders together to a cold or limited target; 0: no limit. */
+static double
+restricted_per_s(const target_t *target, double cold_per_s, time_us_t now)
+{
+	double per_s = target_is_cold(target, now) ? cold_per_s : 0;
+
+	if (target_is_limited(target) &&
+	    (per_s <= 0 || target->limit_per_s < per_s))
+		per_s = MAX(target->limit_per_s, TARGET_LIMIT_MIN_PER_S);
+	return per_s;
+}
+
 target_admission_t
 target_admits(const targets_t *targets, target_t *target, double cold_per_s,
     time_us_t now)
 {
-	if (cold_per_s <= 0)
-		return TARGET_OPEN;
-	if (target_is_cold(target, now))
-		return target->cold_sender &&
-			       allowance_refill(target,
-				   cold_per_s / TARGET_COLD_SENDERS, 1.0, now)
+	double per_s = restricted_per_s(target, cold_per_s, now);
+
+	if (per_s > 0) {
+		if (target->sender_share <= 0)
+			return target_is_limited(target) ? TARGET_CLOSED
+							 : TARGET_OPEN_LATER;
+		return allowance_refill(
+			   target, per_s * target->sender_share, 1.0, now)
 			   ? TARGET_OPEN
 			   : TARGET_OPEN_LATER;
-	if (targets->isolated_instances > 0)
+	}
+	if (targets->isolated_instances > 0 && cold_per_s > 0)
 		return allowance_refill(target,
 			   cold_per_s / targets->isolated_instances,
 			   isolated_initial(target, now), now)
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -233,6 +233,33 @@
 		request_on_complete(request);
 }
 
+static void
+attempt_note_limit(const attempt_t *attempt, target_t *target, time_us_t now)
+{
+	const target_response_t *response = &attempt->response;
+	double per_s = TARGET_NO_LIMIT;
+
+	switch (response->limit_kind) {
+	case RESPONSE_NO_LIMIT:
+		break;
+	case RESPONSE_LIMIT:
+		per_s = response->limit_per_s;
+		break;
+	case RESPONSE_LIMIT_MALFORMED:
+		counter_increment("target_limits_malformed", NULL, NULL);
+		log_event(LOG_WARNING, "target_limit_malformed",
+		    LOG_S("target", target->entry.id),
+		    LOG_S("request", attempt->request_id));
+		return;
+	}
+	/* Another target has this address now. */
+	if (response->status == 421 ||
+	    !target_note_limit(target, per_s, attempt->send.sent_at, now))
+		return;
+	gateway_note_target(attempt->gateway, target, "target");
+	gossip_round(attempt->gateway->gossip);
+}
+
 static bool
 on_head(void *owner, const http_head_t *head)
 {
@@ -256,6 +283,7 @@
 		if (attempt->response.load_reported)
 			target_report_load(target, attempt->response.running,
 			    attempt->response.waiting, now);
+		attempt_note_limit(attempt, target, now);
 		if (!attempt->response.event_stream)
 			attempt_first_byte(attempt, target, now);
 	}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -401,22 +401,28 @@
 
 /*
  * Updates whether this instance is one of the few of its region that send
- * requests to a cold target.
+ * requests to a cold or limited target.
  */
 static void
-cold_sender_update(gateway_t *gateway, target_t *target)
+sender_update(gateway_t *gateway, target_t *target)
 {
 	time_us_t now = gateway_now(gateway);
 
-	if (target->region != gateway->region || !target_is_cold(target, now))
+	uint32_t n_senders = target_n_senders(target, now);
+
+	if (target->region != gateway->region || n_senders == 0)
 		return;
 	/*
 	 * Instances that have just started, possibly all at once, don't know of
 	 * each other yet, and each would choose itself.
 	 */
-	target->cold_sender = now - gateway->started_at >= VIEW_SETTLE_US &&
-			      members_may_use_share(gateway->members,
-				  target->short_id, TARGET_COLD_SENDERS, now);
+	target->sender_share = 0;
+	if (now - gateway->started_at >= VIEW_SETTLE_US &&
+	    members_may_use_share(
+		gateway->members, target->short_id, n_senders, now))
+		target->sender_share =
+		    1.0 /
+		    MIN(n_senders, members_n_known(gateway->members, now));
 }
 
 void
@@ -424,15 +430,18 @@
 {
 	time_us_t now = gateway_now(gateway);
 
-	cold_sender_update(gateway, target);
+	sender_update(gateway, target);
 	counter_increment("target_notices", "source", source);
 	log_event(LOG_INFO, "target_notice", LOG_S("target", target->entry.id),
 	    LOG_S("source", source),
 	    LOG_I(
 		"cold_ms", MAX(target->stated_cold_until - now, 0) / US_PER_MS),
-	    LOG_I("age_ms", (now - target->stated_at) / US_PER_MS),
+	    LOG_I("limit_milli",
+		target_is_limited(target) ? target->limit_per_s * 1000 : -1),
+	    LOG_I("age_ms",
+		(now - MAX(target->stated_at, target->limit_at)) / US_PER_MS),
 	    LOG_I("started_ms", target->entry.started_ms),
-	    LOG_I("sender", target->cold_sender));
+	    LOG_I("sender", target->sender_share > 0));
 }
 
 static void
@@ -445,7 +454,7 @@
 		    old->entry.started_ms == entry->started_ms;
 
 	g_assert(entry != NULL);
-	cold_sender_update(gateway,
+	sender_update(gateway,
 	    targets_put(gateway->targets, entry, gateway_now(gateway)));
 	if (!same)
 		log_event(LOG_INFO, "target", LOG_S("target", entry->id),
@@ -796,10 +805,10 @@
 static void
 isolation_update(gateway_t *gateway, time_us_t now)
 {
-	uint32_t n_known;
+	uint32_t n_known = members_n_known(gateway->members, now);
 	bool isolated = gateway->targets_loaded &&
 			targets_list_is_stale(gateway->targets, now) &&
-			!members_hears_region(gateway->members, &n_known, now);
+			!members_hears_region(gateway->members, now);
 
 	targets_set_isolated(gateway->targets, isolated ? n_known : 0);
 	if (isolated == gateway->isolated)
@@ -835,7 +844,7 @@
 		    service_state, gateway->settings, n_instances);
 	isolation_update(gateway, now);
 	for (size_t i = 0; i < targets_count(gateway->targets); i++)
-		cold_sender_update(gateway, targets_at(gateway->targets, i));
+		sender_update(gateway, targets_at(gateway->targets, i));
 	relay_update(gateway, now);
 	pools_sweep(gateway, now);
 	ready_update(gateway);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -172,8 +172,9 @@
 
 		if (!xdr_uint32_t(xdr, &notice->target) ||
 		    !xdr_uint32_t(xdr, &notice->start) ||
+		    !xdr_uint32_t(xdr, &notice->kind) ||
 		    !xdr_uint32_t(xdr, &notice->age_ms) ||
-		    !xdr_uint32_t(xdr, &notice->cold_ms))
+		    !xdr_uint32_t(xdr, &notice->value))
 			return false;
 	}
 	return true;
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -148,11 +148,17 @@
     const members_t *members, uint64_t key, uint32_t count, time_us_t now);
 
 /*
- * Returns whether this instance hears most of its region's known instances.
- * Stores the number of those known, this one included.
+ * Instances of the own region that may run, heard or not, this one included.
+ * For MEMBER_FORGET_US after the start, a zone without a known one counts as
+ * much as the own.
  */
-bool members_hears_region(
-    const members_t *members, uint32_t *n_known, time_us_t now);
+uint32_t members_n_known(const members_t *members, time_us_t now);
+
+/*
+ * Returns whether this instance knows others in its region and hears most of
+ * the region.
+ */
+bool members_hears_region(const members_t *members, time_us_t now);
 
 /*
  * Writes the other instances that are responsible for key, at most count.
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -31,6 +31,18 @@
  */
 #define TARGET_LIST_MAX_AGE_US (2 * US_PER_S)
 
+/* Value of a limit that is not set. */
+#define TARGET_NO_LIMIT (-1.0)
+
+/*
+ * Rate at which a limited target is used at least, as only its answers tell
+ * that the limit has ended.
+ */
+#define TARGET_LIMIT_MIN_PER_S 0.25
+
+/* Time for which others are told that a limit has ended. */
+#define TARGET_LIMIT_END_TELL_US (5 * US_PER_S)
+
 /* Backoff of a target that is unreachable or failed repeatedly; doubles up to
  * the maximum. */
 #define TARGET_BACKOFF_MIN_US (400 * US_PER_MS)
@@ -66,6 +78,12 @@
  */
 #define TARGET_COLD_SENDERS 2
 
+/*
+ * A limited target has one sender for each request a second of its limit, at
+ * least TARGET_COLD_SENDERS and at most this many.
+ */
+#define TARGET_LIMIT_SENDERS_MAX 1024
+
 /*
  * Nominal prefill rate of an engine, in tokens per millisecond. Deviations of a
  * target from it are part of target_t.slowness.
@@ -123,11 +141,21 @@
  * What a target said of itself in an answer to an instance, as instances report
  * it to each other.
  */
+typedef enum {
+	TARGET_NOTICE_COLD,  /* value: remaining time in ms */
+	TARGET_NOTICE_LIMIT, /* value: requests in 1,000 s, or none */
+	TARGET_NOTICE_KIND_COUNT
+} target_notice_kind_t;
+
+/* Value of a notice that a limit has ended. */
+#define TARGET_NOTICE_NO_LIMIT UINT32_MAX
+
 typedef struct {
 	uint32_t target; /* target_short_id() */
 	uint32_t start;	 /* target_start_id() */
+	uint32_t kind;	 /* target_notice_kind_t */
 	uint32_t age_ms; /* since the answer */
-	uint32_t cold_ms;
+	uint32_t value;
 } target_notice_t;
 
 typedef struct targets targets_t;
@@ -169,10 +197,16 @@
 	time_us_t cold_until;	     /* by its entry */
 	time_us_t stated_cold_until; /* by its own answer */
 	time_us_t stated_at;	     /* time of that answer; 0: none */
-	time_us_t next_check_at;     /* see gateway/health.c */
+	/* Limit that it named for all instances together. */
+	double limit_per_s;	    /* TARGET_NO_LIMIT: none */
+	time_us_t limit_at;	    /* when it was named or ended; 0: never */
+	time_us_t limit_told_until; /* report to others that it has ended */
+	time_us_t next_check_at;    /* see gateway/health.c */
 	double allowance; /* token bucket: requests that may be sent */
 	time_us_t allowance_at;
-	bool cold_sender;     /* this instance is one of TARGET_COLD_SENDERS */
+	/* Part of the rate of a cold or limited target that this instance may
+	 * use; 0: none. */
+	double sender_share;
 	time_us_t removal_at; /* 0: none */
 	GHashTable *prefixes; /* chain hash -> prefix_t */
 	uint64_t prefix_tokens;
@@ -252,6 +286,22 @@
 /* Records that the target stated how long it stays cold; 0: it is warm. */
 void target_note_cold(target_t *target, int64_t cold_ms, time_us_t now);
 
+/*
+ * Records the limit that an answer named, TARGET_NO_LIMIT if it named none.
+ * sent_at: when the request was sent. An answer to a request from before the
+ * limit was named may be older than the limit and doesn't end it. Returns
+ * whether the limit changed.
+ */
+bool target_note_limit(
+    target_t *target, double per_s, time_us_t sent_at, time_us_t now);
+bool target_is_limited(const target_t *target);
+
+/*
+ * Number of instances of a region that may send to the target while it is cold
+ * or limited, each at its part of the rate; 0: all, without a limit.
+ */
+uint32_t target_n_senders(const target_t *target, time_us_t now);
+
 /* Distinguishes starts of a target under the same id. */
 uint32_t target_start_id(const target_t *target);
 
@@ -262,21 +312,24 @@
 size_t targets_export_notices(
     targets_t *targets, target_notice_t *notices, size_t limit, time_us_t now);
 
-/* Applies a notice unless a later answer of the target is known. Returns the
- * target if it changed. */
+/*
+ * Applies a notice unless a later answer of the target is known, which is then
+ * reported again. Returns the target if it changed.
+ */
 target_t *targets_import_notice(
     targets_t *targets, const target_notice_t *notice, time_us_t now);
 
 typedef enum {
 	TARGET_OPEN,
-	TARGET_OPEN_LATER, /* it is cold, and its allowance is used up */
+	TARGET_OPEN_LATER, /* it is cold, or the allowance is used up */
 	TARGET_CLOSED,	   /* for longer than a request waits */
 } target_admission_t;
 
 /*
  * Returns whether a target accepts another request of this instance.
  * cold_per_s: rate of requests that it can handle while it is cold; 0: no
- * limit. An isolated instance keeps to its part of that rate at each target.
+ * limit. The senders to a cold or limited target divide its rate. An isolated
+ * instance keeps to its part of the cold rate at each target.
  */
 target_admission_t target_admits(const targets_t *targets, target_t *target,
     double cold_per_s, time_us_t now);
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -74,6 +74,12 @@
 	int64_t idle_ms; /* keep-alive timeout of the target; -1: absent */
 	bool event_stream;
 	int64_t retry_after_ms; /* -1: absent */
+	enum {
+		RESPONSE_NO_LIMIT,
+		RESPONSE_LIMIT, /* the target named a limit */
+		RESPONSE_LIMIT_MALFORMED,
+	} limit_kind;
+	double limit_per_s; /* RESPONSE_LIMIT */
 } target_response_t;
 
 /* What a target's health answer states. */
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "platform/store.h"
+#include "platform/wire.h"
 #include "test.h"
 
 static topology_t *
@@ -165,4 +166,42 @@
 	topology_destroy(places);
 }
 
+static target_response_t
+response_with_limit(const char *limit)
+{
+	http_field_t field = {
+	    {"Server-Limit", 12}, {limit, limit ? strlen(limit) : 0}};
+	http_head_t head = {
+	    .status = 200, .fields = &field, .n_fields = limit ? 1 : 0};
+	target_response_t response;
+
+	platform_response_read(&head, "id", &response);
+	return response;
+}
+
+/* A value that can't be read neither sets nor ends a limit. */
+TEST(limit_of_a_target_is_a_decimal_number)
+{
+	static const char *const malformed[] = {"", "x", "1 2", "-1", "nan",
+	    "inf", "1e999", "1,5",
+	    "11111111111111111111111111111111111111111111111111111111111111111"
+	    "1"};
+	static const struct {
+		const char *text;
+		double per_s;
+	} valid[] = {{"0", 0}, {"1", 1}, {"1.4", 1.4}, {"1e12", 1e12}};
+
+	ck_assert_int_eq(
+	    response_with_limit(NULL).limit_kind, RESPONSE_NO_LIMIT);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++)
+		ck_assert_int_eq(response_with_limit(malformed[i]).limit_kind,
+		    RESPONSE_LIMIT_MALFORMED);
+	for (size_t i = 0; i < G_N_ELEMENTS(valid); i++) {
+		target_response_t response = response_with_limit(valid[i].text);
+
+		ck_assert_int_eq(response.limit_kind, RESPONSE_LIMIT);
+		ck_assert_double_eq(response.limit_per_s, valid[i].per_s);
+	}
+}
+
 TEST_MAIN("platform_decode")
