tests: odd entries of another writer

Reports of other operators: an entry that is nested very deeply, has a number that is too large or a port out of range ended the readers.

--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -138,6 +138,14 @@
 	    "\"cold_remaining_ms\":0,\"seq\":3}",
 	    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"b-1\","
 	    "\"version\":\"v\",\"slots\":6,\"state\":\"ready\",\"seq\":3}",
+	    "{" TARGET_FIELDS ",\"born\":1e999}",
+	    "{" TARGET_FIELDS ",\"born\":99999999999999999999}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:70000\","
+	    "\"zone\":\"b-1\",\"version\":\"v\",\"slots\":6,"
+	    "\"state\":\"ready\",\"cold_remaining_ms\":0,\"seq\":3}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:-1\","
+	    "\"zone\":\"b-1\",\"version\":\"v\",\"slots\":6,"
+	    "\"state\":\"ready\",\"cold_remaining_ms\":0,\"seq\":3}",
 	};
 	static const char valid[] =
 	    "{" TARGET_FIELDS ",\"born\":9,\"remaining_ms\":250,\"new\":{}}";
@@ -166,6 +174,26 @@
 	topology_destroy(places);
 }
 
+/* Another writer's entry must not exhaust the stack. */
+TEST(deeply_nested_entry_is_rejected)
+{
+	enum { DEPTH = 300000 };
+	topology_t *places = test_places();
+	g_autoptr(GString) text = g_string_new("{" TARGET_FIELDS ",\"x\":");
+	g_autoptr(GError) error = NULL;
+	target_entry_t entry;
+
+	for (int i = 0; i < DEPTH; i++)
+		g_string_append_c(text, '[');
+	for (int i = 0; i < DEPTH; i++)
+		g_string_append_c(text, ']');
+	g_string_append_c(text, '}');
+	ck_assert(!platform_target_read(
+	    "w1", text->str, text->len, places, &entry, &error));
+	ck_assert_ptr_nonnull(error);
+	topology_destroy(places);
+}
+
 static target_response_t
 response_with_limit(const char *limit)
 {
