--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -35,6 +35,22 @@
 	return watch;
 }
 
+/* Another writer's key; instances that read from here stopped following. */
+TEST(odd_key_is_passed_on_in_valid_json)
+{
+	replica_t *replica = replica_create("servers/");
+	reader_t reader = {0};
+
+	replica_put(replica, "servers/a\"\\\n}", "QQ==", 5);
+	replica_put(replica, "servers/b", "Qg==", 6);
+	replica_advance(replica, 9);
+	request(replica, "/kv-range?prefix=servers/", 0, &reader);
+	ck_assert_ptr_nonnull(
+	    strstr(reader.body, "\"key\":\"servers/a\\\"\\\\\\n}\""));
+	g_free(reader.body);
+	replica_destroy(replica);
+}
+
 TEST(replica_answers_like_the_store)
 {
 	replica_t *replica = replica_create("servers/");
