gateway: resume a stream only with events

What callers saw: a stream had begun and broke; the next target answered with a success that was no stream, and its text stood in the middle of the events, after which the stream ended as if it were complete.

Cause: when a stream is resumed, only the status of the answer was compared.

Evidence: process_platform, stream_is_not_resumed_with_an_answer_that_is_no_stream, failed before ("spoiled" in the body).

Why it works: an answer that resumes a stream must be a success and a stream of events; any other counts as a broken one, and the caller's stream is cut if no further target can go on.

--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -408,6 +408,11 @@
 		return events_send(worker, run, fd, signature, n, ms, -1);
 	if (sscanf(name, "break-%d-%d", &n, &ms) == 2)
 		return events_send(worker, run, fd, signature, n, ms, n / 2);
+	if (sscanf(name, "spoil-%d-%d", &n, &ms) == 2)
+		return *run->resume_after
+			   ? raw_send_answer(fd, 200, signature, "spoiled")
+			   : events_send(
+				 worker, run, fd, signature, n, ms, n / 2);
 	if (sscanf(name, "stream-%7[a-z]-%7[a-z]-%d", framing, end, &n) == 3)
 		return stream_send(
 		    fd, request, run, signature, framing, end, n);
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -24,6 +24,8 @@
  *	cutframe	no length; the connection is reset in the body
  *	events-N-MS	N events, MS milliseconds apart
  *	break-N-MS	the same, but cut within event N/2 unless resumed
+ *	spoil-N-MS	as break-N-MS, but resumed with a success that is no
+ *			stream
  *	stream-FRAMING-END-N
  *			N events at once, framed as FRAMING says: "chunks",
  *			"length" or "close" (the end of the connection). Their
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -391,11 +391,11 @@
 		attempt_detach(attempt);
 		request_on_failure(request, FAILURE_NOT_EXECUTED, &copy);
 	} else if ((copy.status < 300 && !copy.stamped) ||
-		   (request->head_sent && copy.status != 200)) {
+		   (request->head_sent &&
+		       (copy.status != 200 || !copy.event_stream))) {
 		/*
-		 * A success without the stamp of its target, or a
-		 * status other than 200 when a stream is resumed, can't be
-		 * passed on.
+		 * A success without the stamp of its target, or anything but
+		 * events when a stream is resumed, can't be passed on.
 		 */
 		request->attempt = NULL;
 		attempt_cancel(attempt);
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -325,6 +325,22 @@
 	world_destroy(&world);
 }
 
+/* Its text must not stand within the events, nor may the stream look whole. */
+TEST(stream_is_not_resumed_with_an_answer_that_is_no_stream)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	answer = world_call(
+	    &world, 0, "POST", "/write/spoil-10-10", "sp", WORLD_KEY, "{}");
+	ck_assert(strstr(answer.body, "spoiled") == NULL);
+	ck_assert(!answer.whole);
+	world_answer_clear(&answer);
+	world_destroy(&world);
+}
+
 /* A stream that breaks within an event goes on at the other target, with each
  * event once. */
 TEST(broken_stream_is_resumed_within_the_answer)
