gateway: believe a refusal on a kept connection only with its request's id

What callers saw: 'not run, try again' (503) for an order that a target was running.

Cause: a faulty target may write an earlier refusal once more on a kept connection. One with the earlier request's id was skipped; one without an id was taken for the answer to the next request.

Evidence: process_platform, repeated_refusal_says_nothing_of_the_next_request: 503 before, though the target had run the order.

Ruled out: leaving out all answers without an id, as nothing says that a success or an error has one, and neither promises that the request was not run.

Why it works: on a connection that served another request, such a refusal ends the attempt as one that may have been executed: 502, and no second target unless the request may run twice. A new connection has no earlier request.

--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -289,6 +289,13 @@
 		raw_send_answer(fd, 200,
 		    "Request-Id: of-another\r\nServer-Stamp: old\r\n", "old");
 		*open = raw_send_answer(fd, 200, signature, body);
+	} else if (g_str_has_prefix(name, "again")) {
+		raw_send_answer(fd, 503,
+		    strcmp(name, "again") == 0
+			? "Request-Id: earlier\r\nNot-Executed: 1\r\n"
+			: "Not-Executed: 1\r\n",
+		    "no room");
+		*open = raw_send_answer(fd, 200, signature, body);
 	} else if (strcmp(name, "extra") == 0) {
 		g_autofree char *extra = g_strdup_printf(
 		    "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s"
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -15,6 +15,8 @@
  *	full		503 that says it hasn't run
  *	unsigned	200 without a signature
  *	late		an answer of another request first
+ *	again		an earlier refusal once more, then as ok
+ *	again-no-id	the same, and the refusal has no id
  *	extra		bytes after the answer, at once
  *	stray		the same some milliseconds later
  *	reset		reads the request and resets the connection
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -277,6 +277,13 @@
 		attempt->skipping = true;
 		return true;
 	}
+	/* May be a refusal of an earlier request, repeated by the target. */
+	if (attempt->reused && attempt->response.not_run &&
+	    attempt->response.request_id_missing) {
+		log_event(LOG_WARNING, "refusal_without_id",
+		    LOG_S("request", attempt->request_id));
+		return false;
+	}
 	target = attempt_target(attempt);
 	if (target != NULL) {
 		target_byte_received(target, now);
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -66,6 +66,7 @@
 typedef struct {
 	unsigned status;
 	bool request_id_mismatch; /* the response is for another request */
+	bool request_id_missing;
 	bool stamped; /* has a Server-Stamp field, which targets set */
 	bool not_run; /* the request was not executed */
 	bool load_reported;
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -325,6 +325,42 @@
 	world_destroy(&world);
 }
 
+/* An order goes out on a connection that has been idle for a moment. */
+#define KEPT_US 50000
+
+/*
+ * A faulty target repeats an earlier refusal on a kept connection while it runs
+ * the next request: that one must not be called not run.
+ */
+TEST(repeated_refusal_says_nothing_of_the_next_request)
+{
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("a%d", i);
+		g_autofree char *none = g_strdup_printf("n%d", i);
+		world_answer_t answer;
+
+		call_expect(
+		    &world, "POST", "/order/ok", "first", "x", 200, NULL);
+		g_usleep(KEPT_US);
+		call_expect(
+		    &world, "POST", "/order/again", id, "mine", 200, "mine");
+		ck_assert_uint_eq(count_all(&world, id), 1);
+		call_expect(
+		    &world, "POST", "/order/ok", "kept", "x", 200, NULL);
+		g_usleep(KEPT_US);
+		answer = world_call(&world, 0, "POST", "/order/again-no-id",
+		    none, WORLD_KEY, "x");
+		ck_assert_msg(answer.status == 502, "%d", answer.status);
+		world_answer_clear(&answer);
+		ck_assert_uint_eq(count_all(&world, none), 1);
+	}
+	world_destroy(&world);
+}
+
 /* Its text must not stand within the events, nor may the stream look whole. */
 TEST(stream_is_not_resumed_with_an_answer_that_is_no_stream)
 {
