gateway: ask a target that refused a connection before it is used again

What callers could see: a target that crashed and started again under its id, where the store hears of it late or not at all, is flooded while it is cold, and crashes again (FAILBACK).

Ruled out: concluding from resets, as a target with too many connections resets them as well; waiting for the next entry, which may be from before the crash.

Why it works: the instance that was refused asks the target for its health, twice a second, and sends nothing until it answers under its id; what it states is told to the others, whose connections may not have been refused.

--- a/core/targets.c
+++ b/core/targets.c
@@ -399,6 +399,7 @@
 void
 target_note_cold(target_t *target, int64_t cold_ms, time_us_t now)
 {
+	target->maybe_restarted = false;
 	target->stated_at = now;
 	target->stated_cold_until = cold_ms > 0 ? now + cold_ms * US_PER_MS : 0;
 }
@@ -602,6 +603,8 @@
 {
 	double per_s = restricted_per_s(target, cold_per_s, now);
 
+	if (target->maybe_restarted && cold_per_s > 0)
+		return TARGET_OPEN_LATER;
 	if (per_s > 0) {
 		if (target->sender_share <= 0)
 			return target_is_limited(target) ? TARGET_CLOSED
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -389,6 +389,12 @@
 	if (attempt == NULL) {
 		pool_drop(upstream);
 	} else if (end == TCP_CONNECT_FAILED) {
+		target_t *target = attempt_target(attempt);
+
+		if (target != NULL &&
+		    tcp_connect_error(upstream->connection) == ECONNREFUSED)
+			health_checks_note_refused(
+			    attempt->gateway->health_checks, target);
 		attempt_unreachable(attempt);
 	} else if (end == TCP_CLOSED_BY_PEER && !attempt->skipping &&
 		   http_reader_finish(upstream->reader)) {
--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -113,7 +113,10 @@
 	size_t n_held = quarantine_note_crash(gateway->quarantine,
 	    check->target_start, (crash_witness_t *)check->witnesses->data,
 	    check->witnesses->len, gateway_now(gateway));
+	target_t *target = targets_get(gateway->targets, check->target);
 
+	if (target != NULL)
+		health_checks_note_refused(gateway->health_checks, target);
 	counter_increment("target_crashes", NULL, NULL);
 	log_event(LOG_NOTICE, "target_crashed",
 	    LOG_S("target", check->target_id),
--- a/gateway/health.c
+++ b/gateway/health.c
@@ -78,11 +78,12 @@
 	time_us_t now = gateway_now(gateway);
 	bool was_cold;
 
-	if (target == NULL || check->health.cold_ms < 0 ||
+	if (target == NULL ||
 	    strcmp(check->health.target, target->entry.id) != 0)
 		return;
 	was_cold = target_is_cold(target, now);
-	target_note_cold(target, check->health.cold_ms, now);
+	/* A target that states no cold time is warm. */
+	target_note_cold(target, MAX(check->health.cold_ms, 0), now);
 	if (target_is_cold(target, now) == was_cold)
 		return;
 	gateway_note_target(gateway, target, "target");
@@ -162,15 +163,46 @@
 	gateway_start_timer(gateway, &check->timer, CHECK_TIMEOUT_US);
 }
 
-static const char *
-health_path(const gateway_t *gateway, const target_t *target)
+/* NULL: there is no configuration, or it doesn't have the service. */
+static const catalog_service_t *
+target_service(const gateway_t *gateway, const target_t *target)
 {
-	int service =
-	    catalog_service_index(gateway->catalog, target->entry.service);
+	int index;
 
-	return service < 0
-		   ? NULL
-		   : catalog_service(gateway->catalog, service)->health_path;
+	if (gateway->catalog == NULL)
+		return NULL;
+	index = catalog_service_index(gateway->catalog, target->entry.service);
+	return index < 0 ? NULL : catalog_service(gateway->catalog, index);
+}
+
+void
+health_checks_note_refused(health_checks_t *checks, target_t *target)
+{
+	const catalog_service_t *service =
+	    target_service(checks->gateway, target);
+
+	if (service == NULL || service->health_path == NULL ||
+	    service->cold_per_s <= 0 || target->maybe_restarted)
+		return;
+	target->maybe_restarted = true;
+	log_event(LOG_INFO, "target_maybe_restarted",
+	    LOG_S("target", target->entry.id),
+	    LOG_I("started_ms", target->entry.started_ms));
+}
+
+/* Whether it is time for this instance to ask the target. */
+static bool
+is_due(const health_checks_t *checks, const target_t *target, time_us_t now)
+{
+	const gateway_t *gateway = checks->gateway;
+
+	if (now < target->next_check_at ||
+	    !target_is_usable(gateway->targets, target) ||
+	    g_hash_table_contains(checks->running, &target->handle))
+		return false;
+	return target->maybe_restarted ||
+	       (checks->stale && members_is_responsible(gateway->members,
+				     target->short_id, CHECKERS, now));
 }
 
 void
@@ -185,22 +217,18 @@
 		    stale ? "targets_stale" : "targets_current",
 		    LOG_I("targets", targets_count(gateway->targets)));
 	checks->stale = stale;
-	if (!stale || gateway->catalog == NULL)
-		return;
 	for (size_t i = 0; i < targets_count(gateway->targets); i++) {
 		target_t *target = targets_at(gateway->targets, i);
-		const char *path;
+		const catalog_service_t *service;
 
-		if (now < target->next_check_at ||
-		    !target_is_usable(gateway->targets, target) ||
-		    g_hash_table_contains(checks->running, &target->handle) ||
-		    !members_is_responsible(
-			gateway->members, target->short_id, CHECKERS, now))
+		if (!is_due(checks, target, now))
 			continue;
-		path = health_path(gateway, target);
-		if (path == NULL)
+		service = target_service(gateway, target);
+		if (service == NULL || service->health_path == NULL) {
+			target->maybe_restarted = false;
 			continue;
+		}
 		target->next_check_at = now + CHECK_INTERVAL_US;
-		check_start(checks, target, path);
+		check_start(checks, target, service->health_path);
 	}
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -315,11 +315,17 @@
     const crash_witness_t *witness, request_t *request);
 
 /*
- * health.c: asks targets for their health while the list of targets is stale,
- * as a target may have turned cold without a new entry.
+ * health.c: asks targets for their health when one may have turned cold without
+ * a new entry: all while the list of targets is stale, and one that refused a
+ * connection.
  */
 health_checks_t *health_checks_create(gateway_t *gateway);
 void health_checks_destroy(health_checks_t *checks);
+/*
+ * Called when a target refused a connection: it is asked before it is used
+ * again, if its service has cold targets.
+ */
+void health_checks_note_refused(health_checks_t *checks, target_t *target);
 /* Starts the checks that are due. Call several times a second. */
 void health_checks_update(health_checks_t *checks);
 
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -201,8 +201,13 @@
 	double limit_per_s;	    /* TARGET_NO_LIMIT: none */
 	time_us_t limit_at;	    /* when it was named or ended; 0: never */
 	time_us_t limit_told_until; /* report to others that it has ended */
-	time_us_t next_check_at;    /* see gateway/health.c */
-	double allowance; /* token bucket: requests that may be sent */
+	/*
+	 * It refused a connection, so it may have started again since its entry
+	 * was written; it gets no request until it states its health.
+	 */
+	bool maybe_restarted;
+	time_us_t next_check_at; /* see gateway/health.c */
+	double allowance;	 /* token bucket: requests that may be sent */
 	time_us_t allowance_at;
 	/* Part of the rate of a cold or limited target that this instance may
 	 * use; 0: none. */
@@ -321,7 +326,7 @@
 
 typedef enum {
 	TARGET_OPEN,
-	TARGET_OPEN_LATER, /* it is cold, or the allowance is used up */
+	TARGET_OPEN_LATER, /* it is cold, may be so, or has no allowance left */
 	TARGET_CLOSED,	   /* for longer than a request waits */
 } target_admission_t;
 
--- a/tests/process_cold.c
+++ b/tests/process_cold.c
@@ -18,6 +18,12 @@
 #define BLIND_MS 3500
 #define NOTICE_MS 800
 
+/* Time after the start in which the instance sends to no cold target. */
+#define SETTLE_MS 3000
+
+/* A crashed target refuses connections for this long. */
+#define DOWN_MS 600
+
 /* Sends requests at an even rate and reads their answers afterwards. */
 static void
 requests_send(const world_t *world)
@@ -68,4 +74,32 @@
 	world_destroy(&world);
 }
 
+/*
+ * A target that crashes and starts again where the store doesn't hear of it is
+ * cold, under the same id and entry.
+ */
+TEST(restarted_target_is_not_flooded_before_its_entry_changes)
+{
+	world_t world;
+	world_answer_t answer;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	g_usleep(SETTLE_MS * 1000);
+	fake_worker_crash(world.workers[0], DOWN_MS);
+	fake_worker_crash(world.workers[1], DOWN_MS);
+	fake_worker_set_cold(world.workers[0], 8000);
+	fake_worker_set_cold(world.workers[1], 8000);
+	answer =
+	    world_call(&world, 0, "GET", "/read/ok", "down", WORLD_KEY, NULL);
+	world_answer_clear(&answer);
+	g_usleep(DOWN_MS * 1000);
+	requests_send(&world);
+	for (int i = 0; i < 2; i++)
+		ck_assert_uint_le(
+		    fake_worker_busiest_window(world.workers[i], 1000),
+		    ALLOWED_PER_S);
+	world_destroy(&world);
+}
+
 TEST_MAIN("cold")
