gateway: read from another region while none of the own reaches the store

Cause: an instance that can't reach the store reads from another one of its region only. When the store is silent to a whole region, all of it is blind, although other regions read on; it asks the targets, but only twice a second, and what it sent just before a target turned cold counts as well.

Ruled out: a limit for all instances with a stale list, as it would bind in each outage of the store, in which nothing can change.

Why it works: messages between regions carry the revision that the sender has read. An instance without the store reads from one that reported a newer revision than its own, wherever it is; when nobody has a newer one, nothing has changed.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -49,14 +49,17 @@
 #define RELAY_KEY 0x73746f7265
 
 /*
- * In a region without relays, an instance that can't reach the store for
- * STORE_UNREACHABLE_US reads from another one of its region, and tries the
- * store again after FALLBACK_RELAY_US. Guards against a store that serves some
- * instances and refuses others.
+ * Without a relay, an instance that can't reach the store for
+ * STORE_UNREACHABLE_US reads from one that has read newer data, or from any of
+ * its region, and tries the store again after FALLBACK_RELAY_US. Guards against
+ * a store that serves some instances and refuses others.
  */
 #define STORE_UNREACHABLE_US US_PER_S
 #define FALLBACK_RELAY_US (5 * US_PER_S)
 
+/* A report of a newer revision is used for this long. */
+#define NEWEST_READER_MAX_AGE_US (2 * US_PER_S)
+
 /*
  * An instance whose revision lags behind others for this long abandons its
  * relay, or counts the store as unreachable if it has none.
@@ -363,10 +366,16 @@
 }
 
 void
-gateway_note_revision(gateway_t *gateway, int64_t revision)
+gateway_note_revision(gateway_t *gateway, uint32_t ip, int64_t revision)
 {
 	time_us_t now = gateway_now(gateway);
 
+	if (revision > gateway->newest_revision ||
+	    now - gateway->newest_reported_at > NEWEST_READER_MAX_AGE_US) {
+		gateway->newest_reader_ip = ip;
+		gateway->newest_revision = revision;
+		gateway->newest_reported_at = now;
+	}
 	if (lag_note(&gateway->store_lag, store_revision(gateway->store),
 		revision, now) < RELAY_BEHIND_US)
 		return;
@@ -619,6 +628,24 @@
 	gateway->boot_clock_offset_us = offset;
 }
 
+/*
+ * Instance that has read newer data than this one, which may be of another
+ * region if none of the own can reach the store. 0: none is known.
+ */
+static uint32_t
+newest_reader(const gateway_t *gateway, time_us_t now)
+{
+	net_address_t address = {
+	    gateway->newest_reader_ip, gateway->own_peer.port};
+
+	if (address.ip == 0 ||
+	    gateway->newest_revision <= store_revision(gateway->store) ||
+	    now - gateway->newest_reported_at > NEWEST_READER_MAX_AGE_US ||
+	    store_relay_is_paused(gateway->store, &address))
+		return 0;
+	return address.ip;
+}
+
 /*
  * Whether to read from fallback_relay instead of the store. Chooses one when
  * the store has been unreachable for STORE_UNREACHABLE_US; the choice holds for
@@ -627,18 +654,24 @@
 static bool
 fallback_relay_pick(gateway_t *gateway, time_us_t now)
 {
+	net_address_t relay = {0, gateway->own_peer.port};
 	const member_t *member;
 
-	if (now < gateway->fallback_until)
+	if (now < gateway->fallback_until &&
+	    !store_relay_is_paused(gateway->store, &gateway->fallback_relay))
 		return true;
 	if (gateway->store_unreachable_since == 0 ||
 	    now - gateway->store_unreachable_since < STORE_UNREACHABLE_US)
 		return false;
-	member = members_pick(gateway->members, gateway->region, 0, now);
-	if (member == NULL)
-		return false;
-	gateway->fallback_relay =
-	    (net_address_t){member->entry.ip, gateway->own_peer.port};
+	relay.ip = newest_reader(gateway, now);
+	if (relay.ip == 0) {
+		member =
+		    members_pick(gateway->members, gateway->region, 0, now);
+		if (member == NULL)
+			return false;
+		relay.ip = member->entry.ip;
+	}
+	gateway->fallback_relay = relay;
 	gateway->fallback_until = now + FALLBACK_RELAY_US;
 	/*
 	 * This instance lags because it couldn't read, not because of the
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -498,7 +498,7 @@
 	members_merge(
 	    gateway->members, message->members, message->n_members, now);
 	fetch_note_version(gateway->fetch, message->config_version, sender->ip);
-	gateway_note_revision(gateway, message->store_revision);
+	gateway_note_revision(gateway, sender->ip, message->store_revision);
 	quarantine_import(
 	    gateway->quarantine, message->reports, message->n_reports, now);
 	notices_apply(gateway, message, now);
--- a/tests/process_platform.c
+++ b/tests/process_platform.c
@@ -812,6 +812,22 @@
 	world_destroy(&world);
 }
 
+/* None of its region can reach the store. All targets are in zone a-1. */
+TEST(targets_come_from_another_region_while_the_own_has_no_reader)
+{
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "b-1", true, true);
+	world_start(&world, 1, "a-1", false, false);
+	world_start(&world, 2, "a-1", false, false);
+	WORLD_WAIT(
+	    status_of(&world, 1, "/read/ok", "r1", WORLD_KEY) == 200, 9000);
+	WORLD_WAIT(
+	    status_of(&world, 2, "/read/ok", "r2", WORLD_KEY) == 200, 9000);
+	world_destroy(&world);
+}
+
 TEST(latencies_are_served_beside_the_counters)
 {
 	world_t world;
