core, gateway: hold fewer instances for isolated, and fewer limits for ended

Cause: an instance whose region is otherwise stopped counted as isolated although it hears other regions, from which it would learn of newer data and then read; with a store that is down for all it would have kept to the cold rate at each target for nothing. An instance that knows of no other was held for isolated, too. A refusal, or an answer without the target's stamp, ended a limit; it may be made before the target's own answer.

Why it works: isolated is who hears nobody outside its region and not most of it; only an answer of the target's own without the field ends the limit.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -241,6 +241,9 @@
 
 	switch (response->limit_kind) {
 	case RESPONSE_NO_LIMIT:
+		/* A refusal may be made before the target's own answer. */
+		if (response->not_run || !response->stamped)
+			return;
 		break;
 	case RESPONSE_LIMIT:
 		per_s = response->limit_per_s;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -841,7 +841,7 @@
 	uint32_t n_known = members_n_known(gateway->members, now);
 	bool isolated = gateway->targets_loaded &&
 			targets_list_is_stale(gateway->targets, now) &&
-			!members_hears_region(gateway->members, now);
+			members_is_isolated(gateway->members, now);
 
 	targets_set_isolated(gateway->targets, isolated ? n_known : 0);
 	if (isolated == gateway->isolated)
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -155,10 +155,10 @@
 uint32_t members_n_known(const members_t *members, time_us_t now);
 
 /*
- * Returns whether this instance knows others in its region and hears most of
- * the region.
+ * Returns whether there are other instances, and this one hears neither most of
+ * its region nor any elsewhere.
  */
-bool members_hears_region(const members_t *members, time_us_t now);
+bool members_is_isolated(const members_t *members, time_us_t now);
 
 /*
  * Writes the other instances that are responsible for key, at most count.
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -284,8 +284,9 @@
 
 /*
  * Sets whether this instance can't learn which targets are cold: its list is
- * stale, and it doesn't hear most of its region. n_instances: those known in
- * the region, each of which may be in the same situation; 0: it can.
+ * stale, and it hears neither most of its region nor another one. n_instances:
+ * those known in the region, each of which may be in the same situation; 0: it
+ * can.
  */
 void targets_set_isolated(targets_t *targets, uint32_t n_instances);
 
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -353,6 +353,27 @@
 	}
 }
 
+/* One that hears others elsewhere would learn of newer data from them. */
+TEST(instance_that_hears_another_region_is_not_isolated)
+{
+	sim_t sim;
+
+	sim_create(&sim, 9);
+	sim_run(&sim, 3 * US_PER_S);
+	ck_assert(!members_is_isolated(sim.nodes[0], sim.now));
+	sim.dead[3] = true;
+	sim.dead[6] = true;
+	sim_run(&sim, 5 * US_PER_S);
+	ck_assert(!members_is_isolated(sim.nodes[0], sim.now));
+	sim.partition[0] = 1;
+	sim_run(&sim, 5 * US_PER_S);
+	ck_assert(members_is_isolated(sim.nodes[0], sim.now));
+	sim.partition[0] = 0;
+	sim_run(&sim, 5 * US_PER_S);
+	ck_assert(!members_is_isolated(sim.nodes[0], sim.now));
+	sim_destroy(&sim);
+}
+
 /* Those that see most of the region go on without the others. */
 TEST(majority_uses_the_shares_of_lost_instances)
 {
