core: hold a group that is cut off for isolated, also if it hears other regions

Instances that are cut off hear each other, also across regions.

Evidence: test_members, group_that_is_cut_off_is_isolated.

--- a/core/members.c
+++ b/core/members.c
@@ -440,13 +440,11 @@
 bool
 members_is_isolated(const members_t *members, time_us_t now)
 {
-	uint32_t n_live = members_n_live(members, TOPOLOGY_NONE, now);
-	bool hears_region =
-	    members->majority_since != 0 && members_n_known(members, now) > 1;
-
-	return (members->all->len > 0 || has_other_seed(members)) &&
-	       !hears_region &&
-	       n_live == members_n_live(members, members->own_region, now);
+	if (members->all->len == 0 && !has_other_seed(members))
+		return false;
+	return members->majority_since == 0 ||
+	       (members_n_known(members, now) == 1 &&
+		   members_n_live(members, TOPOLOGY_NONE, now) == 1);
 }
 
 bool
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -155,8 +155,9 @@
 uint32_t members_n_known(const members_t *members, time_us_t now);
 
 /*
- * Returns whether there are other instances, and this one hears neither most of
- * its region nor any elsewhere.
+ * Returns whether this instance doesn't hear most of its region, or, if it is
+ * the only one there, any elsewhere. A group that is cut off may hear others
+ * of its kind. Without other instances, it is not isolated.
  */
 bool members_is_isolated(const members_t *members, time_us_t now);
 
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -284,7 +284,7 @@
 
 /*
  * Sets whether this instance can't learn which targets are cold: its list is
- * stale, and it hears neither most of its region nor another one. n_instances:
+ * stale, and it is cut off (members_is_isolated()). n_instances:
  * those known in the region, each of which may be in the same situation; 0: it
  * can.
  */
