--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -657,8 +657,7 @@
 	net_address_t relay = {0, gateway->own_peer.port};
 	const member_t *member;
 
-	if (now < gateway->fallback_until &&
-	    !store_relay_is_paused(gateway->store, &gateway->fallback_relay))
+	if (now < gateway->fallback_until)
 		return true;
 	if (gateway->store_unreachable_since == 0 ||
 	    now - gateway->store_unreachable_since < STORE_UNREACHABLE_US)
