--- a/review/build.sh
+++ b/review/build.sh
@@ -12,7 +12,7 @@
 	number=$(basename "$(dirname "$source")")
 	# shellcheck disable=SC2046,SC2086
 	cc $flags $(pkg-config --cflags glib-2.0) -o "target/review/case-$number" \
-	    -x c "$source" review/lib/world.c11 review/lib/orders.c11 \
+	    -x c "$source" review/world.c11 review/orders.c11 \
 	    fakes/fake_store.c fakes/raw_http.c \
 	    -x none $(pkg-config --libs glib-2.0)
 done
