--- a/core/placement.c
+++ b/core/placement.c
@@ -211,13 +211,14 @@
 			(1.0 + shared / JITTER_SHARED_TOKENS);
 
 	candidate.tokens = tokens_assumed_uncached(&candidate, unshared);
-	candidate.expected_ms = target_expected_ms(target, candidate.tokens);
-	candidate.cost = candidate.expected_ms +
-			 CACHE_MISS_COST *
-			     MAX(0.0, candidate.tokens - unshared) /
-			     ENGINE_PREFILL_PER_MS +
-			 RUNNING_COST_MS * target_in_flight(target, now) +
-			 jitter + FAILURE_COST_MS * target->failure_rate;
+	candidate.expected_ms =
+	    target_expected_ms(target, candidate.tokens, now);
+	candidate.cost =
+	    candidate.expected_ms +
+	    CACHE_MISS_COST * target_prefill_ms(target,
+				  MAX(0.0, candidate.tokens - unshared), now) +
+	    RUNNING_COST_MS * target_in_flight(target, now) + jitter +
+	    FAILURE_COST_MS * target->failure_rate;
 	return candidate;
 }
 
@@ -230,8 +231,9 @@
 	double tie = (double)(random_next(random) % 1000) / 1e5;
 
 	return (candidate_t){.target = target,
-	    .cost = (load + 0.2 + tie) * MAX(0.5, target->slowness) +
-		    FAILURE_COST_LOAD * target->failure_rate};
+	    .cost =
+		(load + 0.2 + tie) * MAX(0.5, pace_factor(&target->pace, now)) +
+		FAILURE_COST_LOAD * target->failure_rate};
 }
 
 /* Returns whether to leave the slot to a request with its prompt cached there.
@@ -396,10 +398,8 @@
 		placement.tokens = best.tokens;
 		placement.expected_ms = best.expected_ms;
 		if (request->prompt != NULL)
-			placement.cache_miss_ms =
-			    target_expected_ms(
-				best.target, request->prompt->tokens_in) -
-			    target_expected_ms(best.target, best.tokens);
+			placement.cache_miss_ms = target_prefill_ms(best.target,
+			    request->prompt->tokens_in - best.tokens, now);
 		placement.preference_rank = best.rank;
 	}
 	return placement;
@@ -422,7 +422,7 @@
 		    target_n_senders(target, now) > 0)
 			continue;
 		in_flight = target_in_flight(target, now);
-		expected = target_expected_ms(target, 0);
+		expected = target_expected_ms(target, 0, now);
 		capacity.expected_ms = MIN(capacity.expected_ms, expected);
 		if (in_flight < target->entry.slots &&
 		    expected < PLACEMENT_MAX_EXPECTED_MS)
--- a/core/targets.c
+++ b/core/targets.c
@@ -9,14 +9,13 @@
 
 /* Weight of the newest result in the moving averages. */
 #define FAILURE_WEIGHT 0.1
-#define SLOWNESS_WEIGHT 0.15
 /* Weight of one instance's report in the average gap between events. */
 #define PEER_GAP_WEIGHT 0.2
 /* Time constant of the average gap between events. */
 #define EVENT_GAP_TAU_US (400 * US_PER_MS)
 
-#define SLOWNESS_MIN 0.3
-#define SLOWNESS_MAX 12.0
+/* Observations of paces that are kept until they are told to others. */
+#define PACE_LOG_LIMIT 64
 
 /* Load that a target reported is used for this long. */
 #define REPORTED_LOAD_MAX_AGE_US (400 * US_PER_MS)
@@ -62,6 +61,8 @@
 	time_us_t listed_at;	     /* see targets_note_listed() */
 	guint notices_cursor;	     /* index of the next target to export */
 	GHashTable *peers;	     /* load_sender_t -> peer_load_t */
+	GHashTable *models;	     /* service name -> pace_model_t */
+	pace_log_t *pace_logs[PACE_AUDIENCE_COUNT];
 	void (*on_free)(target_t *, void *);
 	void *on_free_context;
 };
@@ -88,6 +89,10 @@
 	targets->by_index = g_ptr_array_new();
 	targets->peers =
 	    g_hash_table_new_full(NULL, NULL, NULL, peer_load_free);
+	targets->models =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (int i = 0; i < PACE_AUDIENCE_COUNT; i++)
+		targets->pace_logs[i] = pace_log_create(PACE_LOG_LIMIT);
 	return targets;
 }
 
@@ -111,6 +116,9 @@
 	g_hash_table_destroy(targets->by_id);
 	g_hash_table_destroy(targets->by_short);
 	g_hash_table_destroy(targets->peers);
+	g_hash_table_destroy(targets->models);
+	for (int i = 0; i < PACE_AUDIENCE_COUNT; i++)
+		pace_log_destroy(targets->pace_logs[i]);
 	g_ptr_array_unref(targets->all);
 	g_ptr_array_unref(targets->by_index);
 	g_free(targets);
@@ -176,13 +184,28 @@
 	       now - target->unreachable_at >= TARGET_ENTRY_DELAY_US;
 }
 
+static pace_model_t *
+model_of_service(targets_t *targets, const char *service)
+{
+	pace_model_t *model = g_hash_table_lookup(targets->models, service);
+
+	if (model != NULL)
+		return model;
+	model = g_new(pace_model_t, 1);
+	pace_model_init(model);
+	g_hash_table_insert(targets->models, g_strdup(service), model);
+	return model;
+}
+
 static target_t *
 target_add(targets_t *targets, const target_entry_t *entry)
 {
 	target_t *target = g_new0(target_t, 1);
 
 	target->entry = *entry;
-	target->slowness = 1.0;
+	target->table = targets;
+	target->model = model_of_service(targets, entry->service);
+	pace_init(&target->pace);
 	target->limit_per_s = TARGET_NO_LIMIT;
 	target->short_id = target_short_id(entry->id);
 	target->version = stream_version(entry->service, entry->version);
@@ -639,12 +662,25 @@
 	return TARGET_OPEN;
 }
 
+/* Tokens of prompts that instances sent and that have no first token yet. */
+static double
+tokens_pending(const target_t *target)
+{
+	return MAX(0.0, target->pending_tokens + target->peer_pending_tokens);
+}
+
 void
 target_attempt_begin(target_t *target, double tokens, double expected_ms,
     time_us_t now, target_attempt_t *attempt)
 {
-	*attempt = (target_attempt_t){
-	    target->handle, tokens, expected_ms, 0, now, false};
+	*attempt = (target_attempt_t){.target = target->handle,
+	    .tokens = tokens,
+	    .expected_ms = expected_ms,
+	    .sent_at = now,
+	    .stated = pace_stated(&target->pace, now),
+	    .tokens_ahead = tokens_pending(target),
+	    .found_slot = target->in_flight + target->peer_in_flight <
+			  MAX(1u, target->entry.slots)};
 	if (target->in_flight == 0)
 		target->last_activity_at = now;
 	target->in_flight++;
@@ -703,36 +739,118 @@
 }
 
 /*
- * Returns observed over expected time. A delay that a cache miss explains says
- * nothing about the target's speed: counted as slowness, a single prompt that
- * had to be prefilled would move the next ones away from the target that now
- * has it cached.
+ * Returns the observed time without a delay that a cache miss explains: counted
+ * as slowness, a single prompt that had to be prefilled would move the next
+ * ones away from the target that now has it cached.
  */
 static double
-latency_ratio(const target_attempt_t *attempt, double observed)
+ms_without_miss(const target_attempt_t *attempt, double observed)
+{
+	double expected = attempt->expected_ms;
+
+	if (observed <= expected)
+		return observed;
+	return MAX(expected,
+	    observed * expected / (expected + attempt->cache_miss_ms));
+}
+
+/* Learns from an answer. ratio: as pace_learn() takes it. */
+static void
+pace_observe(target_t *target, const pace_observation_t *observation,
+    double ratio, time_us_t now)
+{
+	pace_learn(&target->pace, ratio);
+	pace_model_learn(target->model, observation->tokens,
+	    (double)observation->ms / pace_stated(&target->pace, now));
+}
+
+/* Ratio of an own attempt, whose prompt may have been cached or not. */
+static double
+own_ratio(const target_t *target, const target_attempt_t *attempt,
+    double observed, time_us_t now)
+{
+	return target->pace.slowness * ms_without_miss(attempt, observed) /
+	       attempt->expected_ms * attempt->stated /
+	       pace_stated(&target->pace, now);
+}
+
+static double
+told_ratio(const target_t *target, const pace_observation_t *observation,
+    time_us_t now)
+{
+	return observation->ms / pace_stated(&target->pace, now) /
+	       pace_model_ms(target->model, observation->tokens);
+}
+
+static uint32_t
+stated_percent(const target_t *target, time_us_t now)
 {
-	if (observed <= attempt->expected_ms)
-		return observed / attempt->expected_ms;
-	return MAX(
-	    1.0, observed / (attempt->expected_ms + attempt->cache_miss_ms));
+	if (target->pace.stated_at == 0)
+		return 0;
+	return (uint32_t)lround(100 * pace_stated(&target->pace, now));
+}
+
+static void
+pace_tell(targets_t *targets, const pace_observation_t *observation)
+{
+	for (int i = 0; i < PACE_AUDIENCE_COUNT; i++)
+		pace_log_add(targets->pace_logs[i], observation);
 }
 
 void
 target_first_byte(target_t *target, target_attempt_t *attempt, time_us_t now)
 {
 	double observed = (double)(now - attempt->sent_at) / US_PER_MS;
+	pace_observation_t observation = {.target = target->short_id,
+	    .tokens = (uint32_t)(attempt->tokens_ahead + attempt->tokens),
+	    .ms = (uint32_t)MAX(1, lround(observed)),
+	    .stated = stated_percent(target, now)};
 
 	if (attempt->first_byte)
 		return;
 	attempt->first_byte = true;
 	target->pending_tokens -= attempt->tokens;
-	if (attempt->expected_ms > 0) {
-		double ratio =
-		    target->slowness * latency_ratio(attempt, observed);
+	/* The wait for a slot depends on answers, not on prompts. */
+	if (attempt->expected_ms <= 0 || !attempt->found_slot)
+		return;
+	pace_observe(target, &observation,
+	    own_ratio(target, attempt, observed, now), now);
+	pace_tell(target->table, &observation);
+}
+
+bool
+target_report_pace(target_t *target, double factor, time_us_t now)
+{
+	return pace_state(&target->pace, factor, now);
+}
 
-		target->slowness += SLOWNESS_WEIGHT *
-				    (CLAMP(ratio, SLOWNESS_MIN, SLOWNESS_MAX) -
-					target->slowness);
+size_t
+targets_export_paces(targets_t *targets, pace_audience_t audience,
+    pace_observation_t *observations, size_t limit)
+{
+	return pace_log_take(targets->pace_logs[audience], observations, limit);
+}
+
+void
+targets_import_paces(targets_t *targets, const pace_observation_t *observations,
+    size_t n, bool pass_on, time_us_t now)
+{
+	for (size_t i = 0; i < n; i++) {
+		const pace_observation_t *observation = &observations[i];
+		target_t *target = g_hash_table_lookup(
+		    targets->by_short, GUINT_TO_POINTER(observation->target));
+
+		if (target == NULL)
+			continue;
+		if (observation->stated > 0)
+			pace_state(
+			    &target->pace, observation->stated / 100.0, now);
+		if (observation->ms > 0)
+			pace_observe(target, observation,
+			    told_ratio(target, observation, now), now);
+		if (pass_on)
+			pace_log_add(
+			    targets->pace_logs[PACE_FOR_REGION], observation);
 	}
 }
 
@@ -834,12 +952,17 @@
 }
 
 double
-target_expected_ms(const target_t *target, double tokens)
+target_expected_ms(const target_t *target, double tokens, time_us_t now)
 {
-	double ahead = target->pending_tokens + target->peer_pending_tokens;
+	return pace_factor(&target->pace, now) *
+	       pace_model_ms(target->model, tokens_pending(target) + tokens);
+}
 
-	return target->slowness * (ENGINE_FIRST_TOKEN_MS +
-				      (ahead + tokens) / ENGINE_PREFILL_PER_MS);
+double
+target_prefill_ms(const target_t *target, double tokens, time_us_t now)
+{
+	return pace_factor(&target->pace, now) * target->model->token_ms *
+	       tokens;
 }
 
 uint32_t
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -302,6 +302,27 @@
 	gossip_round(attempt->gateway->gossip);
 }
 
+static void
+attempt_note_load(const attempt_t *attempt, target_t *target, time_us_t now)
+{
+	const target_response_t *response = &attempt->response;
+
+	if (!response->load_reported)
+		return;
+	target_report_load(target, response->running, response->waiting, now);
+	switch (response->pace_kind) {
+	case RESPONSE_NO_PACE:
+		return;
+	case RESPONSE_PACE:
+		if (target_report_pace(target, response->pace, now))
+			return;
+		break;
+	case RESPONSE_PACE_MALFORMED:
+		break;
+	}
+	counter_increment("target_paces_malformed", NULL, NULL);
+}
+
 static bool
 on_head(void *owner, const http_head_t *head)
 {
@@ -331,9 +352,7 @@
 		version_read(attempt, head);
 	if (target != NULL) {
 		target_byte_received(target, now);
-		if (attempt->response.load_reported)
-			target_report_load(target, attempt->response.running,
-			    attempt->response.waiting, now);
+		attempt_note_load(attempt, target, now);
 		attempt_note_limit(attempt, target, now);
 		if (!attempt->response.event_stream)
 			attempt_first_byte(attempt, target, now);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -48,6 +48,21 @@
 /* Records of streams in one message; further ones follow in the next. */
 #define RECORD_LIMIT 48
 
+/* Observations of paces in one message; the newest are sent. */
+#define PACE_LIMIT 24
+#define PACE_ZONE_LIMIT 12
+
+/*
+ * The numbers of an observation are packed into one word: tokens and percent in
+ * these units, and ms.
+ */
+#define PACE_FIELD_BITS 12
+#define PACE_FIELD_MAX ((1u << PACE_FIELD_BITS) - 1)
+#define PACE_STATED_BITS 8
+#define PACE_STATED_FIELD_MAX ((1u << PACE_STATED_BITS) - 1)
+#define PACE_TOKENS_UNIT 8
+#define PACE_STATED_UNIT 4
+
 /* Instances of each other zone that get records, and that are asked. */
 #define RECORD_COPIES 2
 
@@ -94,7 +109,9 @@
 	uint32_t n_records;
 	stream_record_t records[RECORD_LIMIT];
 	bool has_query;
-	stream_query_t query;
+	stream_query_t query; /* its id is 0 unless has_query */
+	uint32_t n_paces;
+	pace_observation_t paces[PACE_LIMIT];
 } message_t;
 
 /* A query that waits until the list of targets is known to be current. */
@@ -302,18 +319,25 @@
 	message->n_capacities = 0;
 	message->n_records = 0;
 	message->has_query = false;
+	message->n_paces = 0;
 	switch (kind) {
 	case MESSAGE_INSTANCE:
 		message->n_loads = (uint32_t)targets_own_load(
 		    gateway->targets, message->loads, LOAD_LIMIT, now);
 		message->n_demands = (uint32_t)team_rates_own_demand(
 		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT);
+		message->n_paces =
+		    (uint32_t)targets_export_paces(gateway->targets,
+			PACE_FOR_ZONE, message->paces, PACE_LIMIT);
 		return;
 	case MESSAGE_ZONE:
 		message->n_loads = (uint32_t)targets_zone_load(gateway->targets,
 		    message->loads, LOAD_LIMIT, &message->n_instances, now);
 		message->n_demands = (uint32_t)team_rates_zone_demand(
 		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT, now);
+		message->n_paces =
+		    (uint32_t)targets_export_paces(gateway->targets,
+			PACE_FOR_REGION, message->paces, PACE_ZONE_LIMIT);
 		return;
 	case MESSAGE_REGION:
 		message->n_demands = (uint32_t)team_rates_region_demand(
@@ -365,19 +389,59 @@
 	       xdr_uint32_t(xdr, &query->life_ms);
 }
 
+/* An observation takes 8 bytes. */
+static bool
+pace_xdr(XDR *xdr, pace_observation_t *observation)
+{
+	uint32_t packed =
+	    MIN(observation->tokens / PACE_TOKENS_UNIT, PACE_FIELD_MAX)
+		<< (PACE_FIELD_BITS + PACE_STATED_BITS) |
+	    MIN(observation->ms, PACE_FIELD_MAX) << PACE_STATED_BITS |
+	    MIN(observation->stated / PACE_STATED_UNIT, PACE_STATED_FIELD_MAX);
+
+	if (!xdr_uint32_t(xdr, &observation->target) ||
+	    !xdr_uint32_t(xdr, &packed))
+		return false;
+	observation->tokens =
+	    (packed >> (PACE_FIELD_BITS + PACE_STATED_BITS)) * PACE_TOKENS_UNIT;
+	observation->ms = packed >> PACE_STATED_BITS & PACE_FIELD_MAX;
+	observation->stated =
+	    (packed & PACE_STATED_FIELD_MAX) * PACE_STATED_UNIT;
+	return true;
+}
+
+static bool
+paces_xdr(XDR *xdr, message_t *message)
+{
+	if (!count_xdr(xdr, &message->n_paces, PACE_LIMIT))
+		return false;
+	for (uint32_t i = 0; i < message->n_paces; i++) {
+		if (!pace_xdr(xdr, &message->paces[i]))
+			return false;
+	}
+	return true;
+}
+
+/* A query of no stream stands before paces where there is none. */
 static bool
 extensions_encode(XDR *xdr, message_t *message)
 {
-	bool has_records = message->n_records > 0 || message->has_query;
+	static const stream_query_t no_query;
+	bool has_paces = message->n_paces > 0;
+	bool has_query = message->has_query || has_paces;
+	bool has_records = message->n_records > 0 || has_query;
 	bool has_era = message->store_revision.era != 0 || has_records;
 	bool has_notices = message->n_notices > 0 || has_era;
 	bool has_reports = message->n_reports > 0 || has_notices;
 
+	if (!message->has_query)
+		message->query = no_query;
 	return (!has_reports || reports_xdr(xdr, message)) &&
 	       (!has_notices || notices_xdr(xdr, message)) &&
 	       (!has_era || xdr_int64_t(xdr, &message->store_revision.era)) &&
 	       (!has_records || records_xdr(xdr, message)) &&
-	       (!message->has_query || query_xdr(xdr, &message->query));
+	       (!has_query || query_xdr(xdr, &message->query)) &&
+	       (!has_paces || paces_xdr(xdr, message));
 }
 
 /* What can't be read is left out: the message is of use without it. */
@@ -389,6 +453,7 @@
 	message->store_revision.era = 0;
 	message->n_records = 0;
 	message->has_query = false;
+	message->n_paces = 0;
 	if (message->version != MESSAGE_VERSION || xdr_getpos(xdr) == len)
 		return;
 	if (!reports_xdr(xdr, message)) {
@@ -414,8 +479,11 @@
 		message->n_records = 0;
 		return;
 	}
-	message->has_query =
-	    xdr_getpos(xdr) < len && query_xdr(xdr, &message->query);
+	if (xdr_getpos(xdr) == len || !query_xdr(xdr, &message->query))
+		return;
+	message->has_query = message->query.id != 0;
+	if (xdr_getpos(xdr) < len && !paces_xdr(xdr, message))
+		message->n_paces = 0;
 }
 
 static size_t
@@ -709,6 +777,8 @@
 	    gateway->targets, sender, message->loads, message->n_loads, now);
 	team_rates_report_instance(
 	    gateway->rates, sender, message->demands, message->n_demands, now);
+	targets_import_paces(gateway->targets, message->paces, message->n_paces,
+	    !load_sender_is_zone(sender), now);
 }
 
 static void
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "balance/pace.h"
 #include "core/handle.h"
 #include "core/topology.h"
 #include "core/types.h"
@@ -87,12 +88,6 @@
  */
 #define TARGET_LIMIT_SENDERS_MAX 1024
 
-/*
- * Nominal prefill rate of an engine, in tokens per millisecond. Deviations of a
- * target from it are part of target_t.slowness.
- */
-#define ENGINE_PREFILL_PER_MS 90.0
-
 /*
  * At peak load all instances of a region wait for the same slots, and each
  * learns within 100 ms that one is free; all would send there. While the number
@@ -114,9 +109,6 @@
 #define TARGET_UNTRACKED_TAU_US (300 * US_PER_MS)
 #define TARGET_UNTRACKED_MAX_AGE_US (2 * US_PER_S)
 
-/* Time to the first token of an idle engine, without prefill. */
-#define ENGINE_FIRST_TOKEN_MS 35.0
-
 typedef enum { TARGET_READY, TARGET_DRAINING } target_state_t;
 
 typedef struct {
@@ -166,6 +158,7 @@
 
 typedef struct {
 	target_entry_t entry;
+	targets_t *table;
 	handle_t handle;
 	uint32_t short_id;
 	uint32_t version; /* stream_version() of its entry */
@@ -191,7 +184,8 @@
 	uint32_t consecutive_failures; /* error responses and refusals */
 	uint32_t consecutive_breaks;   /* incomplete responses */
 	double failure_rate;	       /* moving average, 0..1 */
-	double slowness;     /* average observed / nominal first-byte time */
+	pace_t pace;
+	pace_model_t *model; /* of its service; owned by the table */
 	double event_gap_ms; /* between events of this instance's streams */
 	time_us_t event_gap_at;
 	double peer_event_gap_ms; /* average reported by other instances */
@@ -365,6 +359,9 @@
 	double cache_miss_ms; /* extra time if the prompt isn't cached */
 	time_us_t sent_at;
 	bool first_byte;
+	double stated;	     /* pace_stated() when it was sent */
+	double tokens_ahead; /* to be prefilled before this prompt */
+	bool found_slot;     /* a slot was free when it was sent */
 } target_attempt_t;
 
 /*
@@ -408,8 +405,38 @@
 void target_report_load(
     target_t *target, uint32_t running, uint32_t waiting, time_us_t now);
 
-/* Expected time to the first token in ms, with these tokens to prefill. */
-double target_expected_ms(const target_t *target, double tokens);
+/*
+ * Records the pace that the target stated, as a factor on the time that its
+ * work takes. Returns false if the factor is out of range (pace_state()).
+ */
+bool target_report_pace(target_t *target, double factor, time_us_t now);
+
+/*
+ * Expected time to the first token in ms, with these tokens to prefill, at the
+ * target's present pace.
+ */
+double target_expected_ms(const target_t *target, double tokens, time_us_t now);
+
+/* Time in ms that the target takes to prefill the tokens at its present pace.
+ */
+double target_prefill_ms(const target_t *target, double tokens, time_us_t now);
+
+/* Who is told of the observations of paces. */
+typedef enum {
+	PACE_FOR_ZONE,	 /* instances of the own zone */
+	PACE_FOR_REGION, /* other zones; also what the own zone told */
+	PACE_AUDIENCE_COUNT
+} pace_audience_t;
+
+/* Writes the newest observations that weren't told yet. Returns their number,
+ * at most limit; older ones are dropped. */
+size_t targets_export_paces(targets_t *targets, pace_audience_t audience,
+    pace_observation_t *observations, size_t limit);
+
+/* Applies what another instance observed; pass_on: tell other zones of it. */
+void targets_import_paces(targets_t *targets,
+    const pace_observation_t *observations, size_t n, bool pass_on,
+    time_us_t now);
 
 /* Known or reported requests in flight, from all instances. */
 uint32_t target_in_flight(const target_t *target, time_us_t now);
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -74,6 +74,12 @@
 	bool load_reported;
 	uint32_t running;
 	uint32_t waiting;
+	enum {
+		RESPONSE_NO_PACE,
+		RESPONSE_PACE, /* the target stated its momentary pace */
+		RESPONSE_PACE_MALFORMED,
+	} pace_kind;
+	double pace;	 /* RESPONSE_PACE: factor on the usual time */
 	int64_t idle_ms; /* keep-alive timeout of the target; -1: absent */
 	bool event_stream;
 	int64_t retry_after_ms; /* -1: absent */
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -159,8 +159,8 @@
 		ck_assert_ptr_nonnull(send_one(&f, NULL));
 	for (int i = 0; i < TARGETS; i++) {
 		used += f.all[i]->in_flight > 0;
-		ck_assert_double_le(
-		    target_expected_ms(f.all[i], 0), PLACEMENT_MAX_EXPECTED_MS);
+		ck_assert_double_le(target_expected_ms(f.all[i], 0, f.now),
+		    PLACEMENT_MAX_EXPECTED_MS);
 	}
 	ck_assert_uint_ge(used, 2);
 	end_all(&f);
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -296,19 +296,19 @@
 {
 	fixture_t f = fixture_create();
 	target_t *target = put(&f, "t1");
-	double before = target->slowness;
+	double before = target->pace.slowness;
 	target_attempt_t attempt;
 
 	target_attempt_begin(target, 1000, 50, f.now, &attempt);
 	attempt.cache_miss_ms = 70;
 	target_first_byte(target, &attempt, f.now + 110 * US_PER_MS);
 	target_attempt_finish(target, &attempt, TARGET_RESULT_OK, f.now);
-	ck_assert_double_eq(target->slowness, before);
+	ck_assert_double_eq(target->pace.slowness, before);
 	target_attempt_begin(target, 1000, 50, f.now, &attempt);
 	attempt.cache_miss_ms = 70;
 	target_first_byte(target, &attempt, f.now + 480 * US_PER_MS);
 	target_attempt_finish(target, &attempt, TARGET_RESULT_OK, f.now);
-	ck_assert_double_gt(target->slowness, 1.3 * before);
+	ck_assert_double_gt(target->pace.slowness, 1.3 * before);
 	fixture_destroy(&f);
 }
 
