--- a/core/placement.c
+++ b/core/placement.c
@@ -35,6 +35,9 @@
  * preferred target at a time. */
 #define PREFERRED_CONTENDERS_DIVISOR 4
 
+/* Part of the limit on gaps between events for each part of reserved room. */
+#define RESERVE_GAP_FACTOR 1.6
+
 /* Fraction of a target's connection limit that is left unused. */
 #define CONNECTION_RESERVE 0.1
 
@@ -265,6 +268,15 @@
 		   : region_instances;
 }
 
+/* A request that leaves a reserve stops earlier at an engine with slow streams.
+ */
+static double
+gap_limit_ms(const placement_request_t *request)
+{
+	return request->gap_limit_ms *
+	       (1.0 - RESERVE_GAP_FACTOR * request->reserve);
+}
+
 static bool
 has_room(const candidate_t *candidate, const placement_request_t *request,
     time_us_t now)
@@ -272,6 +284,9 @@
 	const target_t *target = candidate->target;
 	uint32_t in_flight = target_in_flight(target, now);
 	double slots = MAX(1u, target->entry.slots);
+	double wait_limit = request->wait_limit_ms > 0
+				? request->wait_limit_ms
+				: PLACEMENT_MAX_EXPECTED_MS;
 
 	if (!connections_allow(target, request))
 		return false;
@@ -280,10 +295,12 @@
 	/* An idle engine accepts any prompt. */
 	if (in_flight == 0)
 		return true;
+	if (in_flight > slots * (1.0 - request->reserve))
+		return false;
 	if (in_flight >= PLACEMENT_SLOW_MIN_REQUESTS &&
-	    target_is_slow(target, request->gap_limit_ms, now))
+	    target_is_slow(target, gap_limit_ms(request), now))
 		return false;
-	return candidate->expected_ms < PLACEMENT_MAX_EXPECTED_MS &&
+	return candidate->expected_ms < wait_limit &&
 	       target_has_slot(target,
 		   n_contenders(candidate, request->region_instances), now);
 }
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -260,9 +260,8 @@
 	request->regions =
 	    route->regions &
 	    (request->team ? request->team->regions : REGION_SET_ALL);
-	request->priority = request->team && request->team->priority >= 0
-				? request->team->priority
-				: route->priority;
+	request->priority = urgency_class(
+	    request->team ? request->team->priority : -1, route->priority);
 	request->service = catalog_service(request->catalog,
 	    catalog_pick_service(route, random_next(&gateway->random)));
 	if (request->service == NULL) {
@@ -271,6 +270,9 @@
 	}
 	request->service_state =
 	    gateway_service_state(gateway, request->service->name);
+	if (region_set_has(request->regions, gateway->region))
+		urgency_note(&request->service_state->urgency,
+		    request->priority, gateway_now(gateway));
 	features_find(request);
 	stream_length_note(request);
 	return team_charge(request);
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -190,17 +190,35 @@
 	return true;
 }
 
+/*
+ * Longest expected time to the first token at an engine. A request whose
+ * objective is far off may wait there, where it keeps the engine busy, unless
+ * more urgent ones would wait behind it.
+ */
+static double
+wait_limit_ms(const request_t *request, double reserve)
+{
+	if (reserve >= URGENCY_RESERVE_MAX / 2)
+		return PLACEMENT_MAX_EXPECTED_MS;
+	return MAX(PLACEMENT_MAX_EXPECTED_MS,
+	    (double)request->route->first_byte_objective_ms / 2);
+}
+
 static void
 request_choose(request_t *request, choice_t *choice)
 {
 	gateway_t *gateway = request->gateway;
 	bool local = region_set_has(request->regions, gateway->region);
+	double reserve = urgency_reserve(
+	    &request->service_state->urgency, request->priority);
 	placement_request_t criteria = {
 	    .service = request->service,
 	    .prompt = request->service->engine ? &request->parsed.prompt : NULL,
 	    .n_tried = request->n_tried,
 	    .region_instances = gateway->region_instances,
+	    .reserve = reserve,
 	    .gap_limit_ms = request->service_state->gap_limit_ms,
+	    .wait_limit_ms = wait_limit_ms(request, reserve),
 	    .version =
 		request_keeps_version(request) ? request->stream_version : 0,
 	    .may_wait_for_cached =
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -33,7 +33,7 @@
 #define STREAM_WEIGHT 0.02
 
 /* Streams up to this many times the average length must end in time. */
-#define STREAM_LENGTH_FACTOR 2.0
+#define STREAM_LENGTH_FACTOR 1.2
 
 /* Instances in a region from which on it has relays (RELAY_COUNT). */
 #define RELAY_REGION_MIN 6
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "balance/urgency.h"
 #include "common/counter.h"
 #include "common/log.h"
 #include "config/gateway_settings.h"
@@ -43,6 +44,7 @@
 	char *name;
 	queue_t *queue;
 	retry_budget_t retries;
+	urgency_t urgency;
 	GArray *streams; /* stream_length_t */
 	/*
 	 * Maximum gap between events at which streams end within their timeout
--- a/include/core/placement.h
+++ b/include/core/placement.h
@@ -33,7 +33,8 @@
 /* Leading parts of a prompt that are compared; shared parts come first. */
 #define PROMPT_PART_LIMIT 8
 
-/* Expected time to the first token above which an engine gets no requests. */
+/* Expected time to the first token above which an engine gets no requests, if
+ * the request has no limit of its own. */
 #define PLACEMENT_MAX_EXPECTED_MS 550.0
 
 /* Maximum requests in flight per slot of a plain service's target. */
@@ -73,6 +74,8 @@
 	size_t n_tried;
 	uint32_t region_instances; /* live ones, this one included */
 	double gap_limit_ms;	   /* between events; 0: none */
+	double wait_limit_ms;	   /* to the first token; 0: the default */
+	double reserve; /* part of an engine's room that it leaves free */
 	bool may_wait_for_cached; /* there is time to wait for a target that has
 				   * it cached
 				   */
