--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -320,6 +320,22 @@
 	return raw_send(fd, text);
 }
 
+/*
+ * Sends a whole answer whose status line has this text in place of the status
+ * and the reason; "none": nothing.
+ */
+static bool
+status_send(int fd, const char *signature, const char *text, const char *body)
+{
+	g_autofree char *answer =
+	    g_strdup_printf("HTTP/1.1%s%s\r\n%sContent-Length: %zu\r\n\r\n%s",
+		strcmp(text, "none") == 0 ? "" : " ",
+		strcmp(text, "none") == 0 ? "" : text, signature, strlen(body),
+		body);
+
+	return raw_send(fd, answer);
+}
+
 /* Behaviours without a number. Returns false when the name is none of them. */
 static bool
 plain_serve(fake_worker_t *worker, worker_run_t *run, int fd, const char *name,
@@ -419,16 +435,19 @@
 	const char *id = raw_field(request, "request-id");
 	g_autofree char *head = NULL;
 	g_autofree char *body = g_strnfill(EARLY_BYTES, 'x');
+	bool events;
 
 	if (!g_str_has_prefix(name, "early-"))
 		return true;
+	events = g_str_has_suffix(name, "-events");
 	run_add(worker, request);
 	head = g_strdup_printf(
-	    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\n"
+	    "HTTP/1.%d 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\n%s"
 	    "Connection: close\r\n\r\n",
-	    id ? id : "", worker->id);
+	    g_str_has_prefix(name, "early-old") ? 0 : 1, id ? id : "",
+	    worker->id, events ? "Content-Type: text/event-stream\r\n" : "");
 	raw_send(fd, head);
-	raw_send(fd, body);
+	raw_send(fd, events ? "id: 1\ndata: x\n\n" : body);
 	if (strcmp(name, "early-close") == 0) {
 		raw_send(fd, body);
 		shutdown(fd, SHUT_WR);
@@ -491,6 +510,9 @@
 		raw_send(fd, head);
 		return false;
 	}
+	if (g_str_has_prefix(name, "status-"))
+		return status_send(fd, signature,
+		    g_strdelimit(name + strlen("status-"), "_", ' '), body);
 	strcpy(framing, "");
 	if (sscanf(name, "interim-%d-%7[a-z]", &n, framing) >= 1)
 		return interim_send(fd, (unsigned)n, framing) &&
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -19,7 +19,12 @@
  *	again-no-id	the same, and the refusal has no id
  *	early-reset	a part of an answer without length before the request's
  *			body is read, then a reset
+ *	early-old	the same in HTTP/1.0
+ *	early-reset-events, early-old-events
+ *			the same, the part being an event of a stream
  *	early-close	the whole of it, and a close in order before the reset
+ *	status-TEXT	a whole answer with this text for a status, with
+ *			"_" for a space; "none": no status
  *	interim-STATUS	an interim answer first
  *	interim-STATUS-FRAMING
  *			the same with a body, which FRAMING announces: "length"
--- a/http/reader.c
+++ b/http/reader.c
@@ -6,6 +6,11 @@
 #include <string.h>
 #include <strings.h>
 
+/* Statuses outside of this range are no answers (RFC 9110, 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+#define STATUS_DIGITS 3
+
 /* Statuses with rules of their own on what follows the head. */
 #define STATUS_SWITCHING_PROTOCOLS 101
 #define STATUS_NO_CONTENT 204
@@ -87,6 +92,24 @@
 	return (http_slice_t){text, space ? (size_t)(space - text) : 0};
 }
 
+/* http_parser accepts any number of digits and any number below 1,000. */
+static bool
+status_is_valid(const http_reader_t *reader)
+{
+	const char *text = (const char *)reader->head->data;
+	const char *space = memchr(text, ' ', reader->head->len);
+	const char *line_end = memchr(text, '\r', reader->head->len);
+	size_t n_digits = 0;
+
+	if (space == NULL || line_end == NULL || space > line_end)
+		return false;
+	while (isdigit((unsigned char)space[1 + n_digits]))
+		n_digits++;
+	return n_digits == STATUS_DIGITS &&
+	       reader->parser.status_code >= STATUS_MIN &&
+	       reader->parser.status_code <= STATUS_MAX;
+}
+
 static bool
 is_interim(const http_reader_t *reader)
 {
@@ -127,6 +150,8 @@
 
 	if (!framing_is_unambiguous(reader))
 		return -1;
+	if (reader->role == HTTP_RESPONSES && !status_is_valid(reader))
+		return -1;
 	/* No request asks for another protocol. */
 	if (reader->role == HTTP_RESPONSES &&
 	    parser->status_code == STATUS_SWITCHING_PROTOCOLS)
--- a/tests/process_faulty.c
+++ b/tests/process_faulty.c
@@ -204,8 +204,8 @@
 	world_destroy(&world);
 }
 
-/* More of a request than the buffers of the sockets hold. */
-#define LONG_BODY (12 << 20)
+/* Bodies that the sockets hold, hold in part, and don't hold. */
+static const int body_sizes[] = {64 << 10, 4 << 20, 12 << 20};
 
 /*
  * Guards against a part of an answer without length as a whole success: the
@@ -213,21 +213,31 @@
  */
 TEST(answer_reset_during_the_request_is_not_whole)
 {
-	g_autofree char *body = g_strnfill(LONG_BODY, 'b');
+	static const char *const paths[] = {"/order/early-reset",
+	    "/order/early-old", "/write/early-reset-events",
+	    "/write/early-old-events"};
+	int longest = body_sizes[G_N_ELEMENTS(body_sizes) - 1];
 	world_t world;
 
 	world_create(&world);
-	world_configure_body(&world, 4, LONG_BODY + 1);
+	world_configure_body(&world, 4, longest + 1);
 	world_start(&world, 0, "a-1", true, true);
-	for (int i = 0; i < 3; i++) {
-		g_autofree char *reset = g_strdup_printf("r%d", i);
-		g_autofree char *whole = g_strdup_printf("c%d", i);
-		world_answer_t answer = world_call(&world, 0, "POST",
-		    "/order/early-reset", reset, WORLD_KEY, body);
-
-		ck_assert_msg(!answer.whole || answer.status == 502,
-		    "%d with %zu bytes", answer.status, strlen(answer.body));
-		world_answer_clear(&answer);
+	for (size_t i = 0; i < 3 * G_N_ELEMENTS(body_sizes); i++) {
+		g_autofree char *body = g_strnfill(
+		    (gsize)body_sizes[i % G_N_ELEMENTS(body_sizes)], 'b');
+		g_autofree char *whole = g_strdup_printf("c%zu", i);
+		world_answer_t answer;
+
+		for (size_t j = 0; j < G_N_ELEMENTS(paths); j++) {
+			g_autofree char *id = g_strdup_printf("r%zu-%zu", i, j);
+
+			answer = world_call(
+			    &world, 0, "POST", paths[j], id, WORLD_KEY, body);
+			ck_assert_msg(!answer.whole || answer.status == 502,
+			    "%s: %d with %zu bytes", paths[j], answer.status,
+			    strlen(answer.body));
+			world_answer_clear(&answer);
+		}
 		answer = world_call(&world, 0, "POST", "/order/early-close",
 		    whole, WORLD_KEY, body);
 		ck_assert_int_eq(answer.status, 200);
@@ -238,4 +248,25 @@
 	world_destroy(&world);
 }
 
+/* Guards against an answer whose status is none as that of a target. */
+TEST(answer_without_a_valid_status_is_not_passed_on)
+{
+	static const char *const bad[] = {"000", "000 OK", "099", "600 OK",
+	    "1000", "20", "2x0", "0200 OK", "none", "-200", "+200"};
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_autofree char *name = g_strdup_printf("status-%s", bad[i]);
+
+		if (strchr(bad[i], ' ') != NULL)
+			g_strdelimit(name, " ", '_');
+		order_expect(&world, name, 502);
+		order_expect(&world, "ok", 200);
+	}
+	order_expect(&world, "status-200_OK", 200);
+	world_destroy(&world);
+}
+
 TEST_MAIN("process_faulty")
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -134,6 +134,33 @@
 			 "Transfer-Encoding: chunked\r\n\r\n");
 }
 
+/* A status is three digits from 100 to 599 (RFC 9110, 15). */
+TEST(response_without_a_valid_status_is_malformed)
+{
+	static const char *const bad[] = {"000", "000 OK", "001 OK", "099",
+	    "600 OK", "999 OK", "1000 OK", "20 OK", "2", "0200 OK", "00200 OK",
+	    "2x0 OK", "-200 OK", " 200 OK", ""};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_autofree char *text = g_strdup_printf(
+		    "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", bad[i]);
+
+		for (size_t step = 1; step <= strlen(text); step += 5) {
+			record_t record = record_create();
+			http_reader_t *reader = http_reader_create(
+			    HTTP_RESPONSES, &sink, &record, 4096);
+			size_t total;
+
+			ck_assert_msg(feed_in_steps(reader, text, strlen(text),
+					  step, &total) == HTTP_FEED_MALFORMED,
+			    "'%s' in steps of %zu", bad[i], step);
+			ck_assert_uint_eq(record.status, 0);
+			http_reader_destroy(reader);
+			record_clear(&record);
+		}
+	}
+}
+
 TEST(large_head_is_rejected_before_its_end)
 {
 	record_t record = record_create();
