--- a/core/placement.c
+++ b/core/placement.c
@@ -356,6 +356,7 @@
 {
 	if (strcmp(target->entry.service, request->service->name) != 0 ||
 	    !target_is_usable(targets, target) ||
+	    target_is_replaced(target, now) ||
 	    was_tried(request, target->handle))
 		return false;
 	if (request->version != 0 &&
--- a/core/targets.c
+++ b/core/targets.c
@@ -29,8 +29,8 @@
 /* An allowance that isn't used grows up to this time at its rate, or to 1. */
 #define ALLOWANCE_BURST_S 0.1
 
-/* A target may state both that it is cold and that it has a limit. */
-#define NOTICES_PER_TARGET 2
+/* A target may be cold, have a limit and be replaced. */
+#define NOTICES_PER_TARGET 3
 
 /* Maximum number of prefixes remembered for one target of known capacity. */
 #define PREFIX_LIMIT 4096
@@ -403,10 +403,26 @@
 	       !targets_is_evacuated(targets, target->entry.zone);
 }
 
+bool
+target_note_replaced(target_t *target, time_us_t now)
+{
+	bool known = target_is_replaced(target, now);
+
+	target->replaced_at = now;
+	return !known;
+}
+
+bool
+target_is_replaced(const target_t *target, time_us_t now)
+{
+	return target->replaced_at != 0 &&
+	       now - target->replaced_at < TARGET_REPLACED_US;
+}
+
 bool
 target_is_healthy(const target_t *target, time_us_t now)
 {
-	if (now < target->backoff_until)
+	if (target_is_replaced(target, now) || now < target->backoff_until)
 		return false;
 	if (target->backoff > 0 && target->probing)
 		return false;
@@ -515,6 +531,9 @@
 	else if (now < target->limit_told_until)
 		notices[n++] = notice_create(target, TARGET_NOTICE_LIMIT,
 		    target->limit_at, TARGET_NOTICE_NO_LIMIT, now);
+	if (target_is_replaced(target, now))
+		notices[n++] = notice_create(target, TARGET_NOTICE_REPLACED,
+		    target->replaced_at, 0, now);
 	return n;
 }
 
@@ -525,13 +544,18 @@
 	guint len = targets->all->len;
 	size_t n = 0;
 
-	for (guint step = 0; step < len && n + NOTICES_PER_TARGET <= limit;
-	     step++) {
-		guint at = targets->notices_cursor++ % len;
+	for (guint step = 0; step < len; step++) {
+		guint at = targets->notices_cursor % len;
 		const target_t *target = g_ptr_array_index(targets->all, at);
+		target_notice_t own[NOTICES_PER_TARGET];
+		size_t n_own =
+		    target->unlisted ? 0 : notices_of(target, own, now);
 
-		if (!target->unlisted)
-			n += notices_of(target, &notices[n], now);
+		if (n + n_own > limit)
+			break;
+		memcpy(&notices[n], own, n_own * sizeof(own[0]));
+		n += n_own;
+		targets->notices_cursor = at + 1;
 	}
 	return n;
 }
@@ -581,6 +605,12 @@
 	case TARGET_NOTICE_LIMIT:
 		changed = limit_import(target, notice->value, stated_at, now);
 		break;
+	case TARGET_NOTICE_REPLACED:
+		changed = !target_is_replaced(target, now) &&
+			  now - stated_at < TARGET_REPLACED_US;
+		if (changed)
+			target->replaced_at = stated_at;
+		break;
 	case TARGET_NOTICE_KIND_COUNT:
 		break;
 	}
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -171,6 +171,8 @@
 static target_result_t
 response_result(const attempt_t *attempt)
 {
+	if (attempt->response.replaced)
+		return TARGET_RESULT_CANCELLED;
 	if (attempt->response.not_run)
 		return TARGET_RESULT_REFUSED;
 	return attempt->response.status >= 500 ? TARGET_RESULT_ERROR
@@ -294,14 +296,24 @@
 		    LOG_S("request", attempt->request_id));
 		return;
 	}
-	/* Another target has this address now. */
-	if (response->status == 421 ||
-	    !target_note_limit(target, per_s, attempt->send.sent_at, now))
+	if (!target_note_limit(target, per_s, attempt->send.sent_at, now))
 		return;
 	gateway_note_target(attempt->gateway, target, "target");
 	gossip_round(attempt->gateway->gossip);
 }
 
+/* The load and the limit are another target's if this one is replaced. */
+static void
+attempt_note_replaced(const attempt_t *attempt, target_t *target, time_us_t now)
+{
+	if (!target_note_replaced(target, now))
+		return;
+	log_event(LOG_NOTICE, "target_replaced",
+	    LOG_S("target", target->entry.id),
+	    LOG_S("request", attempt->request_id));
+	gossip_round(attempt->gateway->gossip);
+}
+
 static void
 attempt_note_load(const attempt_t *attempt, target_t *target, time_us_t now)
 {
@@ -352,8 +364,12 @@
 		version_read(attempt, head);
 	if (target != NULL) {
 		target_byte_received(target, now);
-		attempt_note_load(attempt, target, now);
-		attempt_note_limit(attempt, target, now);
+		if (attempt->response.replaced) {
+			attempt_note_replaced(attempt, target, now);
+		} else {
+			attempt_note_load(attempt, target, now);
+			attempt_note_limit(attempt, target, now);
+		}
 		if (!attempt->response.event_stream)
 			attempt_first_byte(attempt, target, now);
 	}
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -47,6 +47,12 @@
 /* Time for which others are told that a limit has ended. */
 #define TARGET_LIMIT_END_TELL_US (5 * US_PER_S)
 
+/*
+ * A target whose address answered as another target is not used for this long,
+ * within which its entry is removed: its process has ended.
+ */
+#define TARGET_REPLACED_US (5 * US_PER_S)
+
 /* Backoff of a target that is unreachable or failed repeatedly; doubles up to
  * the maximum. */
 #define TARGET_BACKOFF_MIN_US (400 * US_PER_MS)
@@ -138,8 +144,9 @@
  * it to each other.
  */
 typedef enum {
-	TARGET_NOTICE_COLD,  /* value: remaining time in ms */
-	TARGET_NOTICE_LIMIT, /* value: requests in 1,000 s, or none */
+	TARGET_NOTICE_COLD,	/* value: remaining time in ms */
+	TARGET_NOTICE_LIMIT,	/* value: requests in 1,000 s, or none */
+	TARGET_NOTICE_REPLACED, /* value: 0 */
 	TARGET_NOTICE_KIND_COUNT
 } target_notice_kind_t;
 
@@ -180,7 +187,8 @@
 	/* Health. */
 	time_us_t backoff_until;
 	time_us_t backoff;
-	bool probing; /* a probe is in flight after a backoff */
+	bool probing;	       /* a probe is in flight after a backoff */
+	time_us_t replaced_at; /* answered as another target; 0: never */
 	uint32_t consecutive_failures; /* error responses and refusals */
 	uint32_t consecutive_breaks;   /* incomplete responses */
 	double failure_rate;	       /* moving average, 0..1 */
@@ -301,6 +309,15 @@
 
 bool target_is_cold(const target_t *target, time_us_t now);
 
+/*
+ * Records that another target answered at the target's address. Returns whether
+ * that wasn't known yet.
+ */
+bool target_note_replaced(target_t *target, time_us_t now);
+
+/* Whether another target answered at its address within TARGET_REPLACED_US. */
+bool target_is_replaced(const target_t *target, time_us_t now);
+
 /* Records that the target stated how long it stays cold; 0: it is warm. */
 void target_note_cold(target_t *target, int64_t cold_ms, time_us_t now);
 
@@ -395,7 +412,8 @@
 	TARGET_RESULT_BROKEN,	   /* reset, closed or malformed */
 	TARGET_RESULT_UNREACHABLE, /* no connection */
 	TARGET_RESULT_REFUSED,	   /* it reported that it is full */
-	TARGET_RESULT_CANCELLED,   /* by the caller or this instance */
+	TARGET_RESULT_CANCELLED,   /* by the caller or this instance, or it
+				      never reached the target */
 } target_result_t;
 
 /* Ends the attempt that target_attempt_begin() began. */
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -69,8 +69,9 @@
 	unsigned status;
 	bool request_id_mismatch; /* the response is for another request */
 	bool request_id_missing;
-	bool stamped; /* has a Server-Stamp field, which targets set */
-	bool not_run; /* the request was not executed */
+	bool stamped;  /* has a Server-Stamp field, which targets set */
+	bool not_run;  /* the request was not executed */
+	bool replaced; /* the address belongs to another target now */
 	bool load_reported;
 	uint32_t running;
 	uint32_t waiting;
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -291,6 +291,43 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * A target has ended and another one has its address, while its entry is still
+ * listed: it must cost one request of one instance.
+ */
+TEST(replaced_target_is_not_used_by_any_instance)
+{
+	fixture_t f = fixture_create();
+	fixture_t other = fixture_create();
+	target_t *target = put(&f, "t1");
+	target_t *theirs = put(&other, "t1");
+	target_entry_t entry = entry_make("t1");
+	target_notice_t notices[4];
+	size_t n;
+
+	ck_assert(target_note_replaced(target, f.now));
+	ck_assert(!target_note_replaced(target, f.now));
+	ck_assert(!target_is_healthy(target, f.now));
+	n = targets_export_notices(f.targets, notices, 4, f.now);
+	ck_assert_uint_eq(n, 1);
+	ck_assert_ptr_eq(
+	    targets_import_notice(other.targets, &notices[0], other.now),
+	    theirs);
+	ck_assert_ptr_null(
+	    targets_import_notice(other.targets, &notices[0], other.now));
+	ck_assert(!target_is_healthy(theirs, other.now));
+	/* It is not told for ever, and one that started again is another. */
+	f.now += TARGET_REPLACED_US;
+	ck_assert(target_is_healthy(target, f.now));
+	ck_assert_uint_eq(
+	    targets_export_notices(f.targets, notices, 4, f.now), 0);
+	entry.started_ms = 2;
+	theirs = targets_put(other.targets, &entry, other.now);
+	ck_assert(target_is_healthy(theirs, other.now));
+	fixture_destroy(&f);
+	fixture_destroy(&other);
+}
+
 /* Prefill after a cache miss must not count as slowness of the target. */
 TEST(cache_miss_is_not_slowness)
 {
@@ -435,11 +472,11 @@
 
 		target_note_cold(put(&f, id), 3000, f.now);
 	}
-	for (int i = 0; i < 5; i++) {
+	for (int i = 0; i < 4; i++) {
 		target_notice_t notices[3];
 		size_t n = targets_export_notices(f.targets, notices, 3, f.now);
 
-		ck_assert_uint_eq(n, 2);
+		ck_assert_uint_eq(n, 3);
 		for (size_t j = 0; j < n; j++)
 			g_hash_table_add(
 			    told, GUINT_TO_POINTER(notices[j].target));
