--- a/balance/pace.c
+++ b/balance/pace.c
@@ -64,6 +64,12 @@
 	return model->first_ms + model->token_ms * tokens;
 }
 
+double
+pace_model_tokens(const pace_model_t *model)
+{
+	return model->tokens / model->n;
+}
+
 /* Least squares. A line that would fall below zero is turned about the mean. */
 static void
 model_fit(pace_model_t *model)
--- a/core/placement.c
+++ b/core/placement.c
@@ -423,6 +423,21 @@
 	return placement;
 }
 
+/*
+ * Requests that the target could start now: free slots, but not more than keep
+ * the expected time below the limit if all have the mean number of tokens.
+ */
+static uint32_t
+target_room(const target_t *target, double expected_ms, time_us_t now)
+{
+	uint32_t n_free = target->entry.slots - target_in_flight(target, now);
+	double request_ms =
+	    target_prefill_ms(target, pace_model_tokens(target->model), now);
+
+	return (uint32_t)MIN(n_free,
+	    1 + (PLACEMENT_MAX_EXPECTED_MS - expected_ms) / MAX(1, request_ms));
+}
+
 region_capacity_t
 placement_capacity(
     const targets_t *targets, const catalog_service_t *service, time_us_t now)
@@ -444,7 +459,7 @@
 		capacity.expected_ms = MIN(capacity.expected_ms, expected);
 		if (in_flight < target->entry.slots &&
 		    expected < PLACEMENT_MAX_EXPECTED_MS)
-			capacity.free += target->entry.slots - in_flight;
+			capacity.room += target_room(target, expected, now);
 	}
 	return capacity;
 }
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -4,12 +4,6 @@
 
 #include "core/random.h"
 
-/*
- * Round-trip time to another region in ms, added to the expected time that the
- * region reports.
- */
-#define REGION_ROUND_TRIP_MS 170.0
-
 /*
  * A request stops waiting for a target that has its prefix cached this long
  * before its latest start.
@@ -81,58 +75,75 @@
 		   gateway->members, region, gateway_now(gateway));
 }
 
+/* Index of the request's service in a region's report, or the report's size. */
+static size_t
+service_index(const request_t *request, const region_load_t *load)
+{
+	uint32_t service = target_short_id(request->service->name);
+	size_t i = 0;
+
+	while (i < load->n && load->services[i].service != service)
+		i++;
+	return i;
+}
+
 /*
- * Expected time to the first byte in ms if the request is forwarded to the
- * region. Negative if forwarding there is not permitted, or if there is no
- * recent report of free slots for the service.
+ * What this instance may send of the request's service to another region.
+ * Nothing if the request may not be forwarded there, or if there is no recent
+ * report of the service.
  */
-static double
-region_expected_ms(const request_t *request, int region)
+static overflow_share_t
+region_share(const request_t *request, int region)
 {
 	gateway_t *gateway = request->gateway;
 	const region_load_t *load = &gateway->region_loads[region];
-	uint32_t service = target_short_id(request->service->name);
+	size_t i = service_index(request, load);
 
-	if (!region_is_allowed(request, region))
-		return -1;
-	if (gateway_now(gateway) - load->received_at < REGION_LOAD_TTL_US) {
-		for (size_t i = 0; i < load->n; i++) {
-			if (load->services[i].service == service)
-				return load->services[i].free_slots > 0
-					   ? REGION_ROUND_TRIP_MS +
-						 load->services[i].expected_ms
-					   : -1;
-		}
-	}
-	return -1;
+	if (i == load->n || !region_is_allowed(request, region) ||
+	    gateway_now(gateway) - load->received_at >= REGION_LOAD_TTL_US)
+		return (overflow_share_t){0};
+	/* A slot of a plain service serves many requests between reports. */
+	if (!request->service->engine)
+		return (overflow_share_t){load->services[i].room};
+	return load->shares[i];
+}
+
+/* Counts a request that is forwarded to the region. */
+static void
+region_note_sent(const request_t *request, int region)
+{
+	region_load_t *load = &request->gateway->region_loads[region];
+	size_t i = service_index(request, load);
+
+	if (i < load->n)
+		overflow_note_sent(&load->shares[i]);
 }
 
 /*
- * The other region with free slots and the lowest expected time. If there is
- * none and any is set, a random permitted region.
+ * Another region with room. If there is none and any is set, a random permitted
+ * region.
  */
 static int
 region_pick(const request_t *request, bool any)
 {
 	gateway_t *gateway = request->gateway;
+	overflow_share_t shares[TOPOLOGY_REGION_LIMIT];
+	int n = topology_n_regions(gateway->topology);
 	int best = TOPOLOGY_NONE;
-	double best_expected_ms = 0;
 	uint64_t seen = 0;
+	size_t picked;
 
 	if (request->from_peer || request->forwarded)
 		return TOPOLOGY_NONE;
-	for (int i = 0; i < topology_n_regions(gateway->topology); i++) {
-		double expected_ms = region_expected_ms(request, i);
-
-		if (expected_ms >= 0 &&
-		    (best == TOPOLOGY_NONE || expected_ms < best_expected_ms)) {
-			best = i;
-			best_expected_ms = expected_ms;
-		}
-	}
-	if (best != TOPOLOGY_NONE || !any)
-		return best;
-	for (int i = 0; i < topology_n_regions(gateway->topology); i++) {
+	for (int i = 0; i < n; i++)
+		shares[i] = region_share(request, i);
+	picked =
+	    overflow_pick(shares, (size_t)n, random_next(&gateway->random));
+	if (picked != OVERFLOW_NONE)
+		return (int)picked;
+	if (!any)
+		return TOPOLOGY_NONE;
+	for (int i = 0; i < n; i++) {
 		if (!region_is_allowed(request, i))
 			continue;
 		seen++;
@@ -363,6 +374,7 @@
 
 	request->forwarded = true;
 	request->sent_to_peer = true;
+	region_note_sent(request, region);
 	g_string_append(plan.head, PEER_FIELD_HOP ": 1\r\n");
 	if (request->team != NULL)
 		g_string_append_printf(
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "common/error.h"
+#include "core/random.h"
 
 /*
  * Gossip messages between instances, encoded in XDR and sent over UDP. Those of
@@ -266,7 +267,7 @@
 		service_capacity_t *capacity = &message->capacities[i];
 
 		if (!xdr_uint32_t(xdr, &capacity->service) ||
-		    !xdr_uint32_t(xdr, &capacity->free_slots) ||
+		    !xdr_uint32_t(xdr, &capacity->room) ||
 		    !xdr_uint32_t(xdr, &capacity->expected_ms))
 			return false;
 	}
@@ -295,7 +296,7 @@
 
 		capacities[n++] =
 		    (service_capacity_t){target_short_id(service->name),
-			waiting > 0 ? 0 : capacity.free,
+			waiting > 0 ? 0 : capacity.room,
 			(uint32_t)MIN(capacity.expected_ms, 1e6)};
 	}
 	return n;
@@ -791,6 +792,10 @@
 	    gateway->rates, region, message->demands, message->n_demands, now);
 	memcpy(load->services, message->capacities,
 	    message->n_capacities * sizeof(service_capacity_t));
+	for (uint32_t i = 0; i < message->n_capacities; i++)
+		overflow_note_report(&load->shares[i],
+		    message->capacities[i].room, gateway->region_instances,
+		    random_next(&gateway->random));
 	load->n = message->n_capacities;
 	load->received_at = now;
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "balance/overflow.h"
 #include "balance/urgency.h"
 #include "common/counter.h"
 #include "common/log.h"
@@ -62,12 +63,12 @@
 } stream_length_t;
 
 /*
- * Free slots and expected time to the first byte of a service in one region, as
+ * Room and expected time to the first byte of a service in one region, as
  * instances report them to other regions.
  */
 typedef struct {
-	uint32_t service;    /* target_short_id() of its name */
-	uint32_t free_slots; /* 0 while requests are queued */
+	uint32_t service; /* target_short_id() of its name */
+	uint32_t room; /* requests that could start; 0 while some are queued */
 	uint32_t expected_ms;
 } service_capacity_t;
 
@@ -75,6 +76,7 @@
 
 typedef struct {
 	service_capacity_t services[CAPACITY_LIMIT];
+	overflow_share_t shares[CAPACITY_LIMIT]; /* of the services' room */
 	size_t n;
 	time_us_t received_at;
 } region_load_t;
--- a/include/balance/pace.h
+++ b/include/balance/pace.h
@@ -56,6 +56,9 @@
 /* Expected time in ms to the first token at the usual pace. */
 double pace_model_ms(const pace_model_t *model, double tokens);
 
+/* Mean number of tokens until the first token of recent requests. */
+double pace_model_tokens(const pace_model_t *model);
+
 /*
  * Fits the model to one more observation: ms to the first token, at the usual
  * pace of its target, after so many tokens. One that is many times off moves
--- a/include/core/placement.h
+++ b/include/core/placement.h
@@ -114,7 +114,7 @@
 
 /* Capacity of a service in the own region, as reported to other regions. */
 typedef struct {
-	uint32_t free;	    /* requests that could start now */
+	uint32_t room;	    /* requests that could start now */
 	double expected_ms; /* to the first token of a short prompt */
 } region_capacity_t;
 
