--- a/core/placement.c
+++ b/core/placement.c
@@ -419,6 +419,7 @@
 			placement.cache_miss_ms = target_prefill_ms(best.target,
 			    request->prompt->tokens_in - best.tokens, now);
 		placement.preference_rank = best.rank;
+		placement.pace = pace_factor(&best.target->pace, now);
 	}
 	return placement;
 }
--- a/core/targets.c
+++ b/core/targets.c
@@ -854,6 +854,12 @@
 	return pace_state(&target->pace, factor, now);
 }
 
+const pace_model_t *
+targets_model(const targets_t *targets, const char *service)
+{
+	return g_hash_table_lookup(targets->models, service);
+}
+
 size_t
 targets_export_paces(targets_t *targets, pace_audience_t audience,
     pace_observation_t *observations, size_t limit)
--- a/gateway/decision.c
+++ b/gateway/decision.c
@@ -6,7 +6,7 @@
  * logged.
  */
 
-#define FIELD_LIMIT 24
+#define FIELD_LIMIT 28
 
 static int64_t
 since_ms(const request_t *request, time_us_t at)
@@ -41,6 +41,14 @@
 	    request->deadline ? (request->deadline - now) / US_PER_MS : -1);
 	fields[n++] =
 	    LOG_I("expected_ms", request->choice.placement.expected_ms);
+	fields[n++] =
+	    LOG_I("pace_percent", 100 * request->choice.placement.pace);
+	fields[n++] = LOG_I("class", request->priority);
+	fields[n++] = LOG_I("reserve_percent",
+	    request->service_state
+		? 100 * urgency_reserve(
+			    &request->service_state->urgency, request->priority)
+		: 0);
 	fields[n++] = LOG_I("home", request->choice.placement.preference_rank);
 	fields[n++] = LOG_I("usable", request->choice.placement.n_usable);
 	fields[n++] = LOG_I("queued",
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -461,6 +461,10 @@
 /* Appends all histograms in the Prometheus text format. */
 void latencies_write(const latencies_t *latencies, GString *text);
 
+/* gauges.c */
+/* Appends gauges of targets, services and regions in the Prometheus format. */
+void gauges_write(gateway_t *gateway, GString *text);
+
 /* resumption.c: streams that callers resume. */
 /*
  * Finds the version that began the stream that a request goes on with. Returns
--- a/include/core/placement.h
+++ b/include/core/placement.h
@@ -95,6 +95,7 @@
 	double tokens;	      /* of the prompt, to be prefilled */
 	double expected_ms;   /* to the first byte; 0: unknown */
 	double cache_miss_ms; /* extra time if none of the prompt is cached */
+	double pace;	      /* pace_factor() of the target */
 	size_t n_usable;
 	size_t preference_rank; /* among the prefix's preferred targets;
 				   PLACEMENT_PREFERRED_LIMIT: not one of them.
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -439,6 +439,10 @@
  */
 double target_prefill_ms(const target_t *target, double tokens, time_us_t now);
 
+/* What is known of the service's engines; NULL if none was ever listed. */
+const pace_model_t *targets_model(
+    const targets_t *targets, const char *service);
+
 /* Who is told of the observations of paces. */
 typedef enum {
 	PACE_FOR_ZONE,	 /* instances of the own zone */
--- a/tests/test_overflow.c
+++ b/tests/test_overflow.c
@@ -97,7 +97,8 @@
 				    random_next(&random));
 			}
 		}
-		for (owed += per_ms; owed >= 1; owed -= 1) {
+		owed += per_ms;
+		while (owed >= 1) {
 			unsigned i =
 			    (unsigned)(random_next(&random) % n_instances);
 			size_t r = overflow_pick(
@@ -105,6 +106,7 @@
 
 			if (all_to_best)
 				r = told[i][0] > told[i][1] ? 0 : 1;
+			owed -= 1;
 			if (r == OVERFLOW_NONE)
 				continue;
 			if (!all_to_best)
