--- a/balance/urgency.c
+++ b/balance/urgency.c
@@ -8,6 +8,12 @@
  */
 #define CLASSES_PER_TEAM_PRIORITY 2
 
+/* Prompt tokens that an engine reads in the time of an output token. */
+#define OUTPUT_TOKEN_WORK 10.0
+
+/* With a larger reserve than this, no request waits at a target. */
+#define WAITING_RESERVE_MAX (URGENCY_RESERVE_MAX / 2)
+
 int
 urgency_class(int team_priority, int route_priority)
 {
@@ -19,15 +25,21 @@
 	return CLAMP(class, 0, URGENCY_CLASSES - 1);
 }
 
+double
+urgency_work(uint32_t tokens_in, uint32_t tokens_out)
+{
+	return MAX(1.0, tokens_in + OUTPUT_TOKEN_WORK * tokens_out);
+}
+
 void
-urgency_note(urgency_t *urgency, int class, time_us_t now)
+urgency_note(urgency_t *urgency, int class, double work, time_us_t now)
 {
 	double decay =
 	    exp(-(double)MAX(0, now - urgency->updated_at) / URGENCY_TAU_US);
 
 	for (int i = 0; i < URGENCY_CLASSES; i++)
-		urgency->n[i] *= decay;
-	urgency->n[CLAMP(class, 0, URGENCY_CLASSES - 1)] += 1;
+		urgency->work[i] *= decay;
+	urgency->work[CLAMP(class, 0, URGENCY_CLASSES - 1)] += work;
 	urgency->updated_at = now;
 }
 
@@ -38,9 +50,17 @@
 	double all = 0;
 
 	for (int i = 0; i < URGENCY_CLASSES; i++) {
-		all += urgency->n[i];
+		all += urgency->work[i];
 		if (i < class)
-			more_urgent += urgency->n[i];
+			more_urgent += urgency->work[i];
 	}
 	return all > 0 ? MIN(URGENCY_RESERVE_MAX, more_urgent / all) : 0;
 }
+
+double
+urgency_wait_limit_ms(double reserve, double usual_ms, int64_t objective_ms)
+{
+	if (reserve >= WAITING_RESERVE_MAX)
+		return usual_ms;
+	return MAX(usual_ms, (double)objective_ms / 2);
+}
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -195,13 +195,19 @@
 		request_refuse(request, status, reason, 0);
 }
 
+/* Tokens of the response, by the caller's hint if there is one. */
+static uint32_t
+expected_tokens_out(const request_t *request)
+{
+	return request->parsed.output_hint > 0
+		   ? request->parsed.output_hint
+		   : request->parsed.prompt.tokens_out;
+}
+
 static void
 stream_length_note(request_t *request)
 {
-	const prompt_t *prompt = &request->parsed.prompt;
-	double tokens = request->parsed.output_hint > 0
-			    ? request->parsed.output_hint
-			    : prompt->tokens_out;
+	double tokens = expected_tokens_out(request);
 
 	if (request->route->kind != ROUTE_STREAM || tokens <= 0 ||
 	    request->service->event_tokens <= 0)
@@ -211,6 +217,18 @@
 	    request->service_state, request->route, request->expected_events);
 }
 
+/* Requests that are not served in this region take no room here. */
+static void
+urgency_update(request_t *request)
+{
+	if (!region_set_has(request->regions, request->gateway->region))
+		return;
+	urgency_note(&request->service_state->urgency, request->class,
+	    urgency_work(
+		request->parsed.prompt.tokens_in, expected_tokens_out(request)),
+	    gateway_now(request->gateway));
+}
+
 static void
 features_find(request_t *request)
 {
@@ -260,7 +278,7 @@
 	request->regions =
 	    route->regions &
 	    (request->team ? request->team->regions : REGION_SET_ALL);
-	request->priority = urgency_class(
+	request->class = urgency_class(
 	    request->team ? request->team->priority : -1, route->priority);
 	request->service = catalog_service(request->catalog,
 	    catalog_pick_service(route, random_next(&gateway->random)));
@@ -270,9 +288,7 @@
 	}
 	request->service_state =
 	    gateway_service_state(gateway, request->service->name);
-	if (region_set_has(request->regions, gateway->region))
-		urgency_note(&request->service_state->urgency,
-		    request->priority, gateway_now(gateway));
+	urgency_update(request);
 	features_find(request);
 	stream_length_note(request);
 	return team_charge(request);
--- a/gateway/decision.c
+++ b/gateway/decision.c
@@ -43,11 +43,11 @@
 	    LOG_I("expected_ms", request->choice.placement.expected_ms);
 	fields[n++] =
 	    LOG_I("pace_percent", 100 * request->choice.placement.pace);
-	fields[n++] = LOG_I("class", request->priority);
+	fields[n++] = LOG_I("class", request->class);
 	fields[n++] = LOG_I("reserve_percent",
 	    request->service_state
 		? 100 * urgency_reserve(
-			    &request->service_state->urgency, request->priority)
+			    &request->service_state->urgency, request->class)
 		: 0);
 	fields[n++] = LOG_I("home", request->choice.placement.preference_rank);
 	fields[n++] = LOG_I("usable", request->choice.placement.n_usable);
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -201,27 +201,13 @@
 	return true;
 }
 
-/*
- * Longest expected time to the first token at an engine. A request whose
- * objective is far off may wait there, where it keeps the engine busy, unless
- * more urgent ones would wait behind it.
- */
-static double
-wait_limit_ms(const request_t *request, double reserve)
-{
-	if (reserve >= URGENCY_RESERVE_MAX / 2)
-		return PLACEMENT_MAX_EXPECTED_MS;
-	return MAX(PLACEMENT_MAX_EXPECTED_MS,
-	    (double)request->route->first_byte_objective_ms / 2);
-}
-
 static void
 request_choose(request_t *request, choice_t *choice)
 {
 	gateway_t *gateway = request->gateway;
 	bool local = region_set_has(request->regions, gateway->region);
-	double reserve = urgency_reserve(
-	    &request->service_state->urgency, request->priority);
+	double reserve =
+	    urgency_reserve(&request->service_state->urgency, request->class);
 	placement_request_t criteria = {
 	    .service = request->service,
 	    .prompt = request->service->engine ? &request->parsed.prompt : NULL,
@@ -229,7 +215,9 @@
 	    .region_instances = gateway->region_instances,
 	    .reserve = reserve,
 	    .gap_limit_ms = request->service_state->gap_limit_ms,
-	    .wait_limit_ms = wait_limit_ms(request, reserve),
+	    .wait_limit_ms =
+		urgency_wait_limit_ms(reserve, PLACEMENT_MAX_EXPECTED_MS,
+		    request->route->first_byte_objective_ms),
 	    .version =
 		request_keeps_version(request) ? request->stream_version : 0,
 	    .may_wait_for_cached =
@@ -335,7 +323,7 @@
 	    &(gateway_fields_t){.time_left_ms = request_time_left_ms(request),
 		.target = target->entry.id,
 		.team = request->team ? request->team->name : NULL,
-		.priority = request->service->engine ? request->priority : -1,
+		.priority = request->service->engine ? request->class : -1,
 		.resume_after = request->resume_after,
 		.has_body = request->has_body,
 		.body_len = request->body->len});
@@ -401,7 +389,7 @@
 	const prompt_t *prompt = &request->parsed.prompt;
 	queue_request_t entry = {
 	    .team = request->team ? request->team->name : "",
-	    .priority = request->priority,
+	    .priority = request->class,
 	    .cost = MAX(1, (int64_t)prompt->tokens_in),
 	    .deadline = latest_start(request),
 	    .item = request,
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -55,7 +55,7 @@
 	const catalog_service_t *service;
 	const catalog_team_t *team;
 	int team_index;
-	int priority;
+	int class; /* urgency_class() */
 	region_set_t regions;
 	double cost;
 	service_state_t *service_state;
--- a/include/balance/urgency.h
+++ b/include/balance/urgency.h
@@ -1,6 +1,8 @@
 #ifndef BALANCE_URGENCY_H
 #define BALANCE_URGENCY_H
 
+#include <stdint.h>
+
 #include "core/types.h"
 
 /*
@@ -12,7 +14,9 @@
  * choose independently: room that the urgent requests waiting at one instance
  * need is taken by the less urgent ones of another. Each less urgent request
  * therefore leaves a part of every target free, at most as large as the part of
- * more urgent ones among the recent requests, so that nothing has to be agreed.
+ * more urgent ones in the work that was asked for lately, so that nothing has
+ * to be agreed. Many small urgent requests thus take little room from the
+ * others.
  */
 
 /* Classes, 0 the most urgent; as many as core/queue.h has. */
@@ -32,17 +36,32 @@
  */
 int urgency_class(int team_priority, int route_priority);
 
-/* Recent requests for one service. Initialized with zeros. */
+/* Work asked of one service lately. Initialized with zeros. */
 typedef struct {
-	double n[URGENCY_CLASSES]; /* weighted by age, as of updated_at */
+	double work[URGENCY_CLASSES]; /* weighted by age, as of updated_at */
 	time_us_t updated_at;
 } urgency_t;
 
+/*
+ * Work that a request asks for, in prompt tokens; at least 1, as for a plain
+ * service. An output token takes as long as several tokens of a prompt.
+ */
+double urgency_work(uint32_t tokens_in, uint32_t tokens_out);
+
 /* Records that a request of the class has arrived. */
-void urgency_note(urgency_t *urgency, int class, time_us_t now);
+void urgency_note(urgency_t *urgency, int class, double work, time_us_t now);
 
 /* Part of the room that a request of the class leaves free, at most
  * URGENCY_RESERVE_MAX. */
 double urgency_reserve(const urgency_t *urgency, int class);
 
+/*
+ * Longest expected time in ms to the first token at which a request may be sent
+ * to a target. usual_ms holds for all; one whose objective is far off may wait
+ * at the target, where it keeps it busy, unless more urgent ones would wait
+ * behind it, as the reserve tells.
+ */
+double urgency_wait_limit_ms(
+    double reserve, double usual_ms, int64_t objective_ms);
+
 #endif
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "balance/urgency.h"
 #include "core/random.h"
 #include "test.h"
 
@@ -374,6 +375,9 @@
 #define PEAK_WAITING 30	   /* at one instance; more are refused */
 #define PEAK_ARRIVALS 115  /* a second at one instance: 1.5 times the slots */
 #define PEAK_RUN_STEPS 35
+/* Urgent requests ask for two thirds of the slots, and all for 1.5 times. */
+#define PEAK_URGENT_PART 0.45
+#define PEAK_PATIENCE_STEPS 5
 
 typedef struct {
 	target_t *target;
@@ -387,7 +391,9 @@
 	target_t *engines[PEAK_ENGINES];
 	int subjects[PEAK_WAITING]; /* of the waiting requests */
 	int waiting_since[PEAK_WAITING];
+	bool urgent[PEAK_WAITING];
 	int n_waiting;
+	urgency_t urgency;
 	GArray *runs; /* peak_run_t */
 } peak_instance_t;
 
@@ -398,7 +404,12 @@
 	unsigned busy[PEAK_ENGINES]; /* requests that actually run */
 	uint64_t random;
 	int step;
+	/* Urgent requests, of all; 0: none, and none is refused. */
+	double urgent_part;
+	bool reserves; /* the others leave room to them */
 	/* Observed. */
+	unsigned n_urgent; /* that arrived */
+	unsigned n_urgent_sends;
 	unsigned n_sends;
 	unsigned n_overcommitted; /* sends to an engine without a free slot */
 	unsigned n_preferred;
@@ -511,66 +522,107 @@
 }
 
 static void
-peak_dispatch(peak_t *peak, peak_instance_t *instance, int wait_steps,
+peak_remove(peak_instance_t *instance, int i)
+{
+	size_t n = (size_t)(--instance->n_waiting - i);
+
+	memmove(&instance->subjects[i], &instance->subjects[i + 1],
+	    n * sizeof(int));
+	memmove(&instance->waiting_since[i], &instance->waiting_since[i + 1],
+	    n * sizeof(int));
+	memmove(
+	    &instance->urgent[i], &instance->urgent[i + 1], n * sizeof(bool));
+}
+
+static placement_t
+peak_pick(peak_t *peak, const peak_instance_t *instance, int i, int wait_steps,
     uint32_t region_instances)
+{
+	char parts[64];
+	prompt_t prompt;
+	placement_request_t request = {.service = &peak->service,
+	    .prompt = &prompt,
+	    .region_instances = region_instances,
+	    .may_wait_for_cached =
+		peak->step - instance->waiting_since[i] < wait_steps,
+	    .random = random_next(&peak->random)};
+
+	if (peak->reserves)
+		request.reserve = urgency_reserve(
+		    &instance->urgency, instance->urgent[i] ? 0 : 1);
+	snprintf(parts, sizeof(parts), "aa:2500,b%x:3800,c%x:2900",
+	    (unsigned)instance->subjects[i], peak->n_sends);
+	prompt_make(&prompt, parts, 9200);
+	return placement_pick(instance->targets, &request, peak_now(peak));
+}
+
+/* Sends what can be sent of one kind, oldest first. */
+static void
+peak_dispatch(peak_t *peak, peak_instance_t *instance, bool urgent,
+    int wait_steps, uint32_t region_instances)
 {
 	for (int i = 0; i < instance->n_waiting; i++) {
-		char parts[64];
-		prompt_t prompt;
-		placement_request_t request = {.service = &peak->service,
-		    .prompt = &prompt,
-		    .region_instances = region_instances,
-		    .may_wait_for_cached =
-			peak->step - instance->waiting_since[i] < wait_steps,
-		    .random = random_next(&peak->random)};
-		placement_t placement;
+		bool late = peak->urgent_part > 0 &&
+			    peak->step - instance->waiting_since[i] >=
+				PEAK_PATIENCE_STEPS;
+		placement_t placement = {.outcome = PLACEMENT_WAIT};
 
-		snprintf(parts, sizeof(parts), "aa:2500,b%x:3800,c%x:2900",
-		    (unsigned)instance->subjects[i], peak->n_sends);
-		prompt_make(&prompt, parts, 9200);
-		placement =
-		    placement_pick(instance->targets, &request, peak_now(peak));
-		if (placement.outcome != PLACEMENT_START)
+		if (instance->urgent[i] != urgent)
+			continue;
+		if (!late)
+			placement = peak_pick(
+			    peak, instance, i, wait_steps, region_instances);
+		if (!late && placement.outcome != PLACEMENT_START)
 			continue;
-		peak_send(peak, instance, &placement);
-		instance->n_waiting--;
-		memmove(&instance->subjects[i], &instance->subjects[i + 1],
-		    (size_t)(instance->n_waiting - i) * sizeof(int));
-		memmove(&instance->waiting_since[i],
-		    &instance->waiting_since[i + 1],
-		    (size_t)(instance->n_waiting - i) * sizeof(int));
-		i--;
+		if (!late) {
+			peak_send(peak, instance, &placement);
+			peak->n_urgent_sends += urgent;
+		}
+		peak_remove(instance, i--);
 	}
 }
 
+/* A request that finds PEAK_WAITING others waiting is refused. */
 static void
 peak_arrive(peak_t *peak, peak_instance_t *instance)
 {
 	double n = PEAK_ARRIVALS * (double)PEAK_STEP_US / US_PER_S;
 
 	for (; (double)(random_next(&peak->random) % 1000) < 1000 * n; n -= 1) {
-		if (instance->n_waiting == PEAK_WAITING)
+		int at = instance->n_waiting;
+		bool urgent = peak->urgent_part > 0 &&
+			      (double)(random_next(&peak->random) % 1000) <
+				  1000 * peak->urgent_part;
+
+		peak->n_urgent += urgent;
+		urgency_note(
+		    &instance->urgency, urgent ? 0 : 1, 1, peak_now(peak));
+		if (at == PEAK_WAITING)
 			return;
-		instance->subjects[instance->n_waiting] =
+		instance->subjects[at] =
 		    (int)(random_next(&peak->random) % PEAK_SUBJECTS);
-		instance->waiting_since[instance->n_waiting++] = peak->step;
+		instance->waiting_since[at] = peak->step;
+		instance->urgent[at] = urgent;
+		instance->n_waiting++;
 		if (n < 1)
 			return;
 	}
 }
 
 static peak_t *
-peak_simulate(int wait_steps, uint32_t region_instances)
+peak_run(peak_t *peak, int wait_steps, uint32_t region_instances)
 {
-	peak_t *peak = peak_create();
-
 	for (peak->step = 0; peak->step < PEAK_STEPS; peak->step++) {
 		if (peak->step % PEAK_LOAD_STEPS == 0)
 			peak_report_loads(peak);
 		for (int i = 0; i < PEAK_INSTANCES; i++) {
-			peak_end_runs(peak, &peak->instances[i], false);
-			peak_arrive(peak, &peak->instances[i]);
-			peak_dispatch(peak, &peak->instances[i], wait_steps,
+			peak_instance_t *instance = &peak->instances[i];
+
+			peak_end_runs(peak, instance, false);
+			peak_arrive(peak, instance);
+			peak_dispatch(
+			    peak, instance, true, wait_steps, region_instances);
+			peak_dispatch(peak, instance, false, wait_steps,
 			    region_instances);
 		}
 		for (int i = 0; i < PEAK_ENGINES; i++)
@@ -580,6 +632,22 @@
 	return peak;
 }
 
+static peak_t *
+peak_simulate(int wait_steps, uint32_t region_instances)
+{
+	return peak_run(peak_create(), wait_steps, region_instances);
+}
+
+static peak_t *
+peak_simulate_urgent(bool reserves)
+{
+	peak_t *peak = peak_create();
+
+	peak->urgent_part = PEAK_URGENT_PART;
+	peak->reserves = reserves;
+	return peak_run(peak, 0, PEAK_INSTANCES);
+}
+
 /* Instances that choose independently send to the same free slots. Dividing the
  * slots must avoid half of the sends that find none free. */
 TEST(slots_at_peak_load_are_divided)
@@ -607,4 +675,27 @@
 	peak_destroy(waiting);
 }
 
+static double
+peak_urgent_sent(const peak_t *peak)
+{
+	return (double)peak->n_urgent_sends / peak->n_urgent;
+}
+
+/*
+ * Instances don't know what waits at others. With a reserve nearly all urgent
+ * requests must be sent in time, and the slots still be used.
+ */
+TEST(urgent_requests_find_room_at_peak_load)
+{
+	peak_t *without = peak_simulate_urgent(false);
+	peak_t *with = peak_simulate_urgent(true);
+
+	ck_assert_double_ge(peak_urgent_sent(with), 0.95);
+	ck_assert_double_le(
+	    1 - peak_urgent_sent(with), 0.5 * (1 - peak_urgent_sent(without)));
+	ck_assert_double_ge(with->used, without->used - 0.1);
+	peak_destroy(without);
+	peak_destroy(with);
+}
+
 TEST_MAIN("placement")
