--- a/core/placement.c
+++ b/core/placement.c
@@ -35,6 +35,15 @@
  * preferred target at a time. */
 #define PREFERRED_CONTENDERS_DIVISOR 4
 
+/* Streams up to this many times the average length must end in time. */
+#define STREAM_LENGTH_FACTOR 1.2
+
+/* Part of the longest timely gap that the average may be, as gaps vary. */
+#define AVERAGE_GAP_FACTOR 0.45
+
+/* Time between reports of a region's capacity to an instance, about. */
+#define CAPACITY_REPORT_MS 500.0
+
 /* Part of the limit on gaps between events for each part of reserved room. */
 #define RESERVE_GAP_FACTOR 1.6
 
@@ -370,6 +379,16 @@
 	return target->in_flight == 0 || now >= target->backoff_until;
 }
 
+double
+placement_gap_limit_ms(double events, int64_t timeout_ms, int64_t max_gap_ms)
+{
+	double limit = (double)timeout_ms / (STREAM_LENGTH_FACTOR * events);
+
+	if (max_gap_ms > 0)
+		limit = MIN(limit, AVERAGE_GAP_FACTOR * (double)max_gap_ms);
+	return limit;
+}
+
 placement_t
 placement_pick(
     const targets_t *targets, const placement_request_t *request, time_us_t now)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -32,9 +32,6 @@
 /* Weight of one request in the moving average of its route's stream length. */
 #define STREAM_WEIGHT 0.02
 
-/* Streams up to this many times the average length must end in time. */
-#define STREAM_LENGTH_FACTOR 1.2
-
 /* Instances in a region from which on it has relays (RELAY_COUNT). */
 #define RELAY_REGION_MIN 6
 
@@ -279,6 +276,7 @@
 	double limit = INFINITY;
 
 	length->timeout_ms = route->timeout_ms;
+	length->max_gap_ms = route->max_event_gap_ms;
 	if (length->events <= 0)
 		length->events = events;
 	else
@@ -286,8 +284,8 @@
 	for (guint i = 0; i < service_state->streams->len; i++) {
 		length =
 		    &g_array_index(service_state->streams, stream_length_t, i);
-		limit = MIN(limit, (double)length->timeout_ms /
-				       (STREAM_LENGTH_FACTOR * length->events));
+		limit = MIN(limit, placement_gap_limit_ms(length->events,
+				       length->timeout_ms, length->max_gap_ms));
 	}
 	service_state->gap_limit_ms = limit;
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -48,9 +48,8 @@
 	urgency_t urgency;
 	GArray *streams; /* stream_length_t */
 	/*
-	 * Maximum gap between events at which streams end within their timeout
-	 * on every route, computed for a multiple of the route's average length
-	 * (STREAM_LENGTH_FACTOR).
+	 * Average gap between events up to which targets get requests: the
+	 * least of placement_gap_limit_ms() over the routes.
 	 */
 	double gap_limit_ms;
 } service_state_t;
@@ -60,6 +59,7 @@
 	char name[NAME_LIMIT + 1]; /* name of the route */
 	double events;		   /* moving average of the events per stream */
 	int64_t timeout_ms;
+	int64_t max_gap_ms; /* between events, for a timely response; 0: any */
 } stream_length_t;
 
 /*
--- a/include/core/placement.h
+++ b/include/core/placement.h
@@ -104,6 +104,15 @@
 				   prefix isn't cached on it */
 } placement_t;
 
+/*
+ * Average gap between the events of an engine's streams, in ms, up to which it
+ * gets requests of a route: streams a little longer than the average must end
+ * within the timeout, and hardly a gap may be longer than a timely response
+ * allows. events: of a stream, on average; max_gap_ms: 0 if any gap is timely.
+ */
+double placement_gap_limit_ms(
+    double events, int64_t timeout_ms, int64_t max_gap_ms);
+
 placement_t placement_pick(const targets_t *targets,
     const placement_request_t *request, time_us_t now);
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -217,6 +217,15 @@
 	fixture_destroy(&f);
 }
 
+/* Neither streams that end late nor pauses that make them late are risked. */
+TEST(gap_limit_is_the_least_of_timeout_and_timely_gap)
+{
+	ck_assert_double_eq_tol(placement_gap_limit_ms(50, 6000, 0), 100, 1e-9);
+	ck_assert_double_lt(placement_gap_limit_ms(50, 60000, 400), 200);
+	ck_assert_double_eq_tol(
+	    placement_gap_limit_ms(50, 6000, 600), 100, 1e-9);
+}
+
 /* The instance that sends prompts has no streams of its own at the engine. */
 TEST(slow_streams_of_other_instances_count)
 {
