--- a/balance/overflow.c
+++ b/balance/overflow.c
@@ -3,10 +3,10 @@
 #include <glib.h>
 
 void
-overflow_note_report(overflow_share_t *share, uint32_t room,
+overflow_note_report(overflow_share_t *share, uint32_t room, bool engine,
     uint32_t n_instances, uint64_t random)
 {
-	uint32_t n = MAX(1u, n_instances);
+	uint32_t n = engine ? MAX(1u, n_instances) : 1;
 
 	share->left = room / n + (random % n < room % n);
 }
--- a/balance/pace.c
+++ b/balance/pace.c
@@ -17,6 +17,9 @@
 /* An observation counts as at most this many times the model, either way. */
 #define OUTLIER_FACTOR 1.5
 
+/* Weight of the newest request in the average of their tokens. */
+#define REQUEST_WEIGHT 0.02
+
 #define FIRST_MS_MIN 1.0
 #define TOKEN_MS_MIN 0.0005
 #define TOKEN_MS_MAX 2.0
@@ -51,6 +54,7 @@
 	*model = (pace_model_t){
 	    .first_ms = PACE_INITIAL_FIRST_MS,
 	    .token_ms = PACE_INITIAL_TOKEN_MS,
+	    .request_tokens = INITIAL_SHORT_TOKENS,
 	};
 	model_add(model, INITIAL_WEIGHT, INITIAL_SHORT_TOKENS,
 	    pace_model_ms(model, INITIAL_SHORT_TOKENS));
@@ -64,10 +68,22 @@
 	return model->first_ms + model->token_ms * tokens;
 }
 
+void
+pace_model_note_request(pace_model_t *model, double tokens)
+{
+	model->request_tokens +=
+	    REQUEST_WEIGHT * (tokens - model->request_tokens);
+}
+
 double
-pace_model_tokens(const pace_model_t *model)
+pace_model_room(const pace_model_t *model, double factor, double expected_ms,
+    double limit_ms, double within_ms)
 {
-	return model->tokens / model->n;
+	double request_ms = factor * model->token_ms * model->request_tokens;
+
+	if (expected_ms >= limit_ms)
+		return 0;
+	return 1 + (limit_ms - expected_ms + within_ms) / MAX(1, request_ms);
 }
 
 /* Least squares. A line that would fall below zero is turned about the mean. */
--- a/core/placement.c
+++ b/core/placement.c
@@ -444,18 +444,20 @@
 }
 
 /*
- * Requests that the target could start now: free slots, but not more than keep
- * the expected time below the limit if all have the mean number of tokens.
+ * Requests that the target could start until the next report: free slots, but
+ * not more than it can read meanwhile.
  */
 static uint32_t
 target_room(const target_t *target, double expected_ms, time_us_t now)
 {
-	uint32_t n_free = target->entry.slots - target_in_flight(target, now);
-	double request_ms =
-	    target_prefill_ms(target, pace_model_tokens(target->model), now);
+	uint32_t in_flight = target_in_flight(target, now);
+	double n_read =
+	    pace_model_room(target->model, pace_factor(&target->pace, now),
+		expected_ms, PLACEMENT_MAX_EXPECTED_MS, CAPACITY_REPORT_MS);
 
-	return (uint32_t)MIN(n_free,
-	    1 + (PLACEMENT_MAX_EXPECTED_MS - expected_ms) / MAX(1, request_ms));
+	if (in_flight >= target->entry.slots)
+		return 0;
+	return (uint32_t)MIN(target->entry.slots - in_flight, n_read);
 }
 
 region_capacity_t
@@ -466,7 +468,6 @@
 
 	for (size_t i = 0; i < targets_count(targets); i++) {
 		const target_t *target = targets_at(targets, i);
-		uint32_t in_flight;
 		double expected;
 
 		if (strcmp(target->entry.service, service->name) != 0 ||
@@ -474,12 +475,9 @@
 		    !target_is_healthy(target, now) ||
 		    target_n_senders(target, now) > 0)
 			continue;
-		in_flight = target_in_flight(target, now);
 		expected = target_expected_ms(target, 0, now);
 		capacity.expected_ms = MIN(capacity.expected_ms, expected);
-		if (in_flight < target->entry.slots &&
-		    expected < PLACEMENT_MAX_EXPECTED_MS)
-			capacity.room += target_room(target, expected, now);
+		capacity.room += target_room(target, expected, now);
 	}
 	return capacity;
 }
--- a/core/targets.c
+++ b/core/targets.c
@@ -711,6 +711,7 @@
 	    .tokens_ahead = tokens_pending(target),
 	    .found_slot = target->in_flight + target->peer_in_flight <
 			  MAX(1u, target->entry.slots)};
+	pace_model_note_request(target->model, tokens);
 	if (target->in_flight == 0)
 		target->last_activity_at = now;
 	target->in_flight++;
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -102,9 +102,6 @@
 	if (i == load->n || !region_is_allowed(request, region) ||
 	    gateway_now(gateway) - load->received_at >= REGION_LOAD_TTL_US)
 		return (overflow_share_t){0};
-	/* A slot of a plain service serves many requests between reports. */
-	if (!request->service->engine)
-		return (overflow_share_t){load->services[i].room};
 	return load->shares[i];
 }
 
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -782,6 +782,22 @@
 	    !load_sender_is_zone(sender), now);
 }
 
+/* service: target_short_id() of its name. */
+static bool
+service_is_engine(const gateway_t *gateway, uint32_t service)
+{
+	size_t n = gateway->catalog ? catalog_n_services(gateway->catalog) : 0;
+
+	for (size_t i = 0; i < n; i++) {
+		const catalog_service_t *listed =
+		    catalog_service(gateway->catalog, (int)i);
+
+		if (target_short_id(listed->name) == service)
+			return listed->engine;
+	}
+	return false;
+}
+
 static void
 region_apply(
     gateway_t *gateway, int region, const message_t *message, time_us_t now)
@@ -792,10 +808,13 @@
 	    gateway->rates, region, message->demands, message->n_demands, now);
 	memcpy(load->services, message->capacities,
 	    message->n_capacities * sizeof(service_capacity_t));
-	for (uint32_t i = 0; i < message->n_capacities; i++)
-		overflow_note_report(&load->shares[i],
-		    message->capacities[i].room, gateway->region_instances,
-		    random_next(&gateway->random));
+	for (uint32_t i = 0; i < message->n_capacities; i++) {
+		const service_capacity_t *capacity = &message->capacities[i];
+
+		overflow_note_report(&load->shares[i], capacity->room,
+		    service_is_engine(gateway, capacity->service),
+		    gateway->region_instances, random_next(&gateway->random));
+	}
 	load->n = message->n_capacities;
 	load->received_at = now;
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -63,13 +63,12 @@
 } stream_length_t;
 
 /*
- * Room and expected time to the first byte of a service in one region, as
- * instances report them to other regions.
+ * Room of a service in one region, as instances report it to other regions.
  */
 typedef struct {
 	uint32_t service; /* target_short_id() of its name */
 	uint32_t room; /* requests that could start; 0 while some are queued */
-	uint32_t expected_ms;
+	uint32_t expected_ms; /* for instances of versions that choose by it */
 } service_capacity_t;
 
 #define CAPACITY_LIMIT 16
--- a/include/balance/overflow.h
+++ b/include/balance/overflow.h
@@ -1,6 +1,7 @@
 #ifndef BALANCE_OVERFLOW_H
 #define BALANCE_OVERFLOW_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -27,9 +28,11 @@
 /*
  * Sets the share by a report. room: requests that could start in the region.
  * n_instances: of the own region, this one included. random: any number; the
- * remainder is divided at random, so that it is right on average.
+ * remainder is divided at random, so that it is right on average. engine: the
+ * room is of engines; that of a plain service isn't divided, as each of its
+ * slots serves many requests between reports.
  */
-void overflow_note_report(overflow_share_t *share, uint32_t room,
+void overflow_note_report(overflow_share_t *share, uint32_t room, bool engine,
     uint32_t n_instances, uint64_t random);
 
 /* Returns the index of a region, or OVERFLOW_NONE. random: any number. */
--- a/include/balance/pace.h
+++ b/include/balance/pace.h
@@ -41,8 +41,9 @@
 
 /* Time to the first token of the engines of one service at their usual pace. */
 typedef struct {
-	double first_ms; /* without prefill */
-	double token_ms; /* for each token to be prefilled */
+	double first_ms;       /* without prefill */
+	double token_ms;       /* for each token to be prefilled */
+	double request_tokens; /* of one request, on average */
 	/* Sums over the observations, each weighted by its age. */
 	double n;
 	double tokens;
@@ -56,8 +57,16 @@
 /* Expected time in ms to the first token at the usual pace. */
 double pace_model_ms(const pace_model_t *model, double tokens);
 
-/* Mean number of tokens until the first token of recent requests. */
-double pace_model_tokens(const pace_model_t *model);
+/* Records the tokens to be prefilled of a request that is sent. */
+void pace_model_note_request(pace_model_t *model, double tokens);
+
+/*
+ * Requests that a target whose expected time to the first token is expected_ms
+ * can take within_ms from now, so that it stays below limit_ms. factor: as
+ * pace_factor() tells.
+ */
+double pace_model_room(const pace_model_t *model, double factor,
+    double expected_ms, double limit_ms, double within_ms);
 
 /*
  * Fits the model to one more observation: ms to the first token, at the usual
--- a/tests/test_overflow.c
+++ b/tests/test_overflow.c
@@ -39,7 +39,8 @@
 	for (int i = 0; i < 10000; i++) {
 		overflow_share_t share;
 
-		overflow_note_report(&share, 100, 84, random_next(&random));
+		overflow_note_report(
+		    &share, 100, true, 84, random_next(&random));
 		ck_assert_uint_ge(share.left, 1);
 		ck_assert_uint_le(share.left, 2);
 		sum += share.left;
@@ -47,6 +48,15 @@
 	ck_assert_double_eq_tol(sum / 10000 * 84, 100, 2);
 }
 
+/* Guards against plain services that get a request in two reports. */
+TEST(room_of_a_plain_service_is_not_divided)
+{
+	overflow_share_t share;
+
+	overflow_note_report(&share, 12, false, 84, 1);
+	ck_assert_uint_eq(share.left, 12);
+}
+
 /*
  * A region at its peak: its instances want to pass on more than the others have
  * room for. Each hears of each region's room at its own moment, every
@@ -93,7 +103,7 @@
 			for (int r = 0; r < REGIONS; r++) {
 				told[i][r] = free[r];
 				overflow_note_report(&shares[i][r],
-				    (uint32_t)free[r], n_instances,
+				    (uint32_t)free[r], true, n_instances,
 				    random_next(&random));
 			}
 		}
