--- a/gateway/endpoints.c
+++ b/gateway/endpoints.c
@@ -123,7 +123,8 @@
 
 	counter_write_all(text);
 	latencies_write(client->endpoints->gateway->latencies, text);
-	gauges_write(client->endpoints->gateway, text);
+	gauges_write(client->endpoints->gateway, text,
+	    gateway_now(client->endpoints->gateway));
 	response_send(
 	    client, 200, "text/plain; version=0.0.4", text->str, text->len);
 }
--- a/gateway/gauges.c
+++ b/gateway/gauges.c
@@ -3,7 +3,10 @@
 /*
  * Gauges of what requests are placed by: paces of targets, the part of an
  * engine that each class leaves free, and what may be sent to other regions.
- * Computed when they are read.
+ *
+ * Load pattern: hundreds of targets whose figures change with every answer, and
+ * a reader every few seconds. The text is made when it is read, so that answers
+ * cost nothing; it has three lines for each target that may be used.
  */
 
 static void
@@ -32,7 +35,7 @@
 
 static void
 service_write(const gateway_t *gateway, const service_state_t *service_state,
-    GString *text, time_us_t now)
+    GString *text)
 {
 	const pace_model_t *model =
 	    targets_model(gateway->targets, service_state->name);
@@ -65,14 +68,13 @@
 }
 
 void
-gauges_write(gateway_t *gateway, GString *text)
+gauges_write(const gateway_t *gateway, GString *text, time_us_t now)
 {
-	time_us_t now = gateway_now(gateway);
 	GHashTableIter iter;
 	gpointer service_state;
 
 	targets_write(gateway, text, now);
 	g_hash_table_iter_init(&iter, gateway->service_states);
 	while (g_hash_table_iter_next(&iter, NULL, &service_state))
-		service_write(gateway, service_state, text, now);
+		service_write(gateway, service_state, text);
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -462,7 +462,7 @@
 
 /* gauges.c */
 /* Appends gauges of targets, services and regions in the Prometheus format. */
-void gauges_write(gateway_t *gateway, GString *text);
+void gauges_write(const gateway_t *gateway, GString *text, time_us_t now);
 
 /* resumption.c: streams that callers resume. */
 /*
