--- a/balance/pace.c
+++ b/balance/pace.c
@@ -35,7 +35,8 @@
 	pace_observation_t *ring;
 	size_t limit;
 	size_t next; /* position of the next observation */
-	size_t n;
+	size_t n;    /* in the ring */
+	size_t n_dropped;
 };
 
 static void
@@ -130,7 +131,7 @@
 }
 
 bool
-pace_state(pace_t *pace, double factor, time_us_t now)
+pace_note_stated(pace_t *pace, double factor, time_us_t now)
 {
 	if (!(factor >= PACE_STATED_MIN && factor <= PACE_STATED_MAX))
 		return false;
@@ -189,19 +190,30 @@
 void
 pace_log_add(pace_log_t *log, const pace_observation_t *observation)
 {
+	if (observation->tokens > PACE_TOLD_TOKENS_MAX ||
+	    observation->ms > PACE_TOLD_MS_MAX) {
+		log->n_dropped++;
+		return;
+	}
 	log->ring[log->next] = *observation;
 	log->next = (log->next + 1) % log->limit;
-	log->n = MIN(log->n + 1, log->limit);
+	if (log->n < log->limit)
+		log->n++;
+	else
+		log->n_dropped++;
 }
 
 size_t
-pace_log_take(pace_log_t *log, pace_observation_t *observations, size_t limit)
+pace_log_take(pace_log_t *log, pace_observation_t *observations, size_t limit,
+    size_t *n_dropped)
 {
 	size_t n = MIN(log->n, limit);
 
 	for (size_t i = 0; i < n; i++)
 		observations[i] =
 		    log->ring[(log->next + log->limit - n + i) % log->limit];
+	*n_dropped += log->n_dropped + log->n - n;
 	log->n = 0;
+	log->n_dropped = 0;
 	return n;
 }
--- a/core/targets.c
+++ b/core/targets.c
@@ -852,7 +852,7 @@
 bool
 target_report_pace(target_t *target, double factor, time_us_t now)
 {
-	return pace_state(&target->pace, factor, now);
+	return pace_note_stated(&target->pace, factor, now);
 }
 
 const pace_model_t *
@@ -863,9 +863,10 @@
 
 size_t
 targets_export_paces(targets_t *targets, pace_audience_t audience,
-    pace_observation_t *observations, size_t limit)
+    pace_observation_t *observations, size_t limit, size_t *n_dropped)
 {
-	return pace_log_take(targets->pace_logs[audience], observations, limit);
+	return pace_log_take(
+	    targets->pace_logs[audience], observations, limit, n_dropped);
 }
 
 void
@@ -880,7 +881,7 @@
 		if (target == NULL)
 			continue;
 		if (observation->stated > 0)
-			pace_state(
+			pace_note_stated(
 			    &target->pace, observation->stated / 100.0, now);
 		if (observation->ms > 0)
 			pace_observe(target, observation,
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -64,6 +64,11 @@
 #define PACE_TOKENS_UNIT 8
 #define PACE_STATED_UNIT 4
 
+G_STATIC_ASSERT(PACE_TOLD_TOKENS_MAX <= PACE_FIELD_MAX * PACE_TOKENS_UNIT);
+G_STATIC_ASSERT(PACE_TOLD_MS_MAX <= PACE_FIELD_MAX);
+G_STATIC_ASSERT(
+    PACE_STATED_MAX_PERCENT <= PACE_STATED_FIELD_MAX * PACE_STATED_UNIT);
+
 /* Instances of each other zone that get records, and that are asked. */
 #define RECORD_COPIES 2
 
@@ -302,6 +307,20 @@
 	return n;
 }
 
+static void
+paces_fill(const gateway_t *gateway, message_t *message,
+    pace_audience_t audience, size_t limit)
+{
+	size_t n_dropped = 0;
+
+	message->n_paces = (uint32_t)targets_export_paces(
+	    gateway->targets, audience, message->paces, limit, &n_dropped);
+	if (n_dropped > 0)
+		counter_add(counter_get("pace_observations_dropped", "audience",
+				audience == PACE_FOR_ZONE ? "zone" : "region"),
+		    (int64_t)n_dropped);
+}
+
 /* Encodes the sender's view in at most n_members entries, its own first. */
 static void
 message_fill(const gateway_t *gateway, message_t *message, message_kind_t kind,
@@ -327,18 +346,14 @@
 		    gateway->targets, message->loads, LOAD_LIMIT, now);
 		message->n_demands = (uint32_t)team_rates_own_demand(
 		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT);
-		message->n_paces =
-		    (uint32_t)targets_export_paces(gateway->targets,
-			PACE_FOR_ZONE, message->paces, PACE_LIMIT);
+		paces_fill(gateway, message, PACE_FOR_ZONE, PACE_LIMIT);
 		return;
 	case MESSAGE_ZONE:
 		message->n_loads = (uint32_t)targets_zone_load(gateway->targets,
 		    message->loads, LOAD_LIMIT, &message->n_instances, now);
 		message->n_demands = (uint32_t)team_rates_zone_demand(
 		    gateway->rates, message->demands, TEAM_DEMAND_LIMIT, now);
-		message->n_paces =
-		    (uint32_t)targets_export_paces(gateway->targets,
-			PACE_FOR_REGION, message->paces, PACE_ZONE_LIMIT);
+		paces_fill(gateway, message, PACE_FOR_REGION, PACE_ZONE_LIMIT);
 		return;
 	case MESSAGE_REGION:
 		message->n_demands = (uint32_t)team_rates_region_demand(
@@ -394,11 +409,10 @@
 static bool
 pace_xdr(XDR *xdr, pace_observation_t *observation)
 {
-	uint32_t packed =
-	    MIN(observation->tokens / PACE_TOKENS_UNIT, PACE_FIELD_MAX)
-		<< (PACE_FIELD_BITS + PACE_STATED_BITS) |
-	    MIN(observation->ms, PACE_FIELD_MAX) << PACE_STATED_BITS |
-	    MIN(observation->stated / PACE_STATED_UNIT, PACE_STATED_FIELD_MAX);
+	uint32_t packed = observation->tokens / PACE_TOKENS_UNIT
+			      << (PACE_FIELD_BITS + PACE_STATED_BITS) |
+			  observation->ms << PACE_STATED_BITS |
+			  observation->stated / PACE_STATED_UNIT;
 
 	if (!xdr_uint32_t(xdr, &observation->target) ||
 	    !xdr_uint32_t(xdr, &packed))
--- a/include/balance/pace.h
+++ b/include/balance/pace.h
@@ -29,7 +29,8 @@
 
 /* Range of a stated pace, as a factor on the time; others are malformed. */
 #define PACE_STATED_MIN 0.05
-#define PACE_STATED_MAX 20.0
+#define PACE_STATED_MAX_PERCENT 1000
+#define PACE_STATED_MAX (PACE_STATED_MAX_PERCENT / 100.0)
 
 /* Range of a target's slowness. */
 #define PACE_SLOWNESS_MIN 0.25
@@ -89,7 +90,7 @@
  * Records the momentary pace that the target stated. Returns false, and changes
  * nothing, unless the factor is between PACE_STATED_MIN and PACE_STATED_MAX.
  */
-bool pace_state(pace_t *pace, double factor, time_us_t now);
+bool pace_note_stated(pace_t *pace, double factor, time_us_t now);
 
 /* The momentary factor at this time. */
 double pace_stated(const pace_t *pace, time_us_t now);
@@ -111,6 +112,10 @@
 	uint32_t stated; /* factor in percent; 0: not stated */
 } pace_observation_t;
 
+/* Largest values that are told; an observation beyond them is not. */
+#define PACE_TOLD_TOKENS_MAX 32760
+#define PACE_TOLD_MS_MAX 4095
+
 /* Observations to be told to others. The oldest are dropped when it is full. */
 typedef struct pace_log pace_log_t;
 
@@ -118,8 +123,11 @@
 void pace_log_destroy(pace_log_t *log);
 void pace_log_add(pace_log_t *log, const pace_observation_t *observation);
 
-/* Takes out the newest, at most limit, and drops the others. */
-size_t pace_log_take(
-    pace_log_t *log, pace_observation_t *observations, size_t limit);
+/*
+ * Takes out the newest, at most limit. Adds the number of those that were
+ * dropped since the last call to n_dropped.
+ */
+size_t pace_log_take(pace_log_t *log, pace_observation_t *observations,
+    size_t limit, size_t *n_dropped);
 
 #endif
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -425,7 +425,7 @@
 
 /*
  * Records the pace that the target stated, as a factor on the time that its
- * work takes. Returns false if the factor is out of range (pace_state()).
+ * work takes. Returns false if the factor is out of range (pace_note_stated()).
  */
 bool target_report_pace(target_t *target, double factor, time_us_t now);
 
@@ -450,10 +450,12 @@
 	PACE_AUDIENCE_COUNT
 } pace_audience_t;
 
-/* Writes the newest observations that weren't told yet. Returns their number,
- * at most limit; older ones are dropped. */
+/*
+ * Writes the newest observations that weren't told yet. Returns their number,
+ * at most limit; the others are dropped, and added to n_dropped.
+ */
 size_t targets_export_paces(targets_t *targets, pace_audience_t audience,
-    pace_observation_t *observations, size_t limit);
+    pace_observation_t *observations, size_t limit, size_t *n_dropped);
 
 /* Applies what another instance observed; pass_on: tell other zones of it. */
 void targets_import_paces(targets_t *targets,
--- a/tests/test_gauges.c
+++ b/tests/test_gauges.c
@@ -30,7 +30,7 @@
 	target = put(gateway.targets, "t1", TARGET_READY);
 	put(gateway.targets, "t2", TARGET_DRAINING);
 	target->pace.slowness = 1.5;
-	pace_state(&target->pace, 2.5, US_PER_S);
+	pace_note_stated(&target->pace, 2.5, US_PER_S);
 	urgency_note(&state.urgency, 0, 1, US_PER_S);
 	urgency_note(&state.urgency, 2, 9, US_PER_S);
 	gateway.region_loads[1] = (region_load_t){
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -103,7 +103,7 @@
 	time_us_t now = 10 * US_PER_S;
 
 	pace_init(&pace);
-	ck_assert(pace_state(&pace, 2.5, now));
+	ck_assert(pace_note_stated(&pace, 2.5, now));
 	ck_assert_double_eq_tol(pace_factor(&pace, now), 2.5, 0.01);
 	now += 600 * US_PER_MS;
 	ck_assert_double_lt(pace_factor(&pace, now), 1.3);
@@ -116,9 +116,9 @@
 	pace_t pace;
 
 	pace_init(&pace);
-	ck_assert(pace_state(&pace, 1.5, US_PER_S));
+	ck_assert(pace_note_stated(&pace, 1.5, US_PER_S));
 	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
-		ck_assert_msg(!pace_state(&pace, bad[i], 2 * US_PER_S),
+		ck_assert_msg(!pace_note_stated(&pace, bad[i], 2 * US_PER_S),
 		    "%g is accepted", bad[i]);
 	ck_assert_double_eq(pace.stated, 1.5);
 }
@@ -127,13 +127,18 @@
 {
 	pace_log_t *log = pace_log_create(4);
 	pace_observation_t observations[4];
+	size_t n_dropped = 0;
 
 	for (uint32_t i = 0; i < 6; i++)
 		pace_log_add(log, &(pace_observation_t){.target = i});
-	ck_assert_uint_eq(pace_log_take(log, observations, 3), 3);
+	ck_assert_uint_eq(pace_log_take(log, observations, 3, &n_dropped), 3);
 	for (uint32_t i = 0; i < 3; i++)
 		ck_assert_uint_eq(observations[i].target, 3 + i);
-	ck_assert_uint_eq(pace_log_take(log, observations, 4), 0);
+	ck_assert_uint_eq(n_dropped, 3);
+	/* One that doesn't fit a message isn't told as another. */
+	pace_log_add(log, &(pace_observation_t){.ms = PACE_TOLD_MS_MAX + 1});
+	ck_assert_uint_eq(pace_log_take(log, observations, 4, &n_dropped), 0);
+	ck_assert_uint_eq(n_dropped, 4);
 	pace_log_destroy(log);
 }
 
@@ -227,8 +232,9 @@
 {
 	for (size_t from = 0; from < world->n; from++) {
 		pace_observation_t observations[POOL_TELL];
+		size_t n_dropped = 0;
 		size_t n = targets_export_paces(world->instances[from],
-		    PACE_FOR_ZONE, observations, POOL_TELL);
+		    PACE_FOR_ZONE, observations, POOL_TELL, &n_dropped);
 
 		for (size_t to = 0; n > 0 && to < world->n; to++) {
 			if (to == from ||
