gateway, platform: show what holds memory

Nothing told which part of an instance grows, so that the log of changes, the bodies of answers of the store and old configurations that requests refer to couldn't be told apart.

Gauges memory_bytes{part} and heap_bytes{state}, summed when they are read.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -199,6 +199,14 @@
 	return tcp_pending(client->connection);
 }
 
+client_memory_t
+client_memory(const client_t *client)
+{
+	return (client_memory_t){client->input->len,
+	    tcp_pending(client->connection),
+	    client->request ? request_buffered(client->request) : 0};
+}
+
 /*
  * Called when the response is complete: continues with the next request, or
  * closes the connection.
--- a/gateway/endpoints.c
+++ b/gateway/endpoints.c
@@ -125,6 +125,7 @@
 	latencies_write(client->endpoints->gateway->latencies, text);
 	gauges_write(client->endpoints->gateway, text,
 	    gateway_now(client->endpoints->gateway));
+	usage_write(client->endpoints->gateway, text);
 	response_send(
 	    client, 200, "text/plain; version=0.0.4", text->str, text->len);
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -232,6 +232,15 @@
 /* Aborts a response that can't be completed, so that it can't seem complete. */
 void client_abort(client_t *client);
 size_t client_pending(const client_t *client);
+
+/* Bytes that are held for a connection. */
+typedef struct {
+	size_t input;	 /* received and not parsed */
+	size_t output;	 /* not sent */
+	size_t requests; /* bodies and buffered answers of its request */
+} client_memory_t;
+
+client_memory_t client_memory(const client_t *client);
 /*
  * Returns whether output isn't sent, or input isn't read, so that closing the
  * connection would lose it.
@@ -269,6 +278,8 @@
 void request_cancel(request_t *request); /* the caller closed its connection */
 void request_on_drained(
     request_t *request); /* output to the caller has drained */
+/* Returns the bytes of its body and of an answer that isn't passed on. */
+size_t request_buffered(const request_t *request);
 
 /* Why an attempt failed. */
 typedef enum {
@@ -464,6 +475,10 @@
 /* Appends gauges of targets, services and regions in the Prometheus format. */
 void gauges_write(const gateway_t *gateway, GString *text, time_us_t now);
 
+/* usage.c */
+/* Appends gauges of memory by what holds it, in the Prometheus format. */
+void usage_write(const gateway_t *gateway, GString *text);
+
 /* resumption.c: streams that callers resume. */
 /*
  * Finds the version that began the stream that a request goes on with. Returns
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -86,6 +86,13 @@
 	return request;
 }
 
+size_t
+request_buffered(const request_t *request)
+{
+	return request->body->len +
+	       (request->response ? request->response->len : 0);
+}
+
 /* Drops what was received and isn't passed on. */
 static void
 response_clear(request_t *request)
--- a/include/platform/replica.h
+++ b/include/platform/replica.h
@@ -29,6 +29,9 @@
 replica_t *replica_create(const char *prefix);
 void replica_destroy(replica_t *replica);
 
+/* Returns the bytes of the keys and values that it holds. */
+size_t replica_bytes(const replica_t *replica);
+
 /*
  * Empties the replica, as revisions are given out again. It isn't current until
  * replica_advance(); pending watches then get 410.
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -98,6 +98,14 @@
  */
 void store_note_behind(store_t *store);
 
+/* Bytes that the client holds. */
+typedef struct {
+	size_t replica; /* keys and values for other instances */
+	size_t answers; /* read and not parsed */
+} store_memory_t;
+
+store_memory_t store_memory(const store_t *store);
+
 /* Returns since when it reads, or tries to, from its present source. */
 time_us_t store_source_since(const store_t *store);
 
