core, platform: bound the log of the store's changes by bytes

Cause: the copy of the store for other instances logged each change with its value and was bounded by 512 changes only.

core/changelog holds the newest value of each key, which is all that a reader needs, and a history of superseded values and removals of at most 512 and 256 KiB. A reader that lacks a superseded value skips a state, as in a range; one that lacks a removal still gets 410 and reads all again. States of targets are small and stay, so that readers keep what core/streams concludes from them.

log_is_bounded_and_older_revisions_get_410 wrote one key 530 times and expected 410. That key's newest value is known, so 410 isn't due; the test now removes 530 keys, where a removal is really missing, and expects the same statuses. A second one checks what a reader gets that is 37 large versions behind.

--- a/include/platform/replica.h
+++ b/include/platform/replica.h
@@ -7,14 +7,11 @@
 #include "http/reader.h"
 
 /*
- * Replica of the keys that a store client has read. Serves other instances that
- * use this instance as a relay, with the same API as the store. Answers 503
- * while the replica isn't current, that is, may be stale.
+ * Replica of the keys that a store client has read (core/changelog.h). Serves
+ * other instances that use this instance as a relay, with the same API as the
+ * store. Answers 503 while the replica isn't current, that is, may be stale.
  */
 
-/* Recent changes that are kept, from which a watch can resume. */
-#define REPLICA_LOG_LIMIT 512
-
 /* Field of a watch's query: the era that the revision is of. */
 #define REPLICA_QUERY_ERA "era"
 
@@ -44,7 +41,7 @@
 
 /*
  * Marks the replica current up to revision. Answers the pending watches that
- * have changes, or whose changes are no longer in the log (410).
+ * have changes, or that miss a removal (410).
  */
 void replica_advance(replica_t *replica, int64_t revision);
 
