platform, net, gateway: bound the answers to readers of a relay

Nothing bounded the sum, nor the size of one answer, nor documents that instances fetch from each other.

Unsent answers of all readers are counted in the connections' output and get a sixteenth of memory_mb. Without room a watch waits for it; at the end of its time it is refused with 503, as a range and the document are at once, and the reader goes to the store. An answer ends after 1 MiB and its reader continues behind it; one answer is always made.

Not seen to end a process: the kernel's buffers take the first MB of each answer.

--- a/core/changelog.c
+++ b/core/changelog.c
@@ -112,8 +112,8 @@
 	entry->change = (change_t){g_strdup(key), g_strdup(value), revision};
 	entry->history_link.data = entry;
 	entry->newest = true;
-	entry->position = g_sequence_insert_sorted(
-	    log->entries, entry, entry_compare, NULL);
+	entry->position =
+	    g_sequence_insert_sorted(log->entries, entry, entry_compare, NULL);
 	log->bytes += entry_size(entry);
 	return entry;
 }
@@ -128,8 +128,7 @@
 	if (old != NULL && old->change.revision >= revision)
 		return;
 	entry = entry_add(log, key, value, revision);
-	g_hash_table_replace(
-	    log->newest, (gpointer)entry->change.key, entry);
+	g_hash_table_replace(log->newest, (gpointer)entry->change.key, entry);
 	if (old != NULL) {
 		old->newest = false;
 		/* A removal is in the history already. */
--- a/core/memory.c
+++ b/core/memory.c
@@ -1,5 +1,12 @@
 #include "core/memory.h"
 
+bool
+memory_has_room(const memory_pool_t *pool, size_t bytes)
+{
+	return pool->claimed <= pool->limit &&
+	       bytes <= pool->limit - pool->claimed;
+}
+
 bool
 memory_claim(memory_pool_t *pool, memory_claim_t *claim, size_t held)
 {
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -378,6 +378,13 @@
 		return;
 	}
 	text = g_bytes_get_data(gateway->catalog_text, &len);
+	if (gateway->relay_memory.claimed > 0 &&
+	    !memory_has_room(&gateway->relay_memory, len)) {
+		counter_increment("relay_answers_refused", "call", "config");
+		client_respond(client, 503, "", "text/plain", "busy\n");
+		return;
+	}
+	tcp_count_output(client->connection, &gateway->relay_memory.claimed);
 	client_begin_response(client, head, len);
 	client_send_body(client, text, len);
 	client_end_response(client);
@@ -404,11 +411,15 @@
 	bool known;
 
 	client->processing = true;
+	tcp_count_output(
+	    client->connection, &client->gateway->relay_memory.claimed);
 	client->watch = store_serve(client->gateway->store, head,
 	    gateway_now(client->gateway) / US_PER_MS, on_store_reply, client,
 	    &known);
-	if (!known)
+	if (!known) {
 		client->processing = false;
+		tcp_count_output(client->connection, NULL);
+	}
 	return known;
 }
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -64,6 +64,9 @@
 /* Part of the memory that incomplete events may take. */
 #define EVENT_MEMORY_DIVISOR 8
 
+/* The same for answers to instances that read the store through this one. */
+#define RELAY_MEMORY_DIVISOR 16
+
 /* Maximum length of a queue. */
 #define QUEUE_LIMIT 512
 
@@ -1133,6 +1136,8 @@
 	gateway->streams = streams_create(gateway->started_at);
 	gateway->event_memory.limit =
 	    settings->memory_mb * BYTES_PER_MB / EVENT_MEMORY_DIVISOR;
+	gateway->relay_memory.limit =
+	    settings->memory_mb * BYTES_PER_MB / RELAY_MEMORY_DIVISOR;
 	gateway->resumptions = g_ptr_array_new();
 }
 
@@ -1212,9 +1217,9 @@
 		    LOG_S("zone", settings->zone),
 		    LOG_S("callers", settings->callers),
 		    LOG_S("peer", settings->peer), LOG_S("version", VERSION));
-		gateway.store =
-		    store_create(gateway.net, store, gateway.topology,
-			&store_events, &gateway, random_next(&gateway.random));
+		gateway.store = store_create(gateway.net, store,
+		    gateway.topology, &store_events, &gateway,
+		    random_next(&gateway.random), &gateway.relay_memory);
 		gossip_round(gateway.gossip);
 		ev_run(gateway.loop, 0);
 		log_event(LOG_NOTICE, "stopped",
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -124,6 +124,8 @@
 	GHashTable *clients;
 	streams_t *streams;
 	memory_pool_t event_memory; /* of events that aren't complete */
+	/* Of answers to instances that read the store through this one. */
+	memory_pool_t relay_memory;
 	GPtrArray *resumptions; /* resumption_t, waiting for other instances */
 	time_us_t started_at;
 	time_us_t leaving_at; /* 0: not stopping */
--- a/include/core/changelog.h
+++ b/include/core/changelog.h
@@ -60,7 +60,8 @@
 void changelog_visit_after(const changelog_t *log, int64_t revision,
     changelog_visit_t visit, void *owner);
 
-/* Visits the keys that exist in their order, from after this one on; or NULL. */
+/* Visits the keys that exist in their order, from after this one on; or NULL.
+ */
 void changelog_visit_keys(const changelog_t *log, const char *after,
     changelog_visit_t visit, void *owner);
 
--- a/include/core/memory.h
+++ b/include/core/memory.h
@@ -33,6 +33,9 @@
  */
 bool memory_claim(memory_pool_t *pool, memory_claim_t *claim, size_t held);
 
+/* Returns whether the pool has room for this many bytes more. */
+bool memory_has_room(const memory_pool_t *pool, size_t bytes);
+
 void memory_release(memory_pool_t *pool, memory_claim_t *claim);
 
 #endif
--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -104,6 +104,12 @@
 
 void tcp_send(tcp_t *connection, const void *data, size_t len);
 
+/*
+ * Counts the output that the connection holds in *total, until it is closed.
+ * NULL: no longer.
+ */
+void tcp_count_output(tcp_t *connection, size_t *total);
+
 /* Returns the errno of TCP_CONNECT_FAILED. */
 int tcp_connect_error(const tcp_t *connection);
 
--- a/include/platform/replica.h
+++ b/include/platform/replica.h
@@ -4,14 +4,22 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/memory.h"
 #include "http/reader.h"
 
 /*
  * Replica of the keys that a store client has read (core/changelog.h). Serves
  * other instances that use this instance as a relay, with the same API as the
  * store. Answers 503 while the replica isn't current, that is, may be stale.
+ *
+ * Load pattern: up to fifty readers. A change completes the watches of all of
+ * them at once, with the same answer, and a configuration may be as large as a
+ * value of the store can be.
  */
 
+/* An answer ends with the item that exceeds this size. */
+#define REPLICA_ANSWER_BYTES ((size_t)1 << 20)
+
 /* Field of a watch's query: the era that the revision is of. */
 #define REPLICA_QUERY_ERA "era"
 
@@ -22,8 +30,12 @@
 typedef void (*replica_reply_t)(
     void *owner, unsigned status, int64_t era, const char *body);
 
-/* Creates an empty replica of the keys with this prefix. */
-replica_t *replica_create(const char *prefix);
+/*
+ * Creates an empty replica of the keys with this prefix. answers counts the
+ * bytes of answers that aren't sent yet, over all readers. Without room, a range
+ * is refused (503), and a watch waits; it is refused when its time is over.
+ */
+replica_t *replica_create(const char *prefix, const memory_pool_t *answers);
 void replica_destroy(replica_t *replica);
 
 /* Returns the bytes of the keys and values that it holds. */
@@ -48,7 +60,10 @@
 /* Marks the replica as not current: pending watches get a 503. */
 void replica_suspend(replica_t *replica);
 
-/* Answers pending watches whose wait has expired. Call periodically. */
+/*
+ * Answers pending watches whose wait has expired, or that waited for room. Call
+ * several times a second.
+ */
 void replica_expire_watches(replica_t *replica, int64_t now_ms);
 
 /*
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -49,6 +49,8 @@
 	int connect_error;
 	int write_error; /* of the first write that failed; 0: none */
 	GList finishing_link;
+	size_t *output_total; /* see tcp_count_output(); may be NULL */
+	size_t output_counted;
 };
 
 bool
@@ -95,6 +97,15 @@
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
+static void
+output_count(tcp_t *connection, size_t bytes)
+{
+	if (connection->output_total == NULL)
+		return;
+	*connection->output_total += bytes - connection->output_counted;
+	connection->output_counted = bytes;
+}
+
 static void
 tcp_close_socket(tcp_t *connection)
 {
@@ -109,6 +120,7 @@
 	ev_timer_stop(connection->net->loop, &connection->linger);
 	close(connection->fd);
 	connection->fd = -1;
+	output_count(connection, 0);
 	tcp_unref(connection);
 }
 
@@ -135,6 +147,7 @@
 	} else {
 		g_byte_array_set_size(connection->output, 0);
 	}
+	output_count(connection, 0);
 }
 
 static void
@@ -454,6 +467,7 @@
 	if (connection->state == STATE_CLOSED || len == 0)
 		return;
 	g_byte_array_append(connection->output, data, (guint)len);
+	output_count(connection, connection->output->len);
 	if (connection->flush_pending ||
 	    connection->state == STATE_CONNECTING ||
 	    ev_is_active(&connection->writer))
@@ -462,6 +476,15 @@
 	g_ptr_array_add(connection->net->flush_queue, tcp_ref(connection));
 }
 
+void
+tcp_count_output(tcp_t *connection, size_t *total)
+{
+	output_count(connection, 0);
+	connection->output_total = total;
+	output_count(connection,
+	    connection->state == STATE_CLOSED ? 0 : connection->output->len);
+}
+
 size_t
 tcp_pending(const tcp_t *connection)
 {
--- a/tests/process_memory.c
+++ b/tests/process_memory.c
@@ -1,6 +1,8 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "core/changelog.h"
 #include "platform_world.h"
@@ -92,4 +94,79 @@
 	world_destroy(&world);
 }
 
+/*
+ * Readers that don't read what they ask for. The kernel takes a few MB for each
+ * connection, so that each reader asks several times.
+ */
+#define READERS 60
+#define READER_CALLS 8
+#define READER_BUFFER 4096
+#define READER_WAIT_MS 1500
+
+static int
+reader_connect(const world_t *world, const char *call)
+{
+	g_autofree char *request =
+	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: store\r\n\r\n", call);
+	int buffer = READER_BUFFER;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+	ck_assert(world_connect_socket(world, 0, PORT_PEER, fd));
+	for (int i = 0; i < READER_CALLS; i++)
+		world_send(fd, request);
+	return fd;
+}
+
+/* Half of the readers watch, the others read all keys or the document. */
+static void
+readers_connect(const world_t *world, int fds[READERS])
+{
+	g_autofree char *watch = g_strdup_printf(
+	    "/kv-watch?prefix=op/&after=%" G_GINT64_FORMAT "&wait_ms=%d",
+	    fake_store_revision(world->store), READER_WAIT_MS);
+	const char *calls[] = {
+	    watch, "/kv-range?prefix=op/", watch, "/cyclamensail/config"};
+
+	for (int i = 0; i < READERS; i++)
+		fds[i] = reader_connect(world, calls[i % G_N_ELEMENTS(calls)]);
+}
+
+/*
+ * Guards against a relay that ends as its readers, with slow links, are
+ * answered with a large configuration all at once.
+ */
+TEST(answers_to_slow_readers_are_bounded)
+{
+	g_autofree char *routes = routes_of_size(CONFIG_BYTES);
+	/* A sixteenth of 256 MB, and the answer that exceeds it. */
+	size_t bound = (16 << 20) + 2 * CONFIG_BYTES;
+	size_t most = 0;
+	int fds[READERS];
+	world_t world;
+
+	world_create(&world);
+	world_configure(&world, 10, "key-1", routes);
+	world_start(&world, 0, "a-1", true, true);
+	readers_connect(&world, fds);
+	for (int i = 1; i <= 20; i++) {
+		size_t output;
+
+		world_configure(&world, 10 + i, "key-1", routes);
+		output =
+		    gauge_read(&world, 0, "memory_bytes{part=\"output\"} ");
+		ck_assert_uint_le(output, bound);
+		most = MAX(most, output);
+		g_usleep(READER_WAIT_MS * 1000 / 10);
+	}
+	/* Some were answered. */
+	ck_assert_uint_ge(most, CONFIG_BYTES);
+	for (int i = 0; i < READERS; i++)
+		close(fds[i]);
+	WORLD_WAIT(
+	    gauge_read(&world, 0, "memory_bytes{part=\"relay_answers\"} ") == 0,
+	    8000);
+	world_destroy(&world);
+}
+
 TEST_MAIN("process_memory")
--- a/tests/test_changelog.c
+++ b/tests/test_changelog.c
@@ -72,8 +72,8 @@
 		g_snprintf(small, sizeof(small), "%d", i);
 		changelog_put(log, "key", small, 1 + i);
 	}
-	check_after(log, 98 + CHANGELOG_HISTORY_LIMIT,
-	    "key=610@611 key=611@612 ");
+	check_after(
+	    log, 98 + CHANGELOG_HISTORY_LIMIT, "key=610@611 key=611@612 ");
 	ck_assert_uint_le(
 	    changelog_bytes(log), 7 * (CHANGELOG_HISTORY_LIMIT + 1));
 	/* A reader that skips states of a key doesn't have to start over. */
@@ -95,8 +95,7 @@
 	}
 	/* Of 513 values and as many removals, the first 514 are forgotten. */
 	ck_assert(!changelog_continues(log, 3));
-	ck_assert(!changelog_continues(
-	    log, 2 + CHANGELOG_HISTORY_LIMIT));
+	ck_assert(!changelog_continues(log, 2 + CHANGELOG_HISTORY_LIMIT));
 	ck_assert(changelog_continues(log, 3 + CHANGELOG_HISTORY_LIMIT));
 	ck_assert(!changelog_has_after(log, 3 + 2 * CHANGELOG_HISTORY_LIMIT));
 	changelog_destroy(log);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -6,6 +6,8 @@
 #include "core/changelog.h"
 #include "test.h"
 
+static const memory_pool_t no_answers = {.limit = 1 << 24};
+
 typedef struct {
 	unsigned replies;
 	unsigned status;
@@ -41,7 +43,7 @@
 /* Another writer's key; instances that read from here stopped following. */
 TEST(odd_key_is_passed_on_in_valid_json)
 {
-	replica_t *replica = replica_create("servers/");
+	replica_t *replica = replica_create("servers/", &no_answers);
 	reader_t reader = {0};
 
 	replica_put(replica, "servers/a\"\\\n}", "QQ==", 5);
@@ -56,7 +58,7 @@
 
 TEST(replica_answers_like_the_store)
 {
-	replica_t *replica = replica_create("servers/");
+	replica_t *replica = replica_create("servers/", &no_answers);
 	reader_t reader = {0};
 	replica_watch_t *watch;
 
@@ -84,7 +86,7 @@
 
 TEST(watch_times_out_or_is_cancelled)
 {
-	replica_t *replica = replica_create("op/");
+	replica_t *replica = replica_create("op/", &no_answers);
 	reader_t reader = {0};
 	reader_t cancelled = {0};
 	replica_watch_t *watch;
@@ -108,7 +110,7 @@
 /* Guards against a reader that receives stale data as if from the store. */
 TEST(stale_replica_answers_503)
 {
-	replica_t *replica = replica_create("op/");
+	replica_t *replica = replica_create("op/", &no_answers);
 	reader_t reader = {0};
 
 	request(replica, "/kv-range?prefix=op/", 0, &reader);
@@ -130,7 +132,7 @@
 
 TEST(log_is_bounded_and_older_revisions_get_410)
 {
-	replica_t *replica = replica_create("op/");
+	replica_t *replica = replica_create("op/", &no_answers);
 	reader_t reader = {0};
 	char key[32];
 
@@ -154,7 +156,7 @@
  */
 TEST(reader_that_is_behind_gets_the_newest_of_large_values)
 {
-	replica_t *replica = replica_create("op/");
+	replica_t *replica = replica_create("op/", &no_answers);
 	reader_t reader = {0};
 	g_autofree char *value = g_strnfill(1 << 20, 'x');
 
@@ -172,11 +174,86 @@
 	replica_destroy(replica);
 }
 
+/* Guards against an answer that is larger than its reader takes. */
+TEST(large_answers_come_in_parts)
+{
+	replica_t *replica = replica_create("op/", &no_answers);
+	reader_t reader = {0};
+	g_autofree char *value = g_strnfill(700 << 10, 'x');
+
+	replica_put(replica, "op/c d", value, 5);
+	replica_put(replica, "op/a", value, 6);
+	replica_put(replica, "op/b", value, 7);
+	replica_advance(replica, 8);
+	request(replica, "/kv-range?prefix=op/", 0, &reader);
+	ck_assert_ptr_nonnull(strstr(reader.body, "\"truncated\":true"));
+	ck_assert_ptr_nonnull(strstr(reader.body, "\"op/b\""));
+	ck_assert_ptr_null(strstr(reader.body, "\"op/c d\""));
+	request(replica, "/kv-range?prefix=op/&after=op/b", 0, &reader);
+	ck_assert_ptr_nonnull(strstr(reader.body, "\"truncated\":false"));
+	ck_assert_ptr_nonnull(strstr(reader.body, "\"op/c d\""));
+	request(replica, "/kv-range?prefix=op/&after=op/c%20d", 0, &reader);
+	ck_assert_str_eq(reader.body,
+	    "{\"items\":[],\"truncated\":false,\"store_revision\":8}");
+	replica_put(replica, "op/c d", value, 9);
+	replica_put(replica, "op/a", value, 10);
+	replica_put(replica, "op/b", value, 11);
+	replica_advance(replica, 12);
+	request(replica, "/kv-watch?prefix=op/&after=8&wait_ms=0", 0, &reader);
+	ck_assert(g_str_has_suffix(reader.body, ",\"store_revision\":10}"));
+	request(replica, "/kv-watch?prefix=op/&after=10&wait_ms=0", 0, &reader);
+	ck_assert(g_str_has_suffix(reader.body, ",\"store_revision\":12}"));
+	ck_assert_ptr_nonnull(strstr(reader.body, "\"revision\":11,"));
+	g_free(reader.body);
+	replica_destroy(replica);
+}
+
+/*
+ * Guards against a relay whose memory is taken by the answers to readers with
+ * slow links, each of the size of a configuration.
+ */
+TEST(answers_wait_for_room)
+{
+	memory_pool_t answers = {.limit = 2 * REPLICA_ANSWER_BYTES};
+	replica_t *replica = replica_create("op/", &answers);
+	reader_t reader = {0};
+
+	replica_advance(replica, 3);
+	request(
+	    replica, "/kv-watch?prefix=op/&after=3&wait_ms=500", 0, &reader);
+	answers.claimed = REPLICA_ANSWER_BYTES + 1;
+	replica_put(replica, "op/config", "QQ==", 4);
+	replica_advance(replica, 4);
+	replica_expire_watches(replica, 499);
+	ck_assert_uint_eq(reader.replies, 0);
+	answers.claimed = REPLICA_ANSWER_BYTES;
+	replica_expire_watches(replica, 499);
+	ck_assert_uint_eq(reader.replies, 1);
+	ck_assert_uint_eq(reader.status, 200);
+	/* A reader that can't be served in its time goes elsewhere. */
+	answers.claimed = 2 * REPLICA_ANSWER_BYTES;
+	request(
+	    replica, "/kv-watch?prefix=op/&after=3&wait_ms=500", 0, &reader);
+	ck_assert_uint_eq(reader.replies, 1);
+	replica_expire_watches(replica, 500);
+	ck_assert_uint_eq(reader.replies, 2);
+	ck_assert_uint_eq(reader.status, 503);
+	request(replica, "/kv-range?prefix=op/", 0, &reader);
+	ck_assert_uint_eq(reader.replies, 3);
+	ck_assert_uint_eq(reader.status, 503);
+	/* One answer is made with any limit. */
+	answers = (memory_pool_t){0};
+	request(replica, "/kv-range?prefix=op/", 0, &reader);
+	ck_assert_uint_eq(reader.status, 200);
+	g_free(reader.body);
+	replica_destroy(replica);
+}
+
 TEST(requests_for_other_paths_are_not_served)
 {
 	static const char *const targets[] = {"/read/ok", "/kv-range",
 	    "/kv-range?prefix=other/", "/kv-range?x=1"};
-	replica_t *replica = replica_create("op/");
+	replica_t *replica = replica_create("op/", &no_answers);
 	reader_t reader = {0};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
@@ -197,7 +274,7 @@
  */
 TEST(no_change_of_an_older_era_is_answered)
 {
-	replica_t *replica = replica_create("op/");
+	replica_t *replica = replica_create("op/", &no_answers);
 	reader_t waiting = {0};
 	reader_t reader = {0};
 
@@ -235,7 +312,7 @@
 /* A relay that loses the store while it reads the new era tells its readers. */
 TEST(watch_of_an_older_era_is_refused_when_the_replica_is_suspended)
 {
-	replica_t *replica = replica_create("op/");
+	replica_t *replica = replica_create("op/", &no_answers);
 	reader_t reader = {0};
 
 	replica_begin_era(replica, 1);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -18,6 +18,7 @@
 	fake_store_t *store;
 	fake_store_t *relays[2];
 	net_address_t addresses[3]; /* store, relays */
+	memory_pool_t answers;
 	store_t *client;
 	bool evacuated;
 	bool unreachable;
@@ -93,7 +94,7 @@
 		fixture->addresses[i + 1] = (net_address_t){LOOPBACK, port};
 	}
 	fixture->client = store_create(fixture->net, fixture->addresses[0],
-	    fixture->places, &events, fixture, 1);
+	    fixture->places, &events, fixture, 1, &fixture->answers);
 }
 
 static void
--- a/tests/test_tcp.c
+++ b/tests/test_tcp.c
@@ -228,4 +228,29 @@
 	}
 }
 
+/* Guards against output of an ended connection that counts for ever. */
+TEST(output_is_counted_while_it_is_held)
+{
+	size_t total = 7;
+	link_t link;
+
+	link_create(&link);
+	tcp_count_output(link.connection, &total);
+	tcp_send(link.connection, PART, strlen(PART));
+	ck_assert_uint_eq(total, 7 + strlen(PART));
+	link_run(&link, 0.05);
+	ck_assert_uint_eq(total, 7);
+	output_begin(&link);
+	ck_assert_uint_eq(total, 7 + OUTPUT_BYTES);
+	tcp_count_output(link.connection, NULL);
+	ck_assert_uint_eq(total, 7);
+	tcp_count_output(link.connection, &total);
+	ck_assert_uint_eq(total, 7 + OUTPUT_BYTES);
+	peer_reset(&link);
+	link_run(&link, WAIT_S);
+	ck_assert(link.ended);
+	ck_assert_uint_eq(total, 7);
+	link_destroy(&link);
+}
+
 TEST_MAIN("tcp")
