core, gateway: let streams keep their route, not their configuration

In a storm of changes each version lived as long as the longest stream that began under it.

Routes, services and teams are counted by themselves (g_rc_box); a request refers to its route, which refers to its services, and to its team. The version that it was admitted under is a number, for the log.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -6,9 +6,9 @@
 struct catalog {
 	gint refs;
 	uint64_t version;
-	GArray *services;
-	GArray *routes;
-	GArray *teams;
+	GPtrArray *services; /* catalog_service_t, and so on */
+	GPtrArray *routes;
+	GPtrArray *teams;
 	GHashTable *keys; /* char * -> team index + 1 */
 	caller_limits_t limits;
 	bool requires_key;
@@ -23,29 +23,40 @@
 	g_free(service->health_path);
 }
 
+static void
+service_unref(gpointer service)
+{
+	g_rc_box_release_full(service, service_clear);
+}
+
 static void
 route_clear(gpointer data)
 {
 	catalog_route_t *route = data;
 
+	for (size_t i = 0; i < route->n_backends; i++)
+		service_unref((gpointer)route->backends[i].service);
 	g_free(route->name);
 	g_free(route->host);
 	g_free(route->prefix);
 }
 
+static void
+route_unref(gpointer route)
+{
+	g_rc_box_release_full(route, route_clear);
+}
+
 static void
 team_clear(gpointer data)
 {
 	g_free(((catalog_team_t *)data)->name);
 }
 
-static GArray *
-table_create(size_t entry_size, GDestroyNotify clear)
+static void
+team_unref(gpointer team)
 {
-	GArray *table = g_array_new(FALSE, FALSE, (guint)entry_size);
-
-	g_array_set_clear_func(table, clear);
-	return table;
+	g_rc_box_release_full(team, team_clear);
 }
 
 catalog_t *
@@ -55,10 +66,9 @@
 
 	catalog->refs = 1;
 	catalog->version = version;
-	catalog->services =
-	    table_create(sizeof(catalog_service_t), service_clear);
-	catalog->routes = table_create(sizeof(catalog_route_t), route_clear);
-	catalog->teams = table_create(sizeof(catalog_team_t), team_clear);
+	catalog->services = g_ptr_array_new_with_free_func(service_unref);
+	catalog->routes = g_ptr_array_new_with_free_func(route_unref);
+	catalog->teams = g_ptr_array_new_with_free_func(team_unref);
 	catalog->keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return catalog;
@@ -76,9 +86,9 @@
 {
 	if (catalog == NULL || --catalog->refs > 0)
 		return;
-	g_array_unref(catalog->services);
-	g_array_unref(catalog->routes);
-	g_array_unref(catalog->teams);
+	g_ptr_array_unref(catalog->services);
+	g_ptr_array_unref(catalog->routes);
+	g_ptr_array_unref(catalog->teams);
 	g_hash_table_destroy(catalog->keys);
 	g_free(catalog);
 }
@@ -86,20 +96,25 @@
 int
 catalog_add_service(catalog_t *catalog, const catalog_service_t *service)
 {
-	g_array_append_val(catalog->services, *service);
+	g_ptr_array_add(catalog->services,
+	    (gpointer)g_rc_box_dup(sizeof(*service), service));
 	return (int)catalog->services->len - 1;
 }
 
 void
 catalog_add_route(catalog_t *catalog, const catalog_route_t *route)
 {
-	g_array_append_val(catalog->routes, *route);
+	for (size_t i = 0; i < route->n_backends; i++)
+		g_rc_box_acquire((gpointer)route->backends[i].service);
+	g_ptr_array_add(
+	    catalog->routes, (gpointer)g_rc_box_dup(sizeof(*route), route));
 }
 
 int
 catalog_add_team(catalog_t *catalog, const catalog_team_t *team)
 {
-	g_array_append_val(catalog->teams, *team);
+	g_ptr_array_add(
+	    catalog->teams, (gpointer)g_rc_box_dup(sizeof(*team), team));
 	return (int)catalog->teams->len - 1;
 }
 
@@ -162,7 +177,7 @@
 
 	for (guint i = 0; i < catalog->routes->len; i++) {
 		const catalog_route_t *route =
-		    &g_array_index(catalog->routes, catalog_route_t, i);
+		    g_ptr_array_index(catalog->routes, i);
 		size_t len = strlen(route->prefix);
 
 		if (len <= path_len && len > best_len &&
@@ -202,7 +217,7 @@
 {
 	if (team < 0 || (guint)team >= catalog->teams->len)
 		return NULL;
-	return &g_array_index(catalog->teams, catalog_team_t, team);
+	return g_ptr_array_index(catalog->teams, team);
 }
 
 size_t
@@ -226,7 +241,7 @@
 {
 	if (service < 0 || (guint)service >= catalog->services->len)
 		return NULL;
-	return &g_array_index(catalog->services, catalog_service_t, service);
+	return g_ptr_array_index(catalog->services, service);
 }
 
 size_t
@@ -235,22 +250,50 @@
 	return catalog->services->len;
 }
 
-int
+const catalog_service_t *
 catalog_pick_service(const catalog_route_t *route, uint64_t random)
 {
 	uint64_t sum = 0;
 
+	if (route->n_backends == 0)
+		return NULL;
 	for (size_t i = 0; i < route->n_backends; i++)
 		sum += route->backends[i].weight;
 	if (sum == 0)
-		return route->n_backends > 0 ? route->backends[0].service : -1;
+		return route->backends[0].service;
 	random %= sum;
 	for (size_t i = 0; i < route->n_backends; i++) {
 		if (random < route->backends[i].weight)
 			return route->backends[i].service;
 		random -= route->backends[i].weight;
 	}
-	return -1;
+	return NULL;
+}
+
+const catalog_route_t *
+catalog_route_ref(const catalog_route_t *route)
+{
+	return g_rc_box_acquire((gpointer)route);
+}
+
+void
+catalog_route_unref(const catalog_route_t *route)
+{
+	if (route != NULL)
+		route_unref((gpointer)route);
+}
+
+const catalog_team_t *
+catalog_team_ref(const catalog_team_t *team)
+{
+	return g_rc_box_acquire((gpointer)team);
+}
+
+void
+catalog_team_unref(const catalog_team_t *team)
+{
+	if (team != NULL)
+		team_unref((gpointer)team);
 }
 
 region_set_t
@@ -264,7 +307,7 @@
 
 		for (guint i = 0; i < catalog->routes->len; i++) {
 			const catalog_route_t *route =
-			    &g_array_index(catalog->routes, catalog_route_t, i);
+			    g_ptr_array_index(catalog->routes, i);
 
 			n += region_set_has(route->regions, region);
 		}
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -98,7 +98,8 @@
 static bool
 team_find(request_t *request)
 {
-	const catalog_t *catalog = request->catalog;
+	const catalog_t *catalog = request->gateway->catalog;
+	const catalog_team_t *team;
 
 	request->team_index = -1;
 	if (!catalog_requires_key(catalog) || request->route->open)
@@ -111,8 +112,11 @@
 	else if (request->key != NULL)
 		request->team_index = catalog_key_team(
 		    catalog, request->key, strlen(request->key));
-	request->team = catalog_team(catalog, request->team_index);
-	return request->team != NULL;
+	team = catalog_team(catalog, request->team_index);
+	if (team == NULL)
+		return false;
+	request->team = catalog_team_ref(team);
+	return true;
 }
 
 static void
@@ -260,14 +264,14 @@
 		request_refuse(request, 503, "no_config", NO_CONFIG_RETRY_US);
 		return false;
 	}
-	request->catalog = catalog_ref(gateway->catalog);
-	route = catalog_route(request->catalog, request->host,
+	request->config_version = catalog_version(gateway->catalog);
+	route = catalog_route(gateway->catalog, request->host,
 	    strlen(request->host), request->path, path_len);
 	if (route == NULL) {
 		request_refuse_unknown(request, 404, "no_route");
 		return false;
 	}
-	request->route = route;
+	request->route = catalog_route_ref(route);
 	if (!team_find(request)) {
 		request_refuse_unknown(request, 401, "key_unknown");
 		return false;
@@ -280,8 +284,8 @@
 	    (request->team ? request->team->regions : REGION_SET_ALL);
 	request->class = urgency_class(
 	    request->team ? request->team->priority : -1, route->priority);
-	request->service = catalog_service(request->catalog,
-	    catalog_pick_service(route, random_next(&gateway->random)));
+	request->service =
+	    catalog_pick_service(route, random_next(&gateway->random));
 	if (request->service == NULL) {
 		request_refuse(request, 503, "no_service", US_PER_S);
 		return false;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -122,7 +122,8 @@
 	g_free(request->peer_team);
 	g_string_free(request->forward_head, TRUE);
 	g_byte_array_unref(request->body);
-	catalog_unref(request->catalog);
+	catalog_route_unref(request->route);
+	catalog_team_unref(request->team);
 	if (request->response_head != NULL)
 		g_string_free(request->response_head, TRUE);
 	response_clear(request);
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -50,10 +50,10 @@
 	ev_timer timer;
 	bool rechecking; /* the timer was extended for an unread answer */
 	/* From the configuration. */
-	catalog_t *catalog;
-	const catalog_route_t *route;
-	const catalog_service_t *service;
-	const catalog_team_t *team;
+	uint64_t config_version;	  /* 0: none */
+	const catalog_route_t *route;	  /* referenced */
+	const catalog_service_t *service; /* of the route */
+	const catalog_team_t *team;	  /* referenced; NULL: none */
 	int team_index;
 	int class; /* urgency_class() */
 	region_set_t regions;
--- a/gateway/resumption.c
+++ b/gateway/resumption.c
@@ -48,16 +48,16 @@
 
 	for (size_t i = 0; i < targets_count(targets); i++) {
 		const target_t *target = targets_at(targets, i);
-		int service = catalog_service_index(
-		    request->catalog, target->entry.service);
 
 		if (target->version != request->stream_version)
 			continue;
 		for (size_t j = 0; j < route->n_backends; j++) {
-			if (route->backends[j].service != service)
+			const catalog_service_t *service =
+			    route->backends[j].service;
+
+			if (strcmp(service->name, target->entry.service) != 0)
 				continue;
-			request->service =
-			    catalog_service(request->catalog, service);
+			request->service = service;
 			request->service_state = gateway_service_state(
 			    request->gateway, request->service->name);
 			return;
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -12,8 +12,9 @@
 /*
  * One version of the configuration that operators publish: routes, services,
  * teams with their keys, and caller limits. Immutable once it is built, and
- * reference-counted, so that a request keeps the version under which it was
- * admitted.
+ * reference-counted, as its routes and teams are: a request refers to those
+ * that it was admitted under, and not to all of the version, of which there may
+ * be many during a long stream.
  */
 typedef enum {
 	ROUTE_SAFE,   /* may be repeated */
@@ -21,8 +22,10 @@
 	ROUTE_STREAM, /* answered by events; at most once unless resumable */
 } route_kind_t;
 
+typedef struct catalog_service catalog_service_t;
+
 typedef struct {
-	int service; /* index into services */
+	const catalog_service_t *service; /* referenced by the route */
 	uint32_t weight;
 } route_backend_t;
 
@@ -47,7 +50,7 @@
 	size_t n_backends;
 } catalog_route_t;
 
-typedef struct {
+struct catalog_service {
 	char *name;
 	uint32_t connection_limit; /* per target, for all callers; 0: none */
 	double cold_per_s;	   /* request rate of a cold target; 0: any */
@@ -56,7 +59,7 @@
 	uint32_t engine_slots;
 	uint64_t cache_tokens; /* prefix cache of one engine */
 	double event_tokens;   /* response tokens per event; 0: unknown */
-} catalog_service_t;
+};
 
 typedef struct {
 	char *name;
@@ -117,7 +120,20 @@
 /* Returns the regions that the largest number of routes and teams permit. */
 region_set_t catalog_common_regions(const catalog_t *catalog);
 
-/* Picks one of the route's services by weight; random is any number. */
-int catalog_pick_service(const catalog_route_t *route, uint64_t random);
+/*
+ * Picks one of the route's services by weight; random is any number. Returns
+ * NULL if the route has none.
+ */
+const catalog_service_t *catalog_pick_service(
+    const catalog_route_t *route, uint64_t random);
+
+/*
+ * References to a route, with its services, and to a team, which then outlive
+ * the catalog. The second one of each pair accepts NULL.
+ */
+const catalog_route_t *catalog_route_ref(const catalog_route_t *route);
+void catalog_route_unref(const catalog_route_t *route);
+const catalog_team_t *catalog_team_ref(const catalog_team_t *team);
+void catalog_team_unref(const catalog_team_t *team);
 
 #endif
--- a/include/platform/replica.h
+++ b/include/platform/replica.h
@@ -32,8 +32,9 @@
 
 /*
  * Creates an empty replica of the keys with this prefix. answers counts the
- * bytes of answers that aren't sent yet, over all readers. Without room, a range
- * is refused (503), and a watch waits; it is refused when its time is over.
+ * bytes of answers that aren't sent yet, over all readers. Without room, a
+ * range is refused (503), and a watch waits; it is refused when its time is
+ * over.
  */
 replica_t *replica_create(const char *prefix, const memory_pool_t *answers);
 void replica_destroy(replica_t *replica);
--- a/tests/process_memory.c
+++ b/tests/process_memory.c
@@ -169,4 +169,52 @@
 	world_destroy(&world);
 }
 
+/* Streams that last longer than the test, each begun under another version. */
+#define STREAMS 16
+
+static int
+stream_open(const world_t *world, int number)
+{
+	g_autofree char *request = g_strdup_printf(
+	    "POST /write/events-60-100 HTTP/1.1\r\nHost: h\r\n"
+	    "Request-Id: stream-%d\r\n" WORLD_KEY "Content-Length: 2\r\n\r\n{}",
+	    number);
+	int fd = world_connect(world, 0, PORT_CALLERS);
+	char head[16];
+
+	ck_assert_int_ge(fd, 0);
+	world_send(fd, request);
+	ck_assert_int_eq(recv(fd, head, sizeof(head), MSG_WAITALL), 16);
+	ck_assert_int_eq(strncmp(head, "HTTP/1.1 200 OK", 15), 0);
+	return fd;
+}
+
+/*
+ * Guards against streams that keep the whole configuration under which each of
+ * them began, whose tables take more than its text.
+ */
+TEST(streams_keep_no_old_configuration)
+{
+	g_autofree char *routes = routes_of_size(CONFIG_BYTES);
+	int fds[STREAMS];
+	world_t world;
+	size_t before;
+
+	world_create(&world);
+	world_configure(&world, 10, "key-1", routes);
+	world_start(&world, 0, "a-1", true, true);
+	fds[0] = stream_open(&world, 0);
+	before = gauge_read(&world, 0, "heap_bytes{state=\"used\"} ");
+	for (int i = 1; i < STREAMS; i++) {
+		world_configure(&world, 10 + i, "key-1", routes);
+		WORLD_WAIT(versions_read(&world, 0) == 1u + (unsigned)i, 4000);
+		fds[i] = stream_open(&world, i);
+	}
+	ck_assert_uint_le(gauge_read(&world, 0, "heap_bytes{state=\"used\"} "),
+	    before + 2 * CONFIG_BYTES);
+	for (int i = 0; i < STREAMS; i++)
+		close(fds[i]);
+	world_destroy(&world);
+}
+
 TEST_MAIN("process_memory")
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -72,6 +72,29 @@
 	topology_destroy(places);
 }
 
+/* Guards against a stream that uses its route after a new version came. */
+TEST(route_outlives_its_configuration)
+{
+	topology_t *places = test_places();
+	char *problem;
+	catalog_t *catalog = config_decode(CONFIG_START ROUTE_START
+	    "}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\"]}]}",
+	    places, &problem);
+	const catalog_route_t *route;
+	const catalog_team_t *team;
+
+	ck_assert_msg(catalog != NULL, "%s", problem);
+	route = catalog_route_ref(catalog_route(catalog, "h", 1, "/p/x", 4));
+	team = catalog_team_ref(catalog_team(catalog, 0));
+	catalog_unref(catalog);
+	ck_assert_str_eq(route->name, "r");
+	ck_assert_str_eq(catalog_pick_service(route, 5)->name, "s");
+	ck_assert_str_eq(team->name, "t");
+	catalog_route_unref(route);
+	catalog_team_unref(team);
+	topology_destroy(places);
+}
+
 TEST(config_error_names_the_field)
 {
 	static const struct {
