gateway, net: don't send requests of callers that have left

Cause: a request is sent as soon as its bytes are read; an end of the connection that already waits behind them is only read in the next iteration of the loop. After a stall, or where the processor is short, the caller left long before.

Before a request goes to a target or to another instance, a peek at the caller's socket looks for the end and reports it as if it were read, which cancels the request; its team's cost is refunded. Queued requests, retries and resumed streams pass the same place. Ruled out: attempts that are detached already have an answer; requests in a queue are cancelled in time.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -199,6 +199,12 @@
 	return tcp_pending(client->connection);
 }
 
+bool
+client_check_end(client_t *client)
+{
+	return tcp_check_end(client->connection);
+}
+
 client_memory_t
 client_memory(const client_t *client)
 {
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -413,9 +413,35 @@
 	}
 }
 
+/*
+ * Returns whether the caller has left, which cancels the request. After a stall
+ * the end of its connection may wait in the socket behind the request, and is
+ * only read in the next iteration of the loop.
+ */
+static bool
+caller_has_left(request_t *request)
+{
+	bool left;
+
+	request_ref(request);
+	left = request->client != NULL && client_check_end(request->client);
+	if (left) {
+		counter_increment("requests_not_sent", "reason", "caller_left");
+		decision_log(request, "request_not_sent", "caller_left");
+		if (request->n_maybe_executed == 0 && !request->from_peer)
+			team_rates_refund(request->gateway->rates,
+			    request->team_index, request->cost);
+	}
+	request_unref(request);
+	return left;
+}
+
 static void
 choice_apply(request_t *request, const choice_t *choice)
 {
+	if ((choice->kind == CHOICE_TARGET || choice->kind == CHOICE_REGION) &&
+	    caller_has_left(request))
+		return;
 	switch (choice->kind) {
 	case CHOICE_TARGET:
 		request_send_target(request, choice);
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -235,6 +235,12 @@
 void client_abort(client_t *client);
 size_t client_pending(const client_t *client);
 
+/*
+ * Looks for an end of the caller's connection that isn't read yet, and cancels
+ * its request then. Returns whether the caller has left.
+ */
+bool client_check_end(client_t *client);
+
 /* Bytes that are held for a connection. */
 typedef struct {
 	size_t input;	 /* received and not parsed */
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -564,6 +564,23 @@
 	return tcp_pending(connection) + (size_t)MAX(n, 0);
 }
 
+bool
+tcp_check_end(tcp_t *connection)
+{
+	char byte;
+	ssize_t n;
+
+	if (connection->state != STATE_OPEN)
+		return connection->state == STATE_CLOSED;
+	n = recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK ||
+				   errno == EINTR)))
+		return false;
+	tcp_close_and_notify(
+	    connection, n == 0 ? tcp_end_kind(connection) : TCP_RESET);
+	return true;
+}
+
 bool
 tcp_is_stale(const tcp_t *connection)
 {
