platform, gateway: log where a target's state was read

Lines of targets and removals now have the source, range or watch, and the revision; a removal has how long it is kept (kept_ms), and an entry that comes back before its removal is logged.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -466,10 +466,12 @@
 	gateway_t *gateway = owner;
 	target_t *target;
 	const target_t *old = targets_find(gateway->targets, entry->id);
-	bool same = old != NULL && old->entry.state == entry->state &&
+	bool same = old != NULL && old->removal_at == 0 &&
+		    old->entry.state == entry->state &&
 		    old->entry.cold_ms == entry->cold_ms &&
 		    old->entry.started_ms == entry->started_ms &&
 		    strcmp(old->entry.version, entry->version) == 0;
+	store_origin_t origin = store_origin(gateway->store);
 
 	g_assert(entry != NULL);
 	target = targets_put(gateway->targets, entry, gateway_now(gateway));
@@ -485,7 +487,9 @@
 		    LOG_S("state",
 			entry->state == TARGET_READY ? "ready" : "draining"),
 		    LOG_I("cold_ms", entry->cold_ms),
-		    LOG_I("started_ms", entry->started_ms));
+		    LOG_I("started_ms", entry->started_ms),
+		    LOG_S("source", origin.source), LOG_S("by", origin.by),
+		    LOG_I("revision", origin.revision));
 	gateway_schedule_queues(gateway);
 }
 
@@ -494,10 +498,20 @@
 {
 	gateway_t *gateway = owner;
 
+	time_us_t now = gateway_now(gateway);
+	store_origin_t origin;
+	const target_t *target;
+
 	if (targets_find(gateway->targets, id) == NULL)
 		return;
-	log_event(LOG_INFO, "target_removed", LOG_S("target", id));
-	targets_remove(gateway->targets, id, gateway_now(gateway));
+	origin = store_origin(gateway->store);
+	targets_remove(gateway->targets, id, now);
+	target = targets_find(gateway->targets, id);
+	log_event(LOG_INFO, "target_removed", LOG_S("target", id),
+	    LOG_S("source", origin.source), LOG_S("by", origin.by),
+	    LOG_I("revision", origin.revision),
+	    LOG_I("kept_ms",
+		target ? (target->removal_at - now) / US_PER_MS : 0));
 }
 
 static void
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -107,6 +107,18 @@
 
 store_memory_t store_memory(const store_t *store);
 
+/*
+ * Where the item that is reported by the present callback comes from. revision:
+ * 0 if it isn't known, as of a key that a range lacks.
+ */
+typedef struct {
+	const char *source; /* "store" or "relay" */
+	const char *by;	    /* "range", "watch", or "copy" after a restore */
+	int64_t revision;
+} store_origin_t;
+
+store_origin_t store_origin(const store_t *store);
+
 /* Returns since when it reads, or tries to, from its present source. */
 time_us_t store_source_since(const store_t *store);
 
