--- a/fakes/fake_store.c
+++ b/fakes/fake_store.c
@@ -28,6 +28,8 @@
 	int64_t era;
 	int64_t revision;
 	int64_t forgotten; /* watches from before this get 410 */
+	unsigned n_forgets;
+	char *forget_prefix; /* whose watches the last one ended */
 	store_mode_t mode;
 	unsigned page;
 	unsigned calls;
@@ -167,16 +169,19 @@
 	gint64 until = g_get_monotonic_time() +
 		       query_number(query, "wait_ms") * G_TIME_SPAN_MILLISECOND;
 	char *answer = NULL;
+	unsigned n_forgets;
 	int64_t era;
 	bool gone;
 	bool ok;
 
 	g_mutex_lock(&store->lock);
 	gone = after < store->forgotten || after > store->revision;
+	n_forgets = store->n_forgets;
 	while (!gone && store->mode == STORE_WORKS &&
 	       (answer = watch_answer(store, prefix, after)) == NULL &&
 	       g_cond_wait_until(&store->changed, &store->lock, until))
-		;
+		gone = store->n_forgets != n_forgets &&
+		       strcmp(prefix, store->forget_prefix) == 0;
 	if (answer == NULL)
 		answer = g_strdup_printf(
 		    "{\"events\":[],\"store_revision\":%" PRId64 "}",
@@ -259,6 +264,7 @@
 	fake_store_set_mode(store, STORE_RESETS);
 	raw_server_destroy(store->server);
 	g_ptr_array_unref(store->events);
+	g_free(store->forget_prefix);
 	g_mutex_clear(&store->lock);
 	g_cond_clear(&store->changed);
 	g_free(store);
@@ -337,6 +343,18 @@
 		raw_server_reset(store->server);
 }
 
+void
+fake_store_forget(fake_store_t *store, const char *prefix)
+{
+	g_mutex_lock(&store->lock);
+	store->forgotten = store->revision;
+	store->n_forgets++;
+	g_free(store->forget_prefix);
+	store->forget_prefix = g_strdup(prefix);
+	g_cond_broadcast(&store->changed);
+	g_mutex_unlock(&store->lock);
+}
+
 void
 fake_store_set_page(fake_store_t *store, unsigned items)
 {
--- a/fakes/fake_store.h
+++ b/fakes/fake_store.h
@@ -27,6 +27,11 @@
 /* Changes an item without a watch ever telling it. */
 void fake_store_put_unseen(
     fake_store_t *store, const char *key, const char *value);
+/*
+ * Loses the history before now. Pending watches of this prefix are told so, the
+ * others wait on and hear nothing of it.
+ */
+void fake_store_forget(fake_store_t *store, const char *prefix);
 void fake_store_set_mode(fake_store_t *store, store_mode_t mode);
 
 int64_t fake_store_revision(fake_store_t *store);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -176,15 +176,21 @@
 	fixture_destroy(&fixture);
 }
 
-static void
-target_publish(fake_store_t *store, int cold_ms)
+static char *
+target_value(int cold_ms)
 {
-	g_autofree char *value = g_strdup_printf(
+	return g_strdup_printf(
 	    "{\"service\":\"pen\",\"address\":\"127.0.0.1:80\","
 	    "\"zone\":\"a-1\",\"version\":\"v1\",\"slots\":8,"
 	    "\"state\":\"ready\",\"cold_remaining_ms\":%d,\"seq\":1,"
 	    "\"born\":1}",
 	    cold_ms);
+}
+
+static void
+target_publish(fake_store_t *store, int cold_ms)
+{
+	g_autofree char *value = target_value(cold_ms);
 
 	fake_store_put(store, "servers/w", value);
 }
@@ -323,4 +329,32 @@
 	fixture_destroy(&fixture);
 }
 
+static void
+target_publish_unseen(fake_store_t *store, int cold_ms)
+{
+	g_autofree char *value = target_value(cold_ms);
+
+	fake_store_put_unseen(store, "servers/w", value);
+}
+
+/*
+ * Guards against a target that is used for seconds after it said that it
+ * leaves: the store lost its history, told the watch of one prefix, and left
+ * the watch of the targets waiting.
+ */
+TEST(history_that_one_watch_lost_is_read_again_for_all)
+{
+	fixture_t fixture;
+
+	fixture_create(&fixture);
+	target_publish(fixture.store, 1000);
+	ck_assert(run_until(&fixture, &fixture.listed, 2000));
+	run_for(&fixture, 600);
+	target_publish_unseen(fixture.store, 3000);
+	fake_store_forget(fixture.store, "op/");
+	run_for(&fixture, 1000);
+	ck_assert_int_eq(fixture.cold_ms, 3000);
+	fixture_destroy(&fixture);
+}
+
 TEST_MAIN("store")
