--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -555,6 +555,9 @@
 	targets_set_publisher_reachable(
 	    gateway->targets, reachable, gateway_now(gateway));
 	gateway->store_unreachable_since = reachable ? 0 : gateway_now(gateway);
+	/* What it missed before doesn't count against the source now. */
+	if (reachable)
+		lag_restart(&gateway->store_lag, gateway_now(gateway));
 	log_event(LOG_NOTICE, reachable ? "store_regained" : "store_lost",
 	    LOG_S("cause", cause));
 }
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -95,7 +95,8 @@
 
 /*
  * Called when other instances have read newer data than this one: abandons the
- * relay, or counts the store as unreachable when there is none.
+ * relay, or, when there is none, the watches, and counts the store as
+ * unreachable then.
  */
 void store_note_behind(store_t *store);
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -357,4 +357,20 @@
 	fixture_destroy(&fixture);
 }
 
+/*
+ * Guards against a range that is begun again and again, as others have read
+ * newer data meanwhile, and never ends.
+ */
+TEST(range_is_not_abandoned_when_others_read_newer_data)
+{
+	fixture_t fixture;
+
+	fixture_create(&fixture);
+	run_for(&fixture, 300);
+	store_refresh(fixture.client);
+	store_note_behind(fixture.client);
+	ck_assert(!fixture.unreachable);
+	fixture_destroy(&fixture);
+}
+
 TEST_MAIN("store")
