gateway, core: read from instances that read the store

An instance that the store refuses reads from another one. It chose any of its region, where all but two or three read from relays themselves and refuse, and the choice held for 5 s: refused at 2.6, 7.3, 12.8 and 17.5 s.

It now asks those that the rendezvous hash makes relays, of its own region first, as far as they weren't left; after a refusal the store gets a second, and then the next one is asked.

Test of the choice: those_responsible_in_each_region_are_known; with real processes it isn't tested, as it takes regions of six.

--- a/core/members.c
+++ b/core/members.c
@@ -486,12 +486,20 @@
 size_t
 members_responsible(const members_t *members, uint64_t key, uint32_t count,
     time_us_t now, uint32_t *ips)
+{
+	if (members_is_responsible(members, key, count, now))
+		return 0;
+	return members_first(
+	    members, members->own_region, key, count, now, ips);
+}
+
+size_t
+members_first(const members_t *members, int region, uint64_t key,
+    uint32_t count, time_us_t now, uint32_t *ips)
 {
 	uint64_t limit = UINT64_MAX;
 	size_t n = 0;
 
-	if (members_is_responsible(members, key, count, now))
-		return 0;
 	while (n < count) {
 		uint64_t best = 0;
 		uint32_t ip = 0;
@@ -501,8 +509,7 @@
 			    g_ptr_array_index(members->all, i);
 			uint64_t score = rendezvous(key, member->entry.ip);
 
-			if (member_region(members, member) ==
-				members->own_region &&
+			if (member_region(members, member) == region &&
 			    members_is_live(members, member, now) &&
 			    score < limit && score >= best) {
 				best = score;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -687,10 +687,43 @@
 	return address.ip;
 }
 
+/*
+ * An instance that reads from the store itself, as far as is known, and wasn't
+ * left. In a large region most others read from relays, and refuse. 0: none is
+ * known.
+ */
+static uint32_t
+direct_reader(const gateway_t *gateway, time_us_t now)
+{
+	int n_regions = topology_n_regions(gateway->topology);
+
+	/* The own region first. */
+	for (int i = 0; i < n_regions; i++) {
+		int region = (gateway->region + i) % n_regions;
+		uint32_t ips[RELAY_COUNT];
+		size_t n;
+
+		if (members_n_live(gateway->members, region, now) <
+		    RELAY_REGION_MIN)
+			continue;
+		n = members_first(
+		    gateway->members, region, RELAY_KEY, RELAY_COUNT, now, ips);
+		for (size_t j = 0; j < n; j++) {
+			net_address_t relay = {
+			    ips[(gateway->own_peer.ip + j) % n],
+			    gateway->own_peer.port};
+
+			if (!store_relay_is_paused(gateway->store, &relay))
+				return relay.ip;
+		}
+	}
+	return 0;
+}
+
 /*
  * Whether to read from fallback_relay instead of the store. Chooses one when
  * the store has been unreachable for STORE_UNREACHABLE_US; the choice holds for
- * FALLBACK_RELAY_US.
+ * FALLBACK_RELAY_US, or until that instance refuses or fails.
  */
 static bool
 fallback_relay_pick(gateway_t *gateway, time_us_t now)
@@ -698,12 +731,17 @@
 	net_address_t relay = {0, gateway->own_peer.port};
 	const member_t *member;
 
-	if (now < gateway->fallback_until)
+	if (now < gateway->fallback_until &&
+	    !store_relay_is_paused(gateway->store, &gateway->fallback_relay))
 		return true;
+	/* After an instance that refused, the store gets as much time again. */
 	if (gateway->store_unreachable_since == 0 ||
-	    now - gateway->store_unreachable_since < STORE_UNREACHABLE_US)
+	    now - gateway->store_unreachable_since < STORE_UNREACHABLE_US ||
+	    now - store_source_since(gateway->store) < STORE_UNREACHABLE_US)
 		return false;
-	relay.ip = newest_reader(gateway, now);
+	relay.ip = direct_reader(gateway, now);
+	if (relay.ip == 0)
+		relay.ip = newest_reader(gateway, now);
 	if (relay.ip == 0) {
 		member =
 		    members_pick(gateway->members, gateway->region, 0, now);
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -182,6 +182,13 @@
 size_t members_responsible(const members_t *members, uint64_t key,
     uint32_t count, time_us_t now, uint32_t *ips);
 
+/*
+ * Writes the live instances of the region that come first for key, without this
+ * one, at most count.
+ */
+size_t members_first(const members_t *members, int region, uint64_t key,
+    uint32_t count, time_us_t now, uint32_t *ips);
+
 /*
  * Returns a random instance of the region, other than exclude, that accepts
  * requests: it is live, ready and not leaving. NULL: there is none.
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -288,6 +288,38 @@
 	sim_destroy(&sim);
 }
 
+/*
+ * Guards against an instance that looks for one that reads the store among all
+ * of its region, most of which read from others and refuse.
+ */
+TEST(those_responsible_in_each_region_are_known)
+{
+	sim_t sim;
+
+	sim_create(&sim, 84);
+	sim_run(&sim, 3 * US_PER_S);
+	for (uint64_t key = 1; key < 20; key++) {
+		for (int region = 0; region < 3; region++) {
+			uint32_t ips[2];
+
+			ck_assert_uint_eq(members_first(sim.nodes[0], region,
+					      key, 2, sim.now, ips),
+			    2);
+			for (size_t i = 0; i < 2; i++) {
+				size_t node = ips[i] - node_ip(0);
+
+				ck_assert_uint_ne(node, 0);
+				ck_assert_int_eq((int)(node % 3), region);
+				/* In its own region it leaves itself out. */
+				ck_assert(region == 0 || members_is_responsible(
+							     sim.nodes[node],
+							     key, 2, sim.now));
+			}
+		}
+	}
+	sim_destroy(&sim);
+}
+
 #define SHARE_KEYS 20
 #define SHARE_COUNT 2
 
