core: count the grace of a removal from the end of the outage

The grace now ends 2.5 s after the end of the outage, however late the removal is read.

removal_read_late_after_an_outage_is_kept_no_longer failed before.

--- a/core/targets.c
+++ b/core/targets.c
@@ -273,18 +273,17 @@
 targets_remove(targets_t *targets, const char *id, time_us_t now)
 {
 	target_t *target = targets_find(targets, id);
+	time_us_t recovered_at;
 
 	if (target == NULL)
 		return;
-	if (targets->publisher_down ||
-	    (targets->publisher_recovered_at != 0 &&
-		now - targets->publisher_recovered_at <
-		    TARGET_REMOVAL_GRACE_US)) {
-		if (target->removal_at == 0)
-			target->removal_at = now + TARGET_REMOVAL_GRACE_US;
-		return;
-	}
-	target_unlist(targets, target);
+	/* The grace counts from the return, however late a removal is read. */
+	recovered_at =
+	    targets->publisher_down ? now : targets->publisher_recovered_at;
+	if (recovered_at == 0 || now - recovered_at >= TARGET_REMOVAL_GRACE_US)
+		target_unlist(targets, target);
+	else if (target->removal_at == 0)
+		target->removal_at = recovered_at + TARGET_REMOVAL_GRACE_US;
 }
 
 void
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -241,7 +241,7 @@
 /*
  * Removes an entry that is no longer listed: immediately, or, when the
  * publisher is unreachable or was so within the last TARGET_REMOVAL_GRACE_US,
- * after TARGET_REMOVAL_GRACE_US and not before the publisher is reachable.
+ * TARGET_REMOVAL_GRACE_US after its return, and not while it is unreachable.
  */
 void targets_remove(targets_t *targets, const char *id, time_us_t now);
 
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -95,6 +95,27 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Guards against delays that add up: a removal that is read late after an
+ * outage was kept for the whole grace again.
+ */
+TEST(removal_read_late_after_an_outage_is_kept_no_longer)
+{
+	fixture_t f = fixture_create();
+
+	put(&f, "t1");
+	targets_set_publisher_reachable(f.targets, false, f.now);
+	f.now += US_PER_S;
+	targets_set_publisher_reachable(f.targets, true, f.now);
+	f.now += TARGET_REMOVAL_GRACE_US - 100 * US_PER_MS;
+	targets_remove(f.targets, "t1", f.now);
+	ck_assert_ptr_nonnull(targets_find(f.targets, "t1"));
+	f.now += 100 * US_PER_MS;
+	targets_expire(f.targets, f.now);
+	ck_assert_ptr_null(targets_find(f.targets, "t1"));
+	fixture_destroy(&f);
+}
+
 /* A restarted target keeps neither the cached prefixes nor the load of its
  * earlier process. */
 TEST(restart_with_the_same_id_is_a_new_target)
