tests, net: what the linters ask, and a count behind the stall

The queued case of process_left counted what had arrived before the stall; a request still on its way then would have counted as sent after it. It counts before the instance runs again, when all that was sent has arrived.

--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -143,9 +143,9 @@
 void tcp_finish(tcp_t *connection);
 
 /*
- * Looks for an end of the connection that waits to be read, and reports it as if
- * it had been read. An end behind unread bytes isn't seen. Returns whether the
- * connection has ended.
+ * Looks for an end of the connection that waits to be read, and reports it as
+ * if it had been read. An end behind unread bytes isn't seen. Returns whether
+ * the connection has ended.
  */
 bool tcp_check_end(tcp_t *connection);
 
--- a/tests/process_left.c
+++ b/tests/process_left.c
@@ -9,11 +9,12 @@
 /* Callers that leave while the instance doesn't run. */
 
 #define CALLERS 64
-#define LEAVE_AFTER_MS 100
-#define STALL_AFTER_LEAVING_MS 700
+#define LEAVE_AFTER_US 100000
+#define QUEUED_AFTER_US 200000
+#define STALL_AFTER_LEAVING_US 700000
 
 /* How long a request that is sent on takes to reach a target. */
-#define ARRIVAL_MS 1000
+#define ARRIVAL_US 1000000
 
 #define STALLED 0
 
@@ -61,12 +62,12 @@
 {
 	for (int i = 0; i < CALLERS; i++)
 		request_send(fds[i], i, "/read/slow-50");
-	g_usleep(LEAVE_AFTER_MS * 1000);
+	g_usleep(LEAVE_AFTER_US);
 	for (int i = 0; i < CALLERS; i++)
 		caller_leave(fds[i], how);
-	g_usleep(STALL_AFTER_LEAVING_MS * 1000);
+	g_usleep(STALL_AFTER_LEAVING_US);
 	world_signal(world, STALLED, SIGCONT);
-	g_usleep(ARRIVAL_MS * 1000);
+	g_usleep(ARRIVAL_US);
 	ck_assert_uint_eq(arrivals(world), 0);
 }
 
@@ -102,9 +103,9 @@
 		world_answer_t answer;
 
 		fds[i] = world_connect(&world, STALLED, PORT_CALLERS);
-		world_send(
-		    fds[i], "GET /read/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: "
-			    "before\r\n" WORLD_KEY "\r\n");
+		world_send(fds[i],
+		    "GET /read/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: "
+		    "before\r\n" WORLD_KEY "\r\n");
 		answer = world_read(fds[i]);
 		ck_assert_int_eq(answer.status, 200);
 		world_answer_clear(&answer);
@@ -127,16 +128,16 @@
 		fds[i] = world_connect(&world, STALLED, PORT_CALLERS);
 		request_send(fds[i], i, "/read/slow-400");
 	}
-	g_usleep(200 * 1000);
+	g_usleep(QUEUED_AFTER_US);
 	world_signal(&world, STALLED, SIGSTOP);
+	for (int i = 0; i < CALLERS; i++)
+		caller_leave(fds[i], LEAVE_BY_CLOSE);
+	g_usleep(STALL_AFTER_LEAVING_US);
 	before = arrivals(&world);
 	ck_assert_uint_gt(before, 0);
 	ck_assert_uint_lt(before, CALLERS);
-	for (int i = 0; i < CALLERS; i++)
-		caller_leave(fds[i], LEAVE_BY_CLOSE);
-	g_usleep(STALL_AFTER_LEAVING_MS * 1000);
 	world_signal(&world, STALLED, SIGCONT);
-	g_usleep(ARRIVAL_MS * 1000);
+	g_usleep(ARRIVAL_US);
 	ck_assert_uint_eq(arrivals(&world), before);
 	world_destroy(&world);
 }
--- a/tests/process_memory.c
+++ b/tests/process_memory.c
@@ -13,7 +13,7 @@
  * and is about as large as a value of the store can be.
  */
 
-#define CONFIG_BYTES (900 << 10)
+#define CONFIG_BYTES ((size_t)900 << 10)
 #define VERSIONS 50
 
 /* Between versions. */
@@ -102,6 +102,7 @@
 #define READER_CALLS 8
 #define READER_BUFFER 4096
 #define READER_WAIT_MS 1500
+#define READER_STEP_US 150000
 
 static int
 reader_connect(const world_t *world, const char *call)
@@ -157,7 +158,7 @@
 		    gauge_read(&world, 0, "memory_bytes{part=\"output\"} ");
 		ck_assert_uint_le(output, bound);
 		most = MAX(most, output);
-		g_usleep(READER_WAIT_MS * 1000 / 10);
+		g_usleep(READER_STEP_US);
 	}
 	/* Some were answered. */
 	ck_assert_uint_ge(most, CONFIG_BYTES);
--- a/tests/test_changelog.c
+++ b/tests/test_changelog.c
@@ -75,7 +75,7 @@
 	check_after(
 	    log, 98 + CHANGELOG_HISTORY_LIMIT, "key=610@611 key=611@612 ");
 	ck_assert_uint_le(
-	    changelog_bytes(log), 7 * (CHANGELOG_HISTORY_LIMIT + 1));
+	    changelog_bytes(log), (size_t)7 * (CHANGELOG_HISTORY_LIMIT + 1));
 	/* A reader that skips states of a key doesn't have to start over. */
 	ck_assert(changelog_continues(log, 1));
 	changelog_destroy(log);
