--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -40,9 +40,10 @@
 
 /*
  * Without a relay, an instance that can't reach the store for
- * STORE_UNREACHABLE_US reads from one that has read newer data, or from any of
- * its region, and tries the store again after FALLBACK_RELAY_US. Guards against
- * a store that serves some instances and refuses others.
+ * STORE_UNREACHABLE_US reads from one that is a relay, else from one that has
+ * read newer data, else from any of its region, and tries the store again after
+ * FALLBACK_RELAY_US. Guards against a store that serves some instances and
+ * refuses others.
  */
 #define STORE_UNREACHABLE_US US_PER_S
 #define FALLBACK_RELAY_US (5 * US_PER_S)
