core, platform, gateway: names and comments after a second reading

store_memory() counted bytes read from the store as answers, which elsewhere are those to other instances; the field is unparsed now. Two comments of core/changelog.h had to be read twice.

--- a/gateway/usage.c
+++ b/gateway/usage.c
@@ -43,7 +43,7 @@
 	    gateway->catalog_text ? g_bytes_get_size(gateway->catalog_text)
 				  : 0);
 	part_write(text, "replica", store.replica);
-	part_write(text, "store_answers", store.answers);
+	part_write(text, "store_answers", store.unparsed);
 	g_string_append_printf(text,
 	    "heap_bytes{state=\"used\"} %zu\n"
 	    "heap_bytes{state=\"free\"} %zu\n",
--- a/include/core/changelog.h
+++ b/include/core/changelog.h
@@ -45,7 +45,10 @@
 void changelog_put(
     changelog_t *log, const char *key, const char *value, int64_t revision);
 
-/* All keys are recorded as they were at this revision. */
+/*
+ * All keys are recorded as they were at this revision. Only the first call
+ * after the log is empty counts.
+ */
 void changelog_begin(changelog_t *log, int64_t revision);
 
 /*
@@ -60,8 +63,7 @@
 void changelog_visit_after(const changelog_t *log, int64_t revision,
     changelog_visit_t visit, void *owner);
 
-/* Visits the keys that exist in their order, from after this one on; or NULL.
- */
+/* Visits the keys that exist and come after this one, in order. NULL: all. */
 void changelog_visit_keys(const changelog_t *log, const char *after,
     changelog_visit_t visit, void *owner);
 
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -102,8 +102,8 @@
 
 /* Bytes that the client holds. */
 typedef struct {
-	size_t replica; /* keys and values for other instances */
-	size_t answers; /* read and not parsed */
+	size_t replica;	 /* keys and values for other instances */
+	size_t unparsed; /* of answers of the store */
 } store_memory_t;
 
 store_memory_t store_memory(const store_t *store);
