common, core, gateway: read numbers of any size, and versions as digits

Cause: jansson gives up a whole document for one integer beyond 64 bits or one real beyond a double, wherever it stands. An instance that can't read the newest configuration lives on an older one, its own or another instance's; after a kill of all there is none. Versions were 64 bits in the decoder, in the catalogue, in the messages between instances and in the log.

A version is its decimal digits (core/version.h); messages hold it in the 64 bits of before where it fits, otherwise at their end, where earlier versions of the program don't look.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -5,7 +5,7 @@
 
 struct catalog {
 	gint refs;
-	uint64_t version;
+	GRefString *version;
 	GPtrArray *services; /* catalog_service_t, and so on */
 	GPtrArray *routes;
 	GPtrArray *teams;
@@ -60,12 +60,12 @@
 }
 
 catalog_t *
-catalog_create(uint64_t version)
+catalog_create(const char *version)
 {
 	catalog_t *catalog = g_new0(catalog_t, 1);
 
 	catalog->refs = 1;
-	catalog->version = version;
+	catalog->version = g_ref_string_new(version);
 	catalog->services = g_ptr_array_new_with_free_func(service_unref);
 	catalog->routes = g_ptr_array_new_with_free_func(route_unref);
 	catalog->teams = g_ptr_array_new_with_free_func(team_unref);
@@ -90,6 +90,7 @@
 	g_ptr_array_unref(catalog->routes);
 	g_ptr_array_unref(catalog->teams);
 	g_hash_table_destroy(catalog->keys);
+	g_ref_string_release(catalog->version);
 	g_free(catalog);
 }
 
@@ -140,7 +141,7 @@
 	catalog->requires_key = requires_key;
 }
 
-uint64_t
+const char *
 catalog_version(const catalog_t *catalog)
 {
 	return catalog->version;
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -264,7 +264,8 @@
 		request_refuse(request, 503, "no_config", NO_CONFIG_RETRY_US);
 		return false;
 	}
-	request->config_version = catalog_version(gateway->catalog);
+	request->config_version =
+	    g_ref_string_acquire((char *)catalog_version(gateway->catalog));
 	route = catalog_route(gateway->catalog, request->host,
 	    strlen(request->host), request->path, path_len);
 	if (route == NULL) {
--- a/gateway/decision.c
+++ b/gateway/decision.c
@@ -54,7 +54,8 @@
 	fields[n++] = LOG_I("queued",
 	    request->service_state ? queue_length(request->service_state->queue)
 				   : 0);
-	fields[n++] = LOG_I("config", (int64_t)request->config_version);
+	fields[n++] = LOG_S(
+	    "config", request->config_version ? request->config_version : "0");
 	fields[n++] = LOG_S("from", request->from_peer ? "instance" : "caller");
 	fields[n] = (log_field_t){NULL, NULL, 0};
 	log_write(LOG_INFO, event, fields);
--- a/gateway/fetch.c
+++ b/gateway/fetch.c
@@ -34,7 +34,9 @@
 	bool too_large;
 	ev_timer stall;
 	ev_timer timeout;
-	lag_t lag; /* of the configuration behind other instances */
+	char wanted[VERSION_DIGITS_MAX + 1]; /* that others have; or had */
+	time_us_t wanted_since;
+	time_us_t reported_at; /* last report of a newer version */
 };
 
 static void
@@ -181,28 +183,37 @@
 	ev_timer_again(fetch->gateway->loop, &fetch->stall);
 }
 
-/* Versions of the configuration only rise, also across a restore. */
-static revision_t
-version_position(uint64_t version)
+/*
+ * Returns for how long this instance has lacked a version that others have.
+ * With frequent changes it always lacks the newest one, but never the same for
+ * long.
+ */
+static time_us_t
+missing_for(fetch_t *fetch, const char *version, time_us_t now)
 {
-	return (revision_t){.number = (int64_t)version};
+	const char *own = gateway_config_version(fetch->gateway);
+
+	if (version_compare(own, fetch->wanted) >= 0 ||
+	    now - fetch->reported_at > LAG_REPORT_MAX_AGE_US) {
+		g_strlcpy(fetch->wanted, version, sizeof(fetch->wanted));
+		fetch->wanted_since = now;
+	}
+	fetch->reported_at = now;
+	return now - fetch->wanted_since;
 }
 
 void
-fetch_note_version(fetch_t *fetch, uint64_t version, uint32_t ip)
+fetch_note_version(fetch_t *fetch, const char *version, uint32_t ip)
 {
 	const gateway_t *gateway = fetch->gateway;
-	time_us_t now = gateway_now(fetch->gateway);
-
-	if (gateway->catalog == NULL) {
-		if (version == 0)
-			return;
-	} else if (lag_note(&fetch->lag,
-		       version_position(catalog_version(gateway->catalog)),
-		       version_position(version), now) < FETCH_DELAY_US ||
-		   version <= catalog_version(gateway->catalog)) {
+
+	/* Versions only rise, also across a restore of the store. */
+	if (version_compare(version, gateway_config_version(gateway)) <= 0)
+		return;
+	if (gateway->catalog != NULL &&
+	    missing_for(fetch, version, gateway_now(fetch->gateway)) <
+		FETCH_DELAY_US)
 		return;
-	}
 	if (fetch->connection == NULL)
 		fetch_start(fetch, ip);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -340,15 +340,21 @@
 	    LOG_I("targets", targets_count(gateway->targets)));
 }
 
+const char *
+gateway_config_version(const gateway_t *gateway)
+{
+	return gateway->catalog ? catalog_version(gateway->catalog)
+				: VERSION_NONE;
+}
+
 void
 gateway_set_catalog(
     gateway_t *gateway, catalog_t *catalog, GBytes *text, const char *source)
 {
-	uint64_t before =
-	    gateway->catalog ? catalog_version(gateway->catalog) : 0;
+	g_autofree char *before = g_strdup(gateway_config_version(gateway));
 
 	/* Ignore versions that are not newer, whatever their source. */
-	if (catalog_version(catalog) <= before)
+	if (version_compare(catalog_version(catalog), before) <= 0)
 		return;
 	catalog_unref(gateway->catalog);
 	gateway->catalog = catalog_ref(catalog);
@@ -359,7 +365,7 @@
 	streams_note_gap(gateway->streams, gateway_now(gateway));
 	team_rates_set_catalog(gateway->rates, catalog, gateway_now(gateway));
 	log_event(LOG_NOTICE, "config",
-	    LOG_I("version", catalog_version(catalog)), LOG_I("before", before),
+	    LOG_S("version", catalog_version(catalog)), LOG_S("before", before),
 	    LOG_S("source", source),
 	    LOG_I("idle_timeout_ms", catalog_limits(catalog)->idle_timeout_ms));
 	ready_update(gateway);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <inttypes.h>
 #include <netinet/in.h>
 #include <rpc/rpc.h>
 #include <string.h>
@@ -93,7 +94,8 @@
 	uint32_t version;
 	uint32_t n_members;
 	member_entry_t members[MEMBER_DIGEST_LIMIT];
-	uint64_t config_version;
+	/* In 64 bits where it fits, otherwise at the end of the message. */
+	char config_version[VERSION_DIGITS_MAX + 1];
 	revision_t store_revision; /* newest revision read */
 	uint32_t kind;		   /* message_kind_t */
 	uint32_t n_instances;	   /* covered by the loads */
@@ -230,6 +232,46 @@
 	return true;
 }
 
+/* The highest version that is told in 64 bits; see long_version_xdr(). */
+#define SHORT_VERSION_MAX "18446744073709551615"
+
+static bool
+has_long_version(const message_t *message)
+{
+	return version_compare(message->config_version, SHORT_VERSION_MAX) > 0;
+}
+
+/* 0: none, or one that follows at the end of the message. */
+static bool
+short_version_xdr(XDR *xdr, message_t *message)
+{
+	uint64_t version =
+	    xdr->x_op == XDR_DECODE || has_long_version(message)
+		? 0
+		: g_ascii_strtoull(message->config_version, NULL, 10);
+
+	if (!xdr_uint64_t(xdr, &version))
+		return false;
+	if (xdr->x_op != XDR_DECODE)
+		return true;
+	if (version == 0)
+		g_strlcpy(message->config_version, VERSION_NONE,
+		    sizeof(message->config_version));
+	else
+		g_snprintf(message->config_version,
+		    sizeof(message->config_version), "%" PRIu64, version);
+	return true;
+}
+
+static bool
+long_version_xdr(XDR *xdr, message_t *message)
+{
+	char *text = message->config_version;
+
+	return xdr_string(xdr, &text, VERSION_DIGITS_MAX) &&
+	       version_is_valid(message->config_version);
+}
+
 /* Encodes or decodes a message, depending on the mode of the XDR stream. */
 static bool
 message_xdr(XDR *xdr, message_t *message)
@@ -243,7 +285,7 @@
 		if (!member_xdr(xdr, &message->members[i]))
 			return false;
 	}
-	if (!xdr_uint64_t(xdr, &message->config_version) ||
+	if (!short_version_xdr(xdr, message) ||
 	    !xdr_int64_t(xdr, &message->store_revision.number))
 		return false;
 	if (message->version == MESSAGE_VERSION_OLD) {
@@ -329,8 +371,8 @@
 	message->version = MESSAGE_VERSION;
 	message->n_members = (uint32_t)members_digest(
 	    gateway->members, now, message->members, n_members);
-	message->config_version =
-	    gateway->catalog ? catalog_version(gateway->catalog) : 0;
+	g_strlcpy(message->config_version, gateway_config_version(gateway),
+	    sizeof(message->config_version));
 	message->store_revision = store_revision(gateway->store);
 	message->kind = kind;
 	message->n_instances = 1;
@@ -442,7 +484,8 @@
 extensions_encode(XDR *xdr, message_t *message)
 {
 	static const stream_query_t no_query;
-	bool has_paces = message->n_paces > 0;
+	bool has_version = has_long_version(message);
+	bool has_paces = message->n_paces > 0 || has_version;
 	bool has_query = message->has_query || has_paces;
 	bool has_records = message->n_records > 0 || has_query;
 	bool has_era = message->store_revision.era != 0 || has_records;
@@ -456,7 +499,8 @@
 	       (!has_era || xdr_int64_t(xdr, &message->store_revision.era)) &&
 	       (!has_records || records_xdr(xdr, message)) &&
 	       (!has_query || query_xdr(xdr, &message->query)) &&
-	       (!has_paces || paces_xdr(xdr, message));
+	       (!has_paces || paces_xdr(xdr, message)) &&
+	       (!has_version || long_version_xdr(xdr, message));
 }
 
 /* What can't be read is left out: the message is of use without it. */
@@ -497,8 +541,15 @@
 	if (xdr_getpos(xdr) == len || !query_xdr(xdr, &message->query))
 		return;
 	message->has_query = message->query.id != 0;
-	if (xdr_getpos(xdr) < len && !paces_xdr(xdr, message))
+	if (xdr_getpos(xdr) == len)
+		return;
+	if (!paces_xdr(xdr, message)) {
 		message->n_paces = 0;
+		return;
+	}
+	if (xdr_getpos(xdr) < len && !long_version_xdr(xdr, message))
+		g_strlcpy(message->config_version, VERSION_NONE,
+		    sizeof(message->config_version));
 }
 
 static size_t
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -167,6 +167,8 @@
 
 /* gateway.c */
 service_state_t *gateway_service_state(gateway_t *gateway, const char *service);
+/* Returns the version in force, or VERSION_NONE. */
+const char *gateway_config_version(const gateway_t *gateway);
 void gateway_set_catalog(
     gateway_t *gateway, catalog_t *catalog, GBytes *text, const char *source);
 /* Whether this document is the loaded configuration. */
@@ -456,7 +458,7 @@
  * fetch from it, unless one is already running or the watch of the store may
  * still bring that version (FETCH_DELAY_US).
  */
-void fetch_note_version(fetch_t *fetch, uint64_t version, uint32_t ip);
+void fetch_note_version(fetch_t *fetch, const char *version, uint32_t ip);
 
 /* endpoints.c: HTTP endpoints for directory, health check and metrics. */
 endpoints_t *endpoints_create(gateway_t *gateway, GError **error);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -122,6 +122,8 @@
 	g_free(request->peer_team);
 	g_string_free(request->forward_head, TRUE);
 	g_byte_array_unref(request->body);
+	if (request->config_version != NULL)
+		g_ref_string_release(request->config_version);
 	catalog_route_unref(request->route);
 	catalog_team_unref(request->team);
 	if (request->response_head != NULL)
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -50,7 +50,7 @@
 	ev_timer timer;
 	bool rechecking; /* the timer was extended for an unread answer */
 	/* From the configuration. */
-	uint64_t config_version;	  /* 0: none */
+	GRefString *config_version;	  /* NULL: none */
 	const catalog_route_t *route;	  /* referenced */
 	const catalog_service_t *service; /* of the route */
 	const catalog_team_t *team;	  /* referenced; NULL: none */
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -8,6 +8,7 @@
 
 #include "core/topology.h"
 #include "core/types.h"
+#include "core/version.h"
 
 /*
  * One version of the configuration that operators publish: routes, services,
@@ -80,7 +81,8 @@
 
 typedef struct catalog catalog_t;
 
-catalog_t *catalog_create(uint64_t version);
+/* version: VERSION_NONE if it can't be read. */
+catalog_t *catalog_create(const char *version);
 catalog_t *catalog_ref(catalog_t *catalog);
 void catalog_unref(catalog_t *catalog);
 
@@ -94,7 +96,8 @@
 void catalog_set_limits(catalog_t *catalog, const caller_limits_t *limits);
 void catalog_set_requires_key(catalog_t *catalog, bool requires_key);
 
-uint64_t catalog_version(const catalog_t *catalog);
+/* A string that can be referenced by g_ref_string_acquire(). */
+const char *catalog_version(const catalog_t *catalog);
 const caller_limits_t *catalog_limits(const catalog_t *catalog);
 
 /* Returns whether callers must present a key on routes that are not open. */
--- /dev/null
+++ b/tests/process_start.c
@@ -0,0 +1,116 @@
+#include <signal.h>
+
+#include "platform_world.h"
+#include "test.h"
+
+/*
+ * Instances that start when nobody else has a configuration: all of them were
+ * killed, and the store has the newest one only.
+ */
+
+#define INSTANCES 4
+
+/* Time in which an instance has read the store, or another one, and is ready.
+ */
+#define START_MS 5000
+
+/* Time in which what the operator writes has to be in force everywhere. */
+#define CONFIG_MS 4000
+
+#define ROUTE(name)                                                    \
+	"{\"name\":\"" name "\",\"host\":\"h\",\"prefix\":\"/" name    \
+	"/\",\"route_type\":\"safe\",\"timeout_ms\":4000,\"service\":" \
+	"\"pen\",\"target_latency_ms\":500,\"max_attempts\":2}"
+
+/* version and routes as JSON. */
+static void
+configure(const world_t *world, const char *version, const char *routes)
+{
+	g_autofree char *value = g_strdup_printf(
+	    "{\"version\":%s,\"routes\":[%s],\"services\":[{\"name\":\"pen\"}],"
+	    "\"tenants\":[{\"name\":\"parish\",\"api_keys\":[\"key-1\"]}]}",
+	    version, routes);
+
+	fake_store_put(world->store, "op/config", value);
+}
+
+static int
+status_of(const world_t *world, int instance, const char *path)
+{
+	world_answer_t answer =
+	    world_call(world, instance, "GET", path, "probe", WORLD_KEY, NULL);
+	int status = answer.status;
+
+	world_answer_clear(&answer);
+	return status;
+}
+
+static bool
+is_ready(const world_t *world, int instance)
+{
+	world_answer_t answer =
+	    world_get(world, instance, PORT_HEALTH, "/ready");
+	bool ready = answer.status == 200;
+
+	world_answer_clear(&answer);
+	return ready;
+}
+
+static void
+start_all(world_t *world, bool wait)
+{
+	for (int i = 0; i < INSTANCES; i++)
+		world_start(world, i, i < 2 ? "a-1" : "b-1", true, false);
+	for (int i = 0; wait && i < INSTANCES; i++)
+		WORLD_WAIT(is_ready(world, i), START_MS);
+}
+
+static void
+kill_all(world_t *world)
+{
+	for (int i = 0; i < INSTANCES; i++)
+		world_signal(world, i, SIGKILL);
+	for (int i = 0; i < INSTANCES; i++)
+		world_wait_end(world, i, 2000);
+}
+
+/*
+ * Guards against a version that only those can live with who started before it:
+ * after a kill of all, no instance became ready.
+ */
+TEST(version_beyond_64_bits_is_in_force_after_all_were_killed)
+{
+	world_t world;
+
+	world_create(&world);
+	start_all(&world, true);
+	configure(&world, "100000000000000000000000000000", ROUTE("first"));
+	kill_all(&world);
+	start_all(&world, true);
+	for (int i = 0; i < 2; i++)
+		ck_assert_int_eq(status_of(&world, i, "/first/ok"), 200);
+	configure(&world, "99999999999999999999999999999", ROUTE("lower"));
+	configure(&world, "100000000000000000000000000001", ROUTE("second"));
+	for (int i = 0; i < 2; i++) {
+		WORLD_WAIT(
+		    status_of(&world, i, "/second/ok") == 200, CONFIG_MS);
+		ck_assert_int_eq(status_of(&world, i, "/first/ok"), 404);
+	}
+	world_destroy(&world);
+}
+
+/* Guards against long versions that instances can't tell each other. */
+TEST(version_beyond_64_bits_reaches_those_that_cannot_read_the_store)
+{
+	world_t world;
+
+	world_create(&world);
+	configure(&world, "100000000000000000000000000000", ROUTE("first"));
+	world_start(&world, 0, "a-1", true, true);
+	world_start(&world, 1, "a-1", false, false);
+	WORLD_WAIT(is_ready(&world, 1), 2 * START_MS);
+	ck_assert_int_eq(status_of(&world, 1, "/first/ok"), 200);
+	world_destroy(&world);
+}
+
+TEST_MAIN("start")
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -51,7 +51,7 @@
 	const catalog_route_t *route;
 
 	ck_assert_msg(catalog != NULL, "%s", problem);
-	ck_assert_uint_eq(catalog_version(catalog), 7);
+	ck_assert_str_eq(catalog_version(catalog), "7");
 	route = catalog_route(catalog, "h:80", 4, "/p/long/x", 9);
 	ck_assert(route->open);
 	ck_assert_int_eq(route->kind, ROUTE_STREAM);
--- a/tests/test_team_rates.c
+++ b/tests/test_team_rates.c
@@ -17,7 +17,7 @@
 static catalog_t *
 catalog_make(double rate, double burst)
 {
-	catalog_t *catalog = catalog_create(1);
+	catalog_t *catalog = catalog_create("1");
 	catalog_team_t team = {.name = g_strdup("parish"),
 	    .priority = -1,
 	    .counts_tokens = true,
--- a/tests/test_zone_load.c
+++ b/tests/test_zone_load.c
@@ -171,7 +171,7 @@
 
 TEST(demand_of_a_zone_leaves_out_the_other_zones)
 {
-	catalog_t *catalog = catalog_create(1);
+	catalog_t *catalog = catalog_create("1");
 	catalog_team_t team = {.name = g_strdup("parish"), .rate = 1000};
 	team_demand_t demand = {team_short_id("parish"), 100};
 	team_demand_t sum[4];
