gateway: say why an instance isn't ready, until it is

Readiness moves into a module of its own, which logs event=not_ready at level warning every 3 s with the reason, the error of the configuration that can't be read, and the last failure at the store.

--- a/gateway/fetch.c
+++ b/gateway/fetch.c
@@ -65,9 +65,8 @@
 	catalog = platform_catalog_read((const char *)fetch->body->data,
 	    fetch->body->len, gateway->topology, &error);
 	if (catalog == NULL) {
-		log_event(LOG_ERR, "config_unreadable",
-		    LOG_S("source", "instance"),
-		    LOG_S("error", error->message));
+		gateway_note_unreadable_config(
+		    gateway, "instance", error->message);
 		return;
 	}
 	text = g_bytes_new(fetch->body->data, fetch->body->len);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -77,20 +77,6 @@
 /* Interval in seconds at which queues are processed while requests wait. */
 #define QUEUE_INTERVAL_S 0.010
 
-/*
- * An instance that knows no other waits this long for messages from others
- * before it becomes ready.
- */
-#define JOIN_WAIT_US (700 * US_PER_MS)
-
-/*
- * Callers that still have the address of an instance from before its restart
- * connect while it reads the configuration and the targets, which takes about a
- * second. Their requests wait for at most this long after the start instead of
- * being refused.
- */
-#define START_HOLD_US (1500 * US_PER_MS)
-
 /*
  * A step of the boot time against the monotonic time that indicates that the
  * machine was suspended.
@@ -294,52 +280,6 @@
 	service_state->gap_limit_ms = limit;
 }
 
-bool
-gateway_holds_callers(gateway_t *gateway)
-{
-	return (gateway->catalog == NULL || !gateway->targets_loaded) &&
-	       gateway_now(gateway) - gateway->started_at < START_HOLD_US;
-}
-
-static void
-clients_release_held(gateway_t *gateway)
-{
-	g_autoptr(GList) clients = g_hash_table_get_keys(gateway->clients);
-
-	for (GList *item = clients; item != NULL; item = item->next)
-		client_release_held(item->data);
-	gateway->callers_released = true;
-}
-
-static void
-ready_update(gateway_t *gateway)
-{
-	time_us_t now = gateway_now(gateway);
-	bool joined =
-	    members_n_live(gateway->members, TOPOLOGY_NONE, now) > 1 ||
-	    now - gateway->started_at > JOIN_WAIT_US;
-	bool ready = gateway->catalog != NULL && gateway->targets_loaded &&
-		     joined && !gateway_is_leaving(gateway);
-
-	/*
-	 * A stopping instance stays ready for other instances for a moment, in
-	 * case no other one is near.
-	 */
-	members_set_ready(
-	    gateway->members, ready || (gateway->leaving_at != 0 &&
-					   !gateway_refuses_requests(gateway)));
-	if (!gateway->callers_released && !gateway_holds_callers(gateway))
-		clients_release_held(gateway);
-	if (ready == gateway->ready)
-		return;
-	gateway->ready = ready;
-	log_event(LOG_NOTICE, ready ? "ready" : "not_ready",
-	    LOG_I("ms", (now - gateway->started_at) / US_PER_MS),
-	    LOG_I("instances",
-		members_n_live(gateway->members, TOPOLOGY_NONE, now)),
-	    LOG_I("targets", targets_count(gateway->targets)));
-}
-
 const char *
 gateway_config_version(const gateway_t *gateway)
 {
@@ -361,6 +301,7 @@
 	if (gateway->catalog_text != NULL)
 		g_bytes_unref(gateway->catalog_text);
 	gateway->catalog_text = g_bytes_ref(text);
+	g_clear_pointer(&gateway->config_error, g_free);
 	/* A route's streams may have begun at another service until now. */
 	streams_note_gap(gateway->streams, gateway_now(gateway));
 	team_rates_set_catalog(gateway->rates, catalog, gateway_now(gateway));
@@ -368,7 +309,7 @@
 	    LOG_S("version", catalog_version(catalog)), LOG_S("before", before),
 	    LOG_S("source", source),
 	    LOG_I("idle_timeout_ms", catalog_limits(catalog)->idle_timeout_ms));
-	ready_update(gateway);
+	readiness_update(gateway);
 }
 
 void
@@ -416,6 +357,24 @@
 	return gateway_config_is_loaded(owner, text, len);
 }
 
+void
+gateway_note_unreadable_config(
+    gateway_t *gateway, const char *source, const char *error)
+{
+	log_event(LOG_ERR, "config_unreadable", LOG_S("source", source),
+	    LOG_S("in_force", gateway_config_version(gateway)),
+	    LOG_S("error", error));
+	g_free(gateway->config_error);
+	gateway->config_error = g_strdup(error);
+	readiness_update(gateway);
+}
+
+static void
+on_config_unreadable(void *owner, const char *error)
+{
+	gateway_note_unreadable_config(owner, "store", error);
+}
+
 static void
 on_config(void *owner, catalog_t *catalog, GBytes *text)
 {
@@ -575,12 +534,13 @@
 	gateway_t *gateway = owner;
 
 	gateway->targets_loaded = true;
-	ready_update(gateway);
+	readiness_update(gateway);
 }
 
 static const store_events_t store_events = {
     .config_is_loaded = on_config_is_loaded,
     .config = on_config,
+    .config_unreadable = on_config_unreadable,
     .target = on_target,
     .target_removed = on_target_removed,
     .evacuation = on_evacuation,
@@ -989,7 +949,7 @@
 	versions_update(gateway, now);
 	relay_update(gateway, now);
 	pools_sweep(gateway, now);
-	ready_update(gateway);
+	readiness_update(gateway);
 	gossip_round(gateway->gossip);
 	if (gateway_is_leaving(gateway))
 		leave_advance(gateway, now);
@@ -1029,7 +989,7 @@
 		return;
 	gateway->leaving_at = gateway_now(gateway);
 	members_set_leaving(gateway->members);
-	ready_update(gateway);
+	readiness_update(gateway);
 	log_event(LOG_NOTICE, "stopping", LOG_I("signal", watcher->signum),
 	    LOG_I("requests", gateway->n_requests),
 	    LOG_I("connections", g_hash_table_size(gateway->clients)));
@@ -1247,6 +1207,7 @@
 	catalog_unref(gateway->catalog);
 	if (gateway->catalog_text != NULL)
 		g_bytes_unref(gateway->catalog_text);
+	g_free(gateway->config_error);
 	gateway_settings_free(gateway->reloaded);
 	net_destroy(gateway->net);
 	ev_loop_destroy(gateway->loop);
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -104,6 +104,7 @@
 	uint64_t random;
 	catalog_t *catalog; /* NULL until one is loaded */
 	GBytes *catalog_text;
+	char *config_error; /* of a newer one that can't be read, or NULL */
 	targets_t *targets;
 	members_t *members;
 	team_rates_t *rates;
@@ -141,7 +142,8 @@
 	revision_t newest_revision;
 	time_us_t newest_reported_at;
 	bool ready;
-	bool isolated; /* see targets_set_isolated() */
+	time_us_t readiness_reported_at; /* in the log */
+	bool isolated;			 /* see targets_set_isolated() */
 	uint32_t n_requests;
 	ev_timer queue_timer;
 	ev_timer tick;
@@ -209,11 +211,18 @@
  * stopping; 0 while it is not.
  */
 time_us_t gateway_leave_limit(gateway_t *gateway);
+/* Called when the newest configuration can't be read. source is for logs. */
+void gateway_note_unreadable_config(
+    gateway_t *gateway, const char *source, const char *error);
+
+/* readiness.c: whether the instance takes requests, and why it doesn't. */
 /*
  * Whether connections of callers are accepted but not read yet, as the instance
- * has just started (START_HOLD_US) and has no configuration or no targets.
+ * has just started and has no configuration or no targets.
  */
 bool gateway_holds_callers(gateway_t *gateway);
+/* Logs a change, and every few seconds what an instance still lacks. */
+void readiness_update(gateway_t *gateway);
 
 /* client.c: connections from callers and from other instances. */
 void client_accept(gateway_t *gateway, int fd, bool from_peer);
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -55,6 +55,8 @@
 	bool (*config_is_loaded)(void *owner, const uint8_t *text, size_t len);
 	/* text is the published document, kept to serve other instances. */
 	void (*config)(void *owner, catalog_t *catalog, GBytes *text);
+	/* The published document can't be read; the one before stays. */
+	void (*config_unreadable)(void *owner, const char *error);
 	void (*target)(void *owner, const target_entry_t *entry);
 	void (*target_removed)(void *owner, const char *id);
 	void (*evacuation)(void *owner, const char *zone, bool evacuated);
@@ -100,6 +102,11 @@
  */
 void store_note_behind(store_t *store);
 
+/*
+ * Returns why the last request failed, for logs; "" if one was answered since.
+ */
+const char *store_last_failure(const store_t *store);
+
 /* Bytes that the client holds. */
 typedef struct {
 	size_t replica;	 /* keys and values for other instances */
--- a/tests/process_start.c
+++ b/tests/process_start.c
@@ -1,4 +1,5 @@
 #include <signal.h>
+#include <string.h>
 
 #include "platform_world.h"
 #include "test.h"
@@ -113,4 +114,36 @@
 	world_destroy(&world);
 }
 
+static bool
+has_logged(const world_t *world, int instance, const char *text)
+{
+	g_autofree char *path =
+	    g_strdup_printf("%s/log-%d", world->folder, instance);
+	g_autofree char *log = NULL;
+
+	return g_file_get_contents(path, &log, NULL, NULL) &&
+	       strstr(log, text) != NULL;
+}
+
+/* Guards against an instance that isn't ready, and nobody learns why. */
+TEST(instance_that_is_not_ready_says_why)
+{
+	world_t world;
+
+	world_create(&world);
+	fake_store_put(world.store, "op/config", "{\"version\":");
+	fake_store_set_mode(world.store, STORE_REFUSES);
+	world_start(&world, 0, "a-1", true, false);
+	WORLD_WAIT(has_logged(&world, 0, "event=not_ready reason=no_config"),
+	    START_MS);
+	fake_store_set_mode(world.store, STORE_WORKS);
+	WORLD_WAIT(
+	    has_logged(&world, 0, "event=not_ready reason=config_unreadable"),
+	    START_MS);
+	ck_assert(!is_ready(&world, 0));
+	world_configure(&world, 4, "key-1", "");
+	WORLD_WAIT(is_ready(&world, 0), CONFIG_MS);
+	world_destroy(&world);
+}
+
 TEST_MAIN("start")
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -37,6 +37,11 @@
 {
 }
 
+static void
+on_config_unreadable(void *owner, const char *error)
+{
+}
+
 static void
 on_target(void *owner, const target_entry_t *entry)
 {
@@ -74,9 +79,9 @@
 {
 }
 
-static const store_events_t events = {on_config_is_loaded, on_config, on_target,
-    on_target_removed, on_evacuation, on_targets_listed, on_reachable,
-    on_loaded};
+static const store_events_t events = {on_config_is_loaded, on_config,
+    on_config_unreadable, on_target, on_target_removed, on_evacuation,
+    on_targets_listed, on_reachable, on_loaded};
 
 static void
 fixture_create(fixture_t *fixture)
