platform, core, gateway: one unreadable part costs only itself

Cause: the configuration was accepted whole or not at all, which is safe only while somebody has an older one.

Now a route that can't be read keeps its host and path and is refused with 503, so that a shorter prefix doesn't take its requests; a team keeps its keys and is refused; a key of two teams serves neither. If routes or keys can't be read at all, unknown ones get 503, not 404 or 401. A version that can't be read is lower than any other, and better than none. What was left out is logged.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -12,6 +12,9 @@
 	GHashTable *keys; /* char * -> team index + 1 */
 	caller_limits_t limits;
 	bool requires_key;
+	bool incomplete;
+	GPtrArray *problems;
+	size_t n_problems;
 };
 
 static void
@@ -69,6 +72,7 @@
 	catalog->services = g_ptr_array_new_with_free_func(service_unref);
 	catalog->routes = g_ptr_array_new_with_free_func(route_unref);
 	catalog->teams = g_ptr_array_new_with_free_func(team_unref);
+	catalog->problems = g_ptr_array_new_with_free_func(g_free);
 	catalog->keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return catalog;
@@ -90,6 +94,7 @@
 	g_ptr_array_unref(catalog->routes);
 	g_ptr_array_unref(catalog->teams);
 	g_hash_table_destroy(catalog->keys);
+	g_ptr_array_unref(catalog->problems);
 	g_ref_string_release(catalog->version);
 	g_free(catalog);
 }
@@ -129,6 +134,13 @@
 	return true;
 }
 
+void
+catalog_move_key(catalog_t *catalog, const char *key, int team)
+{
+	g_hash_table_replace(
+	    catalog->keys, g_strdup(key), GINT_TO_POINTER(team + 1));
+}
+
 void
 catalog_set_limits(catalog_t *catalog, const caller_limits_t *limits)
 {
@@ -147,6 +159,40 @@
 	return catalog->version;
 }
 
+void
+catalog_add_problem(catalog_t *catalog, const char *text)
+{
+	catalog->n_problems++;
+	if (catalog->problems->len < CATALOG_PROBLEM_LIMIT)
+		g_ptr_array_add(catalog->problems, g_strdup(text));
+}
+
+size_t
+catalog_n_problems(const catalog_t *catalog)
+{
+	return catalog->n_problems;
+}
+
+const char *
+catalog_problem(const catalog_t *catalog, size_t i)
+{
+	return i < catalog->problems->len
+		   ? g_ptr_array_index(catalog->problems, i)
+		   : NULL;
+}
+
+void
+catalog_set_incomplete(catalog_t *catalog)
+{
+	catalog->incomplete = true;
+}
+
+bool
+catalog_is_incomplete(const catalog_t *catalog)
+{
+	return catalog->incomplete;
+}
+
 const caller_limits_t *
 catalog_limits(const catalog_t *catalog)
 {
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -184,6 +184,12 @@
 	return false;
 }
 
+/*
+ * Retry-After where the route or the team can't be read, until operators
+ * publish a version that can.
+ */
+#define UNREADABLE_RETRY_US (2 * US_PER_S)
+
 /*
  * Refuses a request that the configuration doesn't know. The configuration of
  * an instance that forwarded it has the route and may be newer, so that
@@ -195,6 +201,9 @@
 	if (request->from_peer)
 		request_refuse(
 		    request, 503, "config_differs", RETRY_AFTER_MIN_US);
+	else if (catalog_is_incomplete(request->gateway->catalog))
+		request_refuse(
+		    request, 503, "config_unreadable", UNREADABLE_RETRY_US);
 	else
 		request_refuse(request, status, reason, 0);
 }
@@ -273,10 +282,16 @@
 		return false;
 	}
 	request->route = catalog_route_ref(route);
-	if (!team_find(request)) {
+	if (!route->unreadable && !team_find(request)) {
 		request_refuse_unknown(request, 401, "key_unknown");
 		return false;
 	}
+	if (route->unreadable ||
+	    (request->team != NULL && request->team->unreadable)) {
+		request_refuse(
+		    request, 503, "config_unreadable", UNREADABLE_RETRY_US);
+		return false;
+	}
 	deadlines_set(request);
 	if (!leave_limit_apply(request))
 		return false;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -287,14 +287,60 @@
 				: VERSION_NONE;
 }
 
+void
+gateway_note_unreadable_config(
+    gateway_t *gateway, const char *source, const char *error)
+{
+	log_event(LOG_ERR, "config_unreadable", LOG_S("source", source),
+	    LOG_S("in_force", gateway_config_version(gateway)),
+	    LOG_S("error", error));
+	g_free(gateway->config_error);
+	gateway->config_error = g_strdup(error);
+	readiness_update(gateway);
+}
+
+/*
+ * Versions that are not newer are ignored, whatever their source. One that
+ * can't be read is better than none, and the store has the newest of those.
+ */
+static bool
+config_is_newer(
+    gateway_t *gateway, const catalog_t *catalog, const char *source)
+{
+	const char *before = gateway_config_version(gateway);
+
+	if (strcmp(catalog_version(catalog), VERSION_NONE) != 0)
+		return version_compare(catalog_version(catalog), before) > 0;
+	if (strcmp(before, VERSION_NONE) == 0)
+		return true;
+	gateway_note_unreadable_config(
+	    gateway, source, catalog_problem(catalog, 0));
+	return false;
+}
+
+static void
+config_log(const catalog_t *catalog, const char *before, const char *source)
+{
+	log_event(LOG_NOTICE, "config",
+	    LOG_S("version", catalog_version(catalog)), LOG_S("before", before),
+	    LOG_S("source", source),
+	    LOG_I("idle_timeout_ms", catalog_limits(catalog)->idle_timeout_ms),
+	    LOG_I("unreadable_parts", catalog_n_problems(catalog)));
+	for (size_t i = 0; catalog_problem(catalog, i) != NULL; i++)
+		log_event(LOG_WARNING, "config_part_skipped",
+		    LOG_S("version", catalog_version(catalog)),
+		    LOG_S("error", catalog_problem(catalog, i)));
+	counter_set(counter_get("config_unreadable_parts", NULL, NULL),
+	    (int64_t)catalog_n_problems(catalog));
+}
+
 void
 gateway_set_catalog(
     gateway_t *gateway, catalog_t *catalog, GBytes *text, const char *source)
 {
 	g_autofree char *before = g_strdup(gateway_config_version(gateway));
 
-	/* Ignore versions that are not newer, whatever their source. */
-	if (version_compare(catalog_version(catalog), before) <= 0)
+	if (!config_is_newer(gateway, catalog, source))
 		return;
 	catalog_unref(gateway->catalog);
 	gateway->catalog = catalog_ref(catalog);
@@ -305,10 +351,7 @@
 	/* A route's streams may have begun at another service until now. */
 	streams_note_gap(gateway->streams, gateway_now(gateway));
 	team_rates_set_catalog(gateway->rates, catalog, gateway_now(gateway));
-	log_event(LOG_NOTICE, "config",
-	    LOG_S("version", catalog_version(catalog)), LOG_S("before", before),
-	    LOG_S("source", source),
-	    LOG_I("idle_timeout_ms", catalog_limits(catalog)->idle_timeout_ms));
+	config_log(catalog, before, source);
 	readiness_update(gateway);
 }
 
@@ -357,18 +400,6 @@
 	return gateway_config_is_loaded(owner, text, len);
 }
 
-void
-gateway_note_unreadable_config(
-    gateway_t *gateway, const char *source, const char *error)
-{
-	log_event(LOG_ERR, "config_unreadable", LOG_S("source", source),
-	    LOG_S("in_force", gateway_config_version(gateway)),
-	    LOG_S("error", error));
-	g_free(gateway->config_error);
-	gateway->config_error = g_strdup(error);
-	readiness_update(gateway);
-}
-
 static void
 on_config_unreadable(void *owner, const char *error)
 {
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -45,6 +45,7 @@
 	int priority;		    /* 0: most urgent */
 	uint32_t max_attempts;	    /* targets that may run one request */
 	bool open;		    /* no key is required */
+	bool unreadable; /* known by host and prefix only; is refused */
 	bool resumable;
 	region_set_t regions; /* that may serve it */
 	route_backend_t backends[ROUTE_BACKEND_LIMIT];
@@ -70,6 +71,7 @@
 	double plain_tokens; /* for a request that doesn't state its tokens */
 	double rate;	     /* per second for all instances; 0: no limit */
 	double burst;
+	bool unreadable; /* known by its keys only; is refused */
 } catalog_team_t;
 
 typedef struct {
@@ -93,11 +95,29 @@
 
 /* Adds a key of a team. Returns false when the key exists already. */
 bool catalog_add_key(catalog_t *catalog, const char *key, int team);
+/* Gives a key to a team, whoever has it. */
+void catalog_move_key(catalog_t *catalog, const char *key, int team);
 void catalog_set_limits(catalog_t *catalog, const caller_limits_t *limits);
 void catalog_set_requires_key(catalog_t *catalog, bool requires_key);
 
 /* A string that can be referenced by g_ref_string_acquire(). */
 const char *catalog_version(const catalog_t *catalog);
+/*
+ * Records a part of the document that can't be read, for the log. The first
+ * CATALOG_PROBLEM_LIMIT are kept, and all are counted.
+ */
+#define CATALOG_PROBLEM_LIMIT 16
+void catalog_add_problem(catalog_t *catalog, const char *text);
+size_t catalog_n_problems(const catalog_t *catalog);
+const char *catalog_problem(const catalog_t *catalog, size_t i);
+
+/*
+ * Marks that the document has routes or keys that can't be read at all, so that
+ * an unknown one may be allowed.
+ */
+void catalog_set_incomplete(catalog_t *catalog);
+bool catalog_is_incomplete(const catalog_t *catalog);
+
 const caller_limits_t *catalog_limits(const catalog_t *catalog);
 
 /* Returns whether callers must present a key on routes that are not open. */
--- a/tests/process_start.c
+++ b/tests/process_start.c
@@ -57,6 +57,17 @@
 	return ready;
 }
 
+static bool
+has_logged(const world_t *world, int instance, const char *text)
+{
+	g_autofree char *path =
+	    g_strdup_printf("%s/log-%d", world->folder, instance);
+	g_autofree char *log = NULL;
+
+	return g_file_get_contents(path, &log, NULL, NULL) &&
+	       strstr(log, text) != NULL;
+}
+
 static void
 start_all(world_t *world, bool wait)
 {
@@ -114,15 +125,33 @@
 	world_destroy(&world);
 }
 
-static bool
-has_logged(const world_t *world, int instance, const char *text)
+/* Guards against an instance that serves nothing, as one part can't be read. */
+TEST(unreadable_part_costs_only_itself_after_all_were_killed)
 {
-	g_autofree char *path =
-	    g_strdup_printf("%s/log-%d", world->folder, instance);
-	g_autofree char *log = NULL;
+	world_t world;
 
-	return g_file_get_contents(path, &log, NULL, NULL) &&
-	       strstr(log, text) != NULL;
+	world_create(&world);
+	start_all(&world, true);
+	configure(&world, "\"4\"",
+	    ROUTE("first") ",{\"host\":\"h\",\"prefix\":\"/first/odd/\","
+			   "\"route_type\":\"odd\",\"service\":\"pen\"}");
+	WORLD_WAIT(has_logged(&world, 0, "event=config_unreadable"), CONFIG_MS);
+	ck_assert_int_eq(status_of(&world, 0, "/read/ok"), 200);
+	kill_all(&world);
+	start_all(&world, true);
+	for (int i = 0; i < 2; i++) {
+		ck_assert_int_eq(status_of(&world, i, "/first/ok"), 200);
+		ck_assert_int_eq(status_of(&world, i, "/first/odd/ok"), 503);
+		ck_assert_int_eq(status_of(&world, i, "/second/ok"), 404);
+	}
+	configure(&world, "\"5\"", ROUTE("second"));
+	for (int i = 0; i < 2; i++)
+		WORLD_WAIT(
+		    status_of(&world, i, "/second/ok") == 200, CONFIG_MS);
+	configure(&world, "4", ROUTE("first"));
+	for (int i = 0; i < 2; i++)
+		WORLD_WAIT(status_of(&world, i, "/first/ok") == 200, CONFIG_MS);
+	world_destroy(&world);
 }
 
 /* Guards against an instance that isn't ready, and nobody learns why. */
