platform, gateway: a range has what was removed before it

Cause: an instance is compared by the newest change that it has read. Those that watch know the revision of a removal; one that starts reads a range, which has the state after it but not its revision, and so lags forever. A watch was then continued behind the missing change, which it can't tell.

Now a range counts up to its own revision, of which nothing before is missing; what is told to others stays the newest change. Where the watch is already past the missing change, a range is read.

process_start, removal_before_the_start_is_not_missing, fails on (all that were started log it) and passes here; test_store has both halves alone.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -359,7 +359,7 @@
 gateway_note_revision(gateway_t *gateway, uint32_t ip, revision_t revision)
 {
 	time_us_t now = gateway_now(gateway);
-	revision_t own = store_revision(gateway->store);
+	revision_t own = store_known_revision(gateway->store);
 	time_us_t lag;
 
 	/* Of an instance of an earlier version: it may be of any era. */
@@ -377,7 +377,7 @@
 	    RELAY_BEHIND_US)
 		return;
 	streams_note_gap(gateway->streams, now);
-	store_note_behind(gateway->store);
+	store_note_behind(gateway->store, gateway->store_lag.wanted);
 	lag_restart(&gateway->store_lag, now);
 }
 
@@ -678,7 +678,7 @@
 
 	if (address.ip == 0 ||
 	    revision_compare(gateway->newest_revision,
-		store_revision(gateway->store)) <= 0 ||
+		store_known_revision(gateway->store)) <= 0 ||
 	    now - gateway->newest_reported_at > NEWEST_READER_MAX_AGE_US ||
 	    store_relay_is_paused(gateway->store, &address))
 		return 0;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -96,11 +96,11 @@
 void store_abandon_relay(store_t *store, const char *cause);
 
 /*
- * Called when other instances have read newer data than this one: abandons the
- * relay, or, when there is none, the watches, and counts the store as
- * unreachable then.
+ * Called when other instances have read a change that this one is missing:
+ * abandons the relay, or, when there is none, the watches, and counts the store
+ * as unreachable then.
  */
-void store_note_behind(store_t *store);
+void store_note_behind(store_t *store, revision_t missing);
 
 /*
  * Returns why the last request failed, for logs; "" if one was answered since.
@@ -133,6 +133,13 @@
 /* Returns the revision of the newest change that was read. */
 revision_t store_revision(const store_t *store);
 
+/*
+ * Returns the revision up to which no change is missing. A range has the state
+ * after all changes before it, but doesn't tell the revisions of removals, so
+ * this may be higher than store_revision().
+ */
+revision_t store_known_revision(const store_t *store);
+
 /*
  * Serves a request of an instance that reads from this one; see
  * replica_request(). Answers 503 while this instance itself reads from a relay.
--- a/tests/process_start.c
+++ b/tests/process_start.c
@@ -175,4 +175,29 @@
 	world_destroy(&world);
 }
 
+/*
+ * Guards against instances that take the store for unreachable after a start:
+ * others had seen a removal, of which a range doesn't tell the revision.
+ */
+TEST(removal_before_the_start_is_not_missing)
+{
+	world_t world;
+
+	world_create(&world);
+	start_all(&world, true);
+	fake_store_put(world.store, "servers/gone", "{}");
+	fake_store_put(world.store, "servers/gone", NULL);
+	g_usleep(500000);
+	for (int i = 0; i < INSTANCES; i += 2) {
+		world_signal(&world, i, SIGKILL);
+		world_wait_end(&world, i, 2000);
+	}
+	for (int i = 0; i < INSTANCES; i += 2)
+		world_start(&world, i, i < 2 ? "a-1" : "b-1", true, true);
+	g_usleep(3000000);
+	for (int i = 0; i < INSTANCES; i++)
+		ck_assert(!has_logged(&world, i, "cause=behind"));
+	world_destroy(&world);
+}
+
 TEST_MAIN("start")
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -26,6 +26,8 @@
 	int64_t cold_ms;
 } fixture_t;
 
+static const revision_t NOTHING_MISSING;
+
 static bool
 on_config_is_loaded(void *owner, const uint8_t *text, size_t len)
 {
@@ -173,7 +175,7 @@
 	fixture_create(&fixture);
 	run_for(&fixture, 300);
 	ck_assert(!fixture.unreachable);
-	store_note_behind(fixture.client);
+	store_note_behind(fixture.client, NOTHING_MISSING);
 	ck_assert(fixture.unreachable);
 	fake_store_put(fixture.store, "op/evacuate/a-1", "{}");
 	ck_assert(run_until(&fixture, &fixture.evacuated, 2500));
@@ -373,9 +375,53 @@
 	fixture_create(&fixture);
 	run_for(&fixture, 300);
 	store_refresh(fixture.client);
-	store_note_behind(fixture.client);
+	store_note_behind(fixture.client, NOTHING_MISSING);
 	ck_assert(!fixture.unreachable);
 	fixture_destroy(&fixture);
 }
 
+/*
+ * Guards against an instance that takes itself for outdated: others report the
+ * revision of a removal before its range.
+ */
+TEST(range_knows_all_changes_before_it)
+{
+	fixture_t fixture;
+	int64_t removed;
+
+	fixture_create(&fixture);
+	target_publish(fixture.store, 1000);
+	fake_store_put(fixture.store, "servers/w", NULL);
+	removed = fake_store_revision(fixture.store);
+	run_for(&fixture, 300);
+	ck_assert(store_known_revision(fixture.client).number >= removed);
+	ck_assert(store_revision(fixture.client).number < removed);
+	fixture_destroy(&fixture);
+}
+
+/*
+ * Guards against a watch that is continued behind the change that is missing,
+ * and never tells of it.
+ */
+TEST(change_before_the_position_of_the_watch_is_read_by_a_range)
+{
+	fixture_t fixture;
+	revision_t missing = {.era = 1};
+
+	fixture_create(&fixture);
+	target_publish(fixture.store, 1000);
+	ck_assert(run_until(&fixture, &fixture.listed, 2000));
+	run_for(&fixture, 600);
+	target_publish_unseen(fixture.store, 3000);
+	missing.number = fake_store_revision(fixture.store);
+	/* Brings the watch behind the change. */
+	fake_store_put(fixture.store, "servers/other", "{}");
+	run_for(&fixture, 600);
+	ck_assert_int_eq(fixture.cold_ms, 1000);
+	store_note_behind(fixture.client, missing);
+	run_for(&fixture, 1000);
+	ck_assert_int_eq(fixture.cold_ms, 3000);
+	fixture_destroy(&fixture);
+}
+
 TEST_MAIN("store")
