--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -424,4 +424,28 @@
 	fixture_destroy(&fixture);
 }
 
+/*
+ * Guards against an answer that is lost for the key of one item, and against a
+ * key that is taken for another one.
+ */
+TEST(item_without_a_readable_key_costs_only_itself)
+{
+	fixture_t fixture;
+
+	fixture_create(&fixture);
+	target_publish(fixture.store, 1000);
+	ck_assert(run_until(&fixture, &fixture.listed, 2000));
+	/* The stand-in writes it as it is into its answer. */
+	fake_store_put(fixture.store, "servers/w\\u0000b", "{}");
+	run_for(&fixture, 600);
+	ck_assert(fixture.listed);
+	store_refresh(fixture.client);
+	run_for(&fixture, 600);
+	ck_assert(fixture.listed);
+	fake_store_put(fixture.store, "servers/w", NULL);
+	run_for(&fixture, 600);
+	ck_assert(!fixture.listed);
+	fixture_destroy(&fixture);
+}
+
 TEST_MAIN("store")
