--- a/fakes/fake_store.h
+++ b/fakes/fake_store.h
@@ -44,6 +44,8 @@
 
 /* Items in one page of a range. */
 void fake_store_set_page(fake_store_t *store, unsigned items);
+/* Sends answers at this rate; 0: at once. */
+void fake_store_set_rate(fake_store_t *store, unsigned bytes_per_s);
 unsigned fake_store_calls(fake_store_t *store);
 
 #endif
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -28,8 +28,12 @@
  */
 #define STORE_WATCH_WAIT_MS 4000
 
-/* Timeout of a request, in addition to the wait of a watch. */
+/*
+ * Maximum time without a byte of an answer, in addition to the wait of a watch,
+ * and from its first byte to its end.
+ */
 #define STORE_RESPONSE_TIMEOUT_MS 1200
+#define STORE_ANSWER_TIMEOUT_MS 10000
 
 /*
  * Exponential backoff between attempts. Each delay is a random value between
--- a/tests/process_start.c
+++ b/tests/process_start.c
@@ -200,4 +200,25 @@
 	world_destroy(&world);
 }
 
+/*
+ * Guards against a large configuration that takes longer than an answer without
+ * a byte may, and is asked for again without end.
+ */
+TEST(large_answer_on_a_slow_link_is_read_to_its_end)
+{
+	enum { FILL_BYTES = 300000, BYTES_PER_S = 150000 };
+	g_autofree char *fill = g_strnfill(FILL_BYTES, 'x');
+	g_autofree char *routes =
+	    g_strdup_printf(ROUTE("first") ",{\"host\":\"%s\"}", fill);
+	world_t world;
+
+	world_create(&world);
+	configure(&world, "4", routes);
+	fake_store_set_rate(world.store, BYTES_PER_S);
+	world_start(&world, 0, "a-1", true, false);
+	WORLD_WAIT(is_ready(&world, 0), 2 * START_MS);
+	ck_assert_int_eq(status_of(&world, 0, "/first/ok"), 200);
+	world_destroy(&world);
+}
+
 TEST_MAIN("start")
