--- a/tests/process_start.c
+++ b/tests/process_start.c
@@ -14,6 +14,7 @@
 /* Time in which an instance has read the store, or another one, and is ready.
  */
 #define START_MS 5000
+#define RESTART_MS 10000
 
 /* Time in which what the operator writes has to be in force everywhere. */
 #define CONFIG_MS 4000
@@ -120,7 +121,7 @@
 	configure(&world, "100000000000000000000000000000", ROUTE("first"));
 	world_start(&world, 0, "a-1", true, true);
 	world_start(&world, 1, "a-1", false, false);
-	WORLD_WAIT(is_ready(&world, 1), 2 * START_MS);
+	WORLD_WAIT(is_ready(&world, 1), RESTART_MS);
 	ck_assert_int_eq(status_of(&world, 1, "/first/ok"), 200);
 	world_destroy(&world);
 }
@@ -216,7 +217,7 @@
 	configure(&world, "4", routes);
 	fake_store_set_rate(world.store, BYTES_PER_S);
 	world_start(&world, 0, "a-1", true, false);
-	WORLD_WAIT(is_ready(&world, 0), 2 * START_MS);
+	WORLD_WAIT(is_ready(&world, 0), RESTART_MS);
 	ck_assert_int_eq(status_of(&world, 0, "/first/ok"), 200);
 	world_destroy(&world);
 }
