core, gateway: notice that no target is reached, and pass requests on

Cause: an instance had no notion of its own reach. Each target was found to be unreachable alone, at the cost of requests that waited for a connection; when all were, the instance still called itself ready, was named in the directory, was sent requests by other regions and refused what it got, although its siblings served the same targets. The class: a local fault that is read as many remote ones.

Fix: failed connections to several different targets with none established in between mean that the targets are lost (core/reach). Probes confirm the suspicion and find the end, so that neither costs a request. The flag travels with the member's entry: the directory names instances that reach targets first, others send no work, and the instance passes its requests on to a sibling, or else to another region. Requests that may run again leave connections that hang.

--- a/core/members.c
+++ b/core/members.c
@@ -65,6 +65,12 @@
 	members->self.leaving = true;
 }
 
+void
+members_set_lost(members_t *members, bool lost)
+{
+	members->self.lost = lost;
+}
+
 const member_entry_t *
 members_self(const members_t *members)
 {
@@ -558,8 +564,10 @@
 	return n;
 }
 
-const member_t *
-members_pick(members_t *members, int region, uint32_t exclude, time_us_t now)
+/* lost_too: also of those that reach no target. */
+static const member_t *
+pick(members_t *members, int region, uint32_t exclude, bool lost_too,
+    time_us_t now)
 {
 	const member_t *picked = NULL;
 	uint64_t n_seen = 0;
@@ -569,6 +577,7 @@
 
 		if (member->entry.ip == exclude ||
 		    member_region(members, member) != region ||
+		    (member->entry.lost && !lost_too) ||
 		    !accepts_requests(members, member, now))
 			continue;
 		n_seen++;
@@ -578,19 +587,45 @@
 	return picked;
 }
 
-bool
-members_any_ready(const members_t *members, int region, time_us_t now)
+const member_t *
+members_pick(members_t *members, int region, uint32_t exclude, time_us_t now)
+{
+	return pick(members, region, exclude, true, now);
+}
+
+const member_t *
+members_pick_serving(
+    members_t *members, int region, uint32_t exclude, time_us_t now)
+{
+	return pick(members, region, exclude, false, now);
+}
+
+static bool
+any_accepts(const members_t *members, int region, bool lost_too, time_us_t now)
 {
 	for (guint i = 0; i < members->all->len; i++) {
 		const member_t *member = g_ptr_array_index(members->all, i);
 
 		if (member_region(members, member) == region &&
+		    (lost_too || !member->entry.lost) &&
 		    accepts_requests(members, member, now))
 			return true;
 	}
 	return false;
 }
 
+bool
+members_any_ready(const members_t *members, int region, time_us_t now)
+{
+	return any_accepts(members, region, true, now);
+}
+
+bool
+members_any_serving(const members_t *members, int region, time_us_t now)
+{
+	return any_accepts(members, region, false, now);
+}
+
 static bool
 any_live(const members_t *members, region_set_t regions, time_us_t now)
 {
@@ -606,9 +641,30 @@
 	return false;
 }
 
-/* Adds the ready instances of the regions, those leaving or the others. */
+/* Which ready instances the directory names. */
+typedef enum {
+	NAME_SERVING, /* that reach targets */
+	NAME_STAYING, /* that aren't leaving */
+	NAME_LEAVING,
+} directory_kind_t;
+
+static bool
+is_named(const member_entry_t *entry, directory_kind_t kind)
+{
+	switch (kind) {
+	case NAME_SERVING:
+		return !entry->leaving && !entry->lost;
+	case NAME_STAYING:
+		return !entry->leaving;
+	case NAME_LEAVING:
+		return entry->leaving;
+	}
+	return false;
+}
+
+/* Adds the ready instances of the regions of this kind. */
 static size_t
-directory_fill(members_t *members, region_set_t regions, bool leaving,
+directory_fill(members_t *members, region_set_t regions, directory_kind_t kind,
     time_us_t now, uint32_t *ips, size_t limit)
 {
 	guint len = members->all->len;
@@ -616,7 +672,7 @@
 	    len > 0 ? (guint)(random_next(&members->random) % len) : 0;
 	size_t n = 0;
 
-	if (members->self.ready && members->self.leaving == leaving &&
+	if (members->self.ready && is_named(&members->self, kind) &&
 	    region_set_has(regions, members->own_region))
 		ips[n++] = members->self.ip;
 	for (guint i = 0; i < len && n < limit; i++) {
@@ -624,7 +680,7 @@
 		    g_ptr_array_index(members->all, (start + i) % len);
 
 		if (region_set_has(regions, member_region(members, member)) &&
-		    member->entry.ready && member->entry.leaving == leaving &&
+		    member->entry.ready && is_named(&member->entry, kind) &&
 		    members_is_live(members, member, now))
 			ips[n++] = member->entry.ip;
 	}
@@ -639,13 +695,15 @@
 	    region == TOPOLOGY_NONE ? 0 : (region_set_t)1 << region;
 	const struct {
 		region_set_t regions;
-		bool leaving;
+		directory_kind_t kind;
 	} choices[] = {
-	    {local, false},
-	    {permitted, false},
-	    {local, true},
-	    {permitted, true},
-	    {REGION_SET_ALL, false},
+	    {local, NAME_SERVING},
+	    {permitted, NAME_SERVING},
+	    {local, NAME_STAYING},
+	    {permitted, NAME_STAYING},
+	    {local, NAME_LEAVING},
+	    {permitted, NAME_LEAVING},
+	    {REGION_SET_ALL, NAME_STAYING},
 	};
 	size_t n = 0;
 
@@ -655,8 +713,8 @@
 		if (i == G_N_ELEMENTS(choices) - 1 &&
 		    any_live(members, local | permitted, now))
 			break;
-		n = directory_fill(members, choices[i].regions,
-		    choices[i].leaving, now, ips, limit);
+		n = directory_fill(members, choices[i].regions, choices[i].kind,
+		    now, ips, limit);
 	}
 	return n;
 }
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -193,6 +193,10 @@
 void
 attempt_unreachable(attempt_t *attempt)
 {
+	const target_t *target = attempt_target(attempt);
+
+	if (target != NULL)
+		gateway_note_target_failed(attempt->gateway, target->short_id);
 	attempt_fail(attempt, FAILURE_UNREACHABLE, TARGET_RESULT_UNREACHABLE);
 }
 
@@ -363,6 +367,7 @@
 	if (attempt->target == HANDLE_NONE)
 		version_read(attempt, head);
 	if (target != NULL) {
+		upstream->gateway->target_heard_at = now;
 		target_byte_received(target, now);
 		if (attempt->response.replaced) {
 			attempt_note_replaced(attempt, target, now);
@@ -391,6 +396,7 @@
 	if (target != NULL) {
 		time_us_t now = gateway_now(upstream->gateway);
 
+		upstream->gateway->target_heard_at = now;
 		target_byte_received(target, now);
 		attempt_first_byte(attempt, target, now);
 		if (attempt->response.event_stream &&
@@ -489,6 +495,8 @@
 	upstream_t *upstream = owner;
 
 	ev_timer_stop(upstream->gateway->loop, &upstream->connect_timer);
+	if (upstream->attempt != NULL && attempt_target(upstream->attempt))
+		gateway_note_target_connected(upstream->gateway);
 }
 
 const tcp_events_t attempt_connection_events = {
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -205,6 +205,12 @@
 	return tcp_check_end(client->connection);
 }
 
+request_t *
+client_request(const client_t *client)
+{
+	return client->request;
+}
+
 client_memory_t
 client_memory(const client_t *client)
 {
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -24,6 +24,12 @@
 /* Retry-After when no target and no other region can take the request. */
 #define NO_TARGET_RETRY_US (700 * US_PER_MS)
 
+/*
+ * Instances that a request is passed to, one after the other, while this one
+ * reaches no target.
+ */
+#define LOST_FORWARDS_MAX 3
+
 /* Time that a queued request must have left when it starts. */
 static time_us_t
 time_min(const request_t *request)
@@ -71,7 +77,7 @@
 
 	return region != gateway->region &&
 	       region_set_has(request->regions, region) &&
-	       members_any_ready(
+	       members_any_serving(
 		   gateway->members, region, gateway_now(gateway));
 }
 
@@ -130,8 +136,6 @@
 	uint64_t seen = 0;
 	size_t picked;
 
-	if (request->from_peer || request->forwarded)
-		return TOPOLOGY_NONE;
 	for (int i = 0; i < n; i++)
 		shares[i] = region_share(request, i);
 	picked =
@@ -150,6 +154,44 @@
 	return best;
 }
 
+/* Another region for a request of which the own one has no room. */
+static int
+overflow_region(const request_t *request, bool any)
+{
+	if (request->from_peer || request->n_forwards > 0)
+		return TOPOLOGY_NONE;
+	return region_pick(request, any);
+}
+
+/*
+ * Whether the request is passed on, as this instance reaches no target: to one
+ * of its region that does, where its prompt is cached, or else to another
+ * region. An instance that it was passed to may have lost the targets as well
+ * and have told so since. Without anybody to pass it to it is tried here.
+ */
+static bool
+choose_instance(const request_t *request, choice_t *choice)
+{
+	gateway_t *gateway = request->gateway;
+
+	if (request->from_peer || !reach_is_lost(&gateway->reach))
+		return false;
+	choice->region = TOPOLOGY_NONE;
+	if (request->n_forwards < LOST_FORWARDS_MAX) {
+		if (region_set_has(request->regions, gateway->region) &&
+		    members_any_serving(gateway->members, gateway->region,
+			gateway_now(gateway)))
+			choice->region = gateway->region;
+		else
+			choice->region = region_pick(request, true);
+	}
+	if (choice->region == TOPOLOGY_NONE)
+		return request->n_forwards > 0;
+	choice->probe = false;
+	choice->kind = CHOICE_REGION;
+	return true;
+}
+
 /*
  * Whether this instance may probe a held feature: at first one of a region,
  * then more and more of each region.
@@ -228,6 +270,8 @@
 	if (request_keeps_version(request) &&
 	    request->stream_version == STREAM_VERSION_UNKNOWN)
 		return;
+	if (choose_instance(request, choice))
+		return;
 	memcpy(criteria.tried, request->tried, sizeof(criteria.tried));
 	if (local) {
 		choice->placement = placement_pick(
@@ -244,7 +288,7 @@
 	/* Only targets of the own region are probed. */
 	if (choice->probe)
 		return;
-	choice->region = region_pick(request, choice->kind == CHOICE_NONE);
+	choice->region = overflow_region(request, choice->kind == CHOICE_NONE);
 	if (choice->region != TOPOLOGY_NONE)
 		choice->kind = CHOICE_REGION;
 }
@@ -352,12 +396,17 @@
 request_forward(request_t *request, int region)
 {
 	gateway_t *gateway = request->gateway;
-	const member_t *member =
-	    members_pick(gateway->members, region, 0, gateway_now(gateway));
-	attempt_plan_t plan = {
-	    .peer_ip = member->entry.ip, .head = attempt_head(request)};
-
-	request->forwarded = true;
+	time_us_t now = gateway_now(gateway);
+	const member_t *member = members_pick_serving(
+	    gateway->members, region, request->peer_ip, now);
+	attempt_plan_t plan = {.head = attempt_head(request)};
+
+	/* There is one, but it may be the one that refused. */
+	if (member == NULL)
+		member = members_pick_serving(gateway->members, region, 0, now);
+	plan.peer_ip = member->entry.ip;
+	request->peer_ip = member->entry.ip;
+	request->n_forwards++;
 	request->sent_to_peer = true;
 	region_note_sent(request, region);
 	g_string_append(plan.head, PEER_FIELD_HOP ": 1\r\n");
@@ -473,6 +522,7 @@
 	/* New requests queue behind those that already wait. */
 	if (queue_length(request->service_state->queue) > 0 &&
 	    request->n_attempts == 0 &&
+	    (request->from_peer || !reach_is_lost(&request->gateway->reach)) &&
 	    region_set_has(request->regions, request->gateway->region)) {
 		request_enqueue(request);
 		return;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -1008,6 +1008,7 @@
 	targets_divide_slots(gateway->targets, gateway->region_instances,
 	    &gateway->random, gateway_now(gateway));
 	health_checks_update(gateway->health_checks);
+	reach_update(gateway);
 	gossip_send_load(gateway->gossip);
 }
 
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -144,7 +144,9 @@
 member_xdr(XDR *xdr, member_entry_t *entry)
 {
 	uint32_t zone = (uint32_t)entry->zone;
-	uint32_t flags = (uint32_t)entry->ready | (uint32_t)entry->leaving << 1;
+	uint32_t flags = (uint32_t)entry->ready |
+			 (uint32_t)entry->leaving << 1 |
+			 (uint32_t)entry->lost << 2;
 
 	if (!xdr_uint32_t(xdr, &entry->ip) || !xdr_uint32_t(xdr, &zone) ||
 	    !xdr_uint32_t(xdr, &flags) ||
@@ -155,6 +157,7 @@
 	entry->zone = (int)zone;
 	entry->ready = (flags & 1) != 0;
 	entry->leaving = (flags & 2) != 0;
+	entry->lost = (flags & 4) != 0;
 	return true;
 }
 
@@ -871,6 +874,9 @@
 
 	team_rates_report_region(
 	    gateway->rates, region, message->demands, message->n_demands, now);
+	/* It doesn't know the room of its region. */
+	if (message->members[0].lost)
+		return;
 	memcpy(load->services, message->capacities,
 	    message->n_capacities * sizeof(service_capacity_t));
 	for (uint32_t i = 0; i < message->n_capacities; i++) {
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -17,6 +17,7 @@
 #include "core/placement.h"
 #include "core/quarantine.h"
 #include "core/queue.h"
+#include "core/reach.h"
 #include "core/retry.h"
 #include "core/streams.h"
 #include "core/targets.h"
@@ -131,8 +132,11 @@
 	time_us_t started_at;
 	time_us_t leaving_at; /* 0: not stopping */
 	bool targets_loaded;
-	bool callers_released; /* see gateway_holds_callers() */
-	contact_t contact;     /* with other instances and the store */
+	bool callers_released;	   /* see gateway_holds_callers() */
+	contact_t contact;	   /* with other instances and the store */
+	reach_t reach;		   /* of the targets */
+	size_t reach_cursor;	   /* index of the target probed last */
+	time_us_t target_heard_at; /* last byte of any target */
 	lag_t store_lag; /* of the store revision behind other instances */
 	time_us_t store_unreachable_since; /* 0: reachable */
 	time_us_t fallback_until;     /* until when fallback_relay is used */
@@ -251,6 +255,8 @@
  * its request then. Returns whether the caller has left.
  */
 bool client_check_end(client_t *client);
+/* Returns the request that is received or processed, or NULL. */
+request_t *client_request(const client_t *client);
 
 /* Bytes that are held for a connection. */
 typedef struct {
@@ -308,6 +314,12 @@
 	FAILURE_MAYBE_EXECUTED,
 } failure_t;
 
+/*
+ * Ends the attempt at a target if it began before this time, and the request
+ * may run again.
+ */
+void request_leave_target(request_t *request, time_us_t began_before);
+
 /* Called by attempt.c. */
 void request_on_response(request_t *request, const http_head_t *head,
     const target_response_t *response);
@@ -411,6 +423,11 @@
  * if unknown.
  */
 void pool_release(pool_t *pool, upstream_t *upstream, int64_t idle_ms);
+/*
+ * Opens a connection to a target, target_short_id(), without a request. It
+ * becomes idle once it is established.
+ */
+void pool_probe(pool_t *pool, uint32_t target);
 void pool_drop(upstream_t *upstream);
 /* Frees a dropped connection. Its reader must not be on the stack. */
 void pool_free_upstream(upstream_t *upstream);
@@ -425,8 +442,9 @@
 	time_us_t idle_until;
 	gateway_t *gateway;
 	ev_timer connect_timer;
-	bool reading; /* its reader is on the stack */
-	bool dropped; /* freed when reading ends */
+	bool reading;	 /* its reader is on the stack */
+	bool dropped;	 /* freed when reading ends */
+	uint32_t probed; /* target, see pool_probe() */
 };
 
 /* gossip.c: membership and load messages over UDP. */
@@ -475,6 +493,16 @@
 bool endpoints_have_unread(const endpoints_t *endpoints);
 void endpoints_destroy(endpoints_t *endpoints);
 
+/* reach.c: whether this instance reaches the targets of its region. */
+/* Called when a connection to a target was established, or failed. */
+void gateway_note_target_connected(gateway_t *gateway);
+void gateway_note_target_failed(gateway_t *gateway, uint32_t target);
+/*
+ * Opens the probes that are due, and ends attempts that hang once the targets
+ * are lost. Call several times a second.
+ */
+void reach_update(gateway_t *gateway);
+
 /* latency.c: latency histograms by kind of route. */
 typedef enum {
 	LATENCY_WAIT,	    /* from arrival to the first attempt */
--- a/gateway/pool.c
+++ b/gateway/pool.c
@@ -126,7 +126,8 @@
 }
 
 static upstream_t *
-upstream_open(pool_t *pool)
+upstream_open(pool_t *pool, const tcp_events_t *events,
+    void (*on_timeout)(struct ev_loop *, ev_timer *, int))
 {
 	gateway_t *gateway = pool->gateway;
 	upstream_t *upstream = g_new0(upstream_t, 1);
@@ -134,8 +135,8 @@
 	upstream->pool = pool;
 	pool->refs++;
 	upstream->gateway = gateway;
-	upstream->connection = tcp_connect(
-	    gateway->net, pool->address, &attempt_connection_events, upstream);
+	upstream->connection =
+	    tcp_connect(gateway->net, pool->address, events, upstream);
 	if (upstream->connection == NULL) {
 		pool_unref(pool);
 		g_free(upstream);
@@ -143,7 +144,7 @@
 	}
 	upstream->reader = http_reader_create(
 	    HTTP_RESPONSES, &attempt_sink, upstream, RESPONSE_HEAD_LIMIT);
-	ev_timer_init(&upstream->connect_timer, on_connect_timeout, 0, 0);
+	ev_timer_init(&upstream->connect_timer, on_timeout, 0, 0);
 	upstream->connect_timer.data = upstream;
 	gateway_start_timer(gateway, &upstream->connect_timer,
 	    pool->remote ? CONNECT_TIMEOUT_REMOTE_US : CONNECT_TIMEOUT_US);
@@ -184,7 +185,8 @@
 
 	*reused = upstream != NULL;
 	if (upstream == NULL)
-		return upstream_open(pool);
+		return upstream_open(
+		    pool, &attempt_connection_events, on_connect_timeout);
 	tcp_set_owner(
 	    upstream->connection, &attempt_connection_events, upstream);
 	return upstream;
@@ -211,6 +213,51 @@
 	g_queue_push_head(&pool->idle, upstream);
 }
 
+static void
+on_probe_connected(void *owner)
+{
+	upstream_t *upstream = owner;
+
+	ev_timer_stop(upstream->gateway->loop, &upstream->connect_timer);
+	gateway_note_target_connected(upstream->gateway);
+	pool_release(upstream->pool, upstream, -1);
+}
+
+static void
+probe_fail(upstream_t *upstream)
+{
+	gateway_note_target_failed(upstream->gateway, upstream->probed);
+	pool_drop(upstream);
+}
+
+static void
+on_probe_ended(void *owner, tcp_end_t end)
+{
+	probe_fail(owner);
+}
+
+static void
+on_probe_timeout(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	probe_fail(watcher->data);
+}
+
+static const tcp_events_t probe_events = {
+    .connected = on_probe_connected,
+    .received = on_idle_received,
+    .ended = on_probe_ended,
+};
+
+void
+pool_probe(pool_t *pool, uint32_t target)
+{
+	upstream_t *upstream =
+	    upstream_open(pool, &probe_events, on_probe_timeout);
+
+	if (upstream != NULL)
+		upstream->probed = target;
+}
+
 void
 pool_drop(upstream_t *upstream)
 {
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -395,7 +395,7 @@
 	retry_facts_t facts;
 
 	if (response->status < 500 || request->from_peer ||
-	    request->route->kind != ROUTE_SAFE || request->forwarded)
+	    request->route->kind != ROUTE_SAFE || request->n_forwards > 0)
 		return false;
 	request->n_maybe_executed++;
 	facts = retry_facts(request, false);
@@ -646,6 +646,19 @@
 		    after);
 }
 
+void
+request_leave_target(request_t *request, time_us_t began_before)
+{
+	attempt_t *attempt = request->attempt;
+
+	if (attempt == NULL || request->sent_to_peer ||
+	    request->sent_at > began_before || !may_run_again(request))
+		return;
+	request->attempt = NULL;
+	attempt_cancel(attempt);
+	request_on_failure(request, FAILURE_MAYBE_EXECUTED, NULL);
+}
+
 void
 request_await_check(request_t *request)
 {
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -71,8 +71,9 @@
 	unsigned n_attempts;
 	unsigned n_maybe_executed; /* attempts that may have been executed */
 	bool awaiting_check;	   /* see crash_check() */
-	bool forwarded;
-	bool sent_to_peer; /* the last attempt went to an instance */
+	unsigned n_forwards;	   /* to other instances */
+	uint32_t peer_ip;	   /* of the last one */
+	bool sent_to_peer;	   /* the last attempt went to an instance */
 	char sent_to[NAME_LIMIT + 1];
 	char sent_version[NAME_LIMIT + 1]; /* of the target; "": unknown */
 	time_us_t sent_at;
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -62,6 +62,7 @@
 	uint32_t heartbeat;
 	bool ready;	 /* accepts requests */
 	bool leaving;	 /* stopping; soon accepts no requests */
+	bool lost;	 /* reaches no target of its region (core/reach.h) */
 	uint32_t age_ms; /* since the sender saw a new heartbeat */
 } member_entry_t;
 
@@ -80,6 +81,7 @@
 
 void members_set_ready(members_t *members, bool ready);
 void members_set_leaving(members_t *members);
+void members_set_lost(members_t *members, bool lost);
 const member_entry_t *members_self(const members_t *members);
 
 /* Places relative to this instance, nearest first. */
@@ -199,10 +201,16 @@
 /* Returns whether members_pick() finds an instance of the region. */
 bool members_any_ready(const members_t *members, int region, time_us_t now);
 
+/* The same among those that also reach targets of their region. */
+const member_t *members_pick_serving(
+    members_t *members, int region, uint32_t exclude, time_us_t now);
+bool members_any_serving(const members_t *members, int region, time_us_t now);
+
 /*
  * Writes up to limit live and ready instances that callers in this region
- * should use: those of the region; without one, those of the regions in
- * permitted; without one there, those of these regions that are leaving; if
+ * should use: those of the region that reach targets; without one, such of the
+ * regions in permitted; without one there, those that reach none, of the region
+ * and then of these; then those of these regions that are leaving; if
  * these regions have no live instance, those of all regions. This instance is
  * included. Returns 0 while region and permitted have live instances but
  * none that is ready, as when all are being replaced: callers then keep using
--- a/tests/platform_world.c
+++ b/tests/platform_world.c
@@ -169,6 +169,10 @@
 	for (int i = 0; i < world->n_workers; i++)
 		fake_worker_destroy(world->workers[i]);
 	fake_store_destroy(world->store);
+	for (size_t i = 0; i < G_N_ELEMENTS(world->silent_fds); i++) {
+		if (world->silent_port != 0)
+			close(world->silent_fds[i]);
+	}
 	g_free(world->folder);
 }
 
@@ -249,11 +253,13 @@
 		WORLD_WAIT(is_ready(world, instance), 10000);
 }
 
-void
-world_start_stalling(world_t *world, int instance)
+/* Starts an instance with a library of this build preloaded. */
+static void
+start_preloaded(
+    world_t *world, int instance, const char *zone, const char *name)
 {
 	g_autofree char *library = g_build_filename(
-	    g_getenv("CYCLAMENSAIL_BUILD"), "tests", "libstall.so", NULL);
+	    g_getenv("CYCLAMENSAIL_BUILD"), "tests", name, NULL);
 	g_autofree char *sanitizer = g_strdup(g_getenv("ASAN_OPTIONS"));
 	g_autofree char *options =
 	    g_strdup_printf("%s%sverify_asan_link_order=0",
@@ -261,7 +267,7 @@
 
 	g_setenv("LD_PRELOAD", library, TRUE);
 	g_setenv("ASAN_OPTIONS", options, TRUE);
-	world_start(world, instance, "a-1", true, false);
+	world_start(world, instance, zone, true, false);
 	g_unsetenv("LD_PRELOAD");
 	if (sanitizer != NULL)
 		g_setenv("ASAN_OPTIONS", sanitizer, TRUE);
@@ -270,6 +276,76 @@
 	WORLD_WAIT(is_ready(world, instance), 10000);
 }
 
+void
+world_start_stalling(world_t *world, int instance)
+{
+	start_preloaded(world, instance, "a-1", "libstall.so");
+}
+
+static char *
+cut_path(const world_t *world, int instance)
+{
+	return g_strdup_printf("%s/cut-%d", world->folder, instance);
+}
+
+void
+world_start_cuttable(world_t *world, int instance, const char *zone)
+{
+	g_autofree char *path = cut_path(world, instance);
+	g_autofree char *port = g_strdup_printf("%u", world->store_port);
+
+	g_setenv("CUT_FILE", path, TRUE);
+	g_setenv("CUT_STORE_PORT", port, TRUE);
+	start_preloaded(world, instance, zone, "libcut.so");
+	g_unsetenv("CUT_FILE");
+	g_unsetenv("CUT_STORE_PORT");
+}
+
+/* Opens a port on which connections are never established. */
+static void
+silent_port_open(world_t *world)
+{
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(at);
+
+	world->silent_fds[0] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	ck_assert_int_eq(
+	    bind(world->silent_fds[0], (struct sockaddr *)&at, sizeof(at)), 0);
+	listen(world->silent_fds[0], 0);
+	getsockname(world->silent_fds[0], (struct sockaddr *)&at, &len);
+	world->silent_port = ntohs(at.sin_port);
+	/* These fill its queue. */
+	for (size_t i = 1; i < G_N_ELEMENTS(world->silent_fds); i++) {
+		world->silent_fds[i] = socket(
+		    AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+		(void)connect(
+		    world->silent_fds[i], (struct sockaddr *)&at, len);
+	}
+}
+
+void
+world_cut(world_t *world, int instance, world_cut_t cut)
+{
+	g_autofree char *path = cut_path(world, instance);
+	g_autofree char *text = NULL;
+
+	switch (cut) {
+	case CUT_NONE:
+		unlink(path);
+		return;
+	case CUT_SILENT:
+		if (world->silent_port == 0)
+			silent_port_open(world);
+		text = g_strdup_printf("%u", world->silent_port);
+		break;
+	case CUT_REFUSED:
+		text = g_strdup_printf("%u", world->dead_port);
+		break;
+	}
+	ck_assert(g_file_set_contents(path, text, -1, NULL));
+}
+
 void
 world_signal(world_t *world, int instance, int signal)
 {
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -28,6 +28,8 @@
 	uint16_t worker_ports[WORLD_WORKERS_LIMIT];
 	pid_t pids[WORLD_INSTANCES]; /* 0: not running */
 	unsigned descriptor_limit;   /* in the settings; 0: default */
+	uint16_t silent_port;	     /* see world_cut(); 0: not used yet */
+	int silent_fds[4];
 } world_t;
 
 typedef enum {
@@ -73,6 +75,17 @@
  */
 #define STALL_MS 1200
 void world_start_stalling(world_t *world, int instance);
+/* How an instance's new connections to targets fail. */
+typedef enum {
+	CUT_NONE,
+	CUT_SILENT,  /* they are never established */
+	CUT_REFUSED, /* at once */
+} world_cut_t;
+
+/* Starts an instance, ready, whose targets world_cut() takes away. */
+void world_start_cuttable(world_t *world, int instance, const char *zone);
+void world_cut(world_t *world, int instance, world_cut_t cut);
+
 void world_signal(world_t *world, int instance, int signal);
 /* Waits for the process to end. Returns its exit status, or -1. */
 int world_wait_end(world_t *world, int instance, int timeout_ms);
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -271,6 +271,56 @@
 	sim_destroy(&sim);
 }
 
+/*
+ * Guards against callers that are sent to instances which reach no target, and
+ * against requests that such instances pass on to each other.
+ */
+TEST(instances_that_reach_targets_come_first)
+{
+	sim_t sim;
+	uint32_t ips[8];
+
+	sim_create(&sim, 6); /* two instances per region */
+	members_set_lost(sim.nodes[0], true);
+	sim_run(&sim, 2 * US_PER_S);
+	for (size_t i = 0; i < 6; i++) {
+		ck_assert_uint_eq(members_directory(sim.nodes[i], 0, 1u << 1,
+				      sim.now, ips, 8),
+		    1);
+		ck_assert_uint_eq(ips[0], node_ip(3));
+	}
+	for (int i = 0; i < 20; i++)
+		ck_assert_uint_eq(
+		    members_pick_serving(sim.nodes[1], 0, 0, sim.now)->entry.ip,
+		    node_ip(3));
+	ck_assert_ptr_null(
+	    members_pick_serving(sim.nodes[1], 0, node_ip(3), sim.now));
+	ck_assert_ptr_nonnull(
+	    members_pick(sim.nodes[1], 0, node_ip(3), sim.now));
+	/* The whole region: the permitted one is named. */
+	members_set_lost(sim.nodes[3], true);
+	sim_run(&sim, 2 * US_PER_S);
+	ck_assert_uint_eq(
+	    members_directory(sim.nodes[2], 0, 1u << 1, sim.now, ips, 8), 2);
+	ck_assert((ips[0] == node_ip(1)) != (ips[0] == node_ip(4)));
+	ck_assert(!members_any_serving(sim.nodes[2], 0, sim.now));
+	ck_assert(members_any_ready(sim.nodes[2], 0, sim.now));
+	/* Both: callers stay in their region, and are served once it is back.
+	 */
+	members_set_lost(sim.nodes[1], true);
+	members_set_lost(sim.nodes[4], true);
+	sim_run(&sim, 2 * US_PER_S);
+	ck_assert_uint_eq(
+	    members_directory(sim.nodes[2], 0, 1u << 1, sim.now, ips, 8), 2);
+	ck_assert((ips[0] == node_ip(0)) != (ips[0] == node_ip(3)));
+	members_set_lost(sim.nodes[3], false);
+	sim_run(&sim, 2 * US_PER_S);
+	ck_assert_uint_eq(
+	    members_directory(sim.nodes[2], 0, 1u << 1, sim.now, ips, 8), 1);
+	ck_assert_uint_eq(ips[0], node_ip(3));
+	sim_destroy(&sim);
+}
+
 TEST(few_instances_are_responsible_for_a_key)
 {
 	sim_t sim;
