net: say when probes of an idle connection are given up

With TCP_USER_TIMEOUT set, Linux ignores the number of keep-alive probes and gives up at the user timeout: 4 s on connections that this side opened, as the settings of the probes give, but 10 s on accepted ones. The comment named the probes for both. Only the comment changes: a caller or an instance that vanished is kept for 10 s in place of 4 s, which holds a descriptor and nothing else.

--- a/include/net/tcp.h
+++ b/include/net/tcp.h
@@ -16,9 +16,10 @@
  */
 
 /*
- * The kernel closes a connection from which nothing arrives for the idle time
- * plus the probes, not even replies to the probes, or whose data is
- * unacknowledged for the user timeout.
+ * The kernel closes a connection whose data is unacknowledged for the user
+ * timeout, or from which nothing arrives for so long, not even replies to the
+ * probes: on Linux a user timeout replaces the number of probes. For accepted
+ * connections it is NET_OUTPUT_STALL_MS.
  */
 #define NET_KEEPALIVE_IDLE_S 2
 #define NET_KEEPALIVE_INTERVAL_S 1
