core, platform, gateway: leave fragile targets within their room

What callers see: targets that state how many refusals a second they endure break down when they must refuse more, with all requests that they run.

Cause: the field was read nowhere. A target of a plain service was given one and a half requests for each slot, whatever it could keep waiting, and instances sent to the same free slot at the same moment, each with load reports that are up to 100 ms old. The class: a statement of a target that binds the fleet, and is dropped at the first instance.

Fix: the rate is kept, told and ended as the limit of requests is. While a target is fragile, its free slots are always divided among the instances of its region; after a refusal, which others are told at once, instances keep to the slots that their own requests leave and are granted one more at random, so seldom that together they risk half of what the target endures.

--- a/core/placement.c
+++ b/core/placement.c
@@ -299,6 +299,9 @@
 
 	if (!connections_allow(target, request))
 		return false;
+	if (target_is_fragile(target) &&
+	    !target_has_slot(target, request->region_instances, now))
+		return false;
 	if (request->prompt == NULL)
 		return in_flight < slots * PLACEMENT_PLAIN_REQUESTS_PER_SLOT;
 	/* An idle engine accepts any prompt. */
@@ -455,7 +458,7 @@
 	    pace_model_room(target->model, pace_factor(&target->pace, now),
 		expected_ms, PLACEMENT_MAX_EXPECTED_MS, CAPACITY_REPORT_MS);
 
-	if (in_flight >= target->entry.slots)
+	if (in_flight >= target->entry.slots || target->refused)
 		return 0;
 	return (uint32_t)MIN(target->entry.slots - in_flight, n_read);
 }
--- a/core/targets.c
+++ b/core/targets.c
@@ -29,8 +29,8 @@
 /* An allowance that isn't used grows up to this time at its rate, or to 1. */
 #define ALLOWANCE_BURST_S 0.1
 
-/* A target may be cold, have a limit and be replaced. */
-#define NOTICES_PER_TARGET 3
+/* A target may be cold, state two rates, be replaced and be full. */
+#define NOTICES_PER_TARGET 5
 
 /* Maximum number of prefixes remembered for one target of known capacity. */
 #define PREFIX_LIMIT 4096
@@ -55,6 +55,7 @@
 	GPtrArray *by_index; /* handle index -> target_t or NULL */
 	uint32_t generation;
 	bool evacuated[TOPOLOGY_ZONE_LIMIT];
+	time_us_t divided_at; /* last targets_divide_slots() */
 	bool publisher_down;
 	time_us_t publisher_recovered_at;
 	uint32_t isolated_instances; /* see targets_set_isolated() */
@@ -206,7 +207,8 @@
 	target->table = targets;
 	target->model = model_of_service(targets, entry->service);
 	pace_init(&target->pace);
-	target->limit_per_s = TARGET_NO_LIMIT;
+	for (target_rate_t rate = 0; rate < TARGET_RATE_COUNT; rate++)
+		target->rates[rate].per_s = TARGET_NO_LIMIT;
 	target->short_id = target_short_id(entry->id);
 	target->version = stream_version(entry->service, entry->version);
 	target->region = topology_region_of(targets->topology, entry->zone);
@@ -464,33 +466,46 @@
 	    &target->entry.started_ms, sizeof(target->entry.started_ms));
 }
 
+static bool
+is_stated(const stated_rate_t *stated)
+{
+	return stated->per_s >= 0;
+}
+
 bool
 target_is_limited(const target_t *target)
 {
-	return target->limit_per_s >= 0;
+	return is_stated(&target->rates[TARGET_RATE_REQUESTS]);
+}
+
+bool
+target_is_fragile(const target_t *target)
+{
+	return is_stated(&target->rates[TARGET_RATE_REFUSALS]);
 }
 
 static bool
-limit_set(target_t *target, double per_s, time_us_t at, time_us_t now)
+rate_set(stated_rate_t *stated, double per_s, time_us_t at, time_us_t now)
 {
-	bool changed = per_s != target->limit_per_s;
+	bool changed = per_s != stated->per_s;
 
-	target->limit_at = at;
+	stated->at = at;
 	if (!changed)
 		return false;
-	target->limit_per_s = per_s;
-	target->limit_told_until = now + TARGET_LIMIT_END_TELL_US;
+	stated->per_s = per_s;
+	stated->told_until = now + TARGET_RATE_TELL_US;
 	return true;
 }
 
 bool
-target_note_limit(
-    target_t *target, double per_s, time_us_t sent_at, time_us_t now)
+target_note_rate(target_t *target, target_rate_t rate, double per_s,
+    time_us_t sent_at, time_us_t now)
 {
-	if (per_s < 0 &&
-	    (!target_is_limited(target) || sent_at < target->limit_at))
+	stated_rate_t *stated = &target->rates[rate];
+
+	if (per_s < 0 && (!is_stated(stated) || sent_at < stated->at))
 		return false;
-	return limit_set(target, per_s, now, now);
+	return rate_set(stated, per_s, now, now);
 }
 
 uint32_t
@@ -499,8 +514,9 @@
 	if (target_is_cold(target, now))
 		return TARGET_COLD_SENDERS;
 	if (target_is_limited(target))
-		return (uint32_t)CLAMP(target->limit_per_s, TARGET_COLD_SENDERS,
-		    TARGET_LIMIT_SENDERS_MAX);
+		return (uint32_t)CLAMP(
+		    target->rates[TARGET_RATE_REQUESTS].per_s,
+		    TARGET_COLD_SENDERS, TARGET_LIMIT_SENDERS_MAX);
 	return 0;
 }
 
@@ -512,27 +528,43 @@
 	    kind, (uint32_t)((now - at) / US_PER_MS), (uint32_t)value};
 }
 
+static target_notice_t
+rate_notice(const target_t *target, target_notice_kind_t kind,
+    const stated_rate_t *stated, time_us_t now)
+{
+	double value = is_stated(stated) ? MIN(stated->per_s * 1000,
+					       TARGET_NOTICE_NO_LIMIT - 1)
+					 : TARGET_NOTICE_NO_LIMIT;
+
+	return notice_create(target, kind, stated->at, value, now);
+}
+
 /* Writes the notices of a target, at most NOTICES_PER_TARGET. */
 static size_t
 notices_of(const target_t *target, target_notice_t *notices, time_us_t now)
 {
+	const stated_rate_t *requests = &target->rates[TARGET_RATE_REQUESTS];
+	const stated_rate_t *refusals = &target->rates[TARGET_RATE_REFUSALS];
 	size_t n = 0;
 
 	if (now < target->stated_cold_until)
 		notices[n++] = notice_create(target, TARGET_NOTICE_COLD,
 		    target->stated_at,
 		    (double)(target->stated_cold_until - now) / US_PER_MS, now);
-	if (target_is_limited(target))
-		notices[n++] = notice_create(target, TARGET_NOTICE_LIMIT,
-		    target->limit_at,
-		    MIN(target->limit_per_s * 1000, TARGET_NOTICE_NO_LIMIT - 1),
-		    now);
-	else if (now < target->limit_told_until)
-		notices[n++] = notice_create(target, TARGET_NOTICE_LIMIT,
-		    target->limit_at, TARGET_NOTICE_NO_LIMIT, now);
+	/* An instance that sends nothing to a limited target can't read of it.
+	 */
+	if (is_stated(requests) || now < requests->told_until)
+		notices[n++] =
+		    rate_notice(target, TARGET_NOTICE_LIMIT, requests, now);
+	if (now < refusals->told_until)
+		notices[n++] =
+		    rate_notice(target, TARGET_NOTICE_REFUSALS, refusals, now);
 	if (target_is_replaced(target, now))
 		notices[n++] = notice_create(target, TARGET_NOTICE_REPLACED,
 		    target->replaced_at, 0, now);
+	if (target->refused && now - target->refused_at < TARGET_FULL_TELL_US)
+		notices[n++] = notice_create(
+		    target, TARGET_NOTICE_FULL, target->refused_at, 0, now);
 	return n;
 }
 
@@ -560,21 +592,29 @@
 }
 
 static bool
-limit_import(
-    target_t *target, uint32_t value, time_us_t stated_at, time_us_t now)
+rate_import(
+    stated_rate_t *stated, uint32_t value, time_us_t stated_at, time_us_t now)
 {
 	double per_s =
 	    value == TARGET_NOTICE_NO_LIMIT ? TARGET_NO_LIMIT : value / 1000.0;
 
-	if (stated_at > target->limit_at + NOTICE_TRANSIT_US)
-		return limit_set(target, per_s, stated_at, now);
+	if (stated_at > stated->at + NOTICE_TRANSIT_US)
+		return rate_set(stated, per_s, stated_at, now);
 	/* The sender doesn't know of a later answer. */
-	if (stated_at < target->limit_at - NOTICE_TRANSIT_US &&
-	    per_s != target->limit_per_s)
-		target->limit_told_until = now + TARGET_LIMIT_END_TELL_US;
+	if (stated_at < stated->at - NOTICE_TRANSIT_US &&
+	    per_s != stated->per_s)
+		stated->told_until = now + TARGET_RATE_TELL_US;
 	return false;
 }
 
+static void
+note_refused(target_t *target, time_us_t at)
+{
+	target->refused = true;
+	target->refused_at = at;
+	target->granted_slots = 0;
+}
+
 static bool
 cold_import(
     target_t *target, uint32_t cold_ms, time_us_t stated_at, time_us_t now)
@@ -602,7 +642,12 @@
 		changed = cold_import(target, notice->value, stated_at, now);
 		break;
 	case TARGET_NOTICE_LIMIT:
-		changed = limit_import(target, notice->value, stated_at, now);
+		changed = rate_import(&target->rates[TARGET_RATE_REQUESTS],
+		    notice->value, stated_at, now);
+		break;
+	case TARGET_NOTICE_REFUSALS:
+		changed = rate_import(&target->rates[TARGET_RATE_REFUSALS],
+		    notice->value, stated_at, now);
 		break;
 	case TARGET_NOTICE_REPLACED:
 		changed = !target_is_replaced(target, now) &&
@@ -610,6 +655,11 @@
 		if (changed)
 			target->replaced_at = stated_at;
 		break;
+	case TARGET_NOTICE_FULL:
+		if (stated_at > target->refused_at + NOTICE_TRANSIT_US &&
+		    now - stated_at < TARGET_FULL_TELL_US)
+			note_refused(target, stated_at);
+		break;
 	case TARGET_NOTICE_KIND_COUNT:
 		break;
 	}
@@ -657,10 +707,10 @@
 restricted_per_s(const target_t *target, double cold_per_s, time_us_t now)
 {
 	double per_s = target_is_cold(target, now) ? cold_per_s : 0;
+	double limit_per_s = target->rates[TARGET_RATE_REQUESTS].per_s;
 
-	if (target_is_limited(target) &&
-	    (per_s <= 0 || target->limit_per_s < per_s))
-		per_s = MAX(target->limit_per_s, TARGET_LIMIT_MIN_PER_S);
+	if (target_is_limited(target) && (per_s <= 0 || limit_per_s < per_s))
+		per_s = MAX(limit_per_s, TARGET_LIMIT_MIN_PER_S);
 	return per_s;
 }
 
@@ -937,16 +987,22 @@
 	    FAILURE_WEIGHT * (failed - target->failure_rate);
 }
 
-void
+bool
 target_attempt_finish(target_t *target, target_attempt_t *attempt,
     target_result_t result, time_us_t now)
 {
+	bool full =
+	    result == TARGET_RESULT_REFUSED && target_is_fragile(target);
+	bool is_news = full && !target->refused;
+
 	if (!attempt->first_byte)
 		target->pending_tokens -= attempt->tokens;
 	target->in_flight--;
 	/* A full target freed no slot by refusing this request. */
 	if (result != TARGET_RESULT_REFUSED)
 		target->granted_slots++;
+	else if (full)
+		note_refused(target, now);
 	target->probing = false;
 	if (target->in_flight == 0) {
 		target->pending_tokens = 0;
@@ -958,6 +1014,7 @@
 		target->unreachable_at = now;
 	health_update(target, result, now);
 	*attempt = (target_attempt_t){0};
+	return is_news;
 }
 
 void
@@ -1036,23 +1093,63 @@
 bool
 target_has_slot(const target_t *target, uint32_t n_contenders, time_us_t now)
 {
-	return !target_is_contended(target, n_contenders, now) ||
-	       (free_slots(target, now) > 0 && target->granted_slots > 0);
+	if (!target_is_fragile(target) &&
+	    !target_is_contended(target, n_contenders, now))
+		return true;
+	return free_slots(target, now) > 0 && target->granted_slots > 0;
+}
+
+/* Whether a fragile target that refused a request is tried again. */
+static bool
+is_tried_again(const target_t *target, uint32_t region_instances,
+    time_us_t elapsed, uint64_t *random)
+{
+	double per_s = MAX(
+	    target->rates[TARGET_RATE_REFUSALS].per_s * TARGET_REFUSALS_RISKED,
+	    TARGET_LIMIT_MIN_PER_S);
+	double chance = per_s * (double)elapsed / US_PER_S / region_instances;
+
+	return (double)(random_next(random) >> 11) / (double)(1ULL << 53) <
+	       chance;
+}
+
+/*
+ * Instances that may want a slot at the same moment. While a fragile target is
+ * hardly used, few do.
+ */
+static uint32_t
+n_slot_contenders(
+    const target_t *target, uint32_t region_instances, uint32_t n_free)
+{
+	if (target_is_fragile(target) && n_free > target->entry.slots / 2)
+		return MAX(1u, region_instances / TARGET_CONTENDED_DIVISOR);
+	return region_instances;
 }
 
 void
 targets_divide_slots(targets_t *targets, uint32_t region_instances,
     uint64_t *random, time_us_t now)
 {
-	uint32_t n = MAX(1u, region_instances);
+	time_us_t elapsed = now - targets->divided_at;
 
+	region_instances = MAX(1u, region_instances);
+	targets->divided_at = now;
 	for (guint i = 0; i < targets->all->len; i++) {
 		target_t *target = g_ptr_array_index(targets->all, i);
 		uint32_t n_free;
+		uint32_t n;
 
 		if (target->region != targets->own_region)
 			continue;
+		if (target->refused) {
+			if (target_is_fragile(target) &&
+			    !is_tried_again(
+				target, region_instances, elapsed, random))
+				continue;
+			target->refused = false;
+		}
 		n_free = free_slots(target, now);
+		n = n_slot_contenders(target, region_instances, n_free);
 		target->granted_slots = n_free / n;
 		/* The remainder is handed out at random, correct on average. */
 		if (random_next(random) % n < n_free % n)
--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -20,6 +20,9 @@
 /* Longest time for which a mute target holds a request. */
 #define MUTE_MS 30000
 
+/* Time after which a fragile target that crashed is back. */
+#define FRAGILE_DOWN_MS 1500
+
 struct fake_worker {
 	char *id;
 	raw_server_t *server;
@@ -31,7 +34,12 @@
 	unsigned n_deadly;
 	gint64 cold_until; /* monotonic time */
 	char *limit;	   /* NULL: none */
-	GArray *crashes;   /* gint64 */
+	/* See fake_worker_set_fragile() and fake_worker_set_room(). */
+	unsigned fragile_per_s;
+	unsigned room;
+	unsigned n_running;
+	GArray *refusals; /* gint64 */
+	GArray *crashes;  /* gint64 */
 };
 
 static void
@@ -398,17 +406,64 @@
 	return true;
 }
 
+/* What the target states of itself in each answer. */
 static char *
-limit_field(fake_worker_t *worker)
+stated_fields(fake_worker_t *worker)
 {
-	char *field;
+	GString *fields = g_string_new(NULL);
 
 	g_mutex_lock(&worker->lock);
-	field = worker->limit != NULL
-		    ? g_strdup_printf("Server-Limit: %s\r\n", worker->limit)
-		    : g_strdup("");
+	if (worker->limit != NULL)
+		g_string_append_printf(
+		    fields, "Server-Limit: %s\r\n", worker->limit);
+	if (worker->fragile_per_s > 0)
+		g_string_append_printf(
+		    fields, "Server-Brittle: %u\r\n", worker->fragile_per_s);
+	g_mutex_unlock(&worker->lock);
+	return g_string_free(fields, FALSE);
+}
+
+/* Refusals from this time on. */
+static unsigned
+n_refusals_since(const fake_worker_t *worker, gint64 since)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < worker->refusals->len; i++)
+		n += g_array_index(worker->refusals, gint64, i) >= since;
+	return n;
+}
+
+/* Returns whether there is room, and takes it; running_end() gives it back. */
+static bool
+running_begin(fake_worker_t *worker)
+{
+	gint64 now = g_get_monotonic_time();
+	bool has_room;
+	bool falls = false;
+
+	g_mutex_lock(&worker->lock);
+	has_room = worker->room == 0 || worker->n_running < worker->room;
+	if (has_room) {
+		worker->n_running++;
+	} else {
+		g_array_append_val(worker->refusals, now);
+		falls = worker->fragile_per_s > 0 &&
+			n_refusals_since(worker, now - G_USEC_PER_SEC) >
+			    worker->fragile_per_s;
+	}
+	g_mutex_unlock(&worker->lock);
+	if (falls)
+		fake_worker_crash(worker, FRAGILE_DOWN_MS);
+	return has_room;
+}
+
+static void
+running_end(fake_worker_t *worker)
+{
+	g_mutex_lock(&worker->lock);
+	worker->n_running--;
 	g_mutex_unlock(&worker->lock);
-	return field;
 }
 
 static bool
@@ -458,12 +513,11 @@
 }
 
 static bool
-on_request(int fd, const raw_request_t *request, void *owner)
+request_serve(fake_worker_t *worker, int fd, const raw_request_t *request)
 {
-	fake_worker_t *worker = owner;
 	g_autofree char *name = g_path_get_basename(request->path);
 	g_autofree char *signature = NULL;
-	g_autofree char *limit = NULL;
+	g_autofree char *stated = NULL;
 	g_autofree char *body =
 	    g_strdup_printf("%s: %.*s", worker->id, (int)request->body->len,
 		request->body->len ? (const char *)request->body->data : "");
@@ -476,8 +530,6 @@
 	int down_ms;
 	bool open;
 
-	if (strcmp(request->path, "/health") == 0)
-		return health_serve(worker, fd);
 	g_mutex_lock(&worker->lock);
 	if (worker->forced != NULL) {
 		g_free(name);
@@ -488,10 +540,10 @@
 		return raw_send_answer(
 		    fd, 503, "Not-Executed: 1\r\n", "no room");
 	run = run_add(worker, request);
-	limit = limit_field(worker);
+	stated = stated_fields(worker);
 	signature = g_strdup_printf(
 	    "Request-Id: %s\r\nServer-Stamp: %s\r\nServer-Load: 0,0,8\r\n%s",
-	    id ? id : "", worker->id, limit);
+	    id ? id : "", worker->id, stated);
 	down_ms = deadly_ms(worker, request, name);
 	if (down_ms > 0 && strcmp(name, "reset") != 0 &&
 	    strcmp(name, "mute") != 0) {
@@ -557,6 +609,28 @@
 	return raw_send_answer(fd, 404, signature, "no such behaviour");
 }
 
+static bool
+on_request(int fd, const raw_request_t *request, void *owner)
+{
+	fake_worker_t *worker = owner;
+	bool open;
+
+	if (strcmp(request->path, "/health") == 0)
+		return health_serve(worker, fd);
+	if (!running_begin(worker)) {
+		const char *id = raw_field(request, "request-id");
+		g_autofree char *stated = stated_fields(worker);
+		g_autofree char *fields =
+		    g_strdup_printf("Request-Id: %s\r\nNot-Executed: 1\r\n%s",
+			id ? id : "", stated);
+
+		return raw_send_answer(fd, 503, fields, "no room");
+	}
+	open = request_serve(worker, fd, request);
+	running_end(worker);
+	return open;
+}
+
 fake_worker_t *
 fake_worker_create(const char *id, uint16_t *port)
 {
@@ -566,6 +640,7 @@
 	g_mutex_init(&worker->lock);
 	worker->runs = g_ptr_array_new_with_free_func(run_free);
 	worker->crashes = g_array_new(FALSE, FALSE, sizeof(gint64));
+	worker->refusals = g_array_new(FALSE, FALSE, sizeof(gint64));
 	worker->server = raw_server_create(on_request, worker, port);
 	raw_server_set_head_handler(worker->server, on_request_head);
 	return worker;
@@ -577,6 +652,7 @@
 	raw_server_destroy(worker->server);
 	g_ptr_array_unref(worker->runs);
 	g_array_unref(worker->crashes);
+	g_array_unref(worker->refusals);
 	g_free(worker->forced);
 	g_free(worker->limit);
 	g_free(worker->deadly_part);
@@ -667,6 +743,33 @@
 	g_mutex_unlock(&worker->lock);
 }
 
+void
+fake_worker_set_fragile(fake_worker_t *worker, unsigned per_s)
+{
+	g_mutex_lock(&worker->lock);
+	worker->fragile_per_s = per_s;
+	g_mutex_unlock(&worker->lock);
+}
+
+void
+fake_worker_set_room(fake_worker_t *worker, unsigned room)
+{
+	g_mutex_lock(&worker->lock);
+	worker->room = room;
+	g_mutex_unlock(&worker->lock);
+}
+
+unsigned
+fake_worker_refusals(fake_worker_t *worker)
+{
+	unsigned n;
+
+	g_mutex_lock(&worker->lock);
+	n = worker->refusals->len;
+	g_mutex_unlock(&worker->lock);
+	return n;
+}
+
 unsigned
 fake_worker_runs_since(fake_worker_t *worker, gint64 since)
 {
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -117,6 +117,19 @@
  */
 void fake_worker_set_limit(fake_worker_t *worker, const char *per_s);
 
+/*
+ * From now on the target crashes, for 1.5 s, when it has refused more requests
+ * than this in a second for want of room, and states so in all answers. 0: it
+ * isn't fragile.
+ */
+void fake_worker_set_fragile(fake_worker_t *worker, unsigned per_s);
+
+/* From now on it refuses what exceeds this many requests. 0: no limit. */
+void fake_worker_set_room(fake_worker_t *worker, unsigned room);
+
+/* Requests refused for want of room. */
+unsigned fake_worker_refusals(fake_worker_t *worker);
+
 /* Number of runs that arrived since this monotonic time. */
 unsigned fake_worker_runs_since(fake_worker_t *worker, gint64 since);
 
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -38,11 +38,17 @@
 static void
 attempt_free(attempt_t *attempt, target_result_t result)
 {
+	gateway_t *gateway = attempt->gateway;
 	target_t *target = attempt_target(attempt);
 
-	if (target != NULL)
-		target_attempt_finish(target, &attempt->send, result,
-		    gateway_now(attempt->gateway));
+	if (target != NULL && target_attempt_finish(target, &attempt->send,
+				  result, gateway_now(gateway))) {
+		counter_increment("target_refusals_told", NULL, NULL);
+		log_event(LOG_INFO, "target_full",
+		    LOG_S("target", target->entry.id),
+		    LOG_I("in_flight", target->in_flight));
+		gossip_round(gateway->gossip);
+	}
 	if (attempt->probe)
 		quarantine_end_probe(attempt->gateway->quarantine,
 		    &attempt->features, gateway_now(attempt->gateway));
@@ -278,29 +284,42 @@
 		request_on_complete(request);
 }
 
-static void
-attempt_note_limit(const attempt_t *attempt, target_t *target, time_us_t now)
+/* Returns whether what the target states of this rate has changed. */
+static bool
+attempt_note_rate(const attempt_t *attempt, target_t *target,
+    target_rate_t rate, time_us_t now)
 {
 	const target_response_t *response = &attempt->response;
 	double per_s = TARGET_NO_LIMIT;
 
-	switch (response->limit_kind) {
-	case RESPONSE_NO_LIMIT:
+	switch (response->rates[rate].kind) {
+	case RATE_ABSENT:
 		/* A refusal may be made before the target's own answer. */
 		if (response->not_run || !response->stamped)
-			return;
+			return false;
 		break;
-	case RESPONSE_LIMIT:
-		per_s = response->limit_per_s;
+	case RATE_STATED:
+		per_s = response->rates[rate].per_s;
 		break;
-	case RESPONSE_LIMIT_MALFORMED:
+	case RATE_MALFORMED:
 		counter_increment("target_limits_malformed", NULL, NULL);
 		log_event(LOG_WARNING, "target_limit_malformed",
 		    LOG_S("target", target->entry.id),
 		    LOG_S("request", attempt->request_id));
-		return;
+		return false;
 	}
-	if (!target_note_limit(target, per_s, attempt->send.sent_at, now))
+	return target_note_rate(
+	    target, rate, per_s, attempt->send.sent_at, now);
+}
+
+static void
+attempt_note_rates(const attempt_t *attempt, target_t *target, time_us_t now)
+{
+	bool changed = false;
+
+	for (target_rate_t rate = 0; rate < TARGET_RATE_COUNT; rate++)
+		changed |= attempt_note_rate(attempt, target, rate, now);
+	if (!changed)
 		return;
 	gateway_note_target(attempt->gateway, target, "target");
 	gossip_round(attempt->gateway->gossip);
@@ -373,7 +392,7 @@
 			attempt_note_replaced(attempt, target, now);
 		} else {
 			attempt_note_load(attempt, target, now);
-			attempt_note_limit(attempt, target, now);
+			attempt_note_rates(attempt, target, now);
 		}
 		if (!attempt->response.event_stream)
 			attempt_first_byte(attempt, target, now);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -438,10 +438,19 @@
 		    MIN(n_senders, members_n_known(gateway->members, now));
 }
 
+/* For the log: in 1,000 s; -1: none. */
+static double
+rate_milli(const stated_rate_t *rate)
+{
+	return rate->per_s < 0 ? -1 : rate->per_s * 1000;
+}
+
 void
 gateway_note_target(gateway_t *gateway, target_t *target, const char *source)
 {
 	time_us_t now = gateway_now(gateway);
+	const stated_rate_t *requests = &target->rates[TARGET_RATE_REQUESTS];
+	const stated_rate_t *refusals = &target->rates[TARGET_RATE_REFUSALS];
 
 	sender_update(gateway, target);
 	counter_increment("target_notices", "source", source);
@@ -449,10 +458,11 @@
 	    LOG_S("source", source),
 	    LOG_I(
 		"cold_ms", MAX(target->stated_cold_until - now, 0) / US_PER_MS),
-	    LOG_I("limit_milli",
-		target_is_limited(target) ? target->limit_per_s * 1000 : -1),
-	    LOG_I("age_ms",
-		(now - MAX(target->stated_at, target->limit_at)) / US_PER_MS),
+	    LOG_I("limit_milli", rate_milli(requests)),
+	    LOG_I("refusals_milli", rate_milli(refusals)),
+	    LOG_I("age_ms", (now - MAX(target->stated_at,
+				       MAX(requests->at, refusals->at))) /
+				US_PER_MS),
 	    LOG_I("started_ms", target->entry.started_ms),
 	    LOG_I("sender", target->sender_share > 0));
 }
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -44,8 +44,14 @@
  */
 #define TARGET_LIMIT_MIN_PER_S 0.25
 
-/* Time for which others are told that a limit has ended. */
-#define TARGET_LIMIT_END_TELL_US (5 * US_PER_S)
+/* Time for which others are told that a stated rate has changed. */
+#define TARGET_RATE_TELL_US (5 * US_PER_S)
+
+/* Time for which others are told that a fragile target refused a request. */
+#define TARGET_FULL_TELL_US (500 * US_PER_MS)
+
+/* Part of the refusals that a fragile target endures which instances risk. */
+#define TARGET_REFUSALS_RISKED 0.5
 
 /*
  * A target whose address answered as another target is not used for this long,
@@ -147,12 +153,31 @@
 	TARGET_NOTICE_COLD,	/* value: remaining time in ms */
 	TARGET_NOTICE_LIMIT,	/* value: requests in 1,000 s, or none */
 	TARGET_NOTICE_REPLACED, /* value: 0 */
+	TARGET_NOTICE_REFUSALS, /* value: refusals in 1,000 s, or none */
+	TARGET_NOTICE_FULL,	/* a fragile one refused a request; value: 0 */
 	TARGET_NOTICE_KIND_COUNT
 } target_notice_kind_t;
 
 /* Value of a notice that a limit has ended. */
 #define TARGET_NOTICE_NO_LIMIT UINT32_MAX
 
+/* Rates that a target may state, each for all instances together. */
+typedef enum {
+	TARGET_RATE_REQUESTS, /* that it accepts */
+	/*
+	 * Refusals for want of room that it endures. Above this rate a fragile
+	 * target breaks down, with all requests that it runs.
+	 */
+	TARGET_RATE_REFUSALS,
+	TARGET_RATE_COUNT
+} target_rate_t;
+
+typedef struct {
+	double per_s;	      /* TARGET_NO_LIMIT: none */
+	time_us_t at;	      /* when it was stated or ended; 0: never */
+	time_us_t told_until; /* others are told of a change until then */
+} stated_rate_t;
+
 typedef struct {
 	uint32_t target; /* target_short_id() */
 	uint32_t start;	 /* target_start_id() */
@@ -184,6 +209,8 @@
 	time_us_t reported_at;
 	double untracked_load;	/* requests of unreachable instances */
 	uint32_t granted_slots; /* to use while few are free */
+	bool refused;		/* it is fragile and refused a request */
+	time_us_t refused_at;	/* when it last did so, 0: never */
 	/* Health. */
 	time_us_t backoff_until;
 	time_us_t backoff;
@@ -204,10 +231,7 @@
 	time_us_t cold_until;	     /* by its entry */
 	time_us_t stated_cold_until; /* by its own answer */
 	time_us_t stated_at;	     /* time of that answer; 0: none */
-	/* Limit that it named for all instances together. */
-	double limit_per_s;	    /* TARGET_NO_LIMIT: none */
-	time_us_t limit_at;	    /* when it was named or ended; 0: never */
-	time_us_t limit_told_until; /* others are told of its end until then */
+	stated_rate_t rates[TARGET_RATE_COUNT];
 	/*
 	 * It refused a connection, so it may have started again since its entry
 	 * was written; it gets no request until it states its health.
@@ -322,14 +346,17 @@
 void target_note_cold(target_t *target, int64_t cold_ms, time_us_t now);
 
 /*
- * Records the limit that an answer named, TARGET_NO_LIMIT if it named none.
+ * Records the rate that an answer stated, TARGET_NO_LIMIT if it stated none.
  * sent_at: when the request was sent. An answer to a request from before the
- * limit was named may be older than the limit and doesn't end it. Returns
- * whether the limit changed.
+ * rate was stated may be older than it and doesn't end it. Returns whether the
+ * rate changed.
  */
-bool target_note_limit(
-    target_t *target, double per_s, time_us_t sent_at, time_us_t now);
+bool target_note_rate(target_t *target, target_rate_t rate, double per_s,
+    time_us_t sent_at, time_us_t now);
+
+/* Returns whether it stated a limit of requests, or of refusals. */
 bool target_is_limited(const target_t *target);
+bool target_is_fragile(const target_t *target);
 
 /*
  * Number of instances of a region that may send to the target while it is cold
@@ -416,8 +443,11 @@
 				      never reached the target */
 } target_result_t;
 
-/* Ends the attempt that target_attempt_begin() began. */
-void target_attempt_finish(target_t *target, target_attempt_t *attempt,
+/*
+ * Ends the attempt that target_attempt_begin() began. Returns whether other
+ * instances should be told at once that the target is full.
+ */
+bool target_attempt_finish(target_t *target, target_attempt_t *attempt,
     target_result_t result, time_us_t now);
 
 void target_report_load(
@@ -473,13 +503,21 @@
 bool target_is_contended(
     const target_t *target, uint32_t n_contenders, time_us_t now);
 
-/* Returns whether this instance may use one of the engine's slots. */
+/*
+ * Returns whether this instance may use one of the target's slots. Those of a
+ * fragile target are always divided, as requests of several instances for the
+ * same slot make it refuse all but one. After a refusal the instances keep to
+ * the slots that their own requests leave, until targets_divide_slots() grants
+ * them one again.
+ */
 bool target_has_slot(
     const target_t *target, uint32_t n_contenders, time_us_t now);
 
 /*
  * Divides the free slots among the instances of the region. Call with each load
- * report.
+ * report. A fragile target that refused a request is granted again at random,
+ * so seldom that all instances together risk a part of the refusals that it
+ * endures (TARGET_REFUSALS_RISKED).
  */
 void targets_divide_slots(targets_t *targets, uint32_t region_instances,
     uint64_t *random, time_us_t now);
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -65,6 +65,12 @@
 void platform_request_append_fields(
     GString *out, const gateway_fields_t *fields);
 
+/* A rate that a target may state in an answer. */
+typedef struct {
+	enum { RATE_ABSENT, RATE_STATED, RATE_MALFORMED } kind;
+	double per_s; /* RATE_STATED */
+} response_rate_t;
+
 typedef struct {
 	unsigned status;
 	bool request_id_mismatch; /* the response is for another request */
@@ -84,12 +90,7 @@
 	int64_t idle_ms; /* keep-alive timeout of the target; -1: absent */
 	bool event_stream;
 	int64_t retry_after_ms; /* -1: absent */
-	enum {
-		RESPONSE_NO_LIMIT,
-		RESPONSE_LIMIT, /* the target named a limit */
-		RESPONSE_LIMIT_MALFORMED,
-	} limit_kind;
-	double limit_per_s; /* RESPONSE_LIMIT */
+	response_rate_t rates[TARGET_RATE_COUNT];
 } target_response_t;
 
 /* What a target's health answer states. */
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -81,12 +81,22 @@
 	topology_destroy(sim->topology);
 }
 
+static void
+notices_pass(const sim_t *sim, instance_t *from, instance_t *to)
+{
+	target_notice_t notices[NOTICE_LIMIT];
+	size_t n = targets_export_notices(
+	    from->targets, notices, NOTICE_LIMIT, sim->now);
+
+	for (size_t i = 0; i < n; i++)
+		targets_import_notice(to->targets, &notices[i], sim->now);
+}
+
 static void
 message_pass(sim_t *sim, instance_t *from, uint32_t ip)
 {
 	size_t to = ip - 0x0a000001u;
 	member_entry_t entries[MEMBER_DIGEST_LIMIT];
-	target_notice_t notices[NOTICE_LIMIT];
 	size_t n;
 
 	if (to >= sim->n || sim->instances[to].group != from->group)
@@ -94,11 +104,7 @@
 	n = members_digest(
 	    from->members, sim->now, entries, MEMBER_DIGEST_LIMIT);
 	members_merge(sim->instances[to].members, entries, n, sim->now);
-	n = targets_export_notices(
-	    from->targets, notices, NOTICE_LIMIT, sim->now);
-	for (size_t i = 0; i < n; i++)
-		targets_import_notice(
-		    sim->instances[to].targets, &notices[i], sim->now);
+	notices_pass(sim, from, &sim->instances[to]);
 }
 
 static void
@@ -128,8 +134,8 @@
 	if (instance->sent_at != 0) {
 		if (sim->now - instance->sent_at < ANSWER_US)
 			return;
-		if (target_note_limit(instance->target, sim->limit,
-			instance->sent_at, sim->now))
+		if (target_note_rate(instance->target, TARGET_RATE_REQUESTS,
+			sim->limit, instance->sent_at, sim->now))
 			round_run(sim, instance);
 		instance->sent_at = 0;
 	}
@@ -276,14 +282,151 @@
 
 	sim_create(&sim, 1);
 	target = sim.instances[0].target;
-	ck_assert(target_note_limit(target, 2, sim.now - 5, sim.now));
-	ck_assert(!target_note_limit(
-	    target, TARGET_NO_LIMIT, sim.now - 1, sim.now + 1));
+	ck_assert(target_note_rate(
+	    target, TARGET_RATE_REQUESTS, 2, sim.now - 5, sim.now));
+	ck_assert(!target_note_rate(target, TARGET_RATE_REQUESTS,
+	    TARGET_NO_LIMIT, sim.now - 1, sim.now + 1));
 	ck_assert(target_is_limited(target));
-	ck_assert(target_note_limit(
-	    target, TARGET_NO_LIMIT, sim.now + 1, sim.now + 2));
+	ck_assert(target_note_rate(target, TARGET_RATE_REQUESTS,
+	    TARGET_NO_LIMIT, sim.now + 1, sim.now + 2));
 	ck_assert(!target_is_limited(target));
 	sim_destroy(&sim);
 }
 
+/*
+ * Instances that all have more work for a fragile target than it takes. It has
+ * less room than its entry says, of which only refusals tell.
+ */
+#define FRAGILE_SLOTS 24
+#define FRAGILE_ROOM 16
+#define ENDURED_PER_S 10
+#define RUN_STEPS 20
+#define LOAD_STEPS 10
+#define FRAGILE_STEPS 2000
+#define STEPS_PER_S (US_PER_S / STEP_US)
+
+typedef struct {
+	unsigned n_running;
+	unsigned n_refused;
+	unsigned n_served;
+	unsigned refused_by_step[FRAGILE_STEPS];
+	target_attempt_t attempts[INSTANCES_MAX];
+} fragile_t;
+
+static void
+loads_report(sim_t *sim)
+{
+	target_load_t load;
+
+	for (size_t i = 0; i < sim->n; i++) {
+		instance_t *from = &sim->instances[i];
+		size_t n = targets_own_load(from->targets, &load, 1, sim->now);
+
+		for (size_t j = 0; j < sim->n; j++) {
+			if (j == i)
+				continue;
+			targets_peer_load(sim->instances[j].targets,
+			    (uint32_t)i + 1, &load, n, sim->now);
+			if (j % 2 == i % 2)
+				notices_pass(sim, from, &sim->instances[j]);
+		}
+	}
+	for (size_t i = 0; i < sim->n; i++)
+		targets_divide_slots(sim->instances[i].targets,
+		    (uint32_t)sim->n, &sim->random, sim->now);
+}
+
+/* Each instance has one request at a time, and sends it as soon as it may. */
+static void
+fragile_step(sim_t *sim, fragile_t *fragile, size_t i)
+{
+	instance_t *instance = &sim->instances[i];
+	target_attempt_t *attempt = &fragile->attempts[i];
+
+	if (instance->sent_at != 0) {
+		if (sim->now - instance->sent_at < RUN_STEPS * STEP_US)
+			return;
+		fragile->n_running--;
+		fragile->n_served++;
+		target_attempt_finish(
+		    instance->target, attempt, TARGET_RESULT_OK, sim->now);
+		instance->sent_at = 0;
+	}
+	if (!target_has_slot(instance->target, (uint32_t)sim->n, sim->now))
+		return;
+	target_attempt_begin(instance->target, 0, 0, sim->now, attempt);
+	if (fragile->n_running < FRAGILE_ROOM) {
+		fragile->n_running++;
+		instance->sent_at = sim->now;
+		return;
+	}
+	fragile->n_refused++;
+	if (target_attempt_finish(
+		instance->target, attempt, TARGET_RESULT_REFUSED, sim->now))
+		round_run(sim, instance);
+}
+
+/* Asserts that a fragile target endures what this many instances send. */
+static void
+fragile_check(size_t n_instances)
+{
+	sim_t sim;
+	g_autofree fragile_t *fragile = g_new0(fragile_t, 1);
+
+	sim_create(&sim, n_instances);
+	for (size_t i = 0; i < sim.n; i++) {
+		sim.instances[i].target->entry.slots = FRAGILE_SLOTS;
+		target_note_rate(sim.instances[i].target, TARGET_RATE_REFUSALS,
+		    ENDURED_PER_S, sim.now, sim.now);
+	}
+	for (int step = 0; step < FRAGILE_STEPS; step++) {
+		int before = MAX(0, step - (int)STEPS_PER_S);
+
+		if (step % LOAD_STEPS == 0)
+			loads_report(&sim);
+		for (size_t i = 0; i < sim.n; i++) {
+			if ((step + (int)i) % (MEMBER_ROUND_US / STEP_US) == 0)
+				round_run(&sim, &sim.instances[i]);
+			fragile_step(&sim, fragile, i);
+		}
+		fragile->refused_by_step[step] = fragile->n_refused;
+		ck_assert_uint_le(
+		    fragile->n_refused - fragile->refused_by_step[before],
+		    ENDURED_PER_S);
+		sim.now += STEP_US;
+	}
+	ck_assert_uint_ge(fragile->n_served,
+	    FRAGILE_ROOM * FRAGILE_STEPS / RUN_STEPS * 3 / 4);
+	sim_destroy(&sim);
+}
+
+TEST(refusals_stay_below_what_a_fragile_target_endures)
+{
+	fragile_check(32);
+	fragile_check(84);
+	fragile_check(INSTANCES_MAX);
+}
+
+/* What one instance reads of it, the others hear; and that it has ended. */
+TEST(instances_hear_that_a_target_is_fragile)
+{
+	sim_t sim;
+	target_t *first;
+	target_t *second;
+
+	sim_create(&sim, 2);
+	first = sim.instances[0].target;
+	second = sim.instances[1].target;
+	target_note_rate(first, TARGET_RATE_REFUSALS, 3, sim.now, sim.now);
+	round_run(&sim, &sim.instances[0]);
+	ck_assert(target_is_fragile(second));
+	ck_assert(!target_is_limited(second));
+	sim.now += US_PER_S;
+	target_note_rate(
+	    second, TARGET_RATE_REFUSALS, TARGET_NO_LIMIT, sim.now, sim.now);
+	round_run(&sim, &sim.instances[1]);
+	ck_assert(!target_is_fragile(first));
+	sim_destroy(&sim);
+}
+
 TEST_MAIN("limit")
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -360,40 +360,48 @@
 	topology_destroy(places);
 }
 
-static target_response_t
-response_with_limit(const char *limit)
+/* What an answer with this field, NULL: without it, states of a rate. */
+static response_rate_t
+response_rate(const char *name, target_rate_t rate, const char *value)
 {
 	http_field_t field = {
-	    {"Server-Limit", 12}, {limit, limit ? strlen(limit) : 0}};
+	    {name, strlen(name)}, {value, value ? strlen(value) : 0}};
 	http_head_t head = {
-	    .status = 200, .fields = &field, .n_fields = limit ? 1 : 0};
+	    .status = 200, .fields = &field, .n_fields = value ? 1 : 0};
 	target_response_t response;
 
 	platform_response_read(&head, "id", &response);
-	return response;
+	return response.rates[rate];
 }
 
-/* A value that can't be read neither sets nor ends a limit. */
-TEST(limit_of_a_target_is_a_decimal_number)
+/* A value that can't be read neither sets nor ends a rate. */
+TEST(rates_of_a_target_are_decimal_numbers)
 {
 	g_autofree char *long_number = g_strnfill(80, '1');
 	const char *const malformed[] = {
 	    "", "x", "1 2", "-1", "nan", "inf", "1e999", "1,5", long_number};
+	static const char *const names[TARGET_RATE_COUNT] = {
+	    [TARGET_RATE_REQUESTS] = "Server-Limit",
+	    [TARGET_RATE_REFUSALS] = "Server-Brittle"};
 	static const struct {
 		const char *text;
 		double per_s;
 	} valid[] = {{"0", 0}, {"1", 1}, {"1.4", 1.4}, {"1e12", 1e12}};
 
-	ck_assert_int_eq(
-	    response_with_limit(NULL).limit_kind, RESPONSE_NO_LIMIT);
-	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++)
-		ck_assert_int_eq(response_with_limit(malformed[i]).limit_kind,
-		    RESPONSE_LIMIT_MALFORMED);
-	for (size_t i = 0; i < G_N_ELEMENTS(valid); i++) {
-		target_response_t response = response_with_limit(valid[i].text);
-
-		ck_assert_int_eq(response.limit_kind, RESPONSE_LIMIT);
-		ck_assert_double_eq(response.limit_per_s, valid[i].per_s);
+	for (target_rate_t rate = 0; rate < TARGET_RATE_COUNT; rate++) {
+		ck_assert_int_eq(
+		    response_rate(names[rate], rate, NULL).kind, RATE_ABSENT);
+		for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++)
+			ck_assert_int_eq(
+			    response_rate(names[rate], rate, malformed[i]).kind,
+			    RATE_MALFORMED);
+		for (size_t i = 0; i < G_N_ELEMENTS(valid); i++) {
+			response_rate_t response =
+			    response_rate(names[rate], rate, valid[i].text);
+
+			ck_assert_int_eq(response.kind, RATE_STATED);
+			ck_assert_double_eq(response.per_s, valid[i].per_s);
+		}
 	}
 }
 
