core, gateway: an established connection answers the silence of slow targets

What callers would see: an instance with requests at two targets that both take seconds opened ten connections a second to the targets of its region, as long as they were silent, although each was established. They stay idle for 4 s, so that some instances together can use up what a target accepts, and others are reset.

Cause: silence was taken for a reason to probe again, whatever the last probe had said.

Fix: a silence is a suspicion only if no connection was established for a second. A failed connection still is one at once, so that a cut is found as fast.

--- a/core/reach.c
+++ b/core/reach.c
@@ -19,12 +19,13 @@
 }
 
 bool
-reach_note_connected(reach_t *reach)
+reach_note_connected(reach_t *reach, time_us_t now)
 {
 	bool was_lost = reach->lost;
 
 	reach->n_failures = 0;
 	reach->lost = false;
+	reach->connected_at = now;
 	return was_lost;
 }
 
@@ -52,16 +53,25 @@
 	return reach->lost;
 }
 
+static bool
+is_suspected(const reach_t *reach, bool silent, time_us_t now)
+{
+	if (reach->n_failures > 0 &&
+	    now - reach->failures[reach->n_failures - 1].at < REACH_WINDOW_US)
+		return true;
+	return silent && (reach->connected_at == 0 ||
+			     now - reach->connected_at >= REACH_ANSWERED_US);
+}
+
 bool
-reach_take_probe(reach_t *reach, bool suspected, time_us_t now)
+reach_take_probe(reach_t *reach, bool silent, time_us_t now)
 {
 	time_us_t interval =
 	    reach->lost ? REACH_LOST_INTERVAL_US : REACH_SUSPECT_INTERVAL_US;
 
-	if (!reach->lost && reach->n_failures > 0 &&
-	    now - reach->failures[reach->n_failures - 1].at < REACH_WINDOW_US)
-		suspected = true;
-	if (!(reach->lost || suspected) || now - reach->probed_at < interval)
+	if (!reach->lost && !is_suspected(reach, silent, now))
+		return false;
+	if (now - reach->probed_at < interval)
 		return false;
 	reach->probed_at = now;
 	return true;
--- a/gateway/reach.c
+++ b/gateway/reach.c
@@ -42,7 +42,7 @@
 void
 gateway_note_target_connected(gateway_t *gateway)
 {
-	if (reach_note_connected(&gateway->reach))
+	if (reach_note_connected(&gateway->reach, gateway_now(gateway)))
 		reach_changed(gateway);
 }
 
--- a/include/core/reach.h
+++ b/include/core/reach.h
@@ -26,6 +26,12 @@
 /* Failures that are further apart don't belong together. */
 #define REACH_WINDOW_US (1500 * US_PER_MS)
 
+/*
+ * An established connection answers a silence of the targets for this long:
+ * they may just be slow.
+ */
+#define REACH_ANSWERED_US US_PER_S
+
 /* Interval of the probes while a loss is suspected, and after it. */
 #define REACH_SUSPECT_INTERVAL_US (100 * US_PER_MS)
 #define REACH_LOST_INTERVAL_US (300 * US_PER_MS)
@@ -41,6 +47,7 @@
 	size_t n_failures;
 	bool lost;
 	time_us_t lost_at;
+	time_us_t connected_at; /* last established connection; 0: none */
 	time_us_t probed_at;
 } reach_t;
 
@@ -48,7 +55,7 @@
  * Records that a new connection to a target was established. Returns whether
  * the targets were lost until now.
  */
-bool reach_note_connected(reach_t *reach);
+bool reach_note_connected(reach_t *reach, time_us_t now);
 
 /*
  * Records that a new connection to a target failed. n_targets: those of the
@@ -61,9 +68,9 @@
 bool reach_is_lost(const reach_t *reach);
 
 /*
- * Returns whether to open a probe now. suspected: by something else than a
- * failed connection.
+ * Returns whether to open a probe now. silent: the targets that have requests
+ * send nothing.
  */
-bool reach_take_probe(reach_t *reach, bool suspected, time_us_t now);
+bool reach_take_probe(reach_t *reach, bool silent, time_us_t now);
 
 #endif
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -24,9 +24,9 @@
 	ck_assert(reach_note_failed(&reach, 3, 6, 300 * MS));
 	ck_assert(reach_is_lost(&reach));
 	ck_assert(!reach_note_failed(&reach, 4, 6, 400 * MS));
-	ck_assert(reach_note_connected(&reach));
+	ck_assert(reach_note_connected(&reach, 400 * MS));
 	ck_assert(!reach_is_lost(&reach));
-	ck_assert(!reach_note_connected(&reach));
+	ck_assert(!reach_note_connected(&reach, 400 * MS));
 }
 
 /* Targets that crash one after the other, over minutes. */
@@ -46,7 +46,7 @@
 	for (uint32_t i = 0; i < 100; i++) {
 		ck_assert(!reach_note_failed(&reach, i, 6, i * MS));
 		ck_assert(!reach_note_failed(&reach, i + 1, 6, i * MS));
-		ck_assert(!reach_note_connected(&reach));
+		ck_assert(!reach_note_connected(&reach, i * MS));
 	}
 }
 
@@ -64,12 +64,12 @@
 }
 
 static int
-n_probes(reach_t *reach, bool suspected, time_us_t from, time_us_t to)
+n_probes(reach_t *reach, bool silent, time_us_t from, time_us_t to)
 {
 	int n = 0;
 
 	for (time_us_t now = from; now < to; now += 10 * MS)
-		n += reach_take_probe(reach, suspected, now);
+		n += reach_take_probe(reach, silent, now);
 	return n;
 }
 
@@ -94,9 +94,27 @@
 	ck_assert(reach_is_lost(&reach));
 	ck_assert_int_eq(
 	    n_probes(&reach, false, now + MS, now + 30 * US_PER_S), 100);
-	reach_note_connected(&reach);
+	reach_note_connected(&reach, now);
 	now += 30 * US_PER_S;
 	ck_assert_int_eq(n_probes(&reach, false, now, now + US_PER_S), 0);
 }
 
+/*
+ * Guards against connections without number to targets that answer slowly, and
+ * are reached.
+ */
+TEST(slow_targets_are_probed_once_a_second)
+{
+	reach_t reach = {0};
+	int n = 0;
+
+	for (time_us_t now = US_PER_S; now < 21 * US_PER_S; now += 10 * MS) {
+		if (!reach_take_probe(&reach, true, now))
+			continue;
+		n++;
+		reach_note_connected(&reach, now + MS);
+	}
+	ck_assert_int_le(n, 20);
+}
+
 TEST_MAIN("reach")
