--- a/core/targets.c
+++ b/core/targets.c
@@ -551,7 +551,9 @@
 		notices[n++] = notice_create(target, TARGET_NOTICE_COLD,
 		    target->stated_at,
 		    (double)(target->stated_cold_until - now) / US_PER_MS, now);
-	/* An instance that sends nothing to a limited target can't read of it.
+	/*
+	 * The limit is told for as long as it holds: an instance that may not
+	 * send to the target gets no answer that states it.
 	 */
 	if (is_stated(requests) || now < requests->told_until)
 		notices[n++] =
--- a/gateway/dispatch.c
+++ b/gateway/dispatch.c
@@ -164,10 +164,12 @@
 }
 
 /*
- * Whether the request is passed on, as this instance reaches no target: to one
- * of its region that does, where its prompt is cached, or else to another
- * region. An instance that it was passed to may have lost the targets as well
- * and have told so since. Without anybody to pass it to it is tried here.
+ * Chooses the region that a request is passed to while this instance reaches no
+ * target: the own one if another instance there does, as its prompts are cached
+ * there, or else another. Instances that it was passed to may have lost the
+ * targets as well, so it may be passed on again. Returns whether the choice is
+ * made: without anybody to pass it to, it is refused if it was passed on
+ * before, and otherwise tried here.
  */
 static bool
 choose_instance(const request_t *request, choice_t *choice)
@@ -401,7 +403,7 @@
 	    gateway->members, region, request->peer_ip, now);
 	attempt_plan_t plan = {.head = attempt_head(request)};
 
-	/* There is one, but it may be the one that refused. */
+	/* The only one of the region may be the one that refused. */
 	if (member == NULL)
 		member = members_pick_serving(gateway->members, region, 0, now);
 	plan.peer_ip = member->entry.ip;
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -50,7 +50,8 @@
 /* Time for which others are told that a fragile target refused a request. */
 #define TARGET_FULL_TELL_US (500 * US_PER_MS)
 
-/* Part of the refusals that a fragile target endures which instances risk. */
+/* Part of the refusals that a fragile target endures, up to which instances
+ * send to it without knowing that there is room. */
 #define TARGET_REFUSALS_RISKED 0.5
 
 /*
