gateway, platform: tell how old the news is that a target has left

Logs showed when an instance read that a target leaves, but not whether a request was sent to it on purpose (its removal is kept for a while after an outage) or because the instance didn't know, and not whether the target itself had said so: the field of its answers wasn't read.

Now a histogram and a log line have the age of the news at each request sent to a target whose removal is known, and answers in which a target says that it leaves are counted and logged. Nothing is decided by them yet. With the lines that were there, a late send is now told apart by its cause: kept on purpose (request_to_departed_target), learnt late (target_removed of that instance comes after the send), or not learnt from the store at all (target_states_leaving before the send). The stand-in target can say so as well.

--- a/core/targets.c
+++ b/core/targets.c
@@ -263,6 +263,7 @@
 		target = target_add(targets, entry);
 	target->entry = *entry;
 	target->removal_at = 0;
+	target->removed_at = 0;
 	if (entry->cold_ms > 0)
 		target->cold_until =
 		    MAX(target->cold_until, now + entry->cold_ms * US_PER_MS);
@@ -284,8 +285,10 @@
 	    targets->publisher_down ? now : targets->publisher_recovered_at;
 	if (recovered_at == 0 || now - recovered_at >= TARGET_REMOVAL_GRACE_US)
 		target_unlist(targets, target);
-	else if (target->removal_at == 0)
+	else if (target->removal_at == 0) {
 		target->removal_at = recovered_at + TARGET_REMOVAL_GRACE_US;
+		target->removed_at = now;
+	}
 }
 
 void
--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -36,6 +36,8 @@
 	char *limit;	   /* NULL: none */
 	/* See fake_worker_set_fragile() and fake_worker_set_room(). */
 	unsigned fragile_per_s;
+	bool leaving; /* see fake_worker_set_leaving() */
+	unsigned n_health;
 	unsigned room;
 	unsigned n_running;
 	GArray *refusals; /* gint64 */
@@ -419,6 +421,8 @@
 	if (worker->fragile_per_s > 0)
 		g_string_append_printf(
 		    fields, "Server-Brittle: %u\r\n", worker->fragile_per_s);
+	if (worker->leaving)
+		g_string_append(fields, "Server-Leaving: 1\r\n");
 	g_mutex_unlock(&worker->lock);
 	return g_string_free(fields, FALSE);
 }
@@ -471,14 +475,17 @@
 {
 	g_autofree char *fields = NULL;
 	gint64 cold_ms;
+	bool leaving;
 
 	g_mutex_lock(&worker->lock);
 	cold_ms = (worker->cold_until - g_get_monotonic_time()) / 1000;
+	leaving = worker->leaving;
+	worker->n_health++;
 	g_mutex_unlock(&worker->lock);
 	fields = g_strdup_printf("Instance-Id: %s\r\nCold-Ms: %" G_GINT64_FORMAT
 				 "\r\n",
 	    worker->id, MAX(cold_ms, 0));
-	return raw_send_answer(fd, 200, fields, "");
+	return raw_send_answer(fd, leaving ? 503 : 200, fields, "");
 }
 
 /* Answers before the body is read. */
@@ -751,6 +758,25 @@
 	g_mutex_unlock(&worker->lock);
 }
 
+void
+fake_worker_set_leaving(fake_worker_t *worker, bool leaving)
+{
+	g_mutex_lock(&worker->lock);
+	worker->leaving = leaving;
+	g_mutex_unlock(&worker->lock);
+}
+
+unsigned
+fake_worker_n_health(fake_worker_t *worker)
+{
+	unsigned n;
+
+	g_mutex_lock(&worker->lock);
+	n = worker->n_health;
+	g_mutex_unlock(&worker->lock);
+	return n;
+}
+
 void
 fake_worker_set_room(fake_worker_t *worker, unsigned room)
 {
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -2,6 +2,7 @@
 #define FAKES_FAKE_WORKER_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -124,6 +125,15 @@
  */
 void fake_worker_set_fragile(fake_worker_t *worker, unsigned per_s);
 
+/*
+ * From now on all answers of the target say that it leaves, and its health is
+ * 503. It still serves.
+ */
+void fake_worker_set_leaving(fake_worker_t *worker, bool leaving);
+
+/* Times that it was asked for its health. */
+unsigned fake_worker_n_health(fake_worker_t *worker);
+
 /* From now on it refuses what exceeds this many requests. 0: no limit. */
 void fake_worker_set_room(fake_worker_t *worker, unsigned room);
 
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -7,6 +7,10 @@
 /* Time for a detached response to end before its connection is closed. */
 #define DETACHED_LIMIT_US (300 * US_PER_MS)
 
+/* Age of the news that a target has left from which a request to it is logged.
+ */
+#define DEPARTED_TARGET_LOG_US US_PER_S
+
 struct attempt {
 	gateway_t *gateway;
 	request_t *request; /* NULL when detached */
@@ -65,6 +69,27 @@
 	attempt_free(attempt, TARGET_RESULT_CANCELLED);
 }
 
+/*
+ * Records how old the news is that the target of a request has left. It may
+ * still be sent, as the entries of targets lapse in an outage.
+ */
+static void
+note_departed_target(gateway_t *gateway, const request_t *request,
+    const target_t *target, const char *request_id)
+{
+	time_us_t age = gateway_now(gateway) - target->removed_at;
+
+	if (target->removed_at == 0)
+		return;
+	latencies_record(
+	    gateway->latencies, LATENCY_DEPARTED, request->route->kind, age);
+	if (age >= DEPARTED_TARGET_LOG_US)
+		log_event(LOG_INFO, "request_to_departed_target",
+		    LOG_S("request", request_id),
+		    LOG_S("target", target->entry.id),
+		    LOG_I("age_ms", age / US_PER_MS));
+}
+
 attempt_t *
 attempt_create(gateway_t *gateway, request_t *request, attempt_plan_t *plan)
 {
@@ -95,6 +120,8 @@
 	upstream->attempt = attempt;
 	if (plan->target != NULL) {
 		attempt->target = plan->target->handle;
+		note_departed_target(
+		    gateway, request, plan->target, plan->request_id);
 		target_attempt_begin(plan->target, plan->tokens,
 		    plan->expected_ms, gateway_now(gateway), &attempt->send);
 		attempt->send.cache_miss_ms = plan->cache_miss_ms;
@@ -358,6 +385,16 @@
 	counter_increment("target_paces_malformed", NULL, NULL);
 }
 
+static void
+attempt_note_leaving(const attempt_t *attempt, const target_t *target)
+{
+	counter_increment("target_answers_leaving", NULL, NULL);
+	log_event(LOG_INFO, "target_states_leaving",
+	    LOG_S("target", target->entry.id),
+	    LOG_S("request", attempt->request_id),
+	    LOG_I("listed_ready", target->entry.state == TARGET_READY));
+}
+
 static bool
 on_head(void *owner, const http_head_t *head)
 {
@@ -393,6 +430,8 @@
 		} else {
 			attempt_note_load(attempt, target, now);
 			attempt_note_rates(attempt, target, now);
+			if (attempt->response.leaving)
+				attempt_note_leaving(attempt, target);
 		}
 		if (!attempt->response.event_stream)
 			attempt_first_byte(attempt, target, now);
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -508,6 +508,8 @@
 	LATENCY_WAIT,	    /* from arrival to the first attempt */
 	LATENCY_FIRST_BYTE, /* from arrival to the first byte of the response */
 	LATENCY_RESPONSE,   /* from arrival to the end of the response */
+	/* From the news that a target has left to a request sent to it. */
+	LATENCY_DEPARTED,
 	LATENCY_COUNT
 } latency_t;
 
--- a/gateway/latency.c
+++ b/gateway/latency.c
@@ -14,6 +14,7 @@
     [LATENCY_WAIT] = "wait_seconds",
     [LATENCY_FIRST_BYTE] = "first_byte_seconds",
     [LATENCY_RESPONSE] = "answer_seconds",
+    [LATENCY_DEPARTED] = "departed_target_seconds",
 };
 
 static const char *const kind_names[KIND_COUNT] = {
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -246,6 +246,7 @@
 	 * use; 0: none. */
 	double sender_share;
 	time_us_t removal_at; /* 0: none */
+	time_us_t removed_at; /* when its removal was read; 0: it wasn't */
 	GHashTable *prefixes; /* chain hash -> prefix_t */
 	uint64_t prefix_tokens;
 	void *user; /* of the table's creator, not freed here; see
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -78,6 +78,7 @@
 	bool stamped;  /* has a Server-Stamp field, which targets set */
 	bool not_run;  /* the request was not executed */
 	bool replaced; /* the address belongs to another target now */
+	bool leaving;  /* the target says that it leaves */
 	bool load_reported;
 	uint32_t running;
 	uint32_t waiting;
@@ -98,6 +99,8 @@
 	unsigned status;
 	char target[NAME_LIMIT + 1]; /* id; "" when absent */
 	int64_t cold_ms;	     /* -1: absent or malformed */
+	bool
+	    refused; /* for want of room; says nothing of the target's health */
 } target_health_t;
 
 void platform_health_read(const http_head_t *head, target_health_t *health);
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -405,4 +405,28 @@
 	}
 }
 
+/* Guards against a target that is used after it has said that it leaves. */
+TEST(leaving_target_says_so_in_its_answer)
+{
+	static const struct {
+		const char *name;
+		const char *value;
+		bool leaving;
+	} fields[] = {{"Server-Leaving", "1", true},
+	    {"server-leaving", "1", true}, {"Server-Leaving", "0", false},
+	    {"Server-Leaving", "", false}, {"Server-Leaving", "11", false},
+	    {"Server-Load", "1", false}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		http_field_t field = {{fields[i].name, strlen(fields[i].name)},
+		    {fields[i].value, strlen(fields[i].value)}};
+		http_head_t head = {
+		    .status = 200, .fields = &field, .n_fields = 1};
+		target_response_t response;
+
+		platform_response_read(&head, "id", &response);
+		ck_assert(response.leaving == fields[i].leaving);
+	}
+}
+
 TEST_MAIN("platform_decode")
