core, gateway: a removal that was read outlives no further outage

Cause: after an outage a removal is kept for 2.5 s, as entries may have lapsed. targets_expire() performed none while the store was unreachable: a store that comes back for a moment would otherwise leave an instance without any target.

Now the target decides, which knows best: while a removal is doubted, the instance asks it for its health. When the grace ends and the store can't be asked, only a health answer of the last 1.5 s keeps the target, until the store had time to list it again. An answer that refuses for want of room says nothing.

--- a/core/targets.c
+++ b/core/targets.c
@@ -32,6 +32,9 @@
 /* A target may be cold, state two rates, be replaced and be full. */
 #define NOTICES_PER_TARGET 5
 
+/* Age from which an answer that a target is in service is asked for again. */
+#define IN_SERVICE_INTERVAL_US (500 * US_PER_MS)
+
 /* Maximum number of prefixes remembered for one target of known capacity. */
 #define PREFIX_LIMIT 4096
 
@@ -263,7 +266,6 @@
 		target = target_add(targets, entry);
 	target->entry = *entry;
 	target->removal_at = 0;
-	target->removed_at = 0;
 	if (entry->cold_ms > 0)
 		target->cold_until =
 		    MAX(target->cold_until, now + entry->cold_ms * US_PER_MS);
@@ -288,9 +290,39 @@
 	else if (target->removal_at == 0) {
 		target->removal_at = recovered_at + TARGET_REMOVAL_GRACE_US;
 		target->removed_at = now;
+		target->in_service_at = 0;
+		target->next_check_at = now;
 	}
 }
 
+/*
+ * An answer within the grace shows that the target hasn't left. It is only
+ * needed again from shortly before the grace ends.
+ */
+bool
+target_removal_wants_check(const target_t *target, time_us_t now)
+{
+	if (target->removal_at == 0 || target->unlisted)
+		return false;
+	return target->in_service_at == 0 ||
+	       (now >= target->removal_at - IN_SERVICE_INTERVAL_US &&
+		   now - target->in_service_at >= IN_SERVICE_INTERVAL_US);
+}
+
+bool
+targets_note_health(
+    targets_t *targets, target_t *target, bool in_service, time_us_t now)
+{
+	if (target->removal_at == 0 || target->unlisted)
+		return false;
+	if (in_service) {
+		target->in_service_at = now;
+		return false;
+	}
+	target_unlist(targets, target);
+	return true;
+}
+
 void
 targets_set_publisher_reachable(
     targets_t *targets, bool reachable, time_us_t now)
@@ -300,6 +332,27 @@
 	targets->publisher_down = !reachable;
 }
 
+/* Whether all entries that lapsed while it was away are listed again. */
+static bool
+publisher_is_settled(const targets_t *targets, time_us_t now)
+{
+	return !targets->publisher_down &&
+	       (targets->publisher_recovered_at == 0 ||
+		   now - targets->publisher_recovered_at >=
+		       TARGET_REMOVAL_GRACE_US);
+}
+
+static bool
+removal_is_due(const targets_t *targets, const target_t *target, time_us_t now)
+{
+	if (target->removal_at == 0 || target->unlisted ||
+	    now < target->removal_at)
+		return false;
+	return publisher_is_settled(targets, now) ||
+	       target->in_service_at == 0 ||
+	       now - target->in_service_at >= TARGET_IN_SERVICE_MAX_AGE_US;
+}
+
 static void
 peer_load_apply(targets_t *targets, const peer_load_t *load, int sign)
 {
@@ -347,8 +400,7 @@
 	for (guint i = targets->all->len; i > 0; i--) {
 		target_t *target = g_ptr_array_index(targets->all, i - 1);
 
-		if (target->removal_at != 0 && !target->unlisted &&
-		    !targets->publisher_down && now >= target->removal_at)
+		if (removal_is_due(targets, target, now))
 			target_unlist(targets, target);
 		else if (target->unlisted && target->in_flight == 0)
 			target_free(targets, target);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -79,7 +79,7 @@
 {
 	time_us_t age = gateway_now(gateway) - target->removed_at;
 
-	if (target->removed_at == 0)
+	if (target->removal_at == 0)
 		return;
 	latencies_record(
 	    gateway->latencies, LATENCY_DEPARTED, request->route->kind, age);
--- a/gateway/health.c
+++ b/gateway/health.c
@@ -69,6 +69,32 @@
 	g_hash_table_remove(check->checks->running, &check->target);
 }
 
+/*
+ * Decides a removal that is doubted. Returns whether the target was removed.
+ */
+static bool
+check_removal(const health_check_t *check, target_t *target)
+{
+	gateway_t *gateway = check->checks->gateway;
+	time_us_t now = gateway_now(gateway);
+	bool in_service = check->health.status == 200 &&
+			  strcmp(check->health.target, target->entry.id) == 0;
+
+	if (target->removal_at == 0)
+		return false;
+	counter_increment(
+	    "removals_checked", "result", in_service ? "in_service" : "left");
+	if (in_service) {
+		targets_note_health(gateway->targets, target, true, now);
+		return false;
+	}
+	log_event(LOG_INFO, "target_removal_confirmed",
+	    LOG_S("target", target->entry.id),
+	    LOG_I("status", check->health.status),
+	    LOG_I("age_ms", (now - target->removed_at) / US_PER_MS));
+	return targets_note_health(gateway->targets, target, false, now);
+}
+
 /* The address may meanwhile belong to another target. */
 static void
 check_apply(const health_check_t *check)
@@ -78,8 +104,12 @@
 	time_us_t now = gateway_now(gateway);
 	bool was_cold;
 
-	if (target == NULL ||
-	    strcmp(check->health.target, target->entry.id) != 0)
+	if (target == NULL || check->health.refused ||
+	    *check->health.target == '\0')
+		return;
+	if (check_removal(check, target))
+		return;
+	if (strcmp(check->health.target, target->entry.id) != 0)
 		return;
 	was_cold = target_is_cold(target, now);
 	/* A target that states no cold time is warm. */
@@ -201,6 +231,7 @@
 	    g_hash_table_contains(checks->running, &target->handle))
 		return false;
 	return target->maybe_restarted ||
+	       target_removal_wants_check(target, now) ||
 	       (checks->stale && members_is_responsible(gateway->members,
 				     target->short_id, CHECKERS, now));
 }
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -397,7 +397,7 @@
 /*
  * health.c: asks targets for their health when one may have turned cold without
  * a new entry: all while the list of targets is stale, and one that refused a
- * connection.
+ * connection. Also when the entry of one was removed and may have lapsed only.
  */
 health_checks_t *health_checks_create(gateway_t *gateway);
 void health_checks_destroy(health_checks_t *checks);
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -20,12 +20,19 @@
 
 /*
  * A target that the publisher removes while it is unreachable for this instance
- * or within this time after, may only have failed to renew its entry. It is
- * kept for this long, as such entries are listed again within about two
- * seconds.
+ * or within this time after, may only have failed to renew its entry. Its
+ * removal is doubted for this long, as such entries are listed again within
+ * about two seconds, and it is asked for its health.
  */
 #define TARGET_REMOVAL_GRACE_US (2500 * US_PER_MS)
 
+/*
+ * After the grace, a target whose removal is doubted is used for this long
+ * after an answer that it is in service, until the publisher can tell. Without
+ * it, nothing would be used in an outage that follows another one closely.
+ */
+#define TARGET_IN_SERVICE_MAX_AGE_US (1500 * US_PER_MS)
+
 /*
  * Longer than a watch of the publisher's list takes to return or to fail: a
  * list that isn't confirmed for this long is stale.
@@ -245,9 +252,11 @@
 	/* Part of the rate of a cold or limited target that this instance may
 	 * use; 0: none. */
 	double sender_share;
-	time_us_t removal_at; /* 0: none */
-	time_us_t removed_at; /* when its removal was read; 0: it wasn't */
-	GHashTable *prefixes; /* chain hash -> prefix_t */
+	/* Of a removal that is doubted; 0: there is none. */
+	time_us_t removal_at;	 /* end of the grace */
+	time_us_t removed_at;	 /* when it was read */
+	time_us_t in_service_at; /* last health answer that it is in service */
+	GHashTable *prefixes;	 /* chain hash -> prefix_t */
 	uint64_t prefix_tokens;
 	void *user; /* of the table's creator, not freed here; see
 		       targets_on_free() */
@@ -267,10 +276,22 @@
 /*
  * Removes an entry that is no longer listed: immediately, or, when the
  * publisher is unreachable or was so within the last TARGET_REMOVAL_GRACE_US,
- * TARGET_REMOVAL_GRACE_US after its return, and not while it is unreachable.
+ * TARGET_REMOVAL_GRACE_US after its return. If it is unreachable then, the
+ * target is kept only while it says itself that it is in service.
  */
 void targets_remove(targets_t *targets, const char *id, time_us_t now);
 
+/* Returns whether to ask the target for its health, as its removal is doubted.
+ */
+bool target_removal_wants_check(const target_t *target, time_us_t now);
+
+/*
+ * Records a health answer of a target whose removal is doubted. Returns whether
+ * the target was removed, and may be freed.
+ */
+bool targets_note_health(
+    targets_t *targets, target_t *target, bool in_service, time_us_t now);
+
 /* Sets whether the publisher can be reached. */
 void targets_set_publisher_reachable(
     targets_t *targets, bool reachable, time_us_t now);
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -116,6 +116,88 @@
 	fixture_destroy(&f);
 }
 
+/* An outage in which t1's removal was read, up to the next one. */
+static void
+remove_between_outages(fixture_t *f)
+{
+	put(f, "t1");
+	targets_set_publisher_reachable(f->targets, false, f->now);
+	f->now += US_PER_S;
+	targets_set_publisher_reachable(f->targets, true, f->now);
+	targets_remove(f->targets, "t1", f->now);
+	f->now += US_PER_S;
+	targets_set_publisher_reachable(f->targets, false, f->now);
+}
+
+/*
+ * Guards against a target that is used for as long as an outage lasts, though
+ * its removal was read before: the removal waited for the publisher's return.
+ */
+TEST(removal_outlives_no_further_outage)
+{
+	fixture_t f = fixture_create();
+
+	remove_between_outages(&f);
+	f.now += TARGET_REMOVAL_GRACE_US - US_PER_S - 1;
+	targets_expire(f.targets, f.now);
+	ck_assert_ptr_nonnull(targets_find(f.targets, "t1"));
+	f.now += 1;
+	targets_expire(f.targets, f.now);
+	ck_assert_ptr_null(targets_find(f.targets, "t1"));
+	fixture_destroy(&f);
+}
+
+/*
+ * All entries may have lapsed before a second outage. Targets that are in
+ * service are used on, until the publisher could list them again.
+ */
+TEST(target_in_service_is_kept_through_a_further_outage)
+{
+	fixture_t f = fixture_create();
+	target_t *target;
+
+	remove_between_outages(&f);
+	target = targets_find(f.targets, "t1");
+	for (int i = 0; i < 100; i++) {
+		if (target_removal_wants_check(target, f.now))
+			ck_assert(!targets_note_health(
+			    f.targets, target, true, f.now));
+		f.now += 100 * US_PER_MS;
+		targets_expire(f.targets, f.now);
+		ck_assert_ptr_nonnull(targets_find(f.targets, "t1"));
+	}
+	targets_set_publisher_reachable(f.targets, true, f.now);
+	f.now += TARGET_IN_SERVICE_MAX_AGE_US;
+	targets_note_health(f.targets, target, true, f.now);
+	f.now += TARGET_REMOVAL_GRACE_US - TARGET_IN_SERVICE_MAX_AGE_US - 1;
+	targets_expire(f.targets, f.now);
+	ck_assert_ptr_nonnull(targets_find(f.targets, "t1"));
+	f.now += 1;
+	targets_expire(f.targets, f.now);
+	ck_assert_ptr_null(targets_find(f.targets, "t1"));
+	fixture_destroy(&f);
+}
+
+/* The target tells sooner than the grace whether its entry lapsed. */
+TEST(target_that_is_not_in_service_is_removed_at_once)
+{
+	fixture_t f = fixture_create();
+	target_t *target = put(&f, "t1");
+
+	ck_assert(!target_removal_wants_check(target, f.now));
+	ck_assert(!targets_note_health(f.targets, target, false, f.now));
+	targets_set_publisher_reachable(f.targets, false, f.now);
+	f.now += US_PER_S;
+	targets_set_publisher_reachable(f.targets, true, f.now);
+	targets_remove(f.targets, "t1", f.now);
+	ck_assert(target_removal_wants_check(target, f.now));
+	targets_note_health(f.targets, target, true, f.now);
+	ck_assert(!target_removal_wants_check(target, f.now));
+	ck_assert(targets_note_health(f.targets, target, false, f.now));
+	ck_assert_ptr_null(targets_find(f.targets, "t1"));
+	fixture_destroy(&f);
+}
+
 /* A restarted target keeps neither the cached prefixes nor the load of its
  * earlier process. */
 TEST(restart_with_the_same_id_is_a_new_target)
