core, gateway: instances tell each other which targets leave

Cause: each instance knew of a departure by its own source alone. The delays of sources add up, each within its own bound: a watch that ends late, a relay that is left, the next one that refuses, a range over 80 ms, then a doubted removal. Nothing owned the sum.

Now a departure is one fact for each start of a target (core/departures.h): where it comes from, its revision, and when the first instance knew. It only grows; draining isn't taken back by an entry that is read later from a source that is behind, and a removal only by a later entry. Instances tell each other by the notices that they exchange already, in each message at first, then in rounds for 30 s. What a target said itself, or its health confirmed, is believed; a removal that another one read is doubted for as long as one of the own source in an outage, and the target is asked if the own source doesn't say so within 400 ms. Two instances of a region ask first and tell the others, also that a target whose entry lapsed is in service.

Builds before pass over the new kinds of notices; the layout of messages is unchanged.

--- a/core/targets.c
+++ b/core/targets.c
@@ -29,8 +29,24 @@
 /* An allowance that isn't used grows up to this time at its rate, or to 1. */
 #define ALLOWANCE_BURST_S 0.1
 
-/* A target may be cold, state two rates, be replaced and be full. */
-#define NOTICES_PER_TARGET 5
+/*
+ * A target may be cold, state two rates, be replaced, be full, and be in
+ * service while its removal is doubted.
+ */
+#define NOTICES_PER_TARGET 6
+
+/* Of the notices in a message, the part that departures may take. */
+#define NOTICES_DEPARTURE_DIVISOR 2
+
+/* Others are told for this long that a target is in service. */
+#define IN_SERVICE_TELL_US (600 * US_PER_MS)
+
+/*
+ * Time by which instances that aren't responsible for a check wait longer, and
+ * the age from which they ask again.
+ */
+#define CHECK_OTHERS_DELAY_US (700 * US_PER_MS)
+#define IN_SERVICE_OTHERS_INTERVAL_US US_PER_S
 
 /* Age from which an answer that a target is in service is asked for again. */
 #define IN_SERVICE_INTERVAL_US (500 * US_PER_MS)
@@ -66,6 +82,8 @@
 	guint notices_cursor;	     /* index of the next target to export */
 	GHashTable *peers;	     /* load_sender_t -> peer_load_t */
 	GHashTable *models;	     /* service name -> pace_model_t */
+	departures_t *departures;    /* of targets of the own region */
+	int64_t era;		     /* of the entry or removal read last */
 	pace_log_t *pace_logs[PACE_AUDIENCE_COUNT];
 	void (*on_free)(target_t *, void *);
 	void *on_free_context;
@@ -95,6 +113,7 @@
 	    g_hash_table_new_full(NULL, NULL, NULL, peer_load_free);
 	targets->models =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	targets->departures = departures_create();
 	for (int i = 0; i < PACE_AUDIENCE_COUNT; i++)
 		targets->pace_logs[i] = pace_log_create(PACE_LOG_LIMIT);
 	return targets;
@@ -121,6 +140,7 @@
 	g_hash_table_destroy(targets->by_short);
 	g_hash_table_destroy(targets->peers);
 	g_hash_table_destroy(targets->models);
+	departures_destroy(targets->departures);
 	for (int i = 0; i < PACE_AUDIENCE_COUNT; i++)
 		pace_log_destroy(targets->pace_logs[i]);
 	g_ptr_array_unref(targets->all);
@@ -253,6 +273,99 @@
 	       strcmp(a->version, b->version) != 0;
 }
 
+const departure_t *
+targets_departure(const targets_t *targets, const target_t *target)
+{
+	return departures_find(
+	    targets->departures, target->short_id, target_start_id(target));
+}
+
+/* Whether it is certain that the target leaves or has left. */
+static bool
+is_departing(const targets_t *targets, const target_t *target)
+{
+	const departure_t *departure = targets_departure(targets, target);
+
+	return departure != NULL && departure->kind != DEPARTURE_REMOVED;
+}
+
+/* Returns whether that is news. Only targets of the own region are used. */
+static bool
+departure_note(targets_t *targets, const target_t *target,
+    departure_kind_t kind, revision_t revision, time_us_t known_at,
+    time_us_t now)
+{
+	departure_t departure = {target->short_id, target_start_id(target),
+	    kind, revision, known_at};
+
+	return target->region == targets->own_region &&
+	       departures_note(targets->departures, &departure, false, now);
+}
+
+static bool
+entry_is_later(const target_entry_t *entry, revision_t revision)
+{
+	return entry->revision.number == 0 ||
+	       revision_compare(entry->revision, revision) > 0;
+}
+
+/*
+ * Whether an entry shows that the target is in service, though it was known to
+ * depart up to this revision. A target that says that it leaves never comes
+ * back, but for a new start of which an entry without its time doesn't tell.
+ */
+static bool
+entry_ends_departure(
+    const target_entry_t *entry, departure_kind_t kind, revision_t revision)
+{
+	return entry->state == TARGET_READY &&
+	       (kind != DEPARTURE_STATED || entry->started_ms == 0) &&
+	       entry_is_later(entry, revision);
+}
+
+static void
+era_note(targets_t *targets, revision_t revision)
+{
+	if (revision.number != 0)
+		targets->era = revision.era;
+}
+
+/* The target may be in service; it is asked from check_from on. */
+static void
+removal_doubt(target_t *target, revision_t revision, time_us_t removal_at,
+    time_us_t check_from, time_us_t now)
+{
+	if (revision_compare(revision, target->removal_revision) > 0)
+		target->removal_revision = revision;
+	if (target->removal_at != 0)
+		return;
+	target->removal_at = removal_at;
+	target->removed_at = now;
+	target->check_from = check_from;
+	target->in_service_at = 0;
+	target->next_check_at = check_from;
+}
+
+static void
+departure_update(targets_t *targets, target_t *target, time_us_t now)
+{
+	const target_entry_t *entry = &target->entry;
+	const departure_t *departure = targets_departure(targets, target);
+
+	if (entry->state == TARGET_DRAINING)
+		departure_note(targets, target, DEPARTURE_STATED,
+		    entry->revision, now, now);
+	else if (departure == NULL)
+		return;
+	else if (entry_ends_departure(
+		     entry, departure->kind, departure->revision))
+		departures_forget(
+		    targets->departures, departure->target, departure->start);
+	else if (departure->kind == DEPARTURE_REMOVED)
+		removal_doubt(target, departure->revision,
+		    now + TARGET_REMOVAL_GRACE_US, now, now);
+}
+
 target_t *
 targets_put(targets_t *targets, const target_entry_t *entry, time_us_t now)
 {
@@ -265,7 +378,10 @@
 	if (target == NULL)
 		target = target_add(targets, entry);
 	target->entry = *entry;
-	target->removal_at = 0;
+	if (entry_is_later(entry, target->removal_revision))
+		target->removal_at = 0;
+	era_note(targets, entry->revision);
+	departure_update(targets, target, now);
 	if (entry->cold_ms > 0)
 		target->cold_until =
 		    MAX(target->cold_until, now + entry->cold_ms * US_PER_MS);
@@ -274,25 +390,48 @@
 	return target;
 }
 
+/* Whether all entries that lapsed while it was away are listed again. */
+static bool
+publisher_is_settled(const targets_t *targets, time_us_t now)
+{
+	return !targets->publisher_down &&
+	       (targets->publisher_recovered_at == 0 ||
+		   now - targets->publisher_recovered_at >=
+		       TARGET_REMOVAL_GRACE_US);
+}
+
+/* Performs a removal of this revision. The target may be freed. */
+static void
+target_depart(targets_t *targets, target_t *target, departure_kind_t kind,
+    revision_t revision, time_us_t known_at, time_us_t now)
+{
+	departure_note(targets, target, kind, revision, known_at, now);
+	target_unlist(targets, target);
+}
+
 void
-targets_remove(targets_t *targets, const char *id, time_us_t now)
+targets_remove(
+    targets_t *targets, const char *id, revision_t revision, time_us_t now)
 {
 	target_t *target = targets_find(targets, id);
 	time_us_t recovered_at;
 
 	if (target == NULL)
 		return;
+	era_note(targets, revision);
+	if (revision_compare(target->entry.revision, revision) > 0)
+		revision = target->entry.revision;
+	if (publisher_is_settled(targets, now) ||
+	    is_departing(targets, target)) {
+		target_depart(
+		    targets, target, DEPARTURE_REMOVED, revision, now, now);
+		return;
+	}
 	/* The grace counts from the return, however late a removal is read. */
 	recovered_at =
 	    targets->publisher_down ? now : targets->publisher_recovered_at;
-	if (recovered_at == 0 || now - recovered_at >= TARGET_REMOVAL_GRACE_US)
-		target_unlist(targets, target);
-	else if (target->removal_at == 0) {
-		target->removal_at = recovered_at + TARGET_REMOVAL_GRACE_US;
-		target->removed_at = now;
-		target->in_service_at = 0;
-		target->next_check_at = now;
-	}
+	removal_doubt(
+	    target, revision, recovered_at + TARGET_REMOVAL_GRACE_US, now, now);
 }
 
 /*
@@ -300,13 +439,26 @@
  * needed again from shortly before the grace ends.
  */
 bool
-target_removal_wants_check(const target_t *target, time_us_t now)
+target_removal_wants_check(
+    const target_t *target, bool responsible, time_us_t now)
 {
+	time_us_t interval = responsible ? IN_SERVICE_INTERVAL_US
+					 : IN_SERVICE_OTHERS_INTERVAL_US;
+
 	if (target->removal_at == 0 || target->unlisted)
 		return false;
-	return target->in_service_at == 0 ||
-	       (now >= target->removal_at - IN_SERVICE_INTERVAL_US &&
-		   now - target->in_service_at >= IN_SERVICE_INTERVAL_US);
+	if (target->in_service_at == 0)
+		return now >= target->check_from +
+				  (responsible ? 0 : CHECK_OTHERS_DELAY_US);
+	return now >= target->removal_at - interval &&
+	       now - target->in_service_at >= interval;
+}
+
+bool
+targets_note_leaving(targets_t *targets, target_t *target, time_us_t now)
+{
+	return departure_note(targets, target, DEPARTURE_STATED,
+	    target->entry.revision, now, now);
 }
 
 bool
@@ -319,7 +471,8 @@
 		target->in_service_at = now;
 		return false;
 	}
-	target_unlist(targets, target);
+	target_depart(targets, target, DEPARTURE_CONFIRMED,
+	    target->removal_revision, target->removed_at, now);
 	return true;
 }
 
@@ -332,16 +485,6 @@
 	targets->publisher_down = !reachable;
 }
 
-/* Whether all entries that lapsed while it was away are listed again. */
-static bool
-publisher_is_settled(const targets_t *targets, time_us_t now)
-{
-	return !targets->publisher_down &&
-	       (targets->publisher_recovered_at == 0 ||
-		   now - targets->publisher_recovered_at >=
-		       TARGET_REMOVAL_GRACE_US);
-}
-
 static bool
 removal_is_due(const targets_t *targets, const target_t *target, time_us_t now)
 {
@@ -393,6 +536,16 @@
 	}
 }
 
+static bool
+departure_is_listed(void *owner, const departure_t *departure)
+{
+	const targets_t *targets = owner;
+	const target_t *target = g_hash_table_lookup(
+	    targets->by_short, GUINT_TO_POINTER(departure->target));
+
+	return target != NULL && target_start_id(target) == departure->start;
+}
+
 void
 targets_expire(targets_t *targets, time_us_t now)
 {
@@ -401,10 +554,13 @@
 		target_t *target = g_ptr_array_index(targets->all, i - 1);
 
 		if (removal_is_due(targets, target, now))
-			target_unlist(targets, target);
+			target_depart(targets, target, DEPARTURE_REMOVED,
+			    target->removal_revision, target->removed_at, now);
 		else if (target->unlisted && target->in_flight == 0)
 			target_free(targets, target);
 	}
+	departures_expire(
+	    targets->departures, now, departure_is_listed, targets);
 }
 
 void
@@ -456,7 +612,8 @@
 {
 	return !target->unlisted && target->entry.state == TARGET_READY &&
 	       target->region == targets->own_region &&
-	       !targets_is_evacuated(targets, target->entry.zone);
+	       !targets_is_evacuated(targets, target->entry.zone) &&
+	       !is_departing(targets, target);
 }
 
 bool
@@ -622,15 +779,58 @@
 	if (target->refused && now - target->refused_at < TARGET_FULL_TELL_US)
 		notices[n++] = notice_create(
 		    target, TARGET_NOTICE_FULL, target->refused_at, 0, now);
+	if (target->removal_at != 0 && target->in_service_at != 0 &&
+	    now - target->in_service_at < IN_SERVICE_TELL_US)
+		notices[n++] = notice_create(target, TARGET_NOTICE_IN_SERVICE,
+		    target->in_service_at, 0, now);
+	return n;
+}
+
+static target_notice_kind_t
+departure_notice_kind(departure_kind_t kind)
+{
+	switch (kind) {
+	case DEPARTURE_REMOVED:
+		return TARGET_NOTICE_REMOVED;
+	case DEPARTURE_CONFIRMED:
+		return TARGET_NOTICE_LEFT;
+	case DEPARTURE_STATED:
+		break;
+	}
+	return TARGET_NOTICE_LEAVING;
+}
+
+static size_t
+departure_notices(targets_t *targets, target_notice_t *notices, size_t limit,
+    bool round, time_us_t now)
+{
+	g_autofree departure_t *departures = g_new(departure_t, limit);
+	size_t n_due = departures_export(
+	    targets->departures, departures, limit, round, now);
+	size_t n = 0;
+
+	for (size_t i = 0; i < n_due; i++) {
+		const departure_t *departure = &departures[i];
+
+		/* Revisions of another era can't be compared. */
+		if (departure->kind != DEPARTURE_STATED &&
+		    departure->revision.era != targets->era)
+			continue;
+		notices[n++] = (target_notice_t){departure->target,
+		    departure->start, departure_notice_kind(departure->kind),
+		    (uint32_t)((now - departure->known_at) / US_PER_MS),
+		    (uint32_t)departure->revision.number};
+	}
 	return n;
 }
 
 size_t
-targets_export_notices(
-    targets_t *targets, target_notice_t *notices, size_t limit, time_us_t now)
+targets_export_notices(targets_t *targets, target_notice_t *notices,
+    size_t limit, bool round, time_us_t now)
 {
 	guint len = targets->all->len;
-	size_t n = 0;
+	size_t n = departure_notices(
+	    targets, notices, limit / NOTICES_DEPARTURE_DIVISOR, round, now);
 
 	for (guint step = 0; step < len; step++) {
 		guint at = targets->notices_cursor % len;
@@ -683,6 +883,49 @@
 	return true;
 }
 
+bool
+target_notice_is_departure(const target_notice_t *notice)
+{
+	return notice->kind == TARGET_NOTICE_REMOVED ||
+	       notice->kind == TARGET_NOTICE_LEFT ||
+	       notice->kind == TARGET_NOTICE_LEAVING;
+}
+
+/* The revision with these low bits that is nearest to a known one. */
+static revision_t
+revision_near(revision_t known, uint32_t low)
+{
+	int32_t distance = (int32_t)(low - (uint32_t)known.number);
+
+	return (revision_t){known.era, known.number + distance};
+}
+
+static bool
+departure_import(targets_t *targets, target_t *target, departure_kind_t kind,
+    uint32_t revision, time_us_t known_at, time_us_t now)
+{
+	departure_t departure = {target->short_id, target_start_id(target),
+	    kind, revision_near(target->entry.revision, revision), known_at};
+
+	if (target->region != targets->own_region ||
+	    entry_ends_departure(&target->entry, kind, departure.revision) ||
+	    !departures_note(targets->departures, &departure, true, now))
+		return false;
+	/* The other instance may not know that entries have lapsed. */
+	if (kind == DEPARTURE_REMOVED)
+		removal_doubt(target, departure.revision,
+		    now + TARGET_REMOVAL_GRACE_US,
+		    now + TARGET_TOLD_CHECK_DELAY_US, now);
+	return true;
+}
+
+static void
+in_service_import(target_t *target, time_us_t stated_at)
+{
+	if (target->removal_at != 0 && stated_at > target->removed_at)
+		target->in_service_at = MAX(target->in_service_at, stated_at);
+}
+
 target_t *
 targets_import_notice(
     targets_t *targets, const target_notice_t *notice, time_us_t now)
@@ -717,6 +960,21 @@
 		    now - stated_at < TARGET_FULL_TELL_US)
 			note_refused(target, stated_at);
 		break;
+	case TARGET_NOTICE_REMOVED:
+		changed = departure_import(targets, target, DEPARTURE_REMOVED,
+		    notice->value, stated_at, now);
+		break;
+	case TARGET_NOTICE_LEFT:
+		changed = departure_import(targets, target, DEPARTURE_CONFIRMED,
+		    notice->value, stated_at, now);
+		break;
+	case TARGET_NOTICE_LEAVING:
+		changed = departure_import(targets, target, DEPARTURE_STATED,
+		    notice->value, stated_at, now);
+		break;
+	case TARGET_NOTICE_IN_SERVICE:
+		in_service_import(target, stated_at);
+		break;
 	case TARGET_NOTICE_KIND_COUNT:
 		break;
 	}
@@ -825,6 +1083,7 @@
 		target->granted_slots--;
 	target->pending_tokens += tokens;
 	target->allowance -= 1;
+	target->last_sent_at = now;
 	if (target->backoff > 0)
 		target->probing = true;
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -467,6 +467,33 @@
 	    LOG_I("sender", target->sender_share > 0));
 }
 
+/* source: where this instance learnt of it, for the log. */
+void
+gateway_note_departure(
+    gateway_t *gateway, const target_t *target, const char *source)
+{
+	static const char *const kinds[] = {
+	    [DEPARTURE_REMOVED] = "removed",
+	    [DEPARTURE_CONFIRMED] = "left",
+	    [DEPARTURE_STATED] = "leaving",
+	};
+	const departure_t *departure =
+	    targets_departure(gateway->targets, target);
+	time_us_t late;
+
+	if (departure == NULL)
+		return;
+	late = target->last_sent_at - departure->known_at;
+	counter_increment("target_departures", "source", source);
+	log_event(LOG_INFO, "target_departure",
+	    LOG_S("target", target->entry.id),
+	    LOG_S("kind", kinds[departure->kind]), LOG_S("source", source),
+	    LOG_I("age_ms",
+		(gateway_now(gateway) - departure->known_at) / US_PER_MS),
+	    LOG_I("late_ms", MAX(late, 0) / US_PER_MS),
+	    LOG_I("started_ms", target->entry.started_ms));
+}
+
 static void
 on_target(void *owner, const target_entry_t *entry)
 {
@@ -496,7 +523,7 @@
 		    LOG_I("cold_ms", entry->cold_ms),
 		    LOG_I("started_ms", entry->started_ms),
 		    LOG_S("source", origin.source), LOG_S("by", origin.by),
-		    LOG_I("revision", origin.revision));
+		    LOG_I("revision", origin.revision.number));
 	gateway_schedule_queues(gateway);
 }
 
@@ -512,11 +539,11 @@
 	if (targets_find(gateway->targets, id) == NULL)
 		return;
 	origin = store_origin(gateway->store);
-	targets_remove(gateway->targets, id, now);
+	targets_remove(gateway->targets, id, origin.revision, now);
 	target = targets_find(gateway->targets, id);
 	log_event(LOG_INFO, "target_removed", LOG_S("target", id),
 	    LOG_S("source", origin.source), LOG_S("by", origin.by),
-	    LOG_I("revision", origin.revision),
+	    LOG_I("revision", origin.revision.number),
 	    LOG_I("kept_ms",
 		target ? (target->removal_at - now) / US_PER_MS : 0));
 }
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -420,10 +420,10 @@
 }
 
 static void
-notices_fill(gateway_t *gateway, message_t *message, time_us_t now)
+notices_fill(gateway_t *gateway, message_t *message, bool round, time_us_t now)
 {
 	message->n_notices = (uint32_t)targets_export_notices(
-	    gateway->targets, message->notices, NOTICE_LIMIT, now);
+	    gateway->targets, message->notices, NOTICE_LIMIT, round, now);
 }
 
 static bool
@@ -619,7 +619,7 @@
 	size_t remote_len = 0;
 
 	reports_fill(gateway, &gossip->message, now);
-	notices_fill(gateway, &gossip->message, now);
+	notices_fill(gateway, &gossip->message, true, now);
 	for (size_t i = 0; i < n; i++) {
 		bool local = is_local(gateway, ips[i]);
 
@@ -662,7 +662,7 @@
 	gossip->message.n_notices = 0;
 	if (kind == MESSAGE_INSTANCE) {
 		reports_fill(gateway, &gossip->message, now);
-		notices_fill(gateway, &gossip->message, now);
+		notices_fill(gateway, &gossip->message, false, now);
 		memcpy(gossip->message.records, gossip->records,
 		    gossip->n_records * sizeof(stream_record_t));
 		gossip->message.n_records = gossip->n_records;
@@ -894,10 +894,21 @@
 notices_apply(gateway_t *gateway, const message_t *message, time_us_t now)
 {
 	for (uint32_t i = 0; i < message->n_notices; i++) {
-		target_t *target = targets_import_notice(
-		    gateway->targets, &message->notices[i], now);
-
-		if (target != NULL)
+		const target_notice_t *notice = &message->notices[i];
+		bool is_departure = target_notice_is_departure(notice);
+		target_t *target;
+
+		/* Its revision is of the sender's era. */
+		if (is_departure && notice->kind != TARGET_NOTICE_LEAVING &&
+		    message->store_revision.era !=
+			store_revision(gateway->store).era)
+			continue;
+		target = targets_import_notice(gateway->targets, notice, now);
+		if (target == NULL)
+			continue;
+		if (is_departure)
+			gateway_note_departure(gateway, target, "instance");
+		else
 			gateway_note_target(gateway, target, "instance");
 	}
 }
--- a/gateway/health.c
+++ b/gateway/health.c
@@ -92,7 +92,9 @@
 	    LOG_S("target", target->entry.id),
 	    LOG_I("status", check->health.status),
 	    LOG_I("age_ms", (now - target->removed_at) / US_PER_MS));
-	return targets_note_health(gateway->targets, target, false, now);
+	targets_note_health(gateway->targets, target, false, now);
+	gossip_round(gateway->gossip);
+	return true;
 }
 
 /* The address may meanwhile belong to another target. */
@@ -225,15 +227,20 @@
 is_due(const health_checks_t *checks, const target_t *target, time_us_t now)
 {
 	const gateway_t *gateway = checks->gateway;
+	bool responsible;
 
 	if (now < target->next_check_at ||
 	    !target_is_usable(gateway->targets, target) ||
 	    g_hash_table_contains(checks->running, &target->handle))
 		return false;
+	if (!target->maybe_restarted && target->removal_at == 0 &&
+	    !checks->stale)
+		return false;
+	responsible = members_is_responsible(
+	    gateway->members, target->short_id, CHECKERS, now);
 	return target->maybe_restarted ||
-	       target_removal_wants_check(target, now) ||
-	       (checks->stale && members_is_responsible(gateway->members,
-				     target->short_id, CHECKERS, now));
+	       target_removal_wants_check(target, responsible, now) ||
+	       (checks->stale && responsible);
 }
 
 void
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -197,6 +197,12 @@
  */
 void gateway_note_target(
     gateway_t *gateway, target_t *target, const char *source);
+/*
+ * Called when this instance learns of a target's departure other than by the
+ * publisher's store.
+ */
+void gateway_note_departure(
+    gateway_t *gateway, const target_t *target, const char *source);
 /* Writes the relays of the region; none if this instance is one. */
 size_t gateway_relays(gateway_t *gateway, uint32_t ips[RELAY_COUNT]);
 /* Whether no target has joined that this instance hasn't heard of. */
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -7,7 +7,9 @@
 #include <stdint.h>
 
 #include "balance/pace.h"
+#include "core/departures.h"
 #include "core/handle.h"
+#include "core/revision.h"
 #include "core/topology.h"
 #include "core/types.h"
 #include "core/zone_load.h"
@@ -33,6 +35,12 @@
  */
 #define TARGET_IN_SERVICE_MAX_AGE_US (1500 * US_PER_MS)
 
+/*
+ * An instance that is told of a removal asks the target after this time, in
+ * which its own source usually says the same.
+ */
+#define TARGET_TOLD_CHECK_DELAY_US (400 * US_PER_MS)
+
 /*
  * Longer than a watch of the publisher's list takes to return or to fail: a
  * list that isn't confirmed for this long is stale.
@@ -143,6 +151,7 @@
 	int64_t cold_ms;      /* remaining time in which it is cold */
 	int64_t started_ms;   /* Unix time of its start, 0: unknown */
 	int64_t remaining_ms; /* until its removal, -1: unknown */
+	revision_t revision;  /* of the entry; number 0: unknown */
 } target_entry_t;
 
 /* Load of one target as reported by another instance of the region. */
@@ -163,6 +172,12 @@
 	TARGET_NOTICE_REPLACED, /* value: 0 */
 	TARGET_NOTICE_REFUSALS, /* value: refusals in 1,000 s, or none */
 	TARGET_NOTICE_FULL,	/* a fragile one refused a request; value: 0 */
+	/* See departure_kind_t; value: low bits of the revision. */
+	TARGET_NOTICE_REMOVED,
+	TARGET_NOTICE_LEFT,    /* DEPARTURE_CONFIRMED */
+	TARGET_NOTICE_LEAVING, /* DEPARTURE_STATED */
+	/* Its removal is doubted, and it is in service; value: 0. */
+	TARGET_NOTICE_IN_SERVICE,
 	TARGET_NOTICE_KIND_COUNT
 } target_notice_kind_t;
 
@@ -233,6 +248,7 @@
 	time_us_t event_gap_at;
 	double peer_event_gap_ms; /* average reported by other instances */
 	time_us_t peer_event_gap_at;
+	time_us_t last_sent_at; /* last request of this instance; 0: never */
 	time_us_t last_activity_at; /* last byte received, or start of the first
 			     attempt in flight; 0: none in flight */
 	/* Warm-up. */
@@ -253,8 +269,10 @@
 	 * use; 0: none. */
 	double sender_share;
 	/* Of a removal that is doubted; 0: there is none. */
-	time_us_t removal_at;	 /* end of the grace */
-	time_us_t removed_at;	 /* when it was read */
+	time_us_t removal_at; /* end of the grace */
+	time_us_t removed_at; /* when it was read */
+	time_us_t check_from; /* the target is asked for its health */
+	revision_t removal_revision;
 	time_us_t in_service_at; /* last health answer that it is in service */
 	GHashTable *prefixes;	 /* chain hash -> prefix_t */
 	uint64_t prefix_tokens;
@@ -269,7 +287,10 @@
 void targets_on_free(
     targets_t *targets, void (*on_free)(target_t *, void *), void *context);
 
-/* Adds or replaces a listed entry. Returns its target. */
+/*
+ * Adds or replaces a listed entry. Returns its target. An entry that isn't
+ * later than what is known of the target's departure doesn't bring it back.
+ */
 target_t *targets_put(
     targets_t *targets, const target_entry_t *entry, time_us_t now);
 
@@ -277,13 +298,18 @@
  * Removes an entry that is no longer listed: immediately, or, when the
  * publisher is unreachable or was so within the last TARGET_REMOVAL_GRACE_US,
  * TARGET_REMOVAL_GRACE_US after its return. If it is unreachable then, the
- * target is kept only while it says itself that it is in service.
+ * target is kept only while it says itself that it is in service. revision: of
+ * the removal, or of a range without the entry; number 0: unknown.
  */
-void targets_remove(targets_t *targets, const char *id, time_us_t now);
+void targets_remove(
+    targets_t *targets, const char *id, revision_t revision, time_us_t now);
 
-/* Returns whether to ask the target for its health, as its removal is doubted.
+/*
+ * Returns whether to ask the target for its health, as its removal is doubted.
+ * responsible: this instance is one of the few that ask first and tell others.
  */
-bool target_removal_wants_check(const target_t *target, time_us_t now);
+bool target_removal_wants_check(
+    const target_t *target, bool responsible, time_us_t now);
 
 /*
  * Records a health answer of a target whose removal is doubted. Returns whether
@@ -296,6 +322,16 @@
 void targets_set_publisher_reachable(
     targets_t *targets, bool reachable, time_us_t now);
 
+/*
+ * Records that the target said itself that it leaves. Returns whether that is
+ * news.
+ */
+bool targets_note_leaving(targets_t *targets, target_t *target, time_us_t now);
+
+/* Returns what is known of the target's departure; NULL: nothing. */
+const departure_t *targets_departure(
+    const targets_t *targets, const target_t *target);
+
 /* Performs removals that are due. Call a few times a second. */
 void targets_expire(targets_t *targets, time_us_t now);
 
@@ -326,8 +362,9 @@
 bool target_version_is_certain(const target_t *target, time_us_t now);
 
 /*
- * Returns whether the target's entry allows new requests: it is ready, in the
- * own region, and its zone is not evacuated. Doesn't consider its health.
+ * Returns whether the target may get new requests: it is listed as ready, in
+ * the own region, it isn't known to leave, and its zone is not evacuated.
+ * Doesn't consider its health.
  */
 bool target_is_usable(const targets_t *targets, const target_t *target);
 
@@ -391,15 +428,19 @@
 uint32_t target_start_id(const target_t *target);
 
 /*
- * Writes what targets said of themselves and still holds, beginning after the
- * last one that was written. Returns the number written, at most limit.
+ * Writes what targets said of themselves and still holds, and departures,
+ * beginning after the last one that was written. round: see
+ * departures_export(). Returns the number written, at most limit.
  */
-size_t targets_export_notices(
-    targets_t *targets, target_notice_t *notices, size_t limit, time_us_t now);
+size_t targets_export_notices(targets_t *targets, target_notice_t *notices,
+    size_t limit, bool round, time_us_t now);
+
+/* Returns whether a notice tells of a departure. */
+bool target_notice_is_departure(const target_notice_t *notice);
 
 /*
- * Applies a notice unless a later answer of the target is known, which is then
- * reported again. Returns the target if it changed.
+ * Applies a notice unless a later answer or entry of the target is known; such
+ * an answer is reported again. Returns the target if it changed.
  */
 target_t *targets_import_notice(
     targets_t *targets, const target_notice_t *notice, time_us_t now);
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -121,12 +121,12 @@
 
 /*
  * Where the item that is reported by the present callback comes from. revision:
- * 0 if it isn't known, as of a key that a range lacks.
+ * of its change; of the range for a key that it lacks; number 0: unknown.
  */
 typedef struct {
 	const char *source; /* "store" or "relay" */
 	const char *by;	    /* "range", "watch", or "copy" after a restore */
-	int64_t revision;
+	revision_t revision;
 } store_origin_t;
 
 store_origin_t store_origin(const store_t *store);
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -86,7 +86,7 @@
 {
 	target_notice_t notices[NOTICE_LIMIT];
 	size_t n = targets_export_notices(
-	    from->targets, notices, NOTICE_LIMIT, sim->now);
+	    from->targets, notices, NOTICE_LIMIT, true, sim->now);
 
 	for (size_t i = 0; i < n; i++)
 		targets_import_notice(to->targets, &notices[i], sim->now);
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -4,6 +4,8 @@
 
 #include "test.h"
 
+static const revision_t UNKNOWN;
+
 typedef struct {
 	topology_t *topology;
 	targets_t *targets;
@@ -79,13 +81,13 @@
 	put(&f, "t1");
 	put(&f, "t2");
 	put(&f, "t3");
-	targets_remove(f.targets, "t1", f.now);
+	targets_remove(f.targets, "t1", UNKNOWN, f.now);
 	ck_assert_ptr_null(targets_find(f.targets, "t1"));
 	targets_set_publisher_reachable(f.targets, false, f.now);
 	f.now += US_PER_S;
 	targets_set_publisher_reachable(f.targets, true, f.now);
-	targets_remove(f.targets, "t2", f.now);
-	targets_remove(f.targets, "t3", f.now);
+	targets_remove(f.targets, "t2", UNKNOWN, f.now);
+	targets_remove(f.targets, "t3", UNKNOWN, f.now);
 	f.now += US_PER_S;
 	put(&f, "t3");
 	f.now += TARGET_REMOVAL_GRACE_US;
@@ -108,7 +110,7 @@
 	f.now += US_PER_S;
 	targets_set_publisher_reachable(f.targets, true, f.now);
 	f.now += TARGET_REMOVAL_GRACE_US - 100 * US_PER_MS;
-	targets_remove(f.targets, "t1", f.now);
+	targets_remove(f.targets, "t1", UNKNOWN, f.now);
 	ck_assert_ptr_nonnull(targets_find(f.targets, "t1"));
 	f.now += 100 * US_PER_MS;
 	targets_expire(f.targets, f.now);
@@ -124,7 +126,7 @@
 	targets_set_publisher_reachable(f->targets, false, f->now);
 	f->now += US_PER_S;
 	targets_set_publisher_reachable(f->targets, true, f->now);
-	targets_remove(f->targets, "t1", f->now);
+	targets_remove(f->targets, "t1", UNKNOWN, f->now);
 	f->now += US_PER_S;
 	targets_set_publisher_reachable(f->targets, false, f->now);
 }
@@ -159,7 +161,7 @@
 	remove_between_outages(&f);
 	target = targets_find(f.targets, "t1");
 	for (int i = 0; i < 100; i++) {
-		if (target_removal_wants_check(target, f.now))
+		if (target_removal_wants_check(target, true, f.now))
 			ck_assert(!targets_note_health(
 			    f.targets, target, true, f.now));
 		f.now += 100 * US_PER_MS;
@@ -184,15 +186,15 @@
 	fixture_t f = fixture_create();
 	target_t *target = put(&f, "t1");
 
-	ck_assert(!target_removal_wants_check(target, f.now));
+	ck_assert(!target_removal_wants_check(target, true, f.now));
 	ck_assert(!targets_note_health(f.targets, target, false, f.now));
 	targets_set_publisher_reachable(f.targets, false, f.now);
 	f.now += US_PER_S;
 	targets_set_publisher_reachable(f.targets, true, f.now);
-	targets_remove(f.targets, "t1", f.now);
-	ck_assert(target_removal_wants_check(target, f.now));
+	targets_remove(f.targets, "t1", UNKNOWN, f.now);
+	ck_assert(target_removal_wants_check(target, true, f.now));
 	targets_note_health(f.targets, target, true, f.now);
-	ck_assert(!target_removal_wants_check(target, f.now));
+	ck_assert(!target_removal_wants_check(target, true, f.now));
 	ck_assert(targets_note_health(f.targets, target, false, f.now));
 	ck_assert_ptr_null(targets_find(f.targets, "t1"));
 	fixture_destroy(&f);
@@ -411,7 +413,7 @@
 	ck_assert(target_note_replaced(target, f.now));
 	ck_assert(!target_note_replaced(target, f.now));
 	ck_assert(!target_is_healthy(target, f.now));
-	n = targets_export_notices(f.targets, notices, 4, f.now);
+	n = targets_export_notices(f.targets, notices, 4, true, f.now);
 	ck_assert_uint_eq(n, 1);
 	ck_assert_ptr_eq(
 	    targets_import_notice(other.targets, &notices[0], other.now),
@@ -423,7 +425,7 @@
 	f.now += TARGET_REPLACED_US;
 	ck_assert(target_is_healthy(target, f.now));
 	ck_assert_uint_eq(
-	    targets_export_notices(f.targets, notices, 4, f.now), 0);
+	    targets_export_notices(f.targets, notices, 4, true, f.now), 0);
 	entry.started_ms = 2;
 	theirs = targets_put(other.targets, &entry, other.now);
 	ck_assert(target_is_healthy(theirs, other.now));
@@ -514,7 +516,7 @@
 {
 	target_notice_t notices[8];
 	size_t n = targets_export_notices(
-	    from->targets, notices, G_N_ELEMENTS(notices), from->now);
+	    from->targets, notices, G_N_ELEMENTS(notices), true, from->now);
 
 	from->now += transit;
 	to->now += transit;
@@ -577,7 +579,8 @@
 	}
 	for (int i = 0; i < 4; i++) {
 		target_notice_t notices[3];
-		size_t n = targets_export_notices(f.targets, notices, 3, f.now);
+		size_t n =
+		    targets_export_notices(f.targets, notices, 3, true, f.now);
 
 		ck_assert_uint_eq(n, 3);
 		for (size_t j = 0; j < n; j++)
