core: what was removed doesn't come back from a source that lags

A target whose removal an instance had read was listed there again as ready when everything was read anew from a relay that hadn't read the removal yet: within an era a lower revision was recognized only while the key was known, and a removed key isn't. The same held for an evacuation that was taken back.

The keyspace remembers replaced and removed items already, to recognize those that a copy of the store brings back in another era. An item that ended in the present era is now ignored as well, until it is written again.

test_keyspace, item_that_ended_in_this_era_does_not_come_back, failed before: the older item was applied.

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -119,6 +119,18 @@
 	return era != NULL && *era != keyspace->era;
 }
 
+/*
+ * Whether the item was replaced or removed in this era. A source that lags may
+ * still have it.
+ */
+static bool
+has_ended(const keyspace_t *keyspace, uint64_t digest)
+{
+	const int64_t *era = g_hash_table_lookup(keyspace->replaced, &digest);
+
+	return era != NULL && *era == keyspace->era;
+}
+
 void
 keyspace_begin_era(keyspace_t *keyspace, int64_t era, time_us_t now)
 {
@@ -178,6 +190,11 @@
 	if (known->exists && known->era == keyspace->era &&
 	    revision < known->revision)
 		return KEYSPACE_IGNORE;
+	if (has_ended(keyspace, digest)) {
+		if (!known->exists && known->held == HELD_NOTHING)
+			g_hash_table_remove(keyspace->keys, key);
+		return KEYSPACE_IGNORE;
+	}
 	if (!(known->exists && known->digest == digest) &&
 	    is_restored(keyspace, digest)) {
 		hold(keyspace, known, HELD_ITEM, value, revision,
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -218,4 +218,29 @@
 	world_destroy(&world);
 }
 
+/*
+ * Guards against a target that is used again after it has left: a source that
+ * lags still has its entry.
+ */
+TEST(item_that_ended_in_this_era_does_not_come_back)
+{
+	world_t world;
+
+	world_create(&world);
+	put(&world, "a", "1", 5);
+	put(&world, "b", "1", 6);
+	drop(&world, "a", 7);
+	keyspace_begin_range(world.keys);
+	keyspace_end_range(world.keys, 8, on_apply, &world);
+	ck_assert_uint_eq(g_hash_table_size(world.in_force), 0);
+	ck_assert_int_eq(put(&world, "a", "1", 5), KEYSPACE_IGNORE);
+	ck_assert_int_eq(put(&world, "b", "1", 6), KEYSPACE_IGNORE);
+	ck_assert_uint_eq(g_hash_table_size(world.in_force), 0);
+	/* Written again, or in another era. */
+	ck_assert_int_eq(put(&world, "a", "1", 9), KEYSPACE_APPLY);
+	keyspace_begin_era(world.keys, 2, 0);
+	ck_assert_int_eq(put(&world, "b", "1", 6), KEYSPACE_HOLD);
+	world_destroy(&world);
+}
+
 TEST_MAIN("keyspace")
