gateway, platform: a target that says in its answers that it leaves isn't used

The field wasn't read: with the store away, an instance went on sending to such a target for as long as it served.

Now the field is read in answers and in health answers. It is one more source of a departure: the instance stops at once and tells the others.

process_leaving, target_that_says_in_an_answer_that_it_leaves_is_not_used, failed before, with the store away: after the first such answer the same instance sent 6 of 16 requests to that target.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -77,10 +77,16 @@
 note_departed_target(gateway_t *gateway, const request_t *request,
     const target_t *target, const char *request_id)
 {
-	time_us_t age = gateway_now(gateway) - target->removed_at;
+	const departure_t *departure =
+	    targets_departure(gateway->targets, target);
+	time_us_t known_at = target->removed_at;
+	time_us_t age;
 
 	if (target->removal_at == 0)
 		return;
+	if (departure != NULL)
+		known_at = MIN(known_at, departure->known_at);
+	age = gateway_now(gateway) - known_at;
 	latencies_record(
 	    gateway->latencies, LATENCY_DEPARTED, request->route->kind, age);
 	if (age >= DEPARTED_TARGET_LOG_US)
@@ -386,13 +392,15 @@
 }
 
 static void
-attempt_note_leaving(const attempt_t *attempt, const target_t *target)
+attempt_note_leaving(const attempt_t *attempt, target_t *target, time_us_t now)
 {
+	gateway_t *gateway = attempt->gateway;
+
 	counter_increment("target_answers_leaving", NULL, NULL);
-	log_event(LOG_INFO, "target_states_leaving",
-	    LOG_S("target", target->entry.id),
-	    LOG_S("request", attempt->request_id),
-	    LOG_I("listed_ready", target->entry.state == TARGET_READY));
+	if (!targets_note_leaving(gateway->targets, target, now))
+		return;
+	gateway_note_departure(gateway, target, "answer");
+	gossip_round(gateway->gossip);
 }
 
 static bool
@@ -431,7 +439,7 @@
 			attempt_note_load(attempt, target, now);
 			attempt_note_rates(attempt, target, now);
 			if (attempt->response.leaving)
-				attempt_note_leaving(attempt, target);
+				attempt_note_leaving(attempt, target, now);
 		}
 		if (!attempt->response.event_stream)
 			attempt_first_byte(attempt, target, now);
--- a/gateway/health.c
+++ b/gateway/health.c
@@ -113,6 +113,11 @@
 		return;
 	if (strcmp(check->health.target, target->entry.id) != 0)
 		return;
+	if (check->health.leaving &&
+	    targets_note_leaving(gateway->targets, target, now)) {
+		gateway_note_departure(gateway, target, "health");
+		gossip_round(gateway->gossip);
+	}
 	was_cold = target_is_cold(target, now);
 	/* A target that states no cold time is warm. */
 	target_note_cold(target, MAX(check->health.cold_ms, 0), now);
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -99,8 +99,8 @@
 	unsigned status;
 	char target[NAME_LIMIT + 1]; /* id; "" when absent */
 	int64_t cold_ms;	     /* -1: absent or malformed */
-	bool
-	    refused; /* for want of room; says nothing of the target's health */
+	bool refused; /* for want of room; says nothing of its health */
+	bool leaving; /* it says that it leaves */
 } target_health_t;
 
 void platform_health_read(const http_head_t *head, target_health_t *health);
--- a/tests/process_leaving.c
+++ b/tests/process_leaving.c
@@ -13,6 +13,10 @@
 /* Until an instance has read what changed since it last reached the store. */
 #define RETURN_US 1300000
 
+/* Until instances know each other, and until one has heard another's news. */
+#define SETTLE_US 1500000
+#define TOLD_US 400000
+
 #define GRACE_US ((gulong)TARGET_REMOVAL_GRACE_US)
 
 /* Sends requests in turn; each is answered with 200. */
@@ -72,4 +76,30 @@
 	world_destroy(&world);
 }
 
+/*
+ * Guards against a target that is used after it has said in an answer that it
+ * leaves, by the instance that passed the answer on or by another one. The
+ * publisher can't be asked, and has it as ready.
+ */
+TEST(target_that_says_in_an_answer_that_it_leaves_is_not_used)
+{
+	world_t world;
+
+	world_create(&world);
+	world_start(&world, 0, "a-1", true, true);
+	world_start(&world, 1, "a-1", true, true);
+	g_usleep(SETTLE_US);
+	fake_store_set_mode(world.store, STORE_RESETS);
+	fake_worker_set_leaving(world.workers[0], true);
+	/* Until it was asked once. */
+	calls_expect(&world, 0, "first");
+	ck_assert_uint_eq(calls_at(&world, 0, "first"), 1);
+	g_usleep(TOLD_US);
+	calls_expect(&world, 0, "same");
+	calls_expect(&world, 1, "other");
+	ck_assert_uint_eq(calls_at(&world, 0, "same"), 0);
+	ck_assert_uint_eq(calls_at(&world, 0, "other"), 0);
+	world_destroy(&world);
+}
+
 TEST_MAIN("process_leaving")
