gateway: look at the target again when a connection to it is established

A request that waits for a connection (up to 400 ms) was sent when it was established, whatever had become known of its target meanwhile: that it leaves, or that its zone is evacuated. Found by reading, as one of the places between the choice of a target and the send; a queued request is chosen for in the same step as it is sent, and one that is passed on is chosen for by the other instance.

Now the target must still be usable then. If not, nothing is sent, and the request goes to another one. test_tcp, output_of_a_connection_closed_when_established_is_not_sent, shows what this relies on. There is no test of the gateway that fails before: on loopback a connection is established at once.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -559,10 +559,21 @@
 on_connected(void *owner)
 {
 	upstream_t *upstream = owner;
+	const target_t *target;
 
 	ev_timer_stop(upstream->gateway->loop, &upstream->connect_timer);
-	if (upstream->attempt != NULL && attempt_target(upstream->attempt))
-		gateway_note_target_connected(upstream->gateway);
+	if (upstream->attempt == NULL)
+		return;
+	target = attempt_target(upstream->attempt);
+	if (target == NULL)
+		return;
+	gateway_note_target_connected(upstream->gateway);
+	/* Nothing is sent yet, and the target may have left meanwhile. */
+	if (target_is_usable(upstream->gateway->targets, target))
+		return;
+	counter_increment("requests_not_sent", "reason", "target_left");
+	attempt_fail(
+	    upstream->attempt, FAILURE_UNREACHABLE, TARGET_RESULT_CANCELLED);
 }
 
 const tcp_events_t attempt_connection_events = {
--- a/tests/test_tcp.c
+++ b/tests/test_tcp.c
@@ -253,4 +253,34 @@
 	link_destroy(&link);
 }
 
+static void
+on_connected(void *owner)
+{
+	tcp_close(((link_t *)owner)->connection);
+}
+
+static const tcp_events_t closing_events = {
+    .connected = on_connected,
+    .received = on_received,
+    .ended = on_ended,
+};
+
+/*
+ * Guards against a request that reaches a target which left while the
+ * connection was opened: the owner closes it then, and nothing may be sent.
+ */
+TEST(output_of_a_connection_closed_when_established_is_not_sent)
+{
+	link_t link;
+	char byte;
+
+	link_create(&link);
+	tcp_set_owner(link.connection, &closing_events, &link);
+	tcp_send(link.connection, "GET", 3);
+	link_run(&link, 0.05);
+	ck_assert_int_eq(recv(link.peer, &byte, 1, 0), 0);
+	close(link.peer);
+	link_destroy(&link);
+}
+
 TEST_MAIN("tcp")
