--- a/tests/platform_world.c
+++ b/tests/platform_world.c
@@ -29,6 +29,13 @@
 	    world->net[1], instance + 1);
 }
 
+uint32_t
+world_ip(const world_t *world, int instance)
+{
+	return UINT32_C(127) << 24 | (uint32_t)world->net[0] << 16 |
+	       (uint32_t)world->net[1] << 8 | (uint32_t)(instance + 1);
+}
+
 /* Ports that are free on the first instance's address are free on all: no
  * other test has these addresses. */
 static uint16_t
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -90,6 +90,9 @@
 /* Waits for the process to end. Returns its exit status, or -1. */
 int world_wait_end(world_t *world, int instance, int timeout_ms);
 
+/* The instance's address, host byte order. */
+uint32_t world_ip(const world_t *world, int instance);
+
 int world_connect(const world_t *world, int instance, world_port_t port);
 /* Connects a socket that the test has made. */
 bool world_connect_socket(
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -645,4 +645,180 @@
 	fixture_destroy(&f);
 }
 
+static target_t *
+put_revision(
+    fixture_t *f, const char *id, target_state_t state, int64_t revision)
+{
+	target_entry_t entry = entry_make(id);
+
+	entry.state = state;
+	entry.revision = (revision_t){1, revision};
+	return targets_put(f->targets, &entry, f->now);
+}
+
+static void
+remove_revision(fixture_t *f, const char *id, int64_t revision)
+{
+	targets_remove(f->targets, id, (revision_t){1, revision}, f->now);
+}
+
+static bool
+is_used(const fixture_t *f, const char *id)
+{
+	const target_t *target = targets_find(f->targets, id);
+
+	return target != NULL && target_is_usable(f->targets, target);
+}
+
+/*
+ * Guards against a target that is used again though it leaves: a copy of the
+ * store, or a source that is behind, has an older entry of the same start.
+ */
+TEST(draining_target_does_not_become_ready_again)
+{
+	fixture_t f = fixture_create();
+	target_entry_t entry = entry_make("t1");
+
+	put_revision(&f, "t1", TARGET_READY, 5);
+	put_revision(&f, "t1", TARGET_DRAINING, 7);
+	put_revision(&f, "t1", TARGET_READY, 9);
+	ck_assert(!is_used(&f, "t1"));
+	remove_revision(&f, "t1", 10);
+	put_revision(&f, "t1", TARGET_READY, 11);
+	ck_assert(!is_used(&f, "t1"));
+	/* Another process. */
+	entry.started_ms = 2;
+	targets_put(f.targets, &entry, f.now);
+	ck_assert(is_used(&f, "t1"));
+	fixture_destroy(&f);
+}
+
+/* Without the time of its start, a later entry may be of another process. */
+TEST(draining_target_of_unknown_start_may_become_ready_again)
+{
+	fixture_t f = fixture_create();
+	target_entry_t entry = entry_make("t1");
+
+	entry.started_ms = 0;
+	entry.state = TARGET_DRAINING;
+	entry.revision = (revision_t){1, 7};
+	targets_put(f.targets, &entry, f.now);
+	entry.state = TARGET_READY;
+	entry.revision.number = 6;
+	targets_put(f.targets, &entry, f.now);
+	ck_assert(!is_used(&f, "t1"));
+	entry.revision.number = 8;
+	targets_put(f.targets, &entry, f.now);
+	ck_assert(is_used(&f, "t1"));
+	fixture_destroy(&f);
+}
+
+/*
+ * Guards against a removal that is forgotten as an older entry is read from
+ * another source while the removal is doubted.
+ */
+TEST(older_entry_does_not_end_a_doubted_removal)
+{
+	fixture_t f = fixture_create();
+
+	put_revision(&f, "t1", TARGET_READY, 5);
+	put_revision(&f, "t2", TARGET_READY, 6);
+	targets_set_publisher_reachable(f.targets, false, f.now);
+	f.now += US_PER_S;
+	targets_set_publisher_reachable(f.targets, true, f.now);
+	remove_revision(&f, "t1", 8);
+	remove_revision(&f, "t2", 9);
+	put_revision(&f, "t1", TARGET_READY, 5);
+	put_revision(&f, "t2", TARGET_READY, 10);
+	f.now += TARGET_REMOVAL_GRACE_US;
+	targets_expire(f.targets, f.now);
+	ck_assert(!is_used(&f, "t1"));
+	ck_assert(is_used(&f, "t2"));
+	fixture_destroy(&f);
+}
+
+/* An entry that is later than the removal shows that it had only lapsed. */
+TEST(removal_that_is_told_is_older_than_a_later_entry)
+{
+	fixture_t a = fixture_create();
+	fixture_t b = fixture_create();
+	target_t *target;
+
+	put_revision(&a, "t1", TARGET_READY, 5);
+	put_revision(&b, "t1", TARGET_READY, 9);
+	remove_revision(&a, "t1", 8);
+	ck_assert_uint_eq(notices_pass(&a, &b, 0), 1);
+	target = targets_find(b.targets, "t1");
+	ck_assert_int_eq(target->removal_at, 0);
+	ck_assert_ptr_null(targets_departure(b.targets, target));
+	fixture_destroy(&a);
+	fixture_destroy(&b);
+}
+
+/*
+ * Guards against a target that is used for seconds by an instance whose source
+ * is behind, while others know that it has left. One that another instance only
+ * read to be removed may have lapsed, and is asked first.
+ */
+TEST(told_removal_is_decided_by_the_target)
+{
+	fixture_t a = fixture_create();
+	fixture_t b = fixture_create();
+	target_t *target;
+
+	put_revision(&a, "t1", TARGET_READY, 5);
+	target = put_revision(&b, "t1", TARGET_READY, 5);
+	remove_revision(&a, "t1", 8);
+	notices_pass(&a, &b, 0);
+	ck_assert(is_used(&b, "t1"));
+	ck_assert(!target_removal_wants_check(target, true, b.now));
+	b.now += TARGET_TOLD_CHECK_DELAY_US;
+	ck_assert(target_removal_wants_check(target, true, b.now));
+	ck_assert(!target_removal_wants_check(target, false, b.now));
+	ck_assert(targets_note_health(b.targets, target, false, b.now));
+	ck_assert(!is_used(&b, "t1"));
+	/* Its answer is believed by those that hear of it. */
+	put_revision(&a, "t1", TARGET_READY, 5);
+	a.now = b.now;
+	notices_pass(&b, &a, 0);
+	ck_assert(!is_used(&a, "t1"));
+	fixture_destroy(&a);
+	fixture_destroy(&b);
+}
+
+/* An entry of a source that is behind lists a target that has left anew. */
+TEST(older_entry_after_a_removal_is_doubted)
+{
+	fixture_t f = fixture_create();
+	target_t *target;
+
+	put_revision(&f, "t1", TARGET_READY, 5);
+	remove_revision(&f, "t1", 8);
+	target = put_revision(&f, "t1", TARGET_READY, 5);
+	ck_assert(target_removal_wants_check(target, true, f.now));
+	f.now += TARGET_REMOVAL_GRACE_US;
+	targets_expire(f.targets, f.now);
+	ck_assert(!is_used(&f, "t1"));
+	fixture_destroy(&f);
+}
+
+TEST(target_that_says_that_it_leaves_is_told_to_others)
+{
+	fixture_t a = fixture_create();
+	fixture_t b = fixture_create();
+
+	put_revision(&b, "t1", TARGET_READY, 5);
+	ck_assert(targets_note_leaving(
+	    a.targets, put_revision(&a, "t1", TARGET_READY, 5), a.now));
+	ck_assert(!is_used(&a, "t1"));
+	notices_pass(&a, &b, 20 * US_PER_MS);
+	ck_assert(!is_used(&b, "t1"));
+	ck_assert_int_le(
+	    targets_departure(b.targets, targets_find(b.targets, "t1"))
+		->known_at,
+	    b.now);
+	fixture_destroy(&a);
+	fixture_destroy(&b);
+}
+
 TEST_MAIN("targets")
