core: instances of all regions tell which targets leave

The first to know are beside the store, in another region than the target, and told nobody, as they don't use it.

Departures of targets of other regions are told as well, in rounds only: these reach the other regions, and the own zone has no use for them. A removal that is told from there is doubted like any other that is told, so that a region that was cut off still asks its targets.

--- a/core/departures.c
+++ b/core/departures.c
@@ -128,6 +128,8 @@
 {
 	if (now - record->departure.known_at >= DEPARTURE_TELL_US)
 		return false;
+	if (!round && !record->departure.local)
+		return false;
 	if (now - record->learnt_at < DEPARTURE_FRESH_US &&
 	    record->n_heard < DEPARTURE_HEARD_MIN)
 		return true;
--- a/core/targets.c
+++ b/core/targets.c
@@ -82,8 +82,8 @@
 	guint notices_cursor;	     /* index of the next target to export */
 	GHashTable *peers;	     /* load_sender_t -> peer_load_t */
 	GHashTable *models;	     /* service name -> pace_model_t */
-	departures_t *departures;    /* of targets of the own region */
-	int64_t era;		     /* of the entry or removal read last */
+	departures_t *departures;
+	int64_t era; /* of the entry or removal read last */
 	pace_log_t *pace_logs[PACE_AUDIENCE_COUNT];
 	void (*on_free)(target_t *, void *);
 	void *on_free_context;
@@ -289,17 +289,24 @@
 	return departure != NULL && departure->kind != DEPARTURE_REMOVED;
 }
 
-/* Returns whether that is news. Only targets of the own region are used. */
+static departure_t
+departure_of(const targets_t *targets, const target_t *target,
+    departure_kind_t kind, revision_t revision, time_us_t known_at)
+{
+	return (departure_t){target->short_id, target_start_id(target), kind,
+	    revision, known_at, target->region == targets->own_region};
+}
+
+/* Returns whether that is news. */
 static bool
 departure_note(targets_t *targets, const target_t *target,
     departure_kind_t kind, revision_t revision, time_us_t known_at,
     time_us_t now)
 {
-	departure_t departure = {target->short_id, target_start_id(target),
-	    kind, revision, known_at};
+	departure_t departure =
+	    departure_of(targets, target, kind, revision, known_at);
 
-	return target->region == targets->own_region &&
-	       departures_note(targets->departures, &departure, false, now);
+	return departures_note(targets->departures, &departure, false, now);
 }
 
 static bool
@@ -904,19 +911,18 @@
 departure_import(targets_t *targets, target_t *target, departure_kind_t kind,
     uint32_t revision, time_us_t known_at, time_us_t now)
 {
-	departure_t departure = {target->short_id, target_start_id(target),
-	    kind, revision_near(target->entry.revision, revision), known_at};
+	departure_t departure = departure_of(targets, target, kind,
+	    revision_near(target->entry.revision, revision), known_at);
 
-	if (target->region != targets->own_region ||
-	    entry_ends_departure(&target->entry, kind, departure.revision) ||
+	if (entry_ends_departure(&target->entry, kind, departure.revision) ||
 	    !departures_note(targets->departures, &departure, true, now))
 		return false;
 	/* The other instance may not know that entries have lapsed. */
-	if (kind == DEPARTURE_REMOVED)
+	if (kind == DEPARTURE_REMOVED && departure.local)
 		removal_doubt(target, departure.revision,
 		    now + TARGET_REMOVAL_GRACE_US,
 		    now + TARGET_TOLD_CHECK_DELAY_US, now);
-	return true;
+	return departure.local;
 }
 
 static void
--- a/include/core/departures.h
+++ b/include/core/departures.h
@@ -25,7 +25,8 @@
 /*
  * A new departure is told in each message, until others have told it
  * DEPARTURE_HEARD_MIN times or this time is over; then once in
- * DEPARTURE_RETELL_US, for instances that missed it.
+ * DEPARTURE_RETELL_US, for instances that missed it. One of another region is
+ * told in rounds only, which reach that region.
  */
 #define DEPARTURE_FRESH_US (2 * US_PER_S)
 #define DEPARTURE_HEARD_MIN 2
@@ -52,6 +53,7 @@
 	/* Of the entry that was last known, or of its removal. */
 	revision_t revision;
 	time_us_t known_at; /* when an instance first knew */
+	bool local;	    /* the target is of the own region */
 } departure_t;
 
 typedef struct departures departures_t;
--- a/tests/process_upgrade.c
+++ b/tests/process_upgrade.c
@@ -149,7 +149,7 @@
 {
 	struct sockaddr_in address = peer_address(world, SEED);
 	struct timeval timeout = {.tv_sec = DATAGRAM_TIMEOUT_MS / 1000,
-	    .tv_usec = DATAGRAM_TIMEOUT_MS % 1000 * 1000};
+	    .tv_usec = (suseconds_t)DATAGRAM_TIMEOUT_MS % 1000 * 1000};
 	int fd = socket(AF_INET, SOCK_DGRAM, 0);
 
 	ck_assert_int_eq(
--- a/tests/test_departures.c
+++ b/tests/test_departures.c
@@ -19,7 +19,7 @@
 note(fixture_t *f, uint32_t target, departure_kind_t kind, time_us_t known_at,
     bool told)
 {
-	departure_t departure = {target, 1, kind, {1, 5}, known_at};
+	departure_t departure = {target, 1, kind, {1, 5}, known_at, true};
 
 	return departures_note(f->departures, &departure, told, f->now);
 }
@@ -81,6 +81,18 @@
 	departures_destroy(f.departures);
 }
 
+/* The own zone doesn't use the target; rounds reach the region that does. */
+TEST(departure_in_another_region_is_told_in_rounds)
+{
+	fixture_t f = fixture_create();
+	departure_t departure = {7, 1, DEPARTURE_STATED, {1, 5}, f.now, false};
+
+	departures_note(f.departures, &departure, false, f.now);
+	ck_assert_uint_eq(export(&f, false), 0);
+	ck_assert_uint_eq(export(&f, true), 1);
+	departures_destroy(f.departures);
+}
+
 TEST(departures_beyond_the_limit_are_told_next)
 {
 	fixture_t f = fixture_create();
