core: a removal that was told yields to the own source

What one instance takes for removed was, after 2.5 s, removed by all that heard of it, also by those whose own source had read past that removal and still listed the target; its entry doesn't change, so that none would have used it again until a range. Found by reading; one instance's mistake must cost only itself.

The list is now noted with its revision. A target that is still listed after the revision of a removal that was only told is in service. What a target said itself, and what this instance has read itself, isn't concerned.

test_targets, told_removal_is_dropped_if_the_own_source_knows_better, failed before (the target was removed at the end of the grace).

--- a/core/targets.c
+++ b/core/targets.c
@@ -347,6 +347,7 @@
 	if (target->removal_at != 0)
 		return;
 	target->removal_at = removal_at;
+	target->removal_read = false;
 	target->removed_at = now;
 	target->check_from = check_from;
 	target->in_service_at = 0;
@@ -439,6 +440,7 @@
 	    targets->publisher_down ? now : targets->publisher_recovered_at;
 	removal_doubt(
 	    target, revision, recovered_at + TARGET_REMOVAL_GRACE_US, now, now);
+	target->removal_read = true;
 }
 
 /*
@@ -651,9 +653,25 @@
 }
 
 void
-targets_note_listed(targets_t *targets, time_us_t now)
+targets_note_listed(targets_t *targets, revision_t revision, time_us_t now)
 {
 	targets->listed_at = now;
+	if (revision.number == 0)
+		return;
+	for (guint i = 0; i < targets->all->len; i++) {
+		target_t *target = g_ptr_array_index(targets->all, i);
+		const departure_t *departure =
+		    targets_departure(targets, target);
+
+		if (target->unlisted || departure == NULL ||
+		    departure->kind == DEPARTURE_STATED ||
+		    (target->removal_at != 0 && target->removal_read) ||
+		    revision_compare(revision, departure->revision) < 0)
+			continue;
+		target->removal_at = 0;
+		departures_forget(
+		    targets->departures, departure->target, departure->start);
+	}
 }
 
 bool
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -567,7 +567,8 @@
 {
 	gateway_t *gateway = owner;
 
-	targets_note_listed(gateway->targets, gateway_now(gateway));
+	targets_note_listed(gateway->targets,
+	    store_targets_revision(gateway->store), gateway_now(gateway));
 	if (requested_at == 0)
 		return;
 	contact_note_confirmed(&gateway->contact, requested_at);
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -270,6 +270,7 @@
 	double sender_share;
 	/* Of a removal that is doubted; 0: there is none. */
 	time_us_t removal_at; /* end of the grace */
+	bool removal_read;    /* here, and not only told */
 	time_us_t removed_at; /* when it was read */
 	time_us_t check_from; /* the target is asked for its health */
 	revision_t removal_revision;
@@ -375,8 +376,14 @@
  */
 bool target_is_healthy(const target_t *target, time_us_t now);
 
-/* Records that the publisher's list was read and is up to date. */
-void targets_note_listed(targets_t *targets, time_us_t now);
+/*
+ * Records that the publisher's list was read and is up to date, as far as the
+ * source knows, with all changes up to this revision; number 0: unknown. A
+ * target that is still listed after the revision of a removal that was told is
+ * in service: the instance that told it was mistaken.
+ */
+void targets_note_listed(
+    targets_t *targets, revision_t revision, time_us_t now);
 
 /*
  * Returns whether the list is older than TARGET_LIST_MAX_AGE_US, so that
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -137,6 +137,9 @@
 /* Returns the revision of the newest change that was read. */
 revision_t store_revision(const store_t *store);
 
+/* Returns the revision up to which no change of a target is missing. */
+revision_t store_targets_revision(const store_t *store);
+
 /*
  * Returns the revision up to which no change is missing. A range has the state
  * after all changes before it, but doesn't tell the revisions of removals, so
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -638,7 +638,7 @@
 {
 	fixture_t f = fixture_create();
 
-	targets_note_listed(f.targets, f.now);
+	targets_note_listed(f.targets, UNKNOWN, f.now);
 	f.now += TARGET_LIST_MAX_AGE_US;
 	ck_assert(!targets_list_is_stale(f.targets, f.now));
 	ck_assert(targets_list_is_stale(f.targets, f.now + 1));
@@ -786,6 +786,43 @@
 	fixture_destroy(&b);
 }
 
+/*
+ * Guards against one instance's mistake that ends the use of a target on all:
+ * the own source has read past the removal that was told, and still lists it.
+ */
+TEST(told_removal_is_dropped_if_the_own_source_knows_better)
+{
+	fixture_t a = fixture_create();
+	fixture_t b = fixture_create();
+	target_t *target;
+
+	put_revision(&a, "t1", TARGET_READY, 5);
+	target = put_revision(&b, "t1", TARGET_READY, 5);
+	remove_revision(&a, "t1", 8);
+	notices_pass(&a, &b, 0);
+	targets_note_listed(b.targets, (revision_t){1, 7}, b.now);
+	ck_assert_int_ne(target->removal_at, 0);
+	targets_note_listed(b.targets, (revision_t){1, 8}, b.now);
+	ck_assert_int_eq(target->removal_at, 0);
+	b.now += TARGET_REMOVAL_GRACE_US;
+	targets_expire(b.targets, b.now);
+	ck_assert(is_used(&b, "t1"));
+	/* What it read itself, it doesn't doubt for that. */
+	targets_set_publisher_reachable(b.targets, false, b.now);
+	targets_set_publisher_reachable(b.targets, true, b.now);
+	remove_revision(&b, "t1", 9);
+	put_revision(&a, "t1", TARGET_READY, 8);
+	remove_revision(&a, "t1", 9);
+	a.now = b.now;
+	ck_assert_uint_gt(notices_pass(&a, &b, 0), 0);
+	targets_note_listed(b.targets, (revision_t){1, 10}, b.now);
+	b.now += TARGET_REMOVAL_GRACE_US;
+	targets_expire(b.targets, b.now);
+	ck_assert(!is_used(&b, "t1"));
+	fixture_destroy(&a);
+	fixture_destroy(&b);
+}
+
 /* An entry of a source that is behind lists a target that has left anew. */
 TEST(older_entry_after_a_removal_is_doubted)
 {
