core: a target isn't unlisted for what another instance told

The own source reports an entry once. A target that was unlisted as another instance had told its removal, because its health was bad or the grace was over, was lost here until a range, if that instance was mistaken. Found by reading.

It is now withheld: listed and not used, until the own source has read past the removal, or lists it again, or removes it.

--- a/core/targets.c
+++ b/core/targets.c
@@ -337,6 +337,14 @@
 		targets->era = revision.era;
 }
 
+static void
+removal_clear(target_t *target)
+{
+	target->removal_at = 0;
+	target->removal_read = false;
+	target->withheld = false;
+}
+
 /* The target may be in service; it is asked from check_from on. */
 static void
 removal_doubt(target_t *target, revision_t revision, time_us_t removal_at,
@@ -347,7 +355,6 @@
 	if (target->removal_at != 0)
 		return;
 	target->removal_at = removal_at;
-	target->removal_read = false;
 	target->removed_at = now;
 	target->check_from = check_from;
 	target->in_service_at = 0;
@@ -387,7 +394,7 @@
 		target = target_add(targets, entry);
 	target->entry = *entry;
 	if (entry_is_later(entry, target->removal_revision))
-		target->removal_at = 0;
+		removal_clear(target);
 	era_note(targets, entry->revision);
 	departure_update(targets, target, now);
 	if (entry->cold_ms > 0)
@@ -408,15 +415,6 @@
 		       TARGET_REMOVAL_GRACE_US);
 }
 
-/* Performs a removal of this revision. The target may be freed. */
-static void
-target_depart(targets_t *targets, target_t *target, departure_kind_t kind,
-    revision_t revision, time_us_t known_at, time_us_t now)
-{
-	departure_note(targets, target, kind, revision, known_at, now);
-	target_unlist(targets, target);
-}
-
 void
 targets_remove(
     targets_t *targets, const char *id, revision_t revision, time_us_t now)
@@ -431,8 +429,9 @@
 		revision = target->entry.revision;
 	if (publisher_is_settled(targets, now) ||
 	    is_departing(targets, target)) {
-		target_depart(
+		departure_note(
 		    targets, target, DEPARTURE_REMOVED, revision, now, now);
+		target_unlist(targets, target);
 		return;
 	}
 	/* The grace counts from the return, however late a removal is read. */
@@ -470,6 +469,25 @@
 	    target->entry.revision, now, now);
 }
 
+/*
+ * Ends the doubt. A target that the own source lists stays listed, as its entry
+ * isn't reported again if the instance that told its removal is mistaken.
+ * Returns whether the target was removed, and may be freed.
+ */
+static bool
+removal_perform(
+    targets_t *targets, target_t *target, departure_kind_t kind, time_us_t now)
+{
+	bool read = target->removal_read;
+
+	target->withheld = true;
+	departure_note(targets, target, kind, target->removal_revision,
+	    target->removed_at, now);
+	if (read)
+		target_unlist(targets, target);
+	return read;
+}
+
 bool
 targets_note_health(
     targets_t *targets, target_t *target, bool in_service, time_us_t now)
@@ -480,9 +498,7 @@
 		target->in_service_at = now;
 		return false;
 	}
-	target_depart(targets, target, DEPARTURE_CONFIRMED,
-	    target->removal_revision, target->removed_at, now);
-	return true;
+	return removal_perform(targets, target, DEPARTURE_CONFIRMED, now);
 }
 
 void
@@ -498,7 +514,8 @@
 removal_is_due(const targets_t *targets, const target_t *target, time_us_t now)
 {
 	if (target->removal_at == 0 || target->unlisted ||
-	    now < target->removal_at)
+	    now < target->removal_at ||
+	    (target->withheld && !target->removal_read))
 		return false;
 	return publisher_is_settled(targets, now) ||
 	       target->in_service_at == 0 ||
@@ -563,8 +580,8 @@
 		target_t *target = g_ptr_array_index(targets->all, i - 1);
 
 		if (removal_is_due(targets, target, now))
-			target_depart(targets, target, DEPARTURE_REMOVED,
-			    target->removal_revision, target->removed_at, now);
+			removal_perform(
+			    targets, target, DEPARTURE_REMOVED, now);
 		else if (target->unlisted && target->in_flight == 0)
 			target_free(targets, target);
 	}
@@ -622,7 +639,7 @@
 	return !target->unlisted && target->entry.state == TARGET_READY &&
 	       target->region == targets->own_region &&
 	       !targets_is_evacuated(targets, target->entry.zone) &&
-	       !is_departing(targets, target);
+	       !target->withheld && !is_departing(targets, target);
 }
 
 bool
@@ -668,7 +685,7 @@
 		    (target->removal_at != 0 && target->removal_read) ||
 		    revision_compare(revision, departure->revision) < 0)
 			continue;
-		target->removal_at = 0;
+		removal_clear(target);
 		departures_forget(
 		    targets->departures, departure->target, departure->start);
 	}
--- a/gateway/health.c
+++ b/gateway/health.c
@@ -70,7 +70,8 @@
 }
 
 /*
- * Decides a removal that is doubted. Returns whether the target was removed.
+ * Decides a removal that is doubted. Returns whether the target isn't in
+ * service; it may be freed then.
  */
 static bool
 check_removal(const health_check_t *check, target_t *target)
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -271,6 +271,7 @@
 	/* Of a removal that is doubted; 0: there is none. */
 	time_us_t removal_at; /* end of the grace */
 	bool removal_read;    /* here, and not only told */
+	bool withheld;	      /* not used until the own source decides */
 	time_us_t removed_at; /* when it was read */
 	time_us_t check_from; /* the target is asked for its health */
 	revision_t removal_revision;
@@ -313,8 +314,9 @@
     const target_t *target, bool responsible, time_us_t now);
 
 /*
- * Records a health answer of a target whose removal is doubted. Returns whether
- * the target was removed, and may be freed.
+ * Records a health answer of a target whose removal is doubted. One that isn't
+ * in service is removed, or, if the removal was only told, isn't used until the
+ * own source tells. Returns whether it was removed, and may be freed.
  */
 bool targets_note_health(
     targets_t *targets, target_t *target, bool in_service, time_us_t now);
