tests: more seeds of leaving targets by hand

TEST_SEEDS=n plays n seeds of each size. Shown to fail with faults planted in the harness: no notices arrive (8, 84 and 300 instances), every target says that it is in service (all sizes), none says so (all sizes).

--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -386,9 +386,14 @@
 	sim_destroy(sim);
 }
 
+/* TEST_SEEDS=n in the environment plays n seeds of each size. */
 static void
-sizes_run(size_t n, uint64_t n_seeds)
+size_run(size_t n, uint64_t n_seeds)
 {
+	const char *text = getenv("TEST_SEEDS");
+
+	if (text != NULL)
+		n_seeds = strtoull(text, NULL, 10);
 	for (uint64_t seed = 1; seed <= n_seeds; seed++) {
 		sources_run(n, seed);
 		outage_run(n, seed, 0);
@@ -399,22 +404,22 @@
 
 TEST(targets_that_leave_are_not_used_by_one_instance)
 {
-	sizes_run(1, 40);
+	size_run(1, 40);
 }
 
 TEST(targets_that_leave_are_not_used_by_8_instances)
 {
-	sizes_run(8, 40);
+	size_run(8, 40);
 }
 
 TEST(targets_that_leave_are_not_used_by_84_instances)
 {
-	sizes_run(84, 4);
+	size_run(84, 4);
 }
 
 TEST(targets_that_leave_are_not_used_by_300_instances)
 {
-	sizes_run(300, 1);
+	size_run(300, 1);
 }
 
 TEST_MAIN("leaving")
