--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -7,8 +7,7 @@
 /* Time for a detached response to end before its connection is closed. */
 #define DETACHED_LIMIT_US (300 * US_PER_MS)
 
-/* Age of the news that a target has left from which a request to it is logged.
- */
+/* A request is logged from this age of the news that its target has left. */
 #define DEPARTED_TARGET_LOG_US US_PER_S
 
 struct attempt {
