--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -65,7 +65,6 @@
 	time_us_t now;
 	uint64_t random;
 	uint64_t seed;
-	bool in_service[INSTANCES_MAX]; /* see sources_check() */
 	/* The publisher is away for all from and to these times. */
 	struct {
 		time_us_t from;
