core, docs: one name for each kind of departure

The kinds of departures were named otherwise than the notices that tell them (confirmed and left, stated and leaving); now alike, in the words of the log. One comment that had to be read twice.

--- a/core/targets.c
+++ b/core/targets.c
@@ -318,15 +318,15 @@
 
 /*
  * Whether an entry shows that the target is in service, though it was known to
- * depart up to this revision. A target that says that it leaves never comes
- * back, but for a new start of which an entry without its time doesn't tell.
+ * depart up to this revision. A target that said that it leaves stays departed;
+ * only an entry without a start time may be of a new process.
  */
 static bool
 entry_ends_departure(
     const target_entry_t *entry, departure_kind_t kind, revision_t revision)
 {
 	return entry->state == TARGET_READY &&
-	       (kind != DEPARTURE_STATED || entry->started_ms == 0) &&
+	       (kind != DEPARTURE_LEAVING || entry->started_ms == 0) &&
 	       entry_is_later(entry, revision);
 }
 
@@ -368,7 +368,7 @@
 	const departure_t *departure = targets_departure(targets, target);
 
 	if (entry->state == TARGET_DRAINING)
-		departure_note(targets, target, DEPARTURE_STATED,
+		departure_note(targets, target, DEPARTURE_LEAVING,
 		    entry->revision, now, now);
 	else if (departure == NULL)
 		return;
@@ -465,7 +465,7 @@
 bool
 targets_note_leaving(targets_t *targets, target_t *target, time_us_t now)
 {
-	return departure_note(targets, target, DEPARTURE_STATED,
+	return departure_note(targets, target, DEPARTURE_LEAVING,
 	    target->entry.revision, now, now);
 }
 
@@ -498,7 +498,7 @@
 		target->in_service_at = now;
 		return false;
 	}
-	return removal_perform(targets, target, DEPARTURE_CONFIRMED, now);
+	return removal_perform(targets, target, DEPARTURE_LEFT, now);
 }
 
 void
@@ -681,7 +681,7 @@
 		    targets_departure(targets, target);
 
 		if (target->unlisted || departure == NULL ||
-		    departure->kind == DEPARTURE_STATED ||
+		    departure->kind == DEPARTURE_LEAVING ||
 		    (target->removal_at != 0 && target->removal_read) ||
 		    revision_compare(revision, departure->revision) < 0)
 			continue;
@@ -834,9 +834,9 @@
 	switch (kind) {
 	case DEPARTURE_REMOVED:
 		return TARGET_NOTICE_REMOVED;
-	case DEPARTURE_CONFIRMED:
+	case DEPARTURE_LEFT:
 		return TARGET_NOTICE_LEFT;
-	case DEPARTURE_STATED:
+	case DEPARTURE_LEAVING:
 		break;
 	}
 	return TARGET_NOTICE_LEAVING;
@@ -855,7 +855,7 @@
 		const departure_t *departure = &departures[i];
 
 		/* Revisions of another era can't be compared. */
-		if (departure->kind != DEPARTURE_STATED &&
+		if (departure->kind != DEPARTURE_LEAVING &&
 		    departure->revision.era != targets->era)
 			continue;
 		notices[n++] = (target_notice_t){departure->target,
@@ -1006,11 +1006,11 @@
 		    notice->value, stated_at, now);
 		break;
 	case TARGET_NOTICE_LEFT:
-		changed = departure_import(targets, target, DEPARTURE_CONFIRMED,
+		changed = departure_import(targets, target, DEPARTURE_LEFT,
 		    notice->value, stated_at, now);
 		break;
 	case TARGET_NOTICE_LEAVING:
-		changed = departure_import(targets, target, DEPARTURE_STATED,
+		changed = departure_import(targets, target, DEPARTURE_LEAVING,
 		    notice->value, stated_at, now);
 		break;
 	case TARGET_NOTICE_IN_SERVICE:
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -474,8 +474,8 @@
 {
 	static const char *const kinds[] = {
 	    [DEPARTURE_REMOVED] = "removed",
-	    [DEPARTURE_CONFIRMED] = "left",
-	    [DEPARTURE_STATED] = "leaving",
+	    [DEPARTURE_LEFT] = "left",
+	    [DEPARTURE_LEAVING] = "leaving",
 	};
 	const departure_t *departure =
 	    targets_departure(gateway->targets, target);
--- a/include/core/departures.h
+++ b/include/core/departures.h
@@ -42,8 +42,8 @@
 	 * was cut off from the publisher.
 	 */
 	DEPARTURE_REMOVED,
-	DEPARTURE_CONFIRMED, /* and it says itself that it isn't in service */
-	DEPARTURE_STATED,    /* it said itself that it leaves */
+	DEPARTURE_LEFT,	   /* and it says itself that it isn't in service */
+	DEPARTURE_LEAVING, /* it said itself that it leaves */
 } departure_kind_t;
 
 typedef struct {
--- a/include/core/targets.h
+++ b/include/core/targets.h
@@ -174,8 +174,8 @@
 	TARGET_NOTICE_FULL,	/* a fragile one refused a request; value: 0 */
 	/* See departure_kind_t; value: low bits of the revision. */
 	TARGET_NOTICE_REMOVED,
-	TARGET_NOTICE_LEFT,    /* DEPARTURE_CONFIRMED */
-	TARGET_NOTICE_LEAVING, /* DEPARTURE_STATED */
+	TARGET_NOTICE_LEFT,    /* DEPARTURE_LEFT */
+	TARGET_NOTICE_LEAVING, /* DEPARTURE_LEAVING */
 	/* Its removal is doubted, and it is in service; value: 0. */
 	TARGET_NOTICE_IN_SERVICE,
 	TARGET_NOTICE_KIND_COUNT
--- a/tests/test_departures.c
+++ b/tests/test_departures.c
@@ -50,11 +50,11 @@
 	const departure_t *departure;
 
 	ck_assert(note(&f, 7, DEPARTURE_REMOVED, f.now, false));
-	ck_assert(note(&f, 7, DEPARTURE_STATED, f.now - 5, true));
+	ck_assert(note(&f, 7, DEPARTURE_LEAVING, f.now - 5, true));
 	ck_assert(!note(&f, 7, DEPARTURE_REMOVED, f.now, false));
-	ck_assert(!note(&f, 7, DEPARTURE_CONFIRMED, f.now - 3, true));
+	ck_assert(!note(&f, 7, DEPARTURE_LEFT, f.now - 3, true));
 	departure = departures_find(f.departures, 7, 1);
-	ck_assert_int_eq(departure->kind, DEPARTURE_STATED);
+	ck_assert_int_eq(departure->kind, DEPARTURE_LEAVING);
 	ck_assert_int_eq(departure->known_at, f.now - 5);
 	/* Another start of the target isn't concerned. */
 	ck_assert_ptr_null(departures_find(f.departures, 7, 2));
@@ -65,11 +65,11 @@
 {
 	fixture_t f = fixture_create();
 
-	note(&f, 7, DEPARTURE_STATED, f.now, false);
+	note(&f, 7, DEPARTURE_LEAVING, f.now, false);
 	ck_assert_uint_eq(export(&f, false), 1);
 	ck_assert_uint_eq(export(&f, false), 1);
 	for (int i = 0; i < DEPARTURE_HEARD_MIN; i++)
-		note(&f, 7, DEPARTURE_STATED, f.now, true);
+		note(&f, 7, DEPARTURE_LEAVING, f.now, true);
 	ck_assert_uint_eq(export(&f, false), 0);
 	/* Those that missed it hear it in a later round. */
 	ck_assert_uint_eq(export(&f, true), 1);
@@ -85,7 +85,7 @@
 TEST(departure_in_another_region_is_told_in_rounds)
 {
 	fixture_t f = fixture_create();
-	departure_t departure = {7, 1, DEPARTURE_STATED, {1, 5}, f.now, false};
+	departure_t departure = {7, 1, DEPARTURE_LEAVING, {1, 5}, f.now, false};
 
 	departures_note(f.departures, &departure, false, f.now);
 	ck_assert_uint_eq(export(&f, false), 0);
@@ -117,7 +117,7 @@
 {
 	fixture_t f = fixture_create();
 
-	note(&f, 7, DEPARTURE_STATED, f.now, false);
+	note(&f, 7, DEPARTURE_LEAVING, f.now, false);
 	f.now += DEPARTURE_KEEP_US - 1;
 	departures_expire(f.departures, f.now, keep_none, NULL);
 	ck_assert_ptr_nonnull(departures_find(f.departures, 7, 1));
