core, gateway: measure how late a configuration comes into force

Tells the hypotheses on late configurations apart. event=config has the bytes of the document and the time since another instance first reported a version as new; the histogram config_lag_seconds counts it; each decision on a request has behind_ms, the time for which a newer version than the deciding one is known. core/rollout takes over from gateway/fetch how long a version has been missing; what is fetched, when and from whom stays as it was.

--- a/gateway/decision.c
+++ b/gateway/decision.c
@@ -6,7 +6,7 @@
  * logged.
  */
 
-#define FIELD_LIMIT 28
+#define FIELD_LIMIT 30
 
 static int64_t
 since_ms(const request_t *request, time_us_t at)
@@ -56,6 +56,8 @@
 				   : 0);
 	fields[n++] = LOG_S(
 	    "config", request->config_version ? request->config_version : "0");
+	fields[n++] = LOG_I("behind_ms",
+	    rollout_lag(&request->gateway->rollout, now) / US_PER_MS);
 	fields[n++] = LOG_S("from", request->from_peer ? "instance" : "caller");
 	fields[n] = (log_field_t){NULL, NULL, 0};
 	log_write(LOG_INFO, event, fields);
--- a/gateway/fetch.c
+++ b/gateway/fetch.c
@@ -34,9 +34,6 @@
 	bool too_large;
 	ev_timer stall;
 	ev_timer timeout;
-	char wanted[VERSION_DIGITS_MAX + 1]; /* that others have; or had */
-	time_us_t wanted_since;
-	time_us_t reported_at; /* last report of a newer version */
 };
 
 static void
@@ -182,25 +179,6 @@
 	ev_timer_again(fetch->gateway->loop, &fetch->stall);
 }
 
-/*
- * Returns for how long this instance has lacked a version that others have.
- * With frequent changes it always lacks the newest one, but never the same for
- * long.
- */
-static time_us_t
-missing_for(fetch_t *fetch, const char *version, time_us_t now)
-{
-	const char *own = gateway_config_version(fetch->gateway);
-
-	if (version_compare(own, fetch->wanted) >= 0 ||
-	    now - fetch->reported_at > LAG_REPORT_MAX_AGE_US) {
-		g_strlcpy(fetch->wanted, version, sizeof(fetch->wanted));
-		fetch->wanted_since = now;
-	}
-	fetch->reported_at = now;
-	return now - fetch->wanted_since;
-}
-
 void
 fetch_note_version(fetch_t *fetch, const char *version, uint32_t ip)
 {
@@ -210,7 +188,7 @@
 	if (version_compare(version, gateway_config_version(gateway)) <= 0)
 		return;
 	if (gateway->catalog != NULL &&
-	    missing_for(fetch, version, gateway_now(fetch->gateway)) <
+	    rollout_lag(&gateway->rollout, gateway_now(fetch->gateway)) <
 		FETCH_DELAY_US)
 		return;
 	if (fetch->connection == NULL)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -319,11 +319,13 @@
 }
 
 static void
-config_log(const catalog_t *catalog, const char *before, const char *source)
+config_log(const catalog_t *catalog, const char *before, const char *source,
+    size_t bytes, time_us_t heard)
 {
 	log_event(LOG_NOTICE, "config",
 	    LOG_S("version", catalog_version(catalog)), LOG_S("before", before),
-	    LOG_S("source", source),
+	    LOG_S("source", source), LOG_I("bytes", bytes),
+	    LOG_I("heard_ms", heard < 0 ? -1 : heard / US_PER_MS),
 	    LOG_I("idle_timeout_ms", catalog_limits(catalog)->idle_timeout_ms),
 	    LOG_I("unreadable_parts", catalog_n_problems(catalog)));
 	for (size_t i = 0; catalog_problem(catalog, i) != NULL; i++)
@@ -339,6 +341,7 @@
     gateway_t *gateway, catalog_t *catalog, GBytes *text, const char *source)
 {
 	g_autofree char *before = g_strdup(gateway_config_version(gateway));
+	time_us_t heard;
 
 	if (!config_is_newer(gateway, catalog, source))
 		return;
@@ -351,7 +354,11 @@
 	/* A route's streams may have begun at another service until now. */
 	streams_note_gap(gateway->streams, gateway_now(gateway));
 	team_rates_set_catalog(gateway->rates, catalog, gateway_now(gateway));
-	config_log(catalog, before, source);
+	heard = rollout_note_own(&gateway->rollout,
+	    gateway_config_version(gateway), gateway_now(gateway));
+	if (heard >= 0)
+		latencies_record_config_lag(gateway->latencies, heard);
+	config_log(catalog, before, source, g_bytes_get_size(text), heard);
 	readiness_update(gateway);
 }
 
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -925,6 +925,8 @@
 		return;
 	members_merge(
 	    gateway->members, message->members, message->n_members, now);
+	rollout_note(&gateway->rollout, gateway_config_version(gateway),
+	    message->config_version, now);
 	fetch_note_version(gateway->fetch, message->config_version, sender->ip);
 	gateway_note_revision(gateway, sender->ip, message->store_revision);
 	quarantine_import(
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -19,6 +19,7 @@
 #include "core/queue.h"
 #include "core/reach.h"
 #include "core/retry.h"
+#include "core/rollout.h"
 #include "core/streams.h"
 #include "core/targets.h"
 #include "core/team_rates.h"
@@ -137,6 +138,7 @@
 	reach_t reach;		   /* of the targets */
 	size_t reach_cursor;	   /* index of the target probed last */
 	time_us_t target_heard_at; /* last byte of any target */
+	rollout_t rollout;	   /* of newer configurations */
 	lag_t store_lag; /* of the store revision behind other instances */
 	time_us_t store_unreachable_since; /* 0: reachable */
 	time_us_t fallback_until;     /* until when fallback_relay is used */
@@ -523,6 +525,8 @@
 void latencies_destroy(latencies_t *latencies);
 void latencies_record(latencies_t *latencies, latency_t latency,
     route_kind_t kind, time_us_t time);
+/* From the first report of a newer configuration until it is in force here. */
+void latencies_record_config_lag(latencies_t *latencies, time_us_t lag);
 /* Appends all histograms in the Prometheus text format. */
 void latencies_write(const latencies_t *latencies, GString *text);
 
--- a/gateway/latency.c
+++ b/gateway/latency.c
@@ -25,6 +25,7 @@
 
 struct latencies {
 	histogram_t *histograms[LATENCY_COUNT][KIND_COUNT];
+	histogram_t *config_lag;
 };
 
 latencies_t *
@@ -36,6 +37,7 @@
 		for (int kind = 0; kind < KIND_COUNT; kind++)
 			latencies->histograms[i][kind] = histogram_create();
 	}
+	latencies->config_lag = histogram_create();
 	return latencies;
 }
 
@@ -46,6 +48,7 @@
 		for (int kind = 0; kind < KIND_COUNT; kind++)
 			histogram_destroy(latencies->histograms[i][kind]);
 	}
+	histogram_destroy(latencies->config_lag);
 	g_free(latencies);
 }
 
@@ -57,21 +60,32 @@
 	    latencies->histograms[latency][kind], (uint64_t)MAX(time, 0));
 }
 
+void
+latencies_record_config_lag(latencies_t *latencies, time_us_t lag)
+{
+	histogram_record(latencies->config_lag, (uint64_t)lag);
+}
+
+/* kind NULL: the histogram has no label. */
 static void
 histogram_write(const histogram_t *histogram, const char *name,
     const char *kind, GString *text)
 {
+	g_autofree char *label =
+	    kind ? g_strdup_printf("kind=\"%s\"", kind) : g_strdup("");
+	const char *comma = kind ? "," : "";
+
 	for (size_t i = 0; i < G_N_ELEMENTS(bounds); i++)
 		g_string_append_printf(text,
-		    "%s_bucket{kind=\"%s\",le=\"%g\"} %" G_GUINT64_FORMAT "\n",
-		    name, kind, (double)bounds[i] / US_PER_S,
+		    "%s_bucket{%s%sle=\"%g\"} %" G_GUINT64_FORMAT "\n", name,
+		    label, comma, (double)bounds[i] / US_PER_S,
 		    histogram_count_to(histogram, bounds[i]));
 	g_string_append_printf(text,
-	    "%s_bucket{kind=\"%s\",le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
-	    "%s_sum{kind=\"%s\"} %.6f\n"
-	    "%s_count{kind=\"%s\"} %" G_GUINT64_FORMAT "\n",
-	    name, kind, histogram_count(histogram), name, kind,
-	    histogram_sum(histogram) / US_PER_S, name, kind,
+	    "%s_bucket{%s%sle=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
+	    "%s_sum{%s} %.6f\n"
+	    "%s_count{%s} %" G_GUINT64_FORMAT "\n",
+	    name, label, comma, histogram_count(histogram), name, label,
+	    histogram_sum(histogram) / US_PER_S, name, label,
 	    histogram_count(histogram));
 }
 
@@ -85,4 +99,7 @@
 			histogram_write(latencies->histograms[i][kind],
 			    latency_names[i], kind_names[kind], text);
 	}
+	g_string_append(text, "# TYPE config_lag_seconds histogram\n");
+	histogram_write(
+	    latencies->config_lag, "config_lag_seconds", NULL, text);
 }
