common, core, gateway, platform: configurations travel as what is new in them

What callers saw: a request refused as an older version says, more than 5 s after the newer one was confirmed.

Cause: a configuration of 617 kB, over 800 kB in base64, was sent whole to each reader of two relays of a region, on links of 10 Mbit/s and more, and to each instance that fetched it from another one, whatever was new in it. A fetch went to whoever's message came at that moment, mostly one of the first few that had the version, and began anew after 4 s though it progressed.

Change: between instances a configuration is a Zstandard frame relative to the document that the reader names by its digest, over relays and fetches alike. core/rollout keeps in mind who has a newer version, and asks near ones at random; a busy one sends the reader elsewhere, and few instances ask other regions. Both ways readable by the build before: it ignores what it is asked and sends the whole, and asks for nothing and gets the whole.

Tests: process_config failed on (the answer is the whole document; a holder that delivers for 5 s is given up at 4 s). test_packing, test_rollout (8, 84 and 300 instances in virtual time; the check fails if only the first readers send), test_replica.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -374,12 +374,51 @@
 	client_respond(client, status, "", "application/json", body);
 }
 
+/*
+ * Compressed configurations that wait to be sent. A reader that is refused asks
+ * another instance that has the version, instead of waiting for its share of
+ * this one's link.
+ */
+#define CONFIG_OUTPUT_LIMIT ((size_t)64 << 10)
+
+static void
+config_refuse(client_t *client, const char *call)
+{
+	counter_increment("relay_answers_refused", "call", call);
+	client_respond(client, 503, "", "text/plain", "busy\n");
+}
+
+/* Returns NULL if the reader doesn't take it, or it can't be made. */
+static GBytes *
+config_frame(client_t *client, const http_head_t *head, GString *fields)
+{
+	packing_t *packing = client->gateway->packing;
+	const http_field_t *accepted = http_head_find(head, "accept-encoding");
+	const http_field_t *base = http_head_find(head, PEER_FIELD_BASE);
+	g_autofree char *digest = NULL;
+	bool relative;
+	GBytes *frame;
+
+	if (accepted == NULL || !http_slice_list_has(accepted->value, "zstd"))
+		return NULL;
+	if (base != NULL)
+		digest = g_strndup(base->value.text, base->value.len);
+	frame =
+	    packing_frame(packing, packing_newest(packing), digest, &relative);
+	g_string_append(fields, "Content-Encoding: zstd\r\n");
+	if (relative)
+		g_string_append_printf(
+		    fields, PEER_FIELD_BASE ": %s\r\n", digest);
+	return frame;
+}
+
 /* Sends the configuration to another instance. */
 static void
-client_send_config(client_t *client)
+client_send_config(client_t *client, const http_head_t *request)
 {
 	gateway_t *gateway = client->gateway;
 	g_autoptr(GString) head = g_string_new("HTTP/1.1 200 OK\r\n");
+	g_autoptr(GBytes) frame = NULL;
 	gsize len = 0;
 	const void *text = NULL;
 
@@ -389,11 +428,24 @@
 		client_respond(client, 503, "", "text/plain", "none\n");
 		return;
 	}
+	frame = config_frame(client, request, head);
+	if (frame != NULL) {
+		text = g_bytes_get_data(frame, &len);
+		if (gateway->config_output > 0 &&
+		    gateway->config_output + len > CONFIG_OUTPUT_LIMIT) {
+			config_refuse(client, "config");
+			return;
+		}
+		tcp_count_output(client->connection, &gateway->config_output);
+		client_begin_response(client, head, len);
+		client_send_body(client, text, len);
+		client_end_response(client);
+		return;
+	}
 	text = g_bytes_get_data(gateway->catalog_text, &len);
 	if (gateway->relay_memory.claimed > 0 &&
 	    !memory_has_room(&gateway->relay_memory, len)) {
-		counter_increment("relay_answers_refused", "call", "config");
-		client_respond(client, 503, "", "text/plain", "busy\n");
+		config_refuse(client, "config");
 		return;
 	}
 	tcp_count_output(client->connection, &gateway->relay_memory.claimed);
@@ -452,7 +504,7 @@
 	}
 	if (client->from_peer &&
 	    http_slice_is(head->target, PEER_CONFIG_PATH)) {
-		client_send_config(client);
+		client_send_config(client, head);
 		return false;
 	}
 	if (client->from_peer && client_serve_store(client, head))
--- a/gateway/fetch.c
+++ b/gateway/fetch.c
@@ -2,40 +2,51 @@
 
 #include <string.h>
 
+#include "core/random.h"
+
 /*
- * Maximum time without a byte from the other instance, and in all. A document
- * of 500 kB may take seconds on a busy link of 10 Mbit/s; a fetch that is
- * abandoned while it progresses would start over and load the link again.
+ * Maximum time without a byte from the other instance. One that progresses is
+ * given up after FETCH_TIMEOUT_S only if another one can be asked: it would
+ * start over and load the links again.
  */
 #define FETCH_STALL_S 1.0
 #define FETCH_TIMEOUT_S 4.0
 
-/*
- * Time for which a newer version is left to the watch of the store, which
- * usually brings it first. An instance without a configuration fetches at once.
- */
-#define FETCH_DELAY_US (300 * US_PER_MS)
+/* Key by which members_is_responsible() selects who asks other regions. */
+#define FETCH_FAR_KEY 0x636f6e666967
 
 /* Size limit for a configuration: one value of the store. */
 #define FETCH_BODY_LIMIT (2 << 20)
 #define FETCH_HEAD_LIMIT 8192
 
 /*
- * Fetches the configuration from an instance that reported a newer version.
- * Needed by an instance that can't reach the store, and by one that starts
- * while no instance can.
+ * Fetches the configuration from an instance that reported a newer version
+ * (core/rollout.h), as a compressed copy relative to the one in force here.
+ * Instances of versions without compression send the document itself.
  */
 struct fetch {
 	gateway_t *gateway;
 	tcp_t *connection; /* NULL while no fetch is running */
 	http_reader_t *reader;
+	uint32_t ip;  /* asked last */
+	GBytes *base; /* named in the request, or NULL */
 	GByteArray *body;
 	unsigned status;
+	bool compressed; /* the answer */
+	bool relative;	 /* to the base */
 	bool too_large;
 	ev_timer stall;
 	ev_timer timeout;
 };
 
+static void
+base_set(fetch_t *fetch, GBytes *base)
+{
+	if (fetch->base != NULL)
+		g_bytes_unref(fetch->base);
+	fetch->base = base ? g_bytes_ref(base) : NULL;
+}
+
 static void
 fetch_end(fetch_t *fetch)
 {
@@ -48,34 +59,88 @@
 	fetch->connection = NULL;
 }
 
+/* Ends a fetch that brought nothing, and asks another instance. */
+static void
+fetch_fail(fetch_t *fetch, const char *cause)
+{
+	gateway_t *gateway = fetch->gateway;
+	bool busy = strcmp(cause, "busy") == 0;
+
+	log_event(busy ? LOG_INFO : LOG_NOTICE, "config_fetch_failed",
+	    LOG_S("cause", cause), LOG_I("status", fetch->status),
+	    LOG_I("bytes", fetch->body->len));
+	counter_increment("config_fetches", "result", cause);
+	fetch_end(fetch);
+	rollout_note_failed(
+	    &gateway->rollout, fetch->ip, busy, gateway_now(gateway));
+	fetch_update(fetch);
+}
+
+/* Returns NULL if the answer is damaged, or refers to another base. */
+static GBytes *
+fetch_document(const fetch_t *fetch)
+{
+	g_autoptr(GError) error = NULL;
+	GBytes *document;
+
+	if (!fetch->compressed)
+		return g_bytes_new(fetch->body->data, fetch->body->len);
+	document = packing_unpack(fetch->body->data, fetch->body->len,
+	    fetch->relative ? fetch->base : NULL, FETCH_BODY_LIMIT, &error);
+	if (document == NULL)
+		log_event(LOG_WARNING, "config_damaged",
+		    LOG_S("error", error->message));
+	return document;
+}
+
 static void
 fetch_apply(fetch_t *fetch)
 {
 	gateway_t *gateway = fetch->gateway;
+	g_autoptr(GBytes) document = fetch_document(fetch);
+	g_autofree char *before = g_strdup(gateway_config_version(gateway));
 	g_autoptr(GError) error = NULL;
 	catalog_t *catalog;
-	GBytes *text;
+	const void *text;
+	gsize len;
 
-	if (gateway_config_is_loaded(
-		gateway, fetch->body->data, fetch->body->len))
+	if (document == NULL) {
+		fetch_fail(fetch, "damaged");
 		return;
-	catalog = platform_catalog_read((const char *)fetch->body->data,
-	    fetch->body->len, gateway->topology, &error);
-	if (catalog == NULL) {
+	}
+	fetch_end(fetch);
+	counter_increment(
+	    "config_fetches", "result", fetch->relative ? "changes" : "whole");
+	counter_add(counter_get("config_fetched_bytes", NULL, NULL),
+	    (int64_t)fetch->body->len);
+	text = g_bytes_get_data(document, &len);
+	catalog =
+	    gateway_config_is_loaded(gateway, text, len)
+		? NULL
+		: platform_catalog_read(text, len, gateway->topology, &error);
+	if (catalog != NULL) {
+		gateway_set_catalog(gateway, catalog, document, "instance");
+		catalog_unref(catalog);
+	} else if (error != NULL) {
 		gateway_note_unreadable_config(
 		    gateway, "instance", error->message);
-		return;
 	}
-	text = g_bytes_new(fetch->body->data, fetch->body->len);
-	gateway_set_catalog(gateway, catalog, text, "instance");
-	g_bytes_unref(text);
-	catalog_unref(catalog);
+	/* Isn't asked again at once for what it doesn't have. */
+	if (strcmp(before, gateway_config_version(gateway)) == 0)
+		rollout_note_failed(
+		    &gateway->rollout, fetch->ip, false, gateway_now(gateway));
 }
 
 static bool
 on_head(void *owner, const http_head_t *head)
 {
-	((fetch_t *)owner)->status = head->status;
+	fetch_t *fetch = owner;
+	const http_field_t *encoding = http_head_find(head, "content-encoding");
+
+	fetch->status = head->status;
+	fetch->compressed =
+	    encoding != NULL && http_slice_is(encoding->value, "zstd");
+	fetch->relative = http_head_find(head, PEER_FIELD_BASE) != NULL;
 	return true;
 }
 
@@ -104,20 +169,18 @@
 		ev_timer_again(fetch->gateway->loop, &fetch->stall);
 		return;
 	}
-	fetch_end(fetch);
 	if (result == HTTP_FEED_COMPLETE && fetch->status == 200)
 		fetch_apply(fetch);
+	else if (result == HTTP_FEED_COMPLETE && fetch->status == 503)
+		fetch_fail(fetch, "busy");
 	else
-		log_event(LOG_WARNING, "config_fetch_failed",
-		    LOG_I("status", fetch->status));
+		fetch_fail(fetch, "refused");
 }
 
 static void
 on_ended(void *owner, tcp_end_t end)
 {
-	log_event(
-	    LOG_NOTICE, "config_fetch_failed", LOG_S("cause", "connection"));
-	fetch_end(owner);
+	fetch_fail(owner, "connection");
 }
 
 static const tcp_events_t events = {
@@ -125,11 +188,37 @@
     .ended = on_ended,
 };
 
+static void
+on_stall(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	fetch_fail(watcher->data, "stalled");
+}
+
+/* Returns the instance to ask, other than except; 0: none. */
+static uint32_t
+fetch_pick(fetch_t *fetch, uint32_t except)
+{
+	gateway_t *gateway = fetch->gateway;
+	time_us_t now = gateway_now(gateway);
+	bool far = gateway->catalog == NULL ||
+		   members_is_responsible(gateway->members, FETCH_FAR_KEY,
+		       ROLLOUT_FAR_READERS, now);
+
+	return rollout_pick(&gateway->rollout, gateway_config_version(gateway),
+	    far, except, random_next(&gateway->random), now);
+}
+
 static void
 on_timeout(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
-	log_event(LOG_NOTICE, "config_fetch_failed", LOG_S("cause", "timeout"));
-	fetch_end(watcher->data);
+	fetch_t *fetch = watcher->data;
+
+	if (fetch_pick(fetch, fetch->ip) != 0) {
+		fetch_fail(fetch, "timeout");
+		return;
+	}
+	ev_timer_set(watcher, FETCH_TIMEOUT_S, 0);
+	ev_timer_start(loop, watcher);
 }
 
 fetch_t *
@@ -139,7 +228,7 @@
 
 	fetch->gateway = gateway;
 	fetch->body = g_byte_array_new();
-	ev_timer_init(&fetch->stall, on_timeout, FETCH_STALL_S, FETCH_STALL_S);
+	ev_timer_init(&fetch->stall, on_stall, FETCH_STALL_S, FETCH_STALL_S);
 	fetch->stall.data = fetch;
 	ev_timer_init(&fetch->timeout, on_timeout, FETCH_TIMEOUT_S, 0);
 	fetch->timeout.data = fetch;
@@ -153,44 +242,56 @@
 	if (fetch->reader != NULL)
 		http_reader_destroy(fetch->reader);
 	g_byte_array_unref(fetch->body);
+	base_set(fetch, NULL);
 	g_free(fetch);
 }
 
 static void
 fetch_start(fetch_t *fetch, uint32_t ip)
 {
-	static const char request[] =
-	    "GET " PEER_CONFIG_PATH " HTTP/1.1\r\nHost: instance\r\n\r\n";
+	g_autoptr(GString) request =
+	    g_string_new("GET " PEER_CONFIG_PATH " HTTP/1.1\r\n"
+			 "Host: instance\r\nAccept-Encoding: zstd\r\n");
 	net_address_t address = {ip, fetch->gateway->own_peer.port};
+	GBytes *base = packing_newest(fetch->gateway->packing);
+	char digest[PACKING_DIGEST_BYTES];
 
+	fetch->ip = ip;
+	fetch->status = 0;
 	fetch->connection =
 	    tcp_connect(fetch->gateway->net, address, &events, fetch);
-	if (fetch->connection == NULL)
+	if (fetch->connection == NULL) {
+		rollout_note_failed(&fetch->gateway->rollout, ip, false,
+		    gateway_now(fetch->gateway));
 		return;
+	}
+	base_set(fetch, base);
+	if (base != NULL) {
+		packing_digest(base, digest);
+		g_string_append_printf(
+		    request, PEER_FIELD_BASE ": %s\r\n", digest);
+	}
+	g_string_append(request, "\r\n");
 	if (fetch->reader != NULL)
 		http_reader_destroy(fetch->reader);
 	fetch->reader =
 	    http_reader_create(HTTP_RESPONSES, &sink, fetch, FETCH_HEAD_LIMIT);
 	g_byte_array_set_size(fetch->body, 0);
 	fetch->too_large = false;
-	tcp_send(fetch->connection, request, strlen(request));
+	tcp_send(fetch->connection, request->str, request->len);
 	ev_timer_set(&fetch->timeout, FETCH_TIMEOUT_S, 0);
 	ev_timer_start(fetch->gateway->loop, &fetch->timeout);
 	ev_timer_again(fetch->gateway->loop, &fetch->stall);
 }
 
 void
-fetch_note_version(fetch_t *fetch, const char *version, uint32_t ip)
+fetch_update(fetch_t *fetch)
 {
-	const gateway_t *gateway = fetch->gateway;
+	uint32_t ip;
 
-	/* Versions only rise, also across a restore of the store. */
-	if (version_compare(version, gateway_config_version(gateway)) <= 0)
+	if (fetch->connection != NULL)
 		return;
-	if (gateway->catalog != NULL &&
-	    rollout_lag(&gateway->rollout, gateway_now(fetch->gateway)) <
-		FETCH_DELAY_US)
-		return;
-	if (fetch->connection == NULL)
+	ip = fetch_pick(fetch, 0);
+	if (ip != 0)
 		fetch_start(fetch, ip);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -68,6 +68,9 @@
 /* The same for answers to instances that read the store through this one. */
 #define RELAY_MEMORY_DIVISOR 16
 
+/* Older configurations that a newer one can be sent relative to. */
+#define CONFIG_BASES_BYTES (2 * BYTES_PER_MB)
+
 /* Maximum length of a queue. */
 #define QUEUE_LIMIT 512
 
@@ -350,6 +353,7 @@
 	if (gateway->catalog_text != NULL)
 		g_bytes_unref(gateway->catalog_text);
 	gateway->catalog_text = g_bytes_ref(text);
+	packing_put(gateway->packing, text);
 	g_clear_pointer(&gateway->config_error, g_free);
 	/* A route's streams may have begun at another service until now. */
 	streams_note_gap(gateway->streams, gateway_now(gateway));
@@ -1055,6 +1059,7 @@
 	health_checks_update(gateway->health_checks);
 	reach_update(gateway);
 	gossip_send_load(gateway->gossip);
+	fetch_update(gateway->fetch);
 }
 
 static void
@@ -1237,6 +1242,7 @@
 	    settings->memory_mb * BYTES_PER_MB / EVENT_MEMORY_DIVISOR;
 	gateway->relay_memory.limit =
 	    settings->memory_mb * BYTES_PER_MB / RELAY_MEMORY_DIVISOR;
+	gateway->packing = packing_create(CONFIG_BASES_BYTES);
 	gateway->resumptions = g_ptr_array_new();
 }
 
@@ -1284,6 +1290,7 @@
 	catalog_unref(gateway->catalog);
 	if (gateway->catalog_text != NULL)
 		g_bytes_unref(gateway->catalog_text);
+	packing_destroy(gateway->packing);
 	g_free(gateway->config_error);
 	gateway_settings_free(gateway->reloaded);
 	net_destroy(gateway->net);
@@ -1317,9 +1324,10 @@
 		    LOG_S("zone", settings->zone),
 		    LOG_S("callers", settings->callers),
 		    LOG_S("peer", settings->peer), LOG_S("version", VERSION));
-		gateway.store = store_create(gateway.net, store,
-		    gateway.topology, &store_events, &gateway,
-		    random_next(&gateway.random), &gateway.relay_memory);
+		gateway.store =
+		    store_create(gateway.net, store, gateway.topology,
+			&store_events, &gateway, random_next(&gateway.random),
+			&gateway.relay_memory, gateway.packing);
 		gossip_round(gateway.gossip);
 		ev_run(gateway.loop, 0);
 		log_event(LOG_NOTICE, "stopped",
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -913,6 +913,16 @@
 	}
 }
 
+static member_place_t
+place_of(const gateway_t *gateway, int zone)
+{
+	if (zone == gateway->zone)
+		return MEMBER_SAME_ZONE;
+	return topology_region_of(gateway->topology, zone) == gateway->region
+		   ? MEMBER_SAME_REGION
+		   : MEMBER_OTHER_REGION;
+}
+
 static void
 message_apply(gossip_t *gossip, const message_t *message)
 {
@@ -926,8 +936,10 @@
 	members_merge(
 	    gateway->members, message->members, message->n_members, now);
 	rollout_note(&gateway->rollout, gateway_config_version(gateway),
-	    message->config_version, now);
-	fetch_note_version(gateway->fetch, message->config_version, sender->ip);
+	    &(rollout_report_t){message->config_version, sender->ip,
+		place_of(gateway, sender->zone)},
+	    now);
+	fetch_update(gateway->fetch);
 	gateway_note_revision(gateway, sender->ip, message->store_revision);
 	quarantine_import(
 	    gateway->quarantine, message->reports, message->n_reports, now);
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -8,6 +8,7 @@
 #include "balance/urgency.h"
 #include "common/counter.h"
 #include "common/log.h"
+#include "common/packing.h"
 #include "config/gateway_settings.h"
 #include "core/catalog.h"
 #include "core/contact.h"
@@ -106,6 +107,7 @@
 	uint64_t random;
 	catalog_t *catalog; /* NULL until one is loaded */
 	GBytes *catalog_text;
+	packing_t *packing; /* of configurations that were in force */
 	char *config_error; /* of a newer one that can't be read, or NULL */
 	targets_t *targets;
 	members_t *members;
@@ -129,6 +131,7 @@
 	memory_pool_t event_memory; /* of events that aren't complete */
 	/* Of answers to instances that read the store through this one. */
 	memory_pool_t relay_memory;
+	size_t config_output;	/* compressed configurations, not sent */
 	GPtrArray *resumptions; /* resumption_t, waiting for other instances */
 	time_us_t started_at;
 	time_us_t leaving_at; /* 0: not stopping */
@@ -486,14 +489,19 @@
 /* fetch.c: fetches the configuration from another instance. */
 #define PEER_CONFIG_PATH "/cyclamensail/config"
 
+/*
+ * Digest of the document that the reader has (in the request), and that the
+ * compressed answer refers to (in the response). In lower case.
+ */
+#define PEER_FIELD_BASE "base-digest"
+
 fetch_t *fetch_create(gateway_t *gateway);
 void fetch_destroy(fetch_t *fetch);
 /*
- * Called when an instance reports a newer configuration version. Starts a
- * fetch from it, unless one is already running or the watch of the store may
- * still bring that version (FETCH_DELAY_US).
+ * Starts a fetch if an instance has a newer version and none is running. Call
+ * after each report of a version, and several times a second.
  */
-void fetch_note_version(fetch_t *fetch, const char *version, uint32_t ip);
+void fetch_update(fetch_t *fetch);
 
 /* endpoints.c: HTTP endpoints for directory, health check and metrics. */
 endpoints_t *endpoints_create(gateway_t *gateway, GError **error);
--- a/gateway/usage.c
+++ b/gateway/usage.c
@@ -39,9 +39,7 @@
 	part_write(text, "requests", sum.requests);
 	part_write(text, "events", gateway->event_memory.claimed);
 	part_write(text, "relay_answers", gateway->relay_memory.claimed);
-	part_write(text, "config",
-	    gateway->catalog_text ? g_bytes_get_size(gateway->catalog_text)
-				  : 0);
+	part_write(text, "config", packing_bytes(gateway->packing));
 	part_write(text, "replica", store.replica);
 	part_write(text, "store_answers", store.unparsed);
 	g_string_append_printf(text,
--- a/include/platform/replica.h
+++ b/include/platform/replica.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/packing.h"
 #include "core/memory.h"
 #include "http/reader.h"
 
@@ -23,6 +24,21 @@
 /* Field of a watch's query: the era that the revision is of. */
 #define REPLICA_QUERY_ERA "era"
 
+/*
+ * Fields of a query that asks for large values as compressed copies
+ * (common/packing.h): 1, and the digest of the document that the reader has. An
+ * item or event then has the frame in base64, and the digest of its base if it
+ * has one, instead of the value. Instances of versions without it send the
+ * value.
+ */
+#define REPLICA_QUERY_PACKED "packed"
+#define REPLICA_QUERY_BASE "base"
+#define REPLICA_FIELD_PACKED "packed"
+#define REPLICA_FIELD_BASE "base"
+
+/* Smaller values, in base64, are sent as they are. */
+#define REPLICA_PACK_MIN_BYTES 4096
+
 typedef struct replica replica_t;
 typedef struct replica_watch replica_watch_t;
 
@@ -34,9 +50,11 @@
  * Creates an empty replica of the keys with this prefix. answers counts the
  * bytes of answers that aren't sent yet, over all readers. Without room, a
  * range is refused (503), and a watch waits; it is refused when its time is
- * over.
+ * over. packing: documents that readers may have, and frames of them; NULL:
+ * nothing is compressed.
  */
-replica_t *replica_create(const char *prefix, const memory_pool_t *answers);
+replica_t *replica_create(
+    const char *prefix, const memory_pool_t *answers, packing_t *packing);
 void replica_destroy(replica_t *replica);
 
 /* Returns the bytes of the keys and values that it holds. */
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -76,10 +76,13 @@
 	void (*loaded)(void *owner);
 } store_events_t;
 
-/* answers: what other instances are answered, see replica_create(). */
+/*
+ * answers: what other instances are answered, and packing: configurations that
+ * have been in force here; see replica_create().
+ */
 store_t *store_create(net_t *net, net_address_t address,
     const topology_t *topology, const store_events_t *events, void *owner,
-    uint64_t random, const memory_pool_t *answers);
+    uint64_t random, const memory_pool_t *answers, packing_t *packing);
 void store_destroy(store_t *store);
 
 /*
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -43,7 +43,7 @@
 /* Another writer's key; instances that read from here stopped following. */
 TEST(odd_key_is_passed_on_in_valid_json)
 {
-	replica_t *replica = replica_create("servers/", &no_answers);
+	replica_t *replica = replica_create("servers/", &no_answers, NULL);
 	reader_t reader = {0};
 
 	replica_put(replica, "servers/a\"\\\n}", "QQ==", 5);
@@ -58,7 +58,7 @@
 
 TEST(replica_answers_like_the_store)
 {
-	replica_t *replica = replica_create("servers/", &no_answers);
+	replica_t *replica = replica_create("servers/", &no_answers, NULL);
 	reader_t reader = {0};
 	replica_watch_t *watch;
 
@@ -84,9 +84,54 @@
 	replica_destroy(replica);
 }
 
+/*
+ * Guards against sending a whole configuration to each reader for a small
+ * change. Instances of versions before don't ask for less, and get the value.
+ */
+TEST(large_value_is_sent_relative_to_what_the_reader_has)
+{
+	packing_t *packing = packing_create(1 << 20);
+	replica_t *replica = replica_create("op/", &no_answers, packing);
+	g_autoptr(GString) text = g_string_new(NULL);
+	g_autoptr(GBytes) base = NULL;
+	g_autofree char *value = NULL;
+	g_autofree char *target = NULL;
+	char digest[PACKING_DIGEST_BYTES];
+	reader_t reader = {0};
+
+	for (int i = 0; i < 20000; i++)
+		g_string_append_printf(text, "%d,", i * i);
+	base = g_bytes_new(text->str, text->len);
+	packing_put(packing, base);
+	packing_digest(base, digest);
+	memcpy(&text->str[text->len / 2], "moved", 5);
+	value = g_base64_encode((guchar *)text->str, text->len);
+	replica_advance(replica, 3);
+	replica_put(replica, "op/config", value, 5);
+	replica_put(replica, "op/evacuate/a-1", "e30=", 6);
+	replica_advance(replica, 6);
+	target = g_strdup_printf(
+	    "/kv-watch?prefix=op/&after=3&wait_ms=0&packed=1&base=%s", digest);
+	request(replica, target, 0, &reader);
+	ck_assert_uint_eq(reader.status, 200);
+	ck_assert_ptr_nonnull(strstr(reader.body, "\"packed\":\""));
+	ck_assert_ptr_nonnull(strstr(reader.body, digest));
+	ck_assert_ptr_nonnull(strstr(reader.body, "\"value\":\"e30=\""));
+	ck_assert_uint_lt(strlen(reader.body), 1000);
+	request(replica, "/kv-range?prefix=op/&packed=1", 0, &reader);
+	ck_assert_ptr_nonnull(strstr(reader.body, "\"packed\":\""));
+	ck_assert_ptr_null(strstr(reader.body, "\"base\""));
+	request(replica, "/kv-watch?prefix=op/&after=3&wait_ms=0", 0, &reader);
+	ck_assert_ptr_nonnull(strstr(reader.body, value));
+	ck_assert_ptr_null(strstr(reader.body, "\"packed\""));
+	g_free(reader.body);
+	replica_destroy(replica);
+	packing_destroy(packing);
+}
+
 TEST(watch_times_out_or_is_cancelled)
 {
-	replica_t *replica = replica_create("op/", &no_answers);
+	replica_t *replica = replica_create("op/", &no_answers, NULL);
 	reader_t reader = {0};
 	reader_t cancelled = {0};
 	replica_watch_t *watch;
@@ -110,7 +155,7 @@
 /* Guards against a reader that receives stale data as if from the store. */
 TEST(stale_replica_answers_503)
 {
-	replica_t *replica = replica_create("op/", &no_answers);
+	replica_t *replica = replica_create("op/", &no_answers, NULL);
 	reader_t reader = {0};
 
 	request(replica, "/kv-range?prefix=op/", 0, &reader);
@@ -132,7 +177,7 @@
 
 TEST(log_is_bounded_and_older_revisions_get_410)
 {
-	replica_t *replica = replica_create("op/", &no_answers);
+	replica_t *replica = replica_create("op/", &no_answers, NULL);
 	reader_t reader = {0};
 	char key[32];
 
@@ -156,7 +201,7 @@
  */
 TEST(reader_that_is_behind_gets_the_newest_of_large_values)
 {
-	replica_t *replica = replica_create("op/", &no_answers);
+	replica_t *replica = replica_create("op/", &no_answers, NULL);
 	reader_t reader = {0};
 	g_autofree char *value = g_strnfill(1 << 20, 'x');
 
@@ -177,7 +222,7 @@
 /* Guards against an answer that is larger than its reader takes. */
 TEST(large_answers_come_in_parts)
 {
-	replica_t *replica = replica_create("op/", &no_answers);
+	replica_t *replica = replica_create("op/", &no_answers, NULL);
 	reader_t reader = {0};
 	g_autofree char *value = g_strnfill(700 << 10, 'x');
 
@@ -215,7 +260,7 @@
 TEST(answers_wait_for_room)
 {
 	memory_pool_t answers = {.limit = 2 * REPLICA_ANSWER_BYTES};
-	replica_t *replica = replica_create("op/", &answers);
+	replica_t *replica = replica_create("op/", &answers, NULL);
 	reader_t reader = {0};
 
 	replica_advance(replica, 3);
@@ -253,7 +298,7 @@
 {
 	static const char *const targets[] = {"/read/ok", "/kv-range",
 	    "/kv-range?prefix=other/", "/kv-range?x=1"};
-	replica_t *replica = replica_create("op/", &no_answers);
+	replica_t *replica = replica_create("op/", &no_answers, NULL);
 	reader_t reader = {0};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
@@ -274,7 +319,7 @@
  */
 TEST(no_change_of_an_older_era_is_answered)
 {
-	replica_t *replica = replica_create("op/", &no_answers);
+	replica_t *replica = replica_create("op/", &no_answers, NULL);
 	reader_t waiting = {0};
 	reader_t reader = {0};
 
@@ -312,7 +357,7 @@
 /* A relay that loses the store while it reads the new era tells its readers. */
 TEST(watch_of_an_older_era_is_refused_when_the_replica_is_suspended)
 {
-	replica_t *replica = replica_create("op/", &no_answers);
+	replica_t *replica = replica_create("op/", &no_answers, NULL);
 	reader_t reader = {0};
 
 	replica_begin_era(replica, 1);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -19,6 +19,7 @@
 	fake_store_t *relays[2];
 	net_address_t addresses[3]; /* store, relays */
 	memory_pool_t answers;
+	packing_t *packing;
 	store_t *client;
 	bool evacuated;
 	bool unreachable;
@@ -100,14 +101,17 @@
 		fixture->relays[i] = fake_store_create(&port);
 		fixture->addresses[i + 1] = (net_address_t){LOOPBACK, port};
 	}
-	fixture->client = store_create(fixture->net, fixture->addresses[0],
-	    fixture->places, &events, fixture, 1, &fixture->answers);
+	fixture->packing = packing_create(1 << 20);
+	fixture->client =
+	    store_create(fixture->net, fixture->addresses[0], fixture->places,
+		&events, fixture, 1, &fixture->answers, fixture->packing);
 }
 
 static void
 fixture_destroy(fixture_t *fixture)
 {
 	store_destroy(fixture->client);
+	packing_destroy(fixture->packing);
 	fake_store_destroy(fixture->store);
 	for (size_t i = 0; i < 2; i++)
 		fake_store_destroy(fixture->relays[i]);
