platform, gateway: a source that delivers, or lacks a configuration only, isn't left

Cause: the lag was measured by revisions of the store, of which a configuration is the largest and slowest, and by the time alone, not by what arrives.

Change: the revision that instances tell leaves the configuration out. Its versions are told beside it, and travel by themselves (core/rollout). While an answer arrives its source isn't left, for 4 s at most.

Tests: answer_that_arrives_is_not_abandoned and change_of_the_configuration_is_no_reason_to_leave_a_relay (test_store) failed before.

--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -376,7 +376,7 @@
 	    gateway->members, now, message->members, n_members);
 	g_strlcpy(message->config_version, gateway_config_version(gateway),
 	    sizeof(message->config_version));
-	message->store_revision = store_revision(gateway->store);
+	message->store_revision = store_told_revision(gateway->store);
 	message->kind = kind;
 	message->n_instances = 1;
 	message->n_loads = 0;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -35,6 +35,12 @@
 #define STORE_RESPONSE_TIMEOUT_MS 1200
 #define STORE_ANSWER_TIMEOUT_MS 10000
 
+/*
+ * Time for which an answer that arrives is waited for though others have newer
+ * data. Another source would have to send all of it again.
+ */
+#define STORE_ANSWER_PATIENCE_US (4 * US_PER_S)
+
 /*
  * Exponential backoff between attempts. Each delay is a random value between
  * half of the backoff and all of it.
@@ -105,7 +111,7 @@
 /*
  * Called when other instances have read a change that this one is missing:
  * abandons the relay, or, when there is none, the watches, and counts the store
- * as unreachable then.
+ * as unreachable then. Does nothing while an answer arrives.
  */
 void store_note_behind(store_t *store, revision_t missing);
 
@@ -140,6 +146,13 @@
 /* Returns the revision of the newest change that was read. */
 revision_t store_revision(const store_t *store);
 
+/*
+ * The same without the configuration: what other instances measure their lag
+ * by. Their configurations don't come from their source only (core/rollout.h),
+ * so that one that is still on its way there is no reason to leave it.
+ */
+revision_t store_told_revision(const store_t *store);
+
 /* Returns the revision up to which no change of a target is missing. */
 revision_t store_targets_revision(const store_t *store);
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -384,6 +384,55 @@
 	fixture_destroy(&fixture);
 }
 
+/*
+ * Guards against an answer that is given up while it arrives, and begun anew
+ * elsewhere: a large configuration on a slow link was late for it.
+ */
+TEST(answer_that_arrives_is_not_abandoned)
+{
+	fixture_t fixture;
+	g_autofree char *value = g_strnfill(100000, 'x');
+	unsigned calls;
+
+	fixture_create(&fixture);
+	run_for(&fixture, 300);
+	fake_store_set_rate(fixture.store, 50000);
+	fake_store_put(fixture.store, "op/evacuate/a-1", value);
+	run_for(&fixture, 500);
+	calls = fake_store_calls(fixture.store);
+	for (int i = 0; i < 3; i++) {
+		store_note_behind(fixture.client, NOTHING_MISSING);
+		run_for(&fixture, 200);
+	}
+	ck_assert(!fixture.unreachable);
+	ck_assert_uint_eq(fake_store_calls(fixture.store), calls);
+	ck_assert(run_until(&fixture, &fixture.evacuated, 4000));
+	fixture_destroy(&fixture);
+}
+
+/*
+ * Guards against dozens of instances that leave a relay as it still receives a
+ * configuration, which they have from others.
+ */
+TEST(change_of_the_configuration_is_no_reason_to_leave_a_relay)
+{
+	fixture_t fixture;
+	revision_t told;
+
+	fixture_create(&fixture);
+	fake_store_put(fixture.store, "op/evacuate/a-1", "{}");
+	ck_assert(run_until(&fixture, &fixture.evacuated, 2000));
+	told = store_told_revision(fixture.client);
+	ck_assert_int_eq(told.number, fake_store_revision(fixture.store));
+	fake_store_put(fixture.store, "op/config", "{}");
+	run_for(&fixture, 300);
+	ck_assert_int_eq(
+	    revision_compare(store_told_revision(fixture.client), told), 0);
+	ck_assert_int_gt(
+	    revision_compare(store_known_revision(fixture.client), told), 0);
+	fixture_destroy(&fixture);
+}
+
 /*
  * Guards against an instance that takes itself for outdated: others report the
  * revision of a removal before its range.
