gateway: a request that only a newer configuration may know waits for it

What callers saw: 401 and 404, which are final, from an instance that had not got a version yet, on a route that had been added.

Cause: each message names the version of its sender, and what is refused was decided by the own one alone. So any lag became a broken promise.

Change: such a request waits for the version, for a second from its arrival at most and a third of the time its caller has left, and is admitted anew under it. If the version doesn't come, or 256 wait already, the answer is 503 with Retry-After, as the request has not run. Without news of a newer version it is refused at once, as before.

--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -191,7 +191,8 @@
 #define UNREADABLE_RETRY_US (2 * US_PER_S)
 
 /*
- * Refuses a request that the configuration doesn't know. The configuration of
+ * Refuses a request that the configuration doesn't know, unless it waits for a
+ * newer one. The configuration of
  * an instance that forwarded it has the route and may be newer, so that
  * instance is told only that the request was not executed here.
  */
@@ -204,7 +205,7 @@
 	else if (catalog_is_incomplete(request->gateway->catalog))
 		request_refuse(
 		    request, 503, "config_unreadable", UNREADABLE_RETRY_US);
-	else
+	else if (!pending_begin(request))
 		request_refuse(request, status, reason, 0);
 }
 
@@ -273,6 +274,11 @@
 		request_refuse(request, 503, "no_config", NO_CONFIG_RETRY_US);
 		return false;
 	}
+	/* A request that has waited for a configuration was admitted before. */
+	if (request->config_version != NULL)
+		g_ref_string_release(request->config_version);
+	catalog_route_unref(request->route);
+	request->route = NULL;
 	request->config_version =
 	    g_ref_string_acquire((char *)catalog_version(gateway->catalog));
 	route = catalog_route(gateway->catalog, request->host,
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -364,6 +364,7 @@
 		latencies_record_config_lag(gateway->latencies, heard);
 	config_log(catalog, before, source, g_bytes_get_size(text), heard);
 	readiness_update(gateway);
+	pending_retry_all(gateway);
 }
 
 void
@@ -1243,6 +1244,7 @@
 	gateway->relay_memory.limit =
 	    settings->memory_mb * BYTES_PER_MB / RELAY_MEMORY_DIVISOR;
 	gateway->packing = packing_create(CONFIG_BASES_BYTES);
+	gateway->pending = g_ptr_array_new();
 	gateway->resumptions = g_ptr_array_new();
 }
 
@@ -1286,6 +1288,7 @@
 	g_hash_table_destroy(gateway->peer_pools);
 	g_hash_table_destroy(gateway->clients);
 	streams_destroy(gateway->streams);
+	g_ptr_array_unref(gateway->pending);
 	g_ptr_array_unref(gateway->resumptions);
 	catalog_unref(gateway->catalog);
 	if (gateway->catalog_text != NULL)
--- a/gateway/internal.h
+++ b/gateway/internal.h
@@ -33,6 +33,7 @@
 typedef struct client client_t;
 typedef struct request request_t;
 typedef struct attempt attempt_t;
+typedef struct pending pending_t;
 typedef struct resumption resumption_t;
 typedef struct pool pool_t;
 typedef struct upstream upstream_t;
@@ -132,6 +133,7 @@
 	/* Of answers to instances that read the store through this one. */
 	memory_pool_t relay_memory;
 	size_t config_output;	/* compressed configurations, not sent */
+	GPtrArray *pending;	/* pending_t, waiting for a configuration */
 	GPtrArray *resumptions; /* resumption_t, waiting for other instances */
 	time_us_t started_at;
 	time_us_t leaving_at; /* 0: not stopping */
@@ -546,6 +548,18 @@
 /* Appends gauges of memory by what holds it, in the Prometheus format. */
 void usage_write(const gateway_t *gateway, GString *text);
 
+/* pending.c: requests that wait for a newer configuration. */
+/*
+ * Called for a request whose route or key isn't known. If other instances have
+ * a newer configuration it waits for that one, to be admitted again, or is
+ * refused with 503 after a second; returns false if none is known to exist.
+ */
+bool pending_begin(request_t *request);
+/* Stops to wait, if the request does. */
+void pending_cancel(request_t *request);
+/* Called when another configuration is in force. */
+void pending_retry_all(gateway_t *gateway);
+
 /* resumption.c: streams that callers resume. */
 /*
  * Finds the version that began the stream that a request goes on with. Returns
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -180,6 +180,7 @@
 		queue_remove(request->service_state->queue, request->queued,
 		    gateway_now(request->gateway));
 	request->queued = HANDLE_NONE;
+	pending_cancel(request);
 	resumption_cancel(request);
 	if (request->attempt != NULL)
 		attempt_cancel(request->attempt);
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -95,6 +95,7 @@
 	bool continues;		  /* one whose events the caller has */
 	uint32_t stream_version;  /* that began it */
 	bool version_checked;	  /* of the current attempt */
+	pending_t *pending;	  /* NULL: doesn't wait for a configuration */
 	resumption_t *resumption; /* NULL: doesn't wait for the version */
 };
 
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -66,7 +66,11 @@
 void world_publish_version(
     world_t *world, int worker, const char *state, const char *version);
 
-/* zone: "a-1" or "b-1". Waits until the instance is ready when wait is set. */
+/*
+ * zone: "a-1" or "b-1". Waits until the instance is ready when wait is set.
+ * Instance 0 is of the build in CYCLAMENSAIL_BUILD_0, if that is set: by hand,
+ * two builds side by side.
+ */
 void world_start(world_t *world, int instance, const char *zone,
     bool store_reachable, bool wait);
 /*
--- a/tests/process_config.c
+++ b/tests/process_config.c
@@ -23,6 +23,10 @@
 /* Time in which what the operator writes has to be in force everywhere. */
 #define CONFIG_MS 5000
 
+/* Time in which one instance applies it, and in which one starts. */
+#define APPLY_US 1000000
+#define START_MS 10000
+
 #define N_ROUTES 1400
 
 static char *
@@ -126,7 +130,7 @@
 	packing_digest(before, digest);
 	fields = g_strdup_printf(
 	    "Accept-Encoding: zstd\r\nBase-Digest: %s\r\n", digest);
-	g_usleep(CONFIG_MS / 5 * 1000);
+	g_usleep(APPLY_US);
 	changes = fetch(&world, fields, &head);
 	ck_assert_ptr_nonnull(strstr(head, digest));
 	ck_assert_uint_lt(g_bytes_get_size(changes), 1000);
@@ -174,7 +178,7 @@
 	configure(&world, 4, -1);
 	world_start(&world, 0, "a-1", true, true);
 	world_start(&world, 1, "a-1", false, false);
-	WORLD_WAIT(is_ready(&world, 1), 2 * CONFIG_MS);
+	WORLD_WAIT(is_ready(&world, 1), START_MS);
 	ck_assert_int_gt(replica_bytes(&world, 0), 200000);
 	ck_assert_int_eq(replica_bytes(&world, 1), replica_bytes(&world, 0));
 	configure(&world, 10, 700);
@@ -290,4 +294,85 @@
 	world_destroy(&world);
 }
 
+/* Sends a request that is answered later. */
+static int
+call_begin(const world_t *world, const char *path)
+{
+	g_autofree char *request = g_strdup_printf(
+	    "GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: early\r\n" WORLD_KEY
+	    "\r\n",
+	    path);
+	int fd = world_connect(world, INSTANCE, PORT_CALLERS);
+
+	world_send(fd, request);
+	return fd;
+}
+
+/*
+ * Guards against 404, which is final, for a route that was added: the instance
+ * knows that a newer version exists, and gets it a moment later.
+ */
+TEST(request_on_a_route_of_a_newer_version_waits_for_it)
+{
+	g_autofree char *text = document(9, "added");
+	g_autofree char *answer =
+	    g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(text), text);
+	world_answer_t served;
+	world_t world;
+	int listener;
+	int caller;
+	int fd;
+
+	world_create(&world);
+	listener = seed_listen(&world);
+	world_start(&world, INSTANCE, "a-1", true, true);
+	ck_assert_int_eq(status_of(&world, INSTANCE, "/added/ok"), 404);
+	fd = seed_await(&world, listener, 9);
+	caller = call_begin(&world, "/added/ok");
+	g_usleep(400000);
+	world_send(fd, answer);
+	served = world_read(caller);
+	ck_assert_int_eq(served.status, 200);
+	world_answer_clear(&served);
+	close(caller);
+	ck_assert_int_eq(status_of(&world, INSTANCE, "/nowhere/ok"), 404);
+	close(fd);
+	close(listener);
+	world_destroy(&world);
+}
+
+/* The version doesn't come: the caller is told to come again, not 404. */
+TEST(request_that_waits_in_vain_is_told_to_come_again)
+{
+	world_answer_t refused;
+	world_t world;
+	gint64 began_at;
+	int listener;
+	int caller;
+	int fd;
+
+	world_create(&world);
+	listener = seed_listen(&world);
+	world_start(&world, INSTANCE, "a-1", true, true);
+	fd = seed_await(&world, listener, 9);
+	began_at = g_get_monotonic_time();
+	caller = call_begin(&world, "/added/ok");
+	for (int i = 0; i < 4; i++) {
+		seed_report(&world, 9);
+		g_usleep(200000);
+	}
+	refused = world_read(caller);
+	ck_assert_int_eq(refused.status, 503);
+	ck_assert_ptr_nonnull(strstr(refused.head, "Retry-After"));
+	ck_assert_ptr_nonnull(strstr(refused.body, "config_behind"));
+	/* Well before its deadline of 8 s. */
+	ck_assert_int_lt(g_get_monotonic_time() - began_at, 3000000);
+	world_answer_clear(&refused);
+	close(caller);
+	close(fd);
+	close(listener);
+	world_destroy(&world);
+}
+
 TEST_MAIN("process_config")
