gateway, common, core: one owner of the base of an answer; ask for the whole after damage

Found on reading the new code. Whether to ask is decided before whom to ask: each message chose anew who asks other regions. After an answer that can't be restored the next one is asked for without a base, as the same changes would be damaged again (damaged_answer_is_followed_by_the_whole_document in process_config).

--- a/common/packing.c
+++ b/common/packing.c
@@ -35,6 +35,18 @@
 	    (guint64)XXH64(text, len, 0));
 }
 
+void
+packing_base_set(packing_base_t *base, GBytes *document)
+{
+	if (base->document != NULL)
+		g_bytes_unref(base->document);
+	*base = (packing_base_t){0};
+	if (document == NULL)
+		return;
+	base->document = g_bytes_ref(document);
+	packing_digest(document, base->digest);
+}
+
 /* The window has to reach back over the whole base. */
 static int
 window_log(size_t len)
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -2,8 +2,8 @@
 
 #include <glib.h>
 
-static bool
-is_current(const rollout_t *rollout, time_us_t now)
+bool
+rollout_is_behind(const rollout_t *rollout, time_us_t now)
 {
 	return *rollout->wanted != '\0' &&
 	       now - rollout->reported_at <= ROLLOUT_REPORT_MAX_AGE_US;
@@ -54,7 +54,7 @@
 	 * With frequent changes an instance always lacks the newest version,
 	 * but never the same one for long.
 	 */
-	if (!is_current(rollout, now) ||
+	if (!rollout_is_behind(rollout, now) ||
 	    version_compare(own, rollout->wanted) >= 0) {
 		g_strlcpy(
 		    rollout->wanted, report->version, sizeof(rollout->wanted));
@@ -69,7 +69,7 @@
 {
 	time_us_t lag = rollout_lag(rollout, now);
 
-	if (!is_current(rollout, now) ||
+	if (!rollout_is_behind(rollout, now) ||
 	    version_compare(own, rollout->wanted) < 0)
 		return -1;
 	*rollout->wanted = '\0';
@@ -79,7 +79,8 @@
 time_us_t
 rollout_lag(const rollout_t *rollout, time_us_t now)
 {
-	return is_current(rollout, now) ? now - rollout->wanted_since : 0;
+	return rollout_is_behind(rollout, now) ? now - rollout->wanted_since
+					       : 0;
 }
 
 static bool
--- a/gateway/fetch.c
+++ b/gateway/fetch.c
@@ -28,25 +28,18 @@
 	gateway_t *gateway;
 	tcp_t *connection; /* NULL while no fetch is running */
 	http_reader_t *reader;
-	uint32_t ip;  /* asked last */
-	GBytes *base; /* named in the request, or NULL */
+	uint32_t ip;	     /* asked last */
+	packing_base_t base; /* named in the request */
 	GByteArray *body;
 	unsigned status;
 	bool compressed; /* the answer */
 	bool relative;	 /* to the base */
+	bool whole;	 /* asks without a base, after a damaged answer */
 	bool too_large;
 	ev_timer stall;
 	ev_timer timeout;
 };
 
-static void
-base_set(fetch_t *fetch, GBytes *base)
-{
-	if (fetch->base != NULL)
-		g_bytes_unref(fetch->base);
-	fetch->base = base ? g_bytes_ref(base) : NULL;
-}
-
 static void
 fetch_end(fetch_t *fetch)
 {
@@ -61,10 +54,9 @@
 
 /* Ends a fetch that brought nothing, and asks another instance. */
 static void
-fetch_fail(fetch_t *fetch, const char *cause)
+fetch_fail(fetch_t *fetch, const char *cause, bool busy)
 {
 	gateway_t *gateway = fetch->gateway;
-	bool busy = strcmp(cause, "busy") == 0;
 
 	log_event(busy ? LOG_INFO : LOG_NOTICE, "config_fetch_failed",
 	    LOG_S("cause", cause), LOG_I("status", fetch->status),
@@ -86,7 +78,8 @@
 	if (!fetch->compressed)
 		return g_bytes_new(fetch->body->data, fetch->body->len);
 	document = packing_unpack(fetch->body->data, fetch->body->len,
-	    fetch->relative ? fetch->base : NULL, FETCH_BODY_LIMIT, &error);
+	    fetch->relative ? fetch->base.document : NULL, FETCH_BODY_LIMIT,
+	    &error);
 	if (document == NULL)
 		log_event(LOG_WARNING, "config_damaged",
 		    LOG_S("error", error->message));
@@ -104,8 +97,9 @@
 	const void *text;
 	gsize len;
 
+	fetch->whole = document == NULL;
 	if (document == NULL) {
-		fetch_fail(fetch, "damaged");
+		fetch_fail(fetch, "damaged", false);
 		return;
 	}
 	fetch_end(fetch);
@@ -172,15 +166,15 @@
 	if (result == HTTP_FEED_COMPLETE && fetch->status == 200)
 		fetch_apply(fetch);
 	else if (result == HTTP_FEED_COMPLETE && fetch->status == 503)
-		fetch_fail(fetch, "busy");
+		fetch_fail(fetch, "busy", true);
 	else
-		fetch_fail(fetch, "refused");
+		fetch_fail(fetch, "refused", false);
 }
 
 static void
 on_ended(void *owner, tcp_end_t end)
 {
-	fetch_fail(owner, "connection");
+	fetch_fail(owner, "connection", false);
 }
 
 static const tcp_events_t events = {
@@ -191,7 +185,7 @@
 static void
 on_stall(struct ev_loop *loop, ev_timer *watcher, int revents)
 {
-	fetch_fail(watcher->data, "stalled");
+	fetch_fail(watcher->data, "stalled", false);
 }
 
 /* Returns the instance to ask, other than except; 0: none. */
@@ -214,7 +208,7 @@
 	fetch_t *fetch = watcher->data;
 
 	if (fetch_pick(fetch, fetch->ip) != 0) {
-		fetch_fail(fetch, "timeout");
+		fetch_fail(fetch, "timeout", false);
 		return;
 	}
 	ev_timer_set(watcher, FETCH_TIMEOUT_S, 0);
@@ -242,7 +236,7 @@
 	if (fetch->reader != NULL)
 		http_reader_destroy(fetch->reader);
 	g_byte_array_unref(fetch->body);
-	base_set(fetch, NULL);
+	packing_base_set(&fetch->base, NULL);
 	g_free(fetch);
 }
 
@@ -253,8 +247,6 @@
 	    g_string_new("GET " PEER_CONFIG_PATH " HTTP/1.1\r\n"
 			 "Host: instance\r\nAccept-Encoding: zstd\r\n");
 	net_address_t address = {ip, fetch->gateway->own_peer.port};
-	GBytes *base = packing_newest(fetch->gateway->packing);
-	char digest[PACKING_DIGEST_BYTES];
 
 	fetch->ip = ip;
 	fetch->status = 0;
@@ -265,12 +257,11 @@
 		    gateway_now(fetch->gateway));
 		return;
 	}
-	base_set(fetch, base);
-	if (base != NULL) {
-		packing_digest(base, digest);
+	packing_base_set(&fetch->base,
+	    fetch->whole ? NULL : packing_newest(fetch->gateway->packing));
+	if (fetch->base.document != NULL)
 		g_string_append_printf(
-		    request, PEER_FIELD_BASE ": %s\r\n", digest);
-	}
+		    request, PEER_FIELD_BASE ": %s\r\n", fetch->base.digest);
 	g_string_append(request, "\r\n");
 	if (fetch->reader != NULL)
 		http_reader_destroy(fetch->reader);
@@ -289,7 +280,9 @@
 {
 	uint32_t ip;
 
-	if (fetch->connection != NULL)
+	if (fetch->connection != NULL ||
+	    !rollout_is_behind(
+		&fetch->gateway->rollout, gateway_now(fetch->gateway)))
 		return;
 	ip = fetch_pick(fetch, 0);
 	if (ip != 0)
--- a/gateway/pending.c
+++ b/gateway/pending.c
@@ -62,7 +62,7 @@
 	time_us_t now = gateway_now(gateway);
 	pending_t *pending;
 
-	if (rollout_lag(&gateway->rollout, now) == 0)
+	if (!rollout_is_behind(&gateway->rollout, now))
 		return false;
 	if (now >= wait_end(request) ||
 	    gateway->pending->len >= PENDING_LIMIT) {
--- a/include/common/packing.h
+++ b/include/common/packing.h
@@ -20,6 +20,15 @@
 /* Not cryptographic (XXH64): readers and senders trust each other. */
 void packing_digest(GBytes *document, char digest[PACKING_DIGEST_BYTES]);
 
+/* The document that a reader has while an answer may refer to it. */
+typedef struct {
+	GBytes *document;		   /* NULL: none */
+	char digest[PACKING_DIGEST_BYTES]; /* "": none */
+} packing_base_t;
+
+/* document NULL: clears it. */
+void packing_base_set(packing_base_t *base, GBytes *document);
+
 /* base NULL: none. Returns NULL if the document can't be compressed. */
 GBytes *packing_pack(GBytes *document, GBytes *base);
 
--- a/include/core/rollout.h
+++ b/include/core/rollout.h
@@ -73,6 +73,9 @@
  */
 time_us_t rollout_note_own(rollout_t *rollout, const char *own, time_us_t now);
 
+/* Returns whether a newer version than that in force here is known to exist. */
+bool rollout_is_behind(const rollout_t *rollout, time_us_t now);
+
 /* Time for which a version has been missing; 0: none is, as far as is known. */
 time_us_t rollout_lag(const rollout_t *rollout, time_us_t now);
 
--- a/tests/process_config.c
+++ b/tests/process_config.c
@@ -294,6 +294,53 @@
 	world_destroy(&world);
 }
 
+/* Reads a request without a body. */
+static void
+request_read(int fd, char *text, size_t size)
+{
+	size_t len = 0;
+
+	memset(text, 0, size);
+	while (strstr(text, "\r\n\r\n") == NULL) {
+		ssize_t n = recv(fd, &text[len], size - 1 - len, 0);
+
+		ck_assert_int_gt(n, 0);
+		len += (size_t)n;
+	}
+}
+
+/* Guards against asking for the same damaged changes again and again. */
+TEST(damaged_answer_is_followed_by_the_whole_document)
+{
+	g_autofree char *text = document(9, "added");
+	g_autofree char *whole =
+	    g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(text), text);
+	char request[1024];
+	world_t world;
+	int listener;
+	int fd;
+
+	world_create(&world);
+	listener = seed_listen(&world);
+	world_start(&world, INSTANCE, "a-1", true, true);
+	fd = seed_await(&world, listener, 9);
+	request_read(fd, request, sizeof(request));
+	ck_assert_ptr_nonnull(strstr(request, "base-digest: "));
+	world_send(fd,
+	    "HTTP/1.1 200 OK\r\nContent-Encoding: zstd\r\n"
+	    "Base-Digest: 0123456789abcdef\r\nContent-Length: 4\r\n\r\nnone");
+	close(fd);
+	fd = seed_await(&world, listener, 9);
+	request_read(fd, request, sizeof(request));
+	ck_assert_ptr_null(strstr(request, "base-digest: "));
+	world_send(fd, whole);
+	WORLD_WAIT(status_of(&world, INSTANCE, "/added/ok") == 200, CONFIG_MS);
+	close(fd);
+	close(listener);
+	world_destroy(&world);
+}
+
 /* Sends a request that is answered later. */
 static int
 call_begin(const world_t *world, const char *path)
