--- a/tests/platform_world.c
+++ b/tests/platform_world.c
@@ -238,9 +238,8 @@
     bool store_reachable, bool wait)
 {
 	const char *before = g_getenv("CYCLAMENSAIL_BUILD_0");
-	const char *build = instance == 0 && before
-				? before
-				: g_getenv("CYCLAMENSAIL_BUILD");
+	const char *build =
+	    instance == 0 && before ? before : g_getenv("CYCLAMENSAIL_BUILD");
 	g_autofree char *program =
 	    g_build_filename(build, "cyclamensail", "cyclamensail", NULL);
 	g_autofree char *settings =
