--- a/gateway/client.c
+++ b/gateway/client.c
@@ -382,9 +382,9 @@
 #define CONFIG_OUTPUT_LIMIT ((size_t)64 << 10)
 
 static void
-config_refuse(client_t *client, const char *call)
+config_refuse(client_t *client)
 {
-	counter_increment("relay_answers_refused", "call", call);
+	counter_increment("relay_answers_refused", "call", "config");
 	client_respond(client, 503, "", "text/plain", "busy\n");
 }
 
@@ -405,6 +405,8 @@
 		digest = g_strndup(base->value.text, base->value.len);
 	frame =
 	    packing_frame(packing, packing_newest(packing), digest, &relative);
+	if (frame == NULL)
+		return NULL;
 	g_string_append(fields, "Content-Encoding: zstd\r\n");
 	if (relative)
 		g_string_append_printf(
@@ -433,7 +435,7 @@
 		text = g_bytes_get_data(frame, &len);
 		if (gateway->config_output > 0 &&
 		    gateway->config_output + len > CONFIG_OUTPUT_LIMIT) {
-			config_refuse(client, "config");
+			config_refuse(client);
 			return;
 		}
 		tcp_count_output(client->connection, &gateway->config_output);
@@ -445,7 +447,7 @@
 	text = g_bytes_get_data(gateway->catalog_text, &len);
 	if (gateway->relay_memory.claimed > 0 &&
 	    !memory_has_room(&gateway->relay_memory, len)) {
-		config_refuse(client, "config");
+		config_refuse(client);
 		return;
 	}
 	tcp_count_output(client->connection, &gateway->relay_memory.claimed);
--- a/include/common/packing.h
+++ b/include/common/packing.h
@@ -42,7 +42,7 @@
 
 /*
  * The newest document and some before it, as bases, and the frames that were
- * made of them. Holds BASES older documents of limit bytes in all.
+ * made of them. limit: bytes of the older documents, at most PACKING_BASES.
  */
 #define PACKING_BASES 7
 #define PACKING_FRAMES 8
