--- a/gateway/latency.c
+++ b/gateway/latency.c
@@ -77,11 +77,13 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bounds); i++)
 		g_string_append_printf(text,
-		    "%s_bucket{%s%sle=\"%g\"} %" G_GUINT64_FORMAT "\n", name,
-		    label, comma, (double)bounds[i] / US_PER_S,
+		    "%s_bucket{%s%s"
+		    "le=\"%g\"} %" G_GUINT64_FORMAT "\n",
+		    name, label, comma, (double)bounds[i] / US_PER_S,
 		    histogram_count_to(histogram, bounds[i]));
 	g_string_append_printf(text,
-	    "%s_bucket{%s%sle=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
+	    "%s_bucket{%s%s"
+	    "le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
 	    "%s_sum{%s} %.6f\n"
 	    "%s_count{%s} %" G_GUINT64_FORMAT "\n",
 	    name, label, comma, histogram_count(histogram), name, label,
