--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -89,6 +89,7 @@
 #define FAR_US (320 * US_PER_MS) /* connecting and asking */
 #define NEAR_US (4 * US_PER_MS)
 #define FIRST_READERS 2
+#define SEEDS 10 /* by hand more, in TEST_SEEDS */
 
 /* Less than the 5 s that operators expect: the first ones read the store. */
 #define LATEST_US (4 * US_PER_S)
@@ -226,10 +227,13 @@
 TEST(last_of_many_instances_has_a_version_in_time)
 {
 	static const uint32_t sizes[] = {8, 84, 300};
+	const char *seeds = g_getenv("TEST_SEEDS");
+	uint64_t n_seeds = seeds ? g_ascii_strtoull(seeds, NULL, 10) : SEEDS;
 	sim_t sim = {0};
 
+	ck_assert_uint_gt(n_seeds, 0);
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-		for (uint64_t seed = 1; seed <= 10; seed++) {
+		for (uint64_t seed = 1; seed <= n_seeds; seed++) {
 			ck_assert_int_lt(
 			    sim_run(&sim, sizes[i], seed), LATEST_US);
 			/* Most get it from within their region. */
