gateway: older configurations kept as bases take 1 MiB at most

Two bases of that size were kept for readers; one, the version before, is what nearly all of them have.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -68,8 +68,11 @@
 /* The same for answers to instances that read the store through this one. */
 #define RELAY_MEMORY_DIVISOR 16
 
-/* Older configurations that a newer one can be sent relative to. */
-#define CONFIG_BASES_BYTES (2 * BYTES_PER_MB)
+/*
+ * Older configurations that a newer one can be sent relative to: at least the
+ * one before, as a value of the store has 1 MB.
+ */
+#define CONFIG_BASES_BYTES BYTES_PER_MB
 
 /* Maximum length of a queue. */
 #define QUEUE_LIMIT 512
