common, platform: how a value is packed is no part of the adapter

Cause: platform/ decoded, compressed, checked and encoded values, beside the names of fields that it is there for. Ruled out: a change of behaviour; a field of another type is an answer that can't be restored, as before.

--- a/common/packing.c
+++ b/common/packing.c
@@ -250,6 +250,51 @@
 	return bytes;
 }
 
+static GBytes *
+text_decode(const char *text)
+{
+	gsize len = 0;
+	guchar *data = g_base64_decode(text, &len);
+
+	return g_bytes_new_take(data, len);
+}
+
+static char *
+text_encode(GBytes *bytes)
+{
+	return g_base64_encode(
+	    g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes));
+}
+
+char *
+packing_frame_text(
+    packing_t *packing, const char *text, const char *base, bool *relative)
+{
+	g_autoptr(GBytes) document = text_decode(text);
+	g_autoptr(GBytes) frame =
+	    packing_frame(packing, document, base, relative);
+
+	return frame ? text_encode(frame) : NULL;
+}
+
+char *
+packing_unpack_text(const char *text, const char *digest,
+    const packing_base_t *base, size_t limit, GError **error)
+{
+	g_autoptr(GBytes) frame = text_decode(text);
+	g_autoptr(GBytes) document = NULL;
+
+	if (digest != NULL && strcmp(digest, base->digest) != 0) {
+		g_set_error(error, CS_ERROR, CS_ERROR_CONFLICT,
+		    "refers to another base");
+		return NULL;
+	}
+	document = packing_unpack(g_bytes_get_data(frame, NULL),
+	    g_bytes_get_size(frame), digest ? base->document : NULL, limit,
+	    error);
+	return document ? text_encode(document) : NULL;
+}
+
 size_t
 packing_bytes(const packing_t *packing)
 {
--- a/include/common/packing.h
+++ b/include/common/packing.h
@@ -65,6 +65,20 @@
 GBytes *packing_frame(
     packing_t *packing, GBytes *document, const char *base, bool *relative);
 
+/*
+ * The same of a document in base64, as text in base64. NULL: it can't be
+ * compressed. Free the result.
+ */
+char *packing_frame_text(
+    packing_t *packing, const char *document, const char *base, bool *relative);
+
+/*
+ * Restores a document from such text, in base64. digest: of the base that the
+ * frame refers to, which has to be the reader's; NULL: none.
+ */
+char *packing_unpack_text(const char *frame, const char *digest,
+    const packing_base_t *base, size_t limit, GError **error);
+
 /* Returns the bytes of the documents and frames that are held. */
 size_t packing_bytes(const packing_t *packing);
 
