tests: one place for what process tests ask an instance

Ruled out: an easier check: conditions and bounds are the same. Change: world_status(), world_is_ready(), world_gauge() in platform_world.

--- a/tests/platform_world.c
+++ b/tests/platform_world.c
@@ -518,3 +518,39 @@
 	close(fd);
 	return answer;
 }
+
+int
+world_status(const world_t *world, int instance, const char *path)
+{
+	world_answer_t answer =
+	    world_call(world, instance, "GET", path, "probe", WORLD_KEY, NULL);
+	int status = answer.status;
+
+	world_answer_clear(&answer);
+	return status;
+}
+
+bool
+world_is_ready(const world_t *world, int instance)
+{
+	world_answer_t answer =
+	    world_get(world, instance, PORT_HEALTH, "/ready");
+	bool ready = answer.status == 200;
+
+	world_answer_clear(&answer);
+	return ready;
+}
+
+size_t
+world_gauge(const world_t *world, int instance, const char *name)
+{
+	world_answer_t answer =
+	    world_get(world, instance, PORT_METRICS, "/metrics");
+	const char *line = answer.body ? strstr(answer.body, name) : NULL;
+	size_t value;
+
+	ck_assert_msg(line != NULL, "no gauge %s", name);
+	value = strtoull(line + strlen(name), NULL, 10);
+	world_answer_clear(&answer);
+	return value;
+}
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -114,6 +114,12 @@
 world_answer_t world_get(
     const world_t *world, int instance, world_port_t port, const char *path);
 
+/* Status of a GET with key-1. */
+int world_status(const world_t *world, int instance, const char *path);
+bool world_is_ready(const world_t *world, int instance);
+/* name: with its label and the blank before the value. */
+size_t world_gauge(const world_t *world, int instance, const char *name);
+
 /* Asserts that condition becomes true within timeout_ms. */
 #define WORLD_WAIT(condition, timeout_ms)                              \
 	do {                                                           \
--- a/tests/process_config.c
+++ b/tests/process_config.c
@@ -27,6 +27,7 @@
 #define APPLY_US 1000000
 #define START_MS 10000
 
+#define REPLICA "memory_bytes{part=\"replica\"} "
 #define N_ROUTES 1400
 
 static char *
@@ -51,17 +52,6 @@
 	world_configure((world_t *)world, version, "key-1", extra);
 }
 
-static int
-status_of(const world_t *world, int instance, const char *path)
-{
-	world_answer_t answer =
-	    world_call(world, instance, "GET", path, "probe", WORLD_KEY, NULL);
-	int status = answer.status;
-
-	world_answer_clear(&answer);
-	return status;
-}
-
 /* Reads what an instance sends to others, as bytes. */
 static GBytes *
 fetch(const world_t *world, const char *fields, char **head)
@@ -120,7 +110,7 @@
 	world_create(&world);
 	configure(&world, 4, -1);
 	world_start(&world, INSTANCE, "a-1", true, true);
-	WORLD_WAIT(status_of(&world, INSTANCE, "/x0/ok") == 200, CONFIG_MS);
+	WORLD_WAIT(world_status(&world, INSTANCE, "/x0/ok") == 200, CONFIG_MS);
 	whole = fetch(&world, "Accept-Encoding: zstd\r\n", &head);
 	ck_assert_ptr_nonnull(strstr(head, "Content-Encoding: zstd\r\n"));
 	before = unpack(whole, NULL);
@@ -142,30 +132,6 @@
 	world_destroy(&world);
 }
 
-static bool
-is_ready(const world_t *world, int instance)
-{
-	world_answer_t answer =
-	    world_get(world, instance, PORT_HEALTH, "/ready");
-	bool ready = answer.status == 200;
-
-	world_answer_clear(&answer);
-	return ready;
-}
-
-static long
-replica_bytes(const world_t *world, int instance)
-{
-	static const char name[] = "memory_bytes{part=\"replica\"} ";
-	world_answer_t answer =
-	    world_get(world, instance, PORT_METRICS, "/metrics");
-	const char *line = answer.body ? strstr(answer.body, name) : NULL;
-	long bytes = line ? strtol(line + strlen(name), NULL, 10) : 0;
-
-	world_answer_clear(&answer);
-	return bytes;
-}
-
 /*
  * Guards against a relay's compressed values that a reader can't restore: it
  * would read all keys again without end, and its own readers would get nothing.
@@ -178,15 +144,17 @@
 	configure(&world, 4, -1);
 	world_start(&world, 0, "a-1", true, true);
 	world_start(&world, 1, "a-1", false, false);
-	WORLD_WAIT(is_ready(&world, 1), START_MS);
-	ck_assert_int_gt(replica_bytes(&world, 0), 200000);
-	ck_assert_int_eq(replica_bytes(&world, 1), replica_bytes(&world, 0));
+	WORLD_WAIT(world_is_ready(&world, 1), START_MS);
+	ck_assert_uint_gt(world_gauge(&world, 0, REPLICA), 200000);
+	ck_assert_uint_eq(
+	    world_gauge(&world, 1, REPLICA), world_gauge(&world, 0, REPLICA));
 	configure(&world, 10, 700);
-	WORLD_WAIT(status_of(&world, 1, "/x0/ok") == 200 &&
-		       replica_bytes(&world, 1) > replica_bytes(&world, 0) - 9,
+	WORLD_WAIT(world_status(&world, 1, "/x0/ok") == 200 &&
+		       world_gauge(&world, 1, REPLICA) >
+			   world_gauge(&world, 0, REPLICA) - 9,
 	    CONFIG_MS);
 	world_configure(&world, 11, "key-1", "");
-	WORLD_WAIT(status_of(&world, 1, "/x0/ok") == 404, CONFIG_MS);
+	WORLD_WAIT(world_status(&world, 1, "/x0/ok") == 404, CONFIG_MS);
 	world_destroy(&world);
 }
 
@@ -288,7 +256,7 @@
 		seed_report(&world, 9);
 		world_send(fd, piece);
 	}
-	WORLD_WAIT(status_of(&world, INSTANCE, "/slow/ok") == 200, 1000);
+	WORLD_WAIT(world_status(&world, INSTANCE, "/slow/ok") == 200, 1000);
 	close(fd);
 	close(listener);
 	world_destroy(&world);
@@ -335,7 +303,8 @@
 	request_read(fd, request, sizeof(request));
 	ck_assert_ptr_null(strstr(request, "base-digest: "));
 	world_send(fd, whole);
-	WORLD_WAIT(status_of(&world, INSTANCE, "/added/ok") == 200, CONFIG_MS);
+	WORLD_WAIT(
+	    world_status(&world, INSTANCE, "/added/ok") == 200, CONFIG_MS);
 	close(fd);
 	close(listener);
 	world_destroy(&world);
@@ -374,7 +343,7 @@
 	world_create(&world);
 	listener = seed_listen(&world);
 	world_start(&world, INSTANCE, "a-1", true, true);
-	ck_assert_int_eq(status_of(&world, INSTANCE, "/added/ok"), 404);
+	ck_assert_int_eq(world_status(&world, INSTANCE, "/added/ok"), 404);
 	fd = seed_await(&world, listener, 9);
 	caller = call_begin(&world, "/added/ok");
 	g_usleep(400000);
@@ -383,7 +352,7 @@
 	ck_assert_int_eq(served.status, 200);
 	world_answer_clear(&served);
 	close(caller);
-	ck_assert_int_eq(status_of(&world, INSTANCE, "/nowhere/ok"), 404);
+	ck_assert_int_eq(world_status(&world, INSTANCE, "/nowhere/ok"), 404);
 	close(fd);
 	close(listener);
 	world_destroy(&world);
--- a/tests/process_memory.c
+++ b/tests/process_memory.c
@@ -36,20 +36,6 @@
 	return g_string_free(routes, FALSE);
 }
 
-static size_t
-gauge_read(const world_t *world, int instance, const char *name)
-{
-	world_answer_t answer =
-	    world_get(world, instance, PORT_METRICS, "/metrics");
-	const char *line = answer.body ? strstr(answer.body, name) : NULL;
-	size_t value;
-
-	ck_assert_msg(line != NULL, "no gauge %s", name);
-	value = strtoull(line + strlen(name), NULL, 10);
-	world_answer_clear(&answer);
-	return value;
-}
-
 /* Number of versions that the instance has put in force. */
 static unsigned
 versions_read(const world_t *world, int instance)
@@ -85,12 +71,12 @@
 		g_usleep(GAP_US);
 	}
 	world_configure(&world, 10 + VERSIONS, "key-1", routes);
-	WORLD_WAIT(gauge_read(&world, 0, "memory_bytes{part=\"replica\"} ") >
+	WORLD_WAIT(world_gauge(&world, 0, "memory_bytes{part=\"replica\"} ") >
 		       CONFIG_BYTES,
 	    8000);
 	ck_assert_uint_ge(versions_read(&world, 0), 10);
 	ck_assert_uint_le(
-	    gauge_read(&world, 0, "memory_bytes{part=\"replica\"} "), bound);
+	    world_gauge(&world, 0, "memory_bytes{part=\"replica\"} "), bound);
 	world_destroy(&world);
 }
 
@@ -155,7 +141,7 @@
 
 		world_configure(&world, 10 + i, "key-1", routes);
 		output =
-		    gauge_read(&world, 0, "memory_bytes{part=\"output\"} ");
+		    world_gauge(&world, 0, "memory_bytes{part=\"output\"} ");
 		ck_assert_uint_le(output, bound);
 		most = MAX(most, output);
 		g_usleep(READER_STEP_US);
@@ -164,8 +150,8 @@
 	ck_assert_uint_ge(most, CONFIG_BYTES);
 	for (int i = 0; i < READERS; i++)
 		close(fds[i]);
-	WORLD_WAIT(
-	    gauge_read(&world, 0, "memory_bytes{part=\"relay_answers\"} ") == 0,
+	WORLD_WAIT(world_gauge(
+		       &world, 0, "memory_bytes{part=\"relay_answers\"} ") == 0,
 	    8000);
 	world_destroy(&world);
 }
@@ -206,13 +192,13 @@
 	world_configure(&world, 10, "key-1", routes);
 	world_start(&world, 0, "a-1", true, true);
 	fds[0] = stream_open(&world, 0);
-	before = gauge_read(&world, 0, "heap_bytes{state=\"used\"} ");
+	before = world_gauge(&world, 0, "heap_bytes{state=\"used\"} ");
 	for (int i = 1; i < STREAMS; i++) {
 		world_configure(&world, 10 + i, "key-1", routes);
 		WORLD_WAIT(versions_read(&world, 0) == 1u + (unsigned)i, 4000);
 		fds[i] = stream_open(&world, i);
 	}
-	ck_assert_uint_le(gauge_read(&world, 0, "heap_bytes{state=\"used\"} "),
+	ck_assert_uint_le(world_gauge(&world, 0, "heap_bytes{state=\"used\"} "),
 	    before + 2 * CONFIG_BYTES);
 	for (int i = 0; i < STREAMS; i++)
 		close(fds[i]);
--- a/tests/process_start.c
+++ b/tests/process_start.c
@@ -36,28 +36,6 @@
 	fake_store_put(world->store, "op/config", value);
 }
 
-static int
-status_of(const world_t *world, int instance, const char *path)
-{
-	world_answer_t answer =
-	    world_call(world, instance, "GET", path, "probe", WORLD_KEY, NULL);
-	int status = answer.status;
-
-	world_answer_clear(&answer);
-	return status;
-}
-
-static bool
-is_ready(const world_t *world, int instance)
-{
-	world_answer_t answer =
-	    world_get(world, instance, PORT_HEALTH, "/ready");
-	bool ready = answer.status == 200;
-
-	world_answer_clear(&answer);
-	return ready;
-}
-
 static bool
 has_logged(const world_t *world, int instance, const char *text)
 {
@@ -75,7 +53,7 @@
 	for (int i = 0; i < INSTANCES; i++)
 		world_start(world, i, i < 2 ? "a-1" : "b-1", true, false);
 	for (int i = 0; wait && i < INSTANCES; i++)
-		WORLD_WAIT(is_ready(world, i), START_MS);
+		WORLD_WAIT(world_is_ready(world, i), START_MS);
 }
 
 static void
@@ -101,13 +79,13 @@
 	kill_all(&world);
 	start_all(&world, true);
 	for (int i = 0; i < 2; i++)
-		ck_assert_int_eq(status_of(&world, i, "/first/ok"), 200);
+		ck_assert_int_eq(world_status(&world, i, "/first/ok"), 200);
 	configure(&world, "99999999999999999999999999999", ROUTE("lower"));
 	configure(&world, "100000000000000000000000000001", ROUTE("second"));
 	for (int i = 0; i < 2; i++) {
 		WORLD_WAIT(
-		    status_of(&world, i, "/second/ok") == 200, CONFIG_MS);
-		ck_assert_int_eq(status_of(&world, i, "/first/ok"), 404);
+		    world_status(&world, i, "/second/ok") == 200, CONFIG_MS);
+		ck_assert_int_eq(world_status(&world, i, "/first/ok"), 404);
 	}
 	world_destroy(&world);
 }
@@ -121,8 +99,8 @@
 	configure(&world, "100000000000000000000000000000", ROUTE("first"));
 	world_start(&world, 0, "a-1", true, true);
 	world_start(&world, 1, "a-1", false, false);
-	WORLD_WAIT(is_ready(&world, 1), RESTART_MS);
-	ck_assert_int_eq(status_of(&world, 1, "/first/ok"), 200);
+	WORLD_WAIT(world_is_ready(&world, 1), RESTART_MS);
+	ck_assert_int_eq(world_status(&world, 1, "/first/ok"), 200);
 	world_destroy(&world);
 }
 
@@ -137,21 +115,22 @@
 	    ROUTE("first") ",{\"host\":\"h\",\"prefix\":\"/first/odd/\","
 			   "\"route_type\":\"odd\",\"service\":\"pen\"}");
 	WORLD_WAIT(has_logged(&world, 0, "event=config_unreadable"), CONFIG_MS);
-	ck_assert_int_eq(status_of(&world, 0, "/read/ok"), 200);
+	ck_assert_int_eq(world_status(&world, 0, "/read/ok"), 200);
 	kill_all(&world);
 	start_all(&world, true);
 	for (int i = 0; i < 2; i++) {
-		ck_assert_int_eq(status_of(&world, i, "/first/ok"), 200);
-		ck_assert_int_eq(status_of(&world, i, "/first/odd/ok"), 503);
-		ck_assert_int_eq(status_of(&world, i, "/second/ok"), 404);
+		ck_assert_int_eq(world_status(&world, i, "/first/ok"), 200);
+		ck_assert_int_eq(world_status(&world, i, "/first/odd/ok"), 503);
+		ck_assert_int_eq(world_status(&world, i, "/second/ok"), 404);
 	}
 	configure(&world, "\"5\"", ROUTE("second"));
 	for (int i = 0; i < 2; i++)
 		WORLD_WAIT(
-		    status_of(&world, i, "/second/ok") == 200, CONFIG_MS);
+		    world_status(&world, i, "/second/ok") == 200, CONFIG_MS);
 	configure(&world, "4", ROUTE("first"));
 	for (int i = 0; i < 2; i++)
-		WORLD_WAIT(status_of(&world, i, "/first/ok") == 200, CONFIG_MS);
+		WORLD_WAIT(
+		    world_status(&world, i, "/first/ok") == 200, CONFIG_MS);
 	world_destroy(&world);
 }
 
@@ -170,9 +149,9 @@
 	WORLD_WAIT(
 	    has_logged(&world, 0, "event=not_ready reason=config_unreadable"),
 	    START_MS);
-	ck_assert(!is_ready(&world, 0));
+	ck_assert(!world_is_ready(&world, 0));
 	world_configure(&world, 4, "key-1", "");
-	WORLD_WAIT(is_ready(&world, 0), CONFIG_MS);
+	WORLD_WAIT(world_is_ready(&world, 0), CONFIG_MS);
 	world_destroy(&world);
 }
 
@@ -217,8 +196,8 @@
 	configure(&world, "4", routes);
 	fake_store_set_rate(world.store, BYTES_PER_S);
 	world_start(&world, 0, "a-1", true, false);
-	WORLD_WAIT(is_ready(&world, 0), RESTART_MS);
-	ck_assert_int_eq(status_of(&world, 0, "/first/ok"), 200);
+	WORLD_WAIT(world_is_ready(&world, 0), RESTART_MS);
+	ck_assert_int_eq(world_status(&world, 0, "/first/ok"), 200);
 	world_destroy(&world);
 }
 
